--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Benchmarks that print JSON and write docs/MEASUREMENTS.md. */
+export {}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** figloom: the command line for operators. */
+export {}
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,2 @@
+/** Cells: leases, intents, memory ledger, claims, membership. */
+export {}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** figloomd: the daemon of an entry host. */
+export {}
--- /dev/null
+++ b/packages/load/src/index.ts
@@ -0,0 +1,2 @@
+/** figloom-load: sends a described load and reports attainment. */
+export {}
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,2 @@
+/** What is resident where: pure planning. */
+export {}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Clients of the platform: log, host list, engines, plain services. */
+export {}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,2 @@
+/** Admission, choice of runner, retries and limits: pure decisions. */
+export {}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,10 @@
+/** Clock, result codes, ids, logs, metrics, traces and task mailboxes. */
+export * from './clock/clock.js'
+export * from './clock/manual-clock.js'
+export * from './result/codes.js'
+export * from './result/failure.js'
+export * from './ids/ids.js'
+export * from './logs/logs.js'
+export * from './metrics/metrics.js'
+export * from './traces/traces.js'
+export * from './tasks/task.js'
--- /dev/null
+++ b/packages/runtime/src/logs/logs.ts
@@ -0,0 +1,45 @@
+import { createConsola, type ConsolaInstance } from 'consola'
+import type { Clock } from '../clock/clock.js'
+
+/** Fields that every line of a process carries. */
+export type LogContext = { program: string, host?: string, availabilityZone?: string }
+
+/** Fields of one line; names carry their unit. */
+export type LogFields = Record<string, string | number | boolean | undefined>
+
+/** Writes JSON lines: time, level, message, context and fields. */
+export type Logger = {
+  debug: (message: string, fields?: LogFields) => void
+  info: (message: string, fields?: LogFields) => void
+  warn: (message: string, fields?: LogFields) => void
+  error: (message: string, fields?: LogFields) => void
+}
+
+const VERBOSE_LEVEL = 4
+const INFO_LEVEL = 3
+
+/** Creates a logger on standard error; `write` replaces the output in tests. */
+export function createLogger (
+  context: LogContext,
+  clock: Clock,
+  options: { verbose?: boolean, write?: (line: string) => void } = {}
+): Logger {
+  const write = options.write ?? ((line: string) => { process.stderr.write(line) })
+  const consola = createConsola({
+    level: options.verbose === true ? VERBOSE_LEVEL : INFO_LEVEL,
+    reporters: [{
+      log: ({ type, args }) => {
+        const [message, fields] = args as [string, LogFields | undefined]
+        write(JSON.stringify({ time: clock.now().toISOString(), level: type, message, ...context, ...fields }) + '\n')
+      }
+    }]
+  })
+  return { debug: bind(consola, 'debug'), info: bind(consola, 'info'), warn: bind(consola, 'warn'), error: bind(consola, 'error') }
+}
+
+/** Logger that drops every line. */
+export const silentLogger: Logger = { debug () {}, info () {}, warn () {}, error () {} }
+
+function bind (consola: ConsolaInstance, level: 'debug' | 'info' | 'warn' | 'error') {
+  return (message: string, fields: LogFields = {}) => consola[level](message, fields)
+}
--- /dev/null
+++ b/packages/runtime/src/result/codes.ts
@@ -0,0 +1,57 @@
+/** HTTP status and certainty of a result code; docs/ERRORS.md lists the same table. */
+export type ResultCodeInfo = {
+  readonly code: number
+  readonly type: string
+  readonly httpStatus: number
+  /** Certainty if nothing more is known where the error arises. */
+  readonly ran: Ran
+  readonly meaning: string
+  /** What the caller or operator does about it. */
+  readonly action: string
+}
+
+/** Whether a refused or failed request ran: `no` is a promise, `unknown` means that it may have. */
+export const Ran = { No: 'no', Unknown: 'unknown' } as const
+export type Ran = (typeof Ran)[keyof typeof Ran]
+
+/**
+ * Numbered result codes. 1xxx: the request is at fault; 2xxx: refused, not run; 3xxx: backend servers;
+ * 4xxx: non-idempotent calls; 5xxx: configuration and operators; 6xxx: platform and control.
+ */
+export const ResultCode = {
+  MalformedRequest: { code: 1001, type: 'malformed_request', httpStatus: 400, ran: 'no', meaning: 'The request cannot be parsed or lacks a field.', action: 'Correct the request.' },
+  NoSuchRoute: { code: 1002, type: 'no_such_route', httpStatus: 404, ran: 'no', meaning: 'No route has this name.', action: 'Check the name against GET /v1/models.' },
+  NotFound: { code: 1003, type: 'not_found', httpStatus: 404, ran: 'no', meaning: 'No such path.', action: 'Check the path.' },
+  BodyTooLarge: { code: 1004, type: 'body_too_large', httpStatus: 413, ran: 'no', meaning: 'The body exceeds the limit.', action: 'Send a smaller body.' },
+  HeadersTooLarge: { code: 1005, type: 'headers_too_large', httpStatus: 431, ran: 'no', meaning: 'The headers exceed the limit.', action: 'Send smaller headers.' },
+  MethodNotAllowed: { code: 1006, type: 'method_not_allowed', httpStatus: 405, ran: 'no', meaning: 'The path does not take this method.', action: 'Use the documented method.' },
+  NotReady: { code: 2001, type: 'not_ready', httpStatus: 503, ran: 'no', meaning: 'The host has no configuration in force yet.', action: 'Ask another host of the last lookup.' },
+  Draining: { code: 2002, type: 'draining', httpStatus: 503, ran: 'no', meaning: 'The host is shutting down and takes no new request.', action: 'Look up again and use another host.' },
+  NoRunner: { code: 2003, type: 'no_runner', httpStatus: 503, ran: 'no', meaning: 'No live runner has the model resident.', action: 'Try again after retryAfterMs.' },
+  Overloaded: { code: 2004, type: 'overloaded', httpStatus: 503, ran: 'no', meaning: 'The request cannot be answered within its deadline at the present load.', action: 'Try again after retryAfterMs.' },
+  RateLimited: { code: 2005, type: 'rate_limited', httpStatus: 429, ran: 'no', meaning: 'The route is over its share or the host is over a limit.', action: 'Try again after retryAfterMs.' },
+  DeadlinePassed: { code: 2006, type: 'deadline_passed', httpStatus: 504, ran: 'no', meaning: 'The deadline passed before the request was sent to a backend server.', action: 'Send again with a longer deadline.' },
+  Canceled: { code: 2007, type: 'canceled', httpStatus: 499, ran: 'unknown', meaning: 'The caller went away before the answer was complete.', action: 'None; the caller is gone.' },
+  BackendFailed: { code: 3001, type: 'backend_failed', httpStatus: 502, ran: 'unknown', meaning: 'The backend server failed before the answer was complete.', action: 'Repeat only if the request may run twice.' },
+  BackendUnreachable: { code: 3002, type: 'backend_unreachable', httpStatus: 503, ran: 'no', meaning: 'No connection to a backend server was made; no byte was sent.', action: 'Try again after retryAfterMs.' },
+  BackendTimeout: { code: 3003, type: 'backend_timeout', httpStatus: 504, ran: 'unknown', meaning: 'The deadline passed while the backend server was at work.', action: 'Repeat only if the request may run twice.' },
+  AnswerIncomplete: { code: 3004, type: 'answer_incomplete', httpStatus: 502, ran: 'unknown', meaning: 'The answer broke off and could not be resumed.', action: 'Discard the part received and send the request again.' },
+  ForwardFailed: { code: 3005, type: 'forward_failed', httpStatus: 502, ran: 'unknown', meaning: 'The host that the request was forwarded to failed.', action: 'Repeat only if the request may run twice.' },
+  KeyRequired: { code: 4001, type: 'key_required', httpStatus: 400, ran: 'no', meaning: 'A non-idempotent call lacks Idempotency-Key.', action: 'Send a key that is new for each booking.' },
+  KeyReused: { code: 4002, type: 'key_reused', httpStatus: 409, ran: 'no', meaning: 'The key was used with another request.', action: 'Use a new key for a new request.' },
+  OutcomeUnknown: { code: 4003, type: 'outcome_unknown', httpStatus: 409, ran: 'unknown', meaning: 'An earlier call with this key may have run; its answer is not kept.', action: 'Ask the service itself whether it ran.' },
+  ClaimUnavailable: { code: 4004, type: 'claim_unavailable', httpStatus: 503, ran: 'no', meaning: 'The key cannot be claimed because the log is unreachable.', action: 'Try again after retryAfterMs with the same key.' },
+  KeyInProgress: { code: 4005, type: 'key_in_progress', httpStatus: 409, ran: 'unknown', meaning: 'A call with this key is still running.', action: 'Repeat with the same key after retryAfterMs.' },
+  InvalidTables: { code: 5001, type: 'invalid_tables', httpStatus: 400, ran: 'no', meaning: 'The tables have errors; each is given with file, line and key.', action: 'Correct the tables.' },
+  Conflict: { code: 5002, type: 'conflict', httpStatus: 409, ran: 'no', meaning: 'Rows of the edit changed since its base.', action: 'Compare with the rows in force and publish again.' },
+  InvalidSettings: { code: 5003, type: 'invalid_settings', httpStatus: 400, ran: 'no', meaning: 'The settings have errors; each is given with file, line and key.', action: 'Correct the settings.' },
+  NotInForce: { code: 5004, type: 'not_in_force', httpStatus: 409, ran: 'unknown', meaning: 'An accepted version is not yet in force on every host.', action: 'Wait, then ask figloom status again.' },
+  LogUnavailable: { code: 6001, type: 'log_unavailable', httpStatus: 503, ran: 'unknown', meaning: 'The log service did not answer; an append may have taken effect.', action: 'Repeat under the same record id.' },
+  LogTruncated: { code: 6002, type: 'log_truncated', httpStatus: 410, ran: 'no', meaning: 'The log no longer keeps the offset asked for.', action: 'Start from a snapshot.' },
+  LogRejected: { code: 6003, type: 'log_rejected', httpStatus: 429, ran: 'no', meaning: 'The log service refused the append; it took no effect.', action: 'Append again later.' },
+  PlatformUnavailable: { code: 6004, type: 'platform_unavailable', httpStatus: 503, ran: 'unknown', meaning: 'A platform service or engine did not answer.', action: 'Try again later.' },
+  OrderRefused: { code: 6005, type: 'order_refused', httpStatus: 409, ran: 'no', meaning: 'The engine refused an order.', action: 'None; control plans again.' },
+  PeerVersion: { code: 6006, type: 'peer_version', httpStatus: 400, ran: 'no', meaning: 'A peer speaks a version of the inner protocol that is not supported.', action: 'Finish the upgrade of the older hosts.' },
+  Internal: { code: 9001, type: 'internal', httpStatus: 500, ran: 'unknown', meaning: 'A fault in figloom itself.', action: 'Report it with the request id.' }
+} as const satisfies Record<string, ResultCodeInfo>
+export type ResultCode = (typeof ResultCode)[keyof typeof ResultCode]
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+/** Settings files in TOML and their schemas. */
+export {}
--- /dev/null
+++ b/packages/standin/src/index.ts
@@ -0,0 +1,2 @@
+/** Small stand-ins of the outside systems, for tests and the first run. */
+export {}
--- /dev/null
+++ b/packages/tables/src/index.ts
@@ -0,0 +1,2 @@
+/** Tables of routes and pools: types, checks, acceptance rule, snapshots. */
+export {}
