--- a/packages/tables/src/index.ts
+++ b/packages/tables/src/index.ts
@@ -1,2 +1,3 @@
 /** Tables of routes and pools: types, checks, acceptance rule, snapshots. */
-export {}
+export * from './types.js'
+export * from './residency/types.js'
