--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,2 +1,2 @@
 /** Small stand-ins of the outside systems, for tests and the first run. */
-export {}
+export * from './log/memory-log.js'
--- /dev/null
+++ b/packages/standin/src/log/memory-log.ts
@@ -0,0 +1,122 @@
+import { errAsync, ResultAsync, err, ok, type Result } from 'neverthrow'
+import { createFailure, ResultCode, type Clock, type Failure } from '@figloom/runtime'
+import { LogClient, type LogPage, type LogRecord, type ReadOptions } from '@figloom/platform'
+
+/** Faults that a test switches on and off while the log is in use. */
+export type LogFaults = {
+  /** Every call fails without effect. */
+  down: boolean
+  /** Delay before a call takes effect, in milliseconds. */
+  delayMs: number
+  /** Number of coming appends that take effect but whose answer is lost. */
+  loseAnswers: number
+  /** Number of coming appends that are refused without effect. */
+  rejectAppends: number
+}
+
+type StoredRecord = LogRecord & { appendedAtMs: number }
+type Waiter = { stream: string, wake: () => void }
+
+const DEFAULT_READ_LIMIT = 1000
+
+/** The log stand-in's core: streams in memory, with retention and faults, on any clock. */
+export class MemoryLog extends LogClient {
+  readonly faults: LogFaults = { down: false, delayMs: 0, loseAnswers: 0, rejectAppends: 0 }
+  readonly #streams = new Map<string, StoredRecord[]>()
+  readonly #nextOffsets = new Map<string, number>()
+  readonly #waiters = new Set<Waiter>()
+  /** Appends that took effect, for measurements. */
+  appendCount = 0
+
+  private constructor (private readonly clock: Clock, private readonly retentionMs: number) {
+    super()
+  }
+
+  static create (options: { clock: Clock, retentionMs?: number }): MemoryLog {
+    return new MemoryLog(options.clock, options.retentionMs ?? Infinity)
+  }
+
+  override append (stream: string, recordId: string, body: unknown, signal?: AbortSignal): ResultAsync<{ offset: number }, Failure> {
+    return new ResultAsync(this.#append(stream, recordId, body, signal))
+  }
+
+  override read (stream: string, options: ReadOptions): ResultAsync<LogPage, Failure> {
+    if (options.from < 1) return errAsync(createFailure(ResultCode.MalformedRequest, 'offsets start at 1'))
+    return new ResultAsync(this.#read(stream, options))
+  }
+
+  async #append (stream: string, recordId: string, body: unknown, signal?: AbortSignal): Promise<Result<{ offset: number }, Failure>> {
+    await this.#delay(signal)
+    if (this.faults.down || signal?.aborted) return err(createFailure(ResultCode.LogUnavailable, 'the log did not answer'))
+    if (this.faults.rejectAppends > 0) {
+      this.faults.rejectAppends -= 1
+      return err(createFailure(ResultCode.LogRejected, 'the log refused the append', { retryAfterMs: 100 }))
+    }
+    const offset = this.#store(stream, recordId, body)
+    if (this.faults.loseAnswers > 0) {
+      this.faults.loseAnswers -= 1
+      return err(createFailure(ResultCode.LogUnavailable, 'the answer was lost'))
+    }
+    return ok({ offset })
+  }
+
+  async #read (stream: string, options: ReadOptions): Promise<Result<LogPage, Failure>> {
+    await this.#delay(options.signal)
+    if (this.faults.down) return err(createFailure(ResultCode.LogUnavailable, 'the log did not answer'))
+    if (options.from >= this.#nextOffset(stream) && (options.waitMs ?? 0) > 0) await this.#wait(stream, options)
+    if (this.faults.down) return err(createFailure(ResultCode.LogUnavailable, 'the log did not answer'))
+    return this.#page(stream, options.from, options.limit ?? DEFAULT_READ_LIMIT)
+  }
+
+  #page (stream: string, from: number, limit: number): Result<LogPage, Failure> {
+    const kept = this.#keptRecords(stream)
+    const nextOffset = this.#nextOffset(stream)
+    const firstOffset = kept[0]?.offset ?? nextOffset
+    if (from < firstOffset) return err(createFailure(ResultCode.LogTruncated, `offset ${from} is older than ${firstOffset}`))
+    const start = from - firstOffset
+    const records = kept.slice(start, start + limit)
+      .map(({ offset, recordId, body }) => ({ offset, recordId, body: structuredClone(body) }))
+    return ok({ firstOffset, nextOffset, records })
+  }
+
+  #store (stream: string, recordId: string, body: unknown): number {
+    const offset = this.#nextOffset(stream)
+    const records = this.#streams.get(stream) ?? []
+    records.push({ offset, recordId, body: structuredClone(body), appendedAtMs: this.clock.monotonicMs() })
+    this.#streams.set(stream, records)
+    this.#nextOffsets.set(stream, offset + 1)
+    this.appendCount += 1
+    for (const waiter of [...this.#waiters]) if (waiter.stream === stream) waiter.wake()
+    return offset
+  }
+
+  #keptRecords (stream: string): StoredRecord[] {
+    const records = this.#streams.get(stream) ?? []
+    const oldestMs = this.clock.monotonicMs() - this.retentionMs
+    while (records[0] !== undefined && records[0].appendedAtMs < oldestMs) records.shift()
+    return records
+  }
+
+  #nextOffset (stream: string): number {
+    return this.#nextOffsets.get(stream) ?? 1
+  }
+
+  async #delay (signal?: AbortSignal): Promise<void> {
+    if (this.faults.delayMs > 0) await this.clock.sleep(this.faults.delayMs, signal)
+  }
+
+  #wait (stream: string, options: ReadOptions): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = () => {
+        timer.cancel()
+        options.signal?.removeEventListener('abort', wake)
+        this.#waiters.delete(waiter)
+        resolve()
+      }
+      const waiter = { stream, wake }
+      const timer = this.clock.setTimer(options.waitMs ?? 0, wake)
+      options.signal?.addEventListener('abort', wake, { once: true })
+      this.#waiters.add(waiter)
+    })
+  }
+}
