--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,11 @@
 /** Clients of the platform: log, host list, engines, plain services. */
 export * from './log/types.js'
+export * from './log/http-log-client.js'
+export * from './log/append-until-known.js'
 export * from './engines/types.js'
+export * from './engines/schemas.js'
+export * from './engines/http-engine-client.js'
 export * from './hosts/types.js'
+export * from './hosts/http-host-list-client.js'
+export * from './http/json-http.js'
+export * from './random/random-source.js'
