--- a/packages/standin/src/log/memory-log.ts
+++ b/packages/standin/src/log/memory-log.ts
@@ -12,21 +12,26 @@
   loseAnswers: number
   /** Number of coming appends that are refused without effect. */
   rejectAppends: number
+  /** Appends a second beyond which the log refuses, for all streams together; 0 for no limit. */
+  appendsPerSecond: number
 }
 
 type StoredRecord = LogRecord & { appendedAtMs: number }
 type Waiter = { stream: string, wake: () => void }
 
 const DEFAULT_READ_LIMIT = 1000
+const MS_PER_SECOND = 1_000
 
 /** The log stand-in's core: streams in memory, with retention and faults, on any clock. */
 export class MemoryLog extends LogClient {
-  readonly faults: LogFaults = { down: false, delayMs: 0, loseAnswers: 0, rejectAppends: 0 }
+  readonly faults: LogFaults = { down: false, delayMs: 0, loseAnswers: 0, rejectAppends: 0, appendsPerSecond: 0 }
   readonly #streams = new Map<string, StoredRecord[]>()
   readonly #nextOffsets = new Map<string, number>()
   readonly #waiters = new Set<Waiter>()
   /** Appends that took effect, for measurements. */
   appendCount = 0
+  /** Appends allowed now by the rate limit, and when that was worked out. */
+  #allowance = { appends: 0, atMs: -Infinity }
 
   private constructor (private readonly clock: Clock, private readonly retentionMs: number) {
     super()
@@ -52,6 +57,8 @@
       this.faults.rejectAppends -= 1
       return err(createFailure(ResultCode.LogRejected, 'the log refused the append', { retryAfterMs: 100 }))
     }
+    const waitMs = this.#takeAllowance()
+    if (waitMs > 0) return err(createFailure(ResultCode.LogRejected, 'the log is over its rate limit', { retryAfterMs: waitMs }))
     const offset = this.#store(stream, recordId, body)
     if (this.faults.loseAnswers > 0) {
       this.faults.loseAnswers -= 1
@@ -64,7 +71,7 @@
     await this.#delay(options.signal)
     if (this.faults.down) return err(createFailure(ResultCode.LogUnavailable, 'the log did not answer'))
     if (options.from >= this.#nextOffset(stream) && (options.waitMs ?? 0) > 0) await this.#wait(stream, options)
-    if (this.faults.down) return err(createFailure(ResultCode.LogUnavailable, 'the log did not answer'))
+    if (this.faults.down || options.signal?.aborted) return err(createFailure(ResultCode.LogUnavailable, 'the log did not answer'))
     return this.#page(stream, options.from, options.limit ?? DEFAULT_READ_LIMIT)
   }
 
@@ -90,6 +97,17 @@
     return offset
   }
 
+  /** Takes one append from the token bucket, which holds a second's worth; returns how long to wait if it is empty. */
+  #takeAllowance (): number {
+    const rate = this.faults.appendsPerSecond
+    if (rate <= 0) return 0
+    const nowMs = this.clock.monotonicMs()
+    const gained = (nowMs - this.#allowance.atMs) * rate / MS_PER_SECOND
+    const appends = Math.min(rate, this.#allowance.appends + gained)
+    this.#allowance = { appends: appends >= 1 ? appends - 1 : appends, atMs: nowMs }
+    return appends >= 1 ? 0 : Math.ceil((1 - appends) * MS_PER_SECOND / rate)
+  }
+
   #keptRecords (stream: string): StoredRecord[] {
     const records = this.#streams.get(stream) ?? []
     const oldestMs = this.clock.monotonicMs() - this.retentionMs
