Add the reader of TOML files and the settings of figloomd

Every fault of a file is reported at once with file, line, column and key: syntax errors (the line of each is blanked and the rest parsed again), unknown keys, wrong types and units, and conditions between keys, which also run when other keys have faults.

--- /dev/null
+++ b/packages/settings/src/daemon/schema.ts
@@ -0,0 +1,129 @@
+/** Settings of figloomd, section by section. */
+import { z } from 'zod'
+import { decimal, flag, httpUrl, integer, listenAddress, milliseconds, name, ratio, text } from '../schema/fields.js'
+
+const MIB = 1024 * 1024
+
+/** Exporters of traces. */
+export const TraceExporter = { None: 'none', Json: 'json', Otlp: 'otlp' } as const
+export type TraceExporter = (typeof TraceExporter)[keyof typeof TraceExporter]
+
+const host = z.strictObject({
+  name: name('Name of this host, unique among all hosts.'),
+  availabilityZone: name('Availability zone of this host.'),
+  region: name('Region of this host.'),
+  callerAddress: listenAddress('Address of the listener for callers, host:port; port 0 takes a free port.'),
+  operatorAddress: listenAddress('Address of the listener for operators and peers, host:port; port 0 takes a free port.'),
+  callerUrl: httpUrl('URL that lookup gives to callers; by default the listener\'s own address.').optional(),
+  operatorUrl: httpUrl('URL that peers and operators use; by default the listener\'s own address.').optional(),
+  release: text('Release name that status and peers show; by default the program\'s own.').optional()
+})
+
+const platform = z.strictObject({
+  logUrl: httpUrl('Base URL of the platform\'s log service.'),
+  hostListUrl: httpUrl('Base URL of the platform\'s list of hosts.'),
+  logTimeoutMs: milliseconds(2000, 'Timeout of one call to the log service, waiting reads apart.'),
+  hostListTimeoutMs: milliseconds(2000, 'Timeout of one call to the list of hosts.'),
+  hostListPollMs: milliseconds(2000, 'Time between two reads of the list of hosts.'),
+  configStream: name('Stream of the log that holds the configuration.').default('config'),
+  announceToHostList: flag(false, 'Whether this host registers itself in the list; for stand-ins that have no registry of their own.')
+})
+
+const lookup = z.strictObject({
+  ttlMs: milliseconds(5000, 'Time for which callers may keep the answer to a lookup.')
+})
+
+const limits = z.strictObject({
+  maxBodyBytes: integer(16 * MIB, 'Largest body of a request.'),
+  maxHeaderBytes: integer(16 * 1024, 'Largest sum of a request\'s headers.', { min: 1024 }),
+  maxConnections: integer(10_000, 'Connections of callers open at once.'),
+  maxStreamsPerConnection: integer(256, 'HTTP/2 streams open at once on one connection.'),
+  maxInFlight: integer(4000, 'Requests in flight at once on this host.'),
+  callerBufferBytes: integer(256 * 1024, 'Bytes of an answer held for a caller that reads slowly, before the backend server is paused.')
+})
+
+const admission = z.strictObject({
+  maxQueueMs: milliseconds(2000, 'Longest expected wait for a runner at which a request without a deadline is still taken.'),
+  defaultDeadlineMs: milliseconds(60_000, 'Time for the whole answer when the request names no deadline.'),
+  batchShareRatio: ratio(0.5, 'Largest share of a runner\'s slots that batch requests may take while interactive ones wait.'),
+  runnerSlots: integer(64, 'Requests that one runner takes at once; more wait at the entry host.')
+})
+
+const retry = z.strictObject({
+  maxAttempts: integer(3, 'Attempts for one idempotent request, the first included.'),
+  budgetRatio: ratio(0.1, 'Retries allowed as a share of requests.'),
+  backoffMs: milliseconds(20, 'Delay before the first retry; it doubles with each further one.'),
+  maxBackoffMs: milliseconds(1000, 'Longest delay before a retry.')
+})
+
+const health = z.strictObject({
+  reportPollMs: milliseconds(500, 'Time between two reads of a runner\'s load report.'),
+  reportTimeoutMs: milliseconds(1000, 'Timeout of one read of a load report.'),
+  unhealthyAfterMs: milliseconds(2000, 'A runner that gave no report for this long receives no new work.'),
+  peerExchangeMs: milliseconds(1000, 'Time between two exchanges of state with a peer of the same cell.'),
+  peerTimeoutMs: milliseconds(3500, 'A peer that was silent for this long counts as gone.'),
+  connectTimeoutMs: milliseconds(1000, 'Timeout for opening a connection to a backend server or peer.')
+})
+
+const lease = z.strictObject({
+  durationMs: milliseconds(6000, 'Time for which a claim of a cell\'s lease holds.'),
+  renewEveryMs: milliseconds(2000, 'Time between two renewals by the holder.'),
+  marginMs: milliseconds(500, 'Time that others wait beyond the lease\'s end, for drift of clocks.')
+})
+
+const placement = z.strictObject({
+  storeLoadsPerSecond: decimal(2, 'Loads of models that the weight store allows to start.', { min: 0.01 }),
+  storeConcurrentLoads: integer(24, 'Loads of models at once at the store\'s full speed.'),
+  adapterTransitLimit: integer(190, 'Adapters in transit at once over all runners.'),
+  horizonMs: milliseconds(600_000, 'Time over which a move must pay for itself.'),
+  planEveryMs: milliseconds(1000, 'Time between two plans of a cell\'s placement.'),
+  orderTimeoutMs: milliseconds(5000, 'Timeout of one order to an engine.')
+})
+
+const claims = z.strictObject({
+  batchWindowMs: milliseconds(5, 'Time for which claims of idempotency keys are gathered into one append.', { min: 0 }),
+  maxBatch: integer(256, 'Claims in one append.'),
+  keepAnswersMs: milliseconds(3_600_000, 'Time for which the answer to a keyed call is kept for repeats.'),
+  maxKeptAnswers: integer(20_000, 'Answers kept at once.'),
+  maxKeptAnswerBytes: integer(64 * 1024, 'Largest answer that is kept; a repeat of a larger one is told that it ran.')
+})
+
+const shutdown = z.strictObject({
+  graceMs: milliseconds(30_000, 'Time for requests in flight after SIGTERM; must exceed lookup.ttlMs.')
+})
+
+const traces = z.strictObject({
+  exporter: z.enum(Object.values(TraceExporter)).default(TraceExporter.Json).describe('Where spans go: nowhere, to standard error as JSON lines, or to an OTLP collector.'),
+  otlpUrl: httpUrl('URL of the OTLP collector; needed by the exporter otlp.').optional(),
+  sampleRatio: ratio(0.01, 'Share of requests that are traced, unless traceparent says so.')
+})
+
+const logs = z.strictObject({
+  level: z.enum(['error', 'warn', 'info', 'debug']).default('info').describe('Lowest level of log lines that are written.')
+})
+
+const control = z.strictObject({
+  enabled: flag(true, 'Whether this host takes part in control; false is for measuring what control costs.'),
+  snapshotEveryRecords: integer(2000, 'Configuration records after which a snapshot is appended.')
+})
+
+/** Schema of figloomd's settings file. */
+export const daemonSettingsSchema = z.strictObject({
+  host: host.describe('This host and its listeners.'),
+  platform: platform.describe('Services of the platform.'),
+  lookup: lookup.prefault({}).describe('Answers to lookups.'),
+  limits: limits.prefault({}).describe('Limits on callers.'),
+  admission: admission.prefault({}).describe('Which requests are taken.'),
+  retry: retry.prefault({}).describe('Repeats of idempotent requests.'),
+  health: health.prefault({}).describe('Health of runners and peers.'),
+  lease: lease.prefault({}).describe('Leases of cells.'),
+  placement: placement.prefault({}).describe('Moves of models and adapters.'),
+  claims: claims.prefault({}).describe('Idempotency keys of non-idempotent calls.'),
+  shutdown: shutdown.prefault({}).describe('Graceful shutdown.'),
+  traces: traces.prefault({}).describe('Traces.'),
+  logs: logs.prefault({}).describe('Log lines.'),
+  control: control.prefault({}).describe('Control tasks.')
+})
+
+/** Settings of figloomd with all defaults filled in. */
+export type DaemonSettings = z.output<typeof daemonSettingsSchema>
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,2 +1,10 @@
 /** Settings files in TOML and their schemas. */
-export {}
+export * from './toml/issue.js'
+export type { PathIssue } from './toml/messages.js'
+export * from './toml/read.js'
+export * from './schema/describe.js'
+export * from './schema/fields.js'
+export * from './schema/rules.js'
+export * from './schema/units.js'
+export * from './daemon/schema.js'
+export * from './daemon/settings.js'
