--- /dev/null
+++ b/packages/control/src/config/app.ts
@@ -0,0 +1,5 @@
+/** Configuration as a host follows it: the follower, publishing, and the types that a rule implements. */
+export * from './types.js'
+export * from './config-follower.js'
+export * from './publish.js'
+export { snapshotDelayMs, type SnapshotScheduleOptions } from './snapshot-schedule.js'
--- /dev/null
+++ b/packages/control/src/config/config-follower.ts
@@ -0,0 +1,242 @@
+/** Follows the configuration stream, holds the state in force and never moves it to an older offset. */
+import { createFailure, ResultCode, Task, type Clock, type Logger, type TaskFault } from '@figloom/runtime'
+import type { LogClient, LogRecord } from '@figloom/platform'
+import { StreamFollower, type StreamEvent } from '../streams/stream-follower.js'
+import { SnapshotSchedule, type SnapshotScheduleOptions } from './snapshot-schedule.js'
+import { findStart } from './start.js'
+import {
+  ConfigVerdict, FollowerStatus,
+  type ConfigListener, type ConfigRule, type FollowerReport, type JudgedRecord, type SnapshotSource
+} from './types.js'
+
+/** Stream that operators publish to. */
+export const CONFIG_STREAM = 'config'
+
+/** Number of verdicts that a follower keeps for authors who ask later. */
+const KEPT_VERDICTS = 1000
+
+export type ConfigFollowerOptions<State> = {
+  log: LogClient
+  clock: Clock
+  logger: Logger
+  rule: ConfigRule<State>
+  peers: SnapshotSource
+  snapshots: SnapshotScheduleOptions
+  /** Longest wait of one poll, in milliseconds. */
+  waitMs?: number
+  /** Pause after a failed poll, in milliseconds. */
+  retryMs?: number
+  /** Time for one answer of the log beyond `waitMs`, in milliseconds. */
+  timeoutMs?: number
+  onFault?: TaskFault
+}
+
+type Message = { kind: 'event', event: StreamEvent } | { kind: 'start' } | { kind: 'snapshot' }
+
+const DEFAULT_WAIT_MS = 10_000
+const DEFAULT_RETRY_MS = 500
+const DEFAULT_TIMEOUT_MS = 2000
+
+/** Task that keeps a host's configuration current. */
+export class ConfigFollower<State> extends Task<Message> {
+  readonly #listeners = new Set<ConfigListener<State>>()
+  readonly #verdicts = new Map<string, JudgedRecord>()
+  readonly #verdictWaiters = new Set<() => void>()
+  readonly #follower: StreamFollower
+  readonly #schedule: SnapshotSchedule
+  #state: State | undefined
+  /** False while the first read of the log is still short of its end: an older state is not served meanwhile. */
+  #serving = false
+  #status: FollowerStatus = FollowerStatus.Starting
+  #logAnsweredMs: number | undefined
+
+  private constructor (private readonly options: ConfigFollowerOptions<State>) {
+    super(options.onFault ?? ((error) => options.logger.error('config follower failed', { error: String(error) })))
+    this.#follower = StreamFollower.create({
+      log: options.log,
+      stream: CONFIG_STREAM,
+      clock: options.clock,
+      waitMs: options.waitMs ?? DEFAULT_WAIT_MS,
+      retryMs: options.retryMs ?? DEFAULT_RETRY_MS,
+      timeoutMs: options.timeoutMs ?? DEFAULT_TIMEOUT_MS,
+      onEvent: (event) => this.post({ kind: 'event', event })
+    })
+    this.#schedule = SnapshotSchedule.create(options.clock, options.snapshots, () => this.post({ kind: 'snapshot' }))
+  }
+
+  static create<State> (options: ConfigFollowerOptions<State>): ConfigFollower<State> {
+    return new ConfigFollower(options)
+  }
+
+  /** Takes the newest state of the log and the peers, then follows the stream. */
+  start (): void {
+    this.#schedule.restart()
+    this.post({ kind: 'start' })
+  }
+
+  override stop (): void {
+    super.stop()
+    this.#follower.stop()
+    this.#schedule.stop()
+  }
+
+  /** State in force; undefined until the host is ready. */
+  current (): State | undefined {
+    return this.#serving ? this.#state : undefined
+  }
+
+  /** Canonical snapshot for peers; undefined when it is not newer than `newerThanOffset`. */
+  snapshot (newerThanOffset: number): { offset: number, snapshot: unknown } | undefined {
+    const state = this.current()
+    if (state === undefined || this.#offset() <= newerThanOffset) return undefined
+    return { offset: this.#offset(), snapshot: this.options.rule.toSnapshot(state) }
+  }
+
+  report (): FollowerReport {
+    const { clock, rule } = this.options
+    const state = this.current()
+    const logAgeMs = this.#logAnsweredMs === undefined ? {} : { logAgeMs: clock.monotonicMs() - this.#logAnsweredMs }
+    return {
+      status: this.#status,
+      ready: this.#serving,
+      offset: this.#offset(),
+      version: state === undefined ? 0 : rule.versionOf(state),
+      ...logAgeMs
+    }
+  }
+
+  /** Calls `listener` with the state in force and with each later version; returns what ends that. */
+  subscribe (listener: ConfigListener<State>): () => void {
+    this.#listeners.add(listener)
+    this.#notify(listener)
+    return () => { this.#listeners.delete(listener) }
+  }
+
+  /** Verdict on a record by its id, once it was read. */
+  verdictOf (recordId: string): JudgedRecord | undefined {
+    return this.#verdicts.get(recordId)
+  }
+
+  /** Calls `wake` after each judged record; returns what ends that. */
+  onVerdict (wake: () => void): () => void {
+    this.#verdictWaiters.add(wake)
+    return () => { this.#verdictWaiters.delete(wake) }
+  }
+
+  protected override async handle (message: Message): Promise<void> {
+    if (message.kind === 'start') return this.#begin()
+    if (message.kind === 'snapshot') return this.#appendSnapshot()
+    await this.#onEvent(message.event)
+  }
+
+  async #begin (): Promise<void> {
+    const { log, rule, peers, clock, logger } = this.options
+    const start = await findStart({ log, stream: CONFIG_STREAM, rule, peers, offset: this.#offset(), onPeerState: (state) => this.#adoptOfPeer(state) })
+    if (this.stopped) return
+    if (start.state !== undefined) this.#adopt(start.state)
+    if (start.logAnswered) this.#logAnsweredMs = clock.monotonicMs()
+    if (start.canFollow) return this.#follow(start.nextOffset)
+    this.#setStatus(!this.#serving ? FollowerStatus.Starting : FollowerStatus.LogUnreachable)
+    logger.warn('configuration has no unbroken start in the log yet', { offset: this.#offset() })
+    clock.setTimer(this.options.retryMs ?? DEFAULT_RETRY_MS, () => this.post({ kind: 'start' }))
+  }
+
+  #follow (nextOffset: number): void {
+    this.#state ??= this.options.rule.empty()
+    if (this.#offset() + 1 >= nextOffset) this.#serve()
+    this.#setStatus(this.#offset() >= nextOffset ? FollowerStatus.LogBehind : FollowerStatus.Following)
+    this.#follower.follow(this.#offset() + 1)
+  }
+
+  async #onEvent (event: StreamEvent): Promise<void> {
+    if (event.kind === 'truncated') return this.#begin()
+    if (event.kind === 'failed') return this.#setStatus(this.#serving ? FollowerStatus.LogUnreachable : FollowerStatus.Starting)
+    this.#logAnsweredMs = this.options.clock.monotonicMs()
+    if (this.#status === FollowerStatus.UnknownRule) return
+    const behind = event.nextOffset <= this.#offset()
+    this.#setStatus(behind ? FollowerStatus.LogBehind : FollowerStatus.Following)
+    for (const record of event.records) if (!this.#apply(record)) return
+    if (this.#offset() + 1 >= event.nextOffset) this.#serve()
+  }
+
+  /** Applies the next record; false when the follower stopped at it. */
+  #apply (record: LogRecord): boolean {
+    const { rule, logger } = this.options
+    if (record.offset !== this.#offset() + 1) return record.offset <= this.#offset()
+    const before = this.#state ?? rule.empty()
+    const step = rule.apply(before, record)
+    this.#judge(record, step.verdict, step.detail)
+    if (step.verdict === ConfigVerdict.UnknownRule) {
+      logger.error('configuration needs a newer release; keeping the version in force', { offset: record.offset })
+      this.#setStatus(FollowerStatus.UnknownRule)
+      this.#serve()
+      this.#follower.stop()
+      return false
+    }
+    if (step.verdict === ConfigVerdict.Snapshot) this.#schedule.restart()
+    this.#state = step.state
+    if (rule.versionOf(step.state) !== rule.versionOf(before)) this.#publish()
+    return true
+  }
+
+  #adopt (state: State): void {
+    if (this.#state !== undefined && this.options.rule.offsetOf(state) <= this.#offset()) return
+    const changed = this.#state === undefined || this.options.rule.versionOf(state) !== this.options.rule.versionOf(this.#state)
+    this.#state = state
+    if (changed) this.#publish()
+  }
+
+  /** A state of a peer was in force there, so it is served at once. */
+  #adoptOfPeer (state: State): void {
+    this.#adopt(state)
+    this.#serve()
+  }
+
+  #serve (): void {
+    if (this.#serving || this.stopped) return
+    this.#serving = true
+    this.#publish()
+  }
+
+  #publish (): void {
+    for (const listener of this.#listeners) this.#notify(listener)
+  }
+
+  #notify (listener: ConfigListener<State>): void {
+    const state = this.current()
+    if (state === undefined || this.options.rule.versionOf(state) === 0) return
+    listener(state, this.options.rule.versionOf(state))
+  }
+
+  #judge (record: LogRecord, verdict: ConfigVerdict, detail: unknown): void {
+    if (!this.#verdicts.has(record.recordId)) {
+      this.#verdicts.set(record.recordId, { offset: record.offset, recordId: record.recordId, verdict, detail })
+    }
+    const oldest = this.#verdicts.keys().next()
+    if (this.#verdicts.size > KEPT_VERDICTS && oldest.done !== true) this.#verdicts.delete(oldest.value)
+    for (const wake of [...this.#verdictWaiters]) wake()
+  }
+
+  async #appendSnapshot (): Promise<void> {
+    const { log, rule, snapshots } = this.options
+    this.#schedule.restart()
+    if (!this.#serving || this.#state === undefined || this.#offset() === 0 || this.#status !== FollowerStatus.Following) return
+    const recordId = `config-snapshot-${snapshots.host}-${this.#offset()}`
+    const result = await log.append(CONFIG_STREAM, recordId, rule.snapshotRecord(this.#state))
+    if (result.isErr()) this.options.logger.warn('configuration snapshot was not written', { reason: result.error.message })
+  }
+
+  #offset (): number {
+    return this.#state === undefined ? 0 : this.options.rule.offsetOf(this.#state)
+  }
+
+  #setStatus (status: FollowerStatus): void {
+    if (this.#status === FollowerStatus.UnknownRule) return
+    this.#status = status
+  }
+}
+
+/** Failure for work that needs a configuration on a host that has none. */
+export function notReadyFailure (): ReturnType<typeof createFailure> {
+  return createFailure(ResultCode.NotReady, 'no configuration is in force on this host yet', { retryAfterMs: DEFAULT_RETRY_MS })
+}
--- /dev/null
+++ b/packages/control/src/config/counting-rule.ts
@@ -0,0 +1,58 @@
+/** Small rule for tests: an edit names the version that its author saw; a different one conflicts. */
+import { err, ok, type Result } from 'neverthrow'
+import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
+import type { LogRecord } from '@figloom/platform'
+import { ConfigRule, ConfigVerdict, type ConfigStep } from './types.js'
+
+export type CountingState = { offset: number, version: number, value: string, edits: string[] }
+export type CountingBody = { rule: number, base?: number, value?: string, state?: CountingState }
+
+const KNOWN_RULE = 1
+
+export class CountingRule extends ConfigRule<CountingState> {
+  static create (): CountingRule {
+    return new CountingRule()
+  }
+
+  override empty (): CountingState {
+    return { offset: 0, version: 0, value: '', edits: [] }
+  }
+
+  override apply (state: CountingState, record: LogRecord): ConfigStep<CountingState> {
+    const body = record.body as CountingBody
+    const moved = { ...state, offset: record.offset }
+    if (body.rule !== KNOWN_RULE) return { state, verdict: ConfigVerdict.UnknownRule }
+    if (body.state !== undefined) return { state: moved, verdict: ConfigVerdict.Snapshot }
+    if (state.edits.includes(record.recordId)) return { state: moved, verdict: ConfigVerdict.Repeated }
+    if (body.base !== state.version) return { state: moved, verdict: ConfigVerdict.Conflicting }
+    const accepted = { offset: record.offset, version: record.offset, value: body.value ?? '', edits: [...state.edits, record.recordId] }
+    return { state: accepted, verdict: ConfigVerdict.Accepted }
+  }
+
+  override offsetOf (state: CountingState): number {
+    return state.offset
+  }
+
+  override versionOf (state: CountingState): number {
+    return state.version
+  }
+
+  override toSnapshot (state: CountingState): unknown {
+    return state
+  }
+
+  override fromSnapshot (snapshot: unknown): Result<CountingState, Failure> {
+    const state = snapshot as CountingState
+    if (typeof state?.offset !== 'number') return err(createFailure(ResultCode.InvalidTables, 'not a snapshot'))
+    return ok(state)
+  }
+
+  override snapshotRecord (state: CountingState): unknown {
+    return { rule: KNOWN_RULE, state }
+  }
+
+  override stateInRecord (record: LogRecord): CountingState | undefined {
+    const body = record.body as CountingBody
+    return body.rule === KNOWN_RULE ? body.state : undefined
+  }
+}
