--- /dev/null
+++ b/packages/control/src/claims/claim-streams.ts
@@ -0,0 +1,54 @@
+/** The claim streams that a host runs: those it is a gateway of, and others on demand. */
+import { ClaimStream, type ClaimStreamOptions } from './claim-stream.js'
+
+export type ClaimStreamsOptions = Omit<ClaimStreamOptions, 'index' | 'gateways'> & {
+  /** Gateways of a stream at present, the first in turn first. */
+  gatewaysOf: (index: number) => string[]
+}
+
+const IDLE_MS = 600_000
+
+/** Starts streams when they are needed and stops those that are not. */
+export class ClaimStreams {
+  readonly #running = new Map<number, { stream: ClaimStream, usedMs: number }>()
+
+  private constructor (private readonly options: ClaimStreamsOptions) {}
+
+  static create (options: ClaimStreamsOptions): ClaimStreams {
+    return new ClaimStreams(options)
+  }
+
+  /** The stream, started if it does not run. */
+  get (index: number): ClaimStream {
+    const usedMs = this.options.clock.monotonicMs()
+    const running = this.#running.get(index)
+    if (running !== undefined) {
+      running.usedMs = usedMs
+      return running.stream
+    }
+    const { gatewaysOf, ...options } = this.options
+    const stream = ClaimStream.create({ ...options, index, gateways: () => gatewaysOf(index) })
+    this.#running.set(index, { stream, usedMs })
+    return stream
+  }
+
+  /** Runs the streams that this host is a gateway of; stops others after a time without use. Call it as hosts change. */
+  keepOnly (indexes: readonly number[]): void {
+    for (const index of indexes) this.get(index)
+    const oldestMs = this.options.clock.monotonicMs() - IDLE_MS
+    for (const [index, { stream, usedMs }] of this.#running) {
+      if (usedMs >= oldestMs) continue
+      stream.stop()
+      this.#running.delete(index)
+    }
+  }
+
+  stop (): void {
+    for (const { stream } of this.#running.values()) stream.stop()
+    this.#running.clear()
+  }
+
+  stats (): { index: number, keys: number, tableBytes: number, whole: boolean, pending: number }[] {
+    return [...this.#running].map(([index, { stream }]) => ({ index, ...stream.stats() }))
+  }
+}
--- a/packages/control/src/config/config-follower.test.ts
+++ b/packages/control/src/config/config-follower.test.ts
@@ -2,7 +2,7 @@
 import { ManualClock, silentLogger } from '@figloom/runtime'
 import { MemoryLog } from '@figloom/standin'
 import { ConfigFollower, CONFIG_STREAM } from './config-follower.js'
-import { CountingRule, type CountingState } from './counting-rule.js'
+import { CountingRule, type CountingState } from '../testing/counting-rule.js'
 import { publishEdit } from './publish.js'
 import { FollowerStatus, SnapshotSource } from './types.js'
 
--- a/packages/control/src/streams/stream-follower.ts
+++ b/packages/control/src/streams/stream-follower.ts
@@ -51,18 +51,21 @@
 
   async #run (start: number, signal: AbortSignal): Promise<void> {
     let from = start
+    let waitMs = this.options.waitMs
     while (!signal.aborted) {
-      const event = await this.#poll(from, signal)
+      const event = await this.#poll(from, waitMs, signal)
       if (signal.aborted) return
       if (event.kind === 'records') from += event.records.length
+      // After a failure the next answer should come at once, so that a log that is back is seen.
+      waitMs = event.kind === 'failed' ? 0 : this.options.waitMs
       this.options.onEvent(event)
       if (event.kind === 'truncated') return
       if (event.kind === 'failed') await this.options.clock.sleep(this.options.retryMs, signal)
     }
   }
 
-  async #poll (from: number, signal: AbortSignal): Promise<StreamEvent> {
-    const { log, stream, clock, waitMs, timeoutMs } = this.options
+  async #poll (from: number, waitMs: number, signal: AbortSignal): Promise<StreamEvent> {
+    const { log, stream, clock, timeoutMs } = this.options
     const expiry = new AbortController()
     const cancel = () => expiry.abort()
     signal.addEventListener('abort', cancel, { once: true })
--- a/packages/control/src/config/counting-rule.ts
+++ b/packages/control/src/testing/counting-rule.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import type { LogRecord } from '@figloom/platform'
-import { ConfigRule, ConfigVerdict, type ConfigStep } from './types.js'
+import { ConfigRule, ConfigVerdict, type ConfigStep } from '../config/types.js'
 
 export type CountingState = { offset: number, version: number, value: string, edits: string[] }
 export type CountingBody = { rule: number, base?: number, value?: string, state?: CountingState }
