--- /dev/null
+++ b/packages/control/src/cell/snapshots.ts
@@ -0,0 +1,50 @@
+/** Snapshots of a cell: the fold up to an offset, true whoever appended it. */
+import { z } from 'zod'
+import type { LogRecord } from '@figloom/platform'
+import { parseCellRecord } from './records.js'
+import { applyCellRecord, createCellState, type CellState } from './state.js'
+
+const stateSchema = z.object({
+  offset: z.number(),
+  intents: z.array(z.object({ offset: z.number() }).loose()),
+  runners: z.array(z.object({ name: z.string() }).loose()),
+  goneIncarnations: z.array(z.string()),
+  recordIds: z.array(z.string()),
+  unknownRecords: z.array(z.object({ offset: z.number() }).loose())
+}).loose()
+
+/** Parses the state in a snapshot record; undefined if its form is not known. */
+export function parseCellState (value: unknown): CellState | undefined {
+  const parsed = stateSchema.safeParse(value)
+  return parsed.success ? parsed.data as unknown as CellState : undefined
+}
+
+/** Takes a snapshot only if it stands for a higher offset than the state. */
+export function adoptSnapshot (state: CellState, snapshot: CellState): CellState {
+  return snapshot.offset > state.offset ? snapshot : state
+}
+
+/**
+ * Builds the state from the records that the log still keeps, oldest first from `firstOffset`.
+ * `held` is what the host already has, from before or from a peer. Undefined if neither it nor a
+ * snapshot in the records reaches the first kept offset.
+ */
+export function restoreCellState (records: LogRecord[], firstOffset: number, held: CellState | undefined): CellState | undefined {
+  const candidates = [
+    ...(firstOffset === 1 ? [createCellState()] : []),
+    ...(held === undefined ? [] : [held]),
+    ...records.flatMap(readSnapshot)
+  ]
+  const base = candidates
+    .filter(({ offset }) => offset >= firstOffset - 1)
+    .sort((a, b) => b.offset - a.offset)[0]
+  if (base === undefined) return undefined
+  return records.reduce(applyCellRecord, base)
+}
+
+function readSnapshot (record: LogRecord): CellState[] {
+  const body = parseCellRecord(record.body)
+  if (body?.kind !== 'snapshot') return []
+  const state = parseCellState(body.state)
+  return state === undefined ? [] : [state]
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,2 +1,2 @@
 /** Cells: leases, intents, memory ledger, claims, membership. */
-export {}
+export * from './cell/index.js'
