--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,2 +1,3 @@
 /** Cells: leases, intents, memory ledger, claims, membership. */
-export * from './cell/index.js'
+export * from './cell/app.js'
+export * from './config/app.js'
