--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,3 +1,4 @@
 /** Cells: leases, intents, memory ledger, claims, membership. */
+export * from './cell/app.js'
 export * from './config/app.js'
 export * from './claims/app.js'
