Add the first routing decisions

One RouteDecider for each host and cell: admission by deadline and priority, a fair queue between routes, adaptive limits, least expected completion with prefix affinity, retry budget, resume, hedging, ejection and probes.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,2 +1,13 @@
 /** Admission, choice of runner, retries and limits: pure decisions. */
-export {}
+export * from './types.js'
+export * from './choose/choose-runner.js'
+export * from './admission/concurrency-limit.js'
+export * from './admission/fair-queue.js'
+export * from './retry/retry-budget.js'
+export * from './retry/retry-rules.js'
+export * from './health/runner-health.js'
+export * from './prefix-index/prefix-hash.js'
+export * from './prefix-index/prefix-index.js'
+export * from './load/latency-model.js'
+export * from './decider/options.js'
+export * from './decider/route-decider.js'
