--- /dev/null
+++ b/packages/standin/src/log/log-app.ts
@@ -0,0 +1,56 @@
+import { createApp, createRouter, eventHandler, getQuery, getRouterParam, setResponseHeader, type App, type H3Event } from 'h3'
+import { ResultCode, type Failure } from '@figloom/runtime'
+import { z } from 'zod'
+import { readChecked, resetConnection, sendJson } from '../http/event.js'
+import { createFaultsHandler } from '../http/faults.js'
+import type { MemoryLog } from './memory-log.js'
+
+const MS_PER_SECOND = 1_000
+const appendSchema = z.object({ recordId: z.string().min(1), body: z.unknown() })
+const readSchema = z.object({
+  from: z.coerce.number().int(),
+  waitMs: z.coerce.number().nonnegative().optional(),
+  limit: z.coerce.number().int().positive().optional()
+})
+
+/** The log over HTTP; a call whose fate the caller must not learn has its connection reset. */
+export function createLogApp (log: MemoryLog): App {
+  const router = createRouter()
+  router.post('/streams/:stream/records', eventHandler((event) => append(log, event)))
+  router.get('/streams/:stream/records', eventHandler((event) => read(log, event)))
+  router.post('/faults', createFaultsHandler(log.faults))
+  router.get('/stats', eventHandler((event) => sendJson(event, 200, { appendCount: log.appendCount })))
+  return createApp().use(router)
+}
+
+async function append (log: MemoryLog, event: H3Event): Promise<void> {
+  const request = await readChecked(event, appendSchema)
+  if (request === undefined) return
+  const result = await log.append(streamOf(event), request.recordId, request.body)
+  if (result.isErr()) return sendFailure(event, result.error)
+  sendJson(event, 200, result.value)
+}
+
+async function read (log: MemoryLog, event: H3Event): Promise<void> {
+  const query = readSchema.safeParse(getQuery(event))
+  if (!query.success) return sendJson(event, 400, { error: 'malformed' })
+  const { from, waitMs, limit } = query.data
+  const gone = new AbortController()
+  event.node.res.once('close', () => gone.abort())
+  const result = await log.read(streamOf(event), {
+    from, signal: gone.signal, ...(waitMs === undefined ? {} : { waitMs }), ...(limit === undefined ? {} : { limit })
+  })
+  if (result.isErr()) return sendFailure(event, result.error)
+  sendJson(event, 200, result.value)
+}
+
+function sendFailure (event: H3Event, failure: Failure): void {
+  if (failure.code.code === ResultCode.LogUnavailable.code) return resetConnection(event)
+  if (failure.code.code !== ResultCode.LogRejected.code) return sendJson(event, failure.code.httpStatus, { error: failure.code.type })
+  if (failure.retryAfterMs !== undefined) setResponseHeader(event, 'retry-after', Math.ceil(failure.retryAfterMs / MS_PER_SECOND))
+  sendJson(event, failure.code.httpStatus, { error: 'refused', retryAfterMs: failure.retryAfterMs })
+}
+
+function streamOf (event: H3Event): string {
+  return getRouterParam(event, 'stream', { decode: true }) ?? ''
+}
