--- /dev/null
+++ b/packages/control/src/cell/holder.ts
@@ -0,0 +1,351 @@
+/**
+ * The task of one cell on one host. It follows the cell's stream, claims the lease when its turn comes, and as the
+ * holder writes intents, reads them back, sends the orders and settles them. Every host of the cell runs one.
+ */
+import type { EngineClient, LogClient, LogRecord } from '@figloom/platform'
+import { Task, type Clock, type IdSource, type Logger, type TaskFault, type Timer } from '@figloom/runtime'
+import type { StreamEvent } from '../streams/stream-follower.js'
+import { keepsReachable } from './admission.js'
+import { HolderDuties } from './holder-duties.js'
+import { CellJournal } from './journal.js'
+import { LeaseWatch } from './lease-watch.js'
+import { DEFAULT_LEASE_SETTINGS, LeaseAction, type LeaseSettings } from './lease.js'
+import { OrderSender, type CopyEvent } from './order-sender.js'
+import { GoneEvidence, parseCellRecord, type CellRecordBody, type Sender } from './records.js'
+import { ReportPoller } from './report-poller.js'
+import { CellSituation } from './situation.js'
+import { dueStandby } from './standby.js'
+import { endOffsetOf, holdsClaim, isVoid, type CellState, type Intent } from './state.js'
+import { StreamReader } from './stream-reader.js'
+import type { CellConfig, CellMessage, CellView, Planner } from './types.js'
+import { WordKeeper } from './words.js'
+
+/** Times of a cell's task, in milliseconds. */
+export type CellTimes = {
+  tickMs: number
+  /** Longest wait of one read of the log. */
+  readWaitMs: number
+  readRetryMs: number
+  /** Limit for an answer of the log. */
+  logTimeoutMs: number
+  orderTimeoutMs: number
+  restReportMs: number
+  busyReportMs: number
+  staleReportMs: number
+  fenceEveryMs: number
+  acceptedPatienceMs: number
+  snapshotEveryMs: number
+  /** How long reads of the log must fail before standby intents are sent. */
+  standbyAfterMs: number
+}
+
+export const DEFAULT_CELL_TIMES: CellTimes = {
+  tickMs: 250,
+  readWaitMs: 5_000,
+  readRetryMs: 500,
+  logTimeoutMs: 2_000,
+  orderTimeoutMs: 3_000,
+  restReportMs: 5_000,
+  busyReportMs: 500,
+  staleReportMs: 15_000,
+  fenceEveryMs: 5_000,
+  acceptedPatienceMs: 5_000,
+  snapshotEveryMs: 20 * 60_000,
+  standbyAfterMs: 3_000
+}
+
+const DEFAULT_STANDBY_LIMIT = 4
+
+export type CellHolderOptions = {
+  /** Name of the cell: one pool's runners in one region. */
+  cell: string
+  self: Sender
+  log: LogClient
+  engines: EngineClient
+  clock: Clock
+  ids: IdSource
+  logger: Logger
+  planner: Planner
+  /** Called with each new view. */
+  onView?: (view: CellView) => void
+  lease?: LeaseSettings
+  times?: Partial<CellTimes>
+  /** Standby intents that may be pending at once; 0 for none. */
+  standbyLimit?: number
+  onFault?: TaskFault
+}
+
+type InnerMessage = { type: 'tick' } | { type: 'stream', event: StreamEvent } | CopyEvent
+
+/** Name of a cell's stream. */
+export function cellStreamOf (cell: string): string {
+  return `cell.${cell}`
+}
+
+/** Follows a cell and holds its lease when it can. */
+export class CellHolder extends Task<CellMessage | InnerMessage> {
+  readonly #times: CellTimes
+  readonly #lease: LeaseWatch
+  readonly #reader: StreamReader
+  readonly #journal: CellJournal
+  readonly #sender: OrderSender
+  readonly #poller: ReportPoller
+  readonly #situation: CellSituation
+  readonly #duties: HolderDuties
+  readonly #words: WordKeeper
+  readonly #gone = new Map<string, { sender: Sender, evidence: GoneEvidence }>()
+  #tenure: number | undefined
+  #retire: { onRetired: () => void, isAnnounced: boolean } | undefined
+  #timer: Timer | undefined
+
+  private constructor (private readonly options: CellHolderOptions) {
+    super(options.onFault ?? ((error) => options.logger.error('cell task failed', { cell: options.cell, error: String(error) })))
+    const times = { ...DEFAULT_CELL_TIMES, ...options.times }
+    const { log, clock, engines, ids, cell, self, logger, planner } = options
+    const stream = cellStreamOf(cell)
+    this.#times = times
+    this.#lease = LeaseWatch.create({ clock, cell, self, settings: this.#leaseSettings })
+    this.#reader = StreamReader.create({
+      log, clock, stream, waitMs: times.readWaitMs, retryMs: times.readRetryMs, timeoutMs: times.logTimeoutMs, post: (event) => this.post({ type: 'stream', event })
+    })
+    this.#journal = CellJournal.create({ log, clock, ids, stream, timeoutMs: times.logTimeoutMs, retryMs: times.readRetryMs, maxRetryMs: 4 * times.readRetryMs })
+    this.#sender = OrderSender.create({ engines, clock, timeoutMs: times.orderTimeoutMs, post: (event) => this.post(event) })
+    this.#situation = CellSituation.create({ clock, cell, staleReportMs: times.staleReportMs })
+    this.#poller = ReportPoller.create({
+      engines,
+      clock,
+      restEveryMs: times.restReportMs,
+      busyEveryMs: times.busyReportMs,
+      timeoutMs: times.logTimeoutMs,
+      onReport: (runner, report, askedMs) => this.post({ type: 'report', runner, report, askedMs })
+    })
+    this.#words = WordKeeper.create({ self, journal: this.#journal, sender: this.#sender, books: this.#situation.books })
+    this.#duties = HolderDuties.create({
+      clock,
+      logger,
+      planner,
+      journal: this.#journal,
+      situation: this.#situation,
+      isSent: (intent) => this.#sender.hasTaken(intent.offset),
+      fenceEveryMs: times.fenceEveryMs,
+      acceptedPatienceMs: times.acceptedPatienceMs,
+      snapshotEveryMs: times.snapshotEveryMs,
+      standbyLimit: options.standbyLimit ?? DEFAULT_STANDBY_LIMIT
+    })
+  }
+
+  static create (options: CellHolderOptions): CellHolder {
+    return new CellHolder(options)
+  }
+
+  /** Starts to follow the stream. */
+  start (): void {
+    this.#reader.start()
+    this.#tickLater()
+  }
+
+  override stop (): void {
+    super.stop()
+    this.#timer?.cancel()
+    this.#reader.stop()
+    this.#journal.stop()
+    this.#sender.stop()
+  }
+
+  /** The state of the stream, for peers; undefined until it is whole. */
+  get state (): CellState | undefined {
+    return this.#reader.state
+  }
+
+  /** The cell as this host knows it; undefined until the stream was read. */
+  get view (): CellView | undefined {
+    const state = this.#reader.state
+    if (state === undefined) return undefined
+    const lease = { isHolder: this.#lease.isHolder(state.claim), logReachable: this.#lease.isLogReachable }
+    return this.#situation.viewOf(state, lease, (intent) => this.#duties.isOwnStandby(state, intent))
+  }
+
+  protected override handle (message: CellMessage | InnerMessage): void {
+    switch (message.type) {
+      case 'tick': return this.#tick()
+      case 'stream': return this.#takeStream(message.event)
+      case 'copy-answered': return this.#situation.books.takeAnswer(message.intent, message.answer)
+      case 'copy-unanswered': return this.#words.noteUnanswered(message.intent)
+      case 'report': return this.#takeReport(message)
+      case 'config': return this.#takeConfig(message.config)
+      case 'hosts': return this.#lease.setHosts(message.hosts)
+      case 'suspect': return this.#lease.suspect(message.host, message.suspected)
+      case 'health': return setMember(this.#situation.unhealthy, message.runner, !message.healthy)
+      case 'draining': return setMember(this.#situation.draining, message.runner, message.draining)
+      case 'sender-gone': this.#gone.set(message.sender.incarnation, message); return
+      case 'peer-snapshot': return this.#reader.takePeerState(message.state)
+      case 'retire': this.#retire = { onRetired: message.onRetired, isAnnounced: false }
+    }
+  }
+
+  #takeConfig (config: CellConfig): void {
+    this.#situation.config = config
+    this.#showView()
+  }
+
+  #takeReport ({ runner, report, askedMs }: Extract<CellMessage, { type: 'report' }>): void {
+    const intents = this.#reader.state?.intents ?? []
+    this.#situation.books.takeReport(runner, report, askedMs, this.options.clock.monotonicMs(), intents)
+  }
+
+  #takeStream (event: StreamEvent): void {
+    this.#lease.noteRead(event.kind !== 'failed')
+    const records = this.#reader.take(event)
+    for (const record of records) this.#readBack(record)
+    const state = this.#reader.state
+    if (state === undefined || records.length === 0) return
+    this.#situation.books.markRead(state.offset, this.options.clock.monotonicMs())
+    this.#situation.books.forgetSettled(state)
+    this.#journal.passOver(state.offset)
+    this.#followTenure(state)
+    this.#sendOrders(state)
+    this.#showView()
+  }
+
+  #readBack (record: LogRecord): void {
+    const body = parseCellRecord(record.body)
+    const claim = this.#reader.state?.claim
+    const pending = this.#journal.readBack(record.recordId)
+    if (body === undefined || claim === undefined) return
+    const isHolders = body.kind === 'claim' ? record.offset === claim.offset : 'claim' in body && body.claim === claim.offset
+    if (body.kind === 'snapshot') this.#duties.noteSnapshot()
+    if (!isHolders) return
+    this.#lease.hear()
+    if (pending?.firstSentMs !== undefined) this.#lease.readBack(pending.firstSentMs)
+  }
+
+  /** Starts a tenure with a claim of this host that won, ends it with another's. */
+  #followTenure (state: CellState): void {
+    const tenure = holdsClaim(state, this.options.self) ? state.claim?.offset : undefined
+    if (tenure === this.#tenure) return
+    this.#tenure = tenure
+    this.#journal.dropWhere((body) => isVoid(state, body))
+    this.options.logger.info(tenure === undefined ? 'lease lost' : 'lease held', { cell: this.options.cell, claim: state.claim?.offset })
+    if (tenure !== undefined) this.#duties.begin(this.#situation.config)
+  }
+
+  #tick (): void {
+    this.#tickLater()
+    const state = this.#reader.state
+    if (state === undefined) return
+    this.#words.keep(state, this.#retire !== undefined)
+    if (this.#retire !== undefined) return this.#finishRetirement(state, this.#retire)
+    this.#act(state)
+    this.#keepLease(state)
+    this.#showView()
+  }
+
+  #act (state: CellState): void {
+    if (this.#tenure === undefined) return
+    this.#askReports(state)
+    this.#sendOrders(state)
+    if (!this.#lease.isHolder(state.claim) || !this.#lease.isLogReachable) return
+    this.#duties.settle(state)
+    this.#duties.giveUpAccepted(state)
+    this.#duties.raiseFences(state)
+    this.#recordGone(state)
+    this.#duties.snapshot(state)
+    const view = this.view
+    if (view === undefined) return
+    for (const intent of this.#duties.plan(state, view)) this.#send(state, intent)
+  }
+
+  #keepLease (state: CellState): void {
+    const action = this.#lease.decide(state.claim)
+    this.#journal.dropWhere((body) => body.kind === 'claim' && isVoid(state, body))
+    if (action === LeaseAction.Claim && !this.#journal.has(({ kind }) => kind === 'claim')) {
+      this.#journal.append({ kind: 'claim', sender: this.options.self, succeeds: state.claim?.offset ?? 0, leaseMs: this.#leaseSettings.leaseMs })
+    }
+    const isRenewing = this.#journal.has((body) => 'claim' in body && body.claim === state.claim?.offset && body.kind !== 'withdrawn')
+    if (action === LeaseAction.Renew && state.claim !== undefined && !isRenewing) {
+      this.#journal.append({ kind: 'renew', claim: state.claim.offset })
+    }
+  }
+
+  /** Sends the orders of this tenure's intents that were read back, and standby ones that are due. */
+  #sendOrders (state: CellState): void {
+    if (this.#tenure === undefined || this.#retire !== undefined) return
+    const own = state.intents
+      .filter((intent) => intent.claim === this.#tenure && endOffsetOf(intent) === undefined)
+      .sort((a, b) => a.offset - b.offset)
+    for (const intent of own) if (!intent.standby) this.#send(state, intent)
+    if (this.#lease.logFailedMs < this.#times.standbyAfterMs || this.#situation.config === undefined) return
+    const standby = own.filter((intent) => this.#duties.isOwnStandby(state, intent))
+    const context = this.#situation.admissionContext(state, this.#situation.config, true)
+    for (const intent of dueStandby(context, standby)) this.#send(state, intent)
+  }
+
+  #send (state: CellState, intent: Intent): void {
+    const spec = this.#situation.specsOf(state).find(({ name }) => name === intent.order.runner)
+    if (spec === undefined || this.#sender.hasTaken(intent.offset)) return
+    this.#sender.send(intent, spec.url, () => this.#isWanted(intent))
+  }
+
+  /** Asked right before the copy leaves: another holder or another table may have come since. */
+  #isWanted (intent: Intent): boolean {
+    const state = this.#reader.state
+    const config = this.#situation.config
+    if (state === undefined || config === undefined || this.#retire !== undefined) return false
+    if (state.claim?.offset !== intent.claim || this.#duties.isBeingWithdrawn(intent)) return false
+    return keepsReachable(intent.order, this.#situation.admissionContext(state, config, true))
+  }
+
+  #askReports (state: CellState): void {
+    const busy = new Set(state.intents.filter(({ standby }) => !standby).map(({ order }) => order.runner))
+    this.#poller.askDue([...this.#situation.orderableRunners(state).values()].map(({ spec, taken }) => ({
+      name: spec.name, url: spec.url, busy: busy.has(spec.name) || taken === undefined
+    })))
+  }
+
+  #recordGone (state: CellState): void {
+    const claim = state.claim
+    if (claim === undefined) return
+    for (const { sender, evidence } of this.#gone.values()) {
+      const isKnown = state.goneIncarnations.includes(sender.incarnation) ||
+        this.#journal.has((body) => body.kind === 'gone' && body.sender.incarnation === sender.incarnation)
+      const isNeeded = state.intents.some((intent) => intent.sender.incarnation === sender.incarnation)
+      if (!isKnown && isNeeded) this.#journal.append({ kind: 'gone', claim: claim.offset, sender, evidence })
+    }
+  }
+
+  /** Releases the lease and, once every copy has this host's word, says that it sends nothing more. */
+  #finishRetirement (state: CellState, retire: { onRetired: () => void, isAnnounced: boolean }): void {
+    if (this.#words.hasCopyInFlight(state)) return
+    if (!retire.isAnnounced) {
+      retire.isAnnounced = true
+      for (const body of this.#lastWords(state)) this.#journal.append(body)
+      return
+    }
+    if (this.#journal.size === 0) retire.onRetired()
+  }
+
+  #lastWords (state: CellState): CellRecordBody[] {
+    const claim = state.claim?.offset ?? 0
+    const release: CellRecordBody[] = this.#tenure === undefined ? [] : [{ kind: 'release', claim }]
+    const hasIntents = state.intents.some((intent) => intent.sender.incarnation === this.options.self.incarnation)
+    return hasIntents ? [{ kind: 'gone', claim, sender: this.options.self, evidence: GoneEvidence.OwnWord }, ...release] : release
+  }
+
+  #showView (): void {
+    const view = this.view
+    if (view !== undefined) this.options.onView?.(view)
+  }
+
+  #tickLater (): void {
+    this.#timer = this.options.clock.setTimer(this.#times.tickMs, () => this.post({ type: 'tick' }))
+  }
+
+  get #leaseSettings (): LeaseSettings {
+    return this.options.lease ?? DEFAULT_LEASE_SETTINGS
+  }
+}
+
+function setMember (set: Set<string>, name: string, isMember: boolean): void {
+  if (isMember) set.add(name)
+  else set.delete(name)
+}
--- a/packages/control/src/cell/lease.ts
+++ b/packages/control/src/cell/lease.ts
@@ -2,7 +2,7 @@
  * Decisions on a cell's lease, on the monotonic clock of the deciding host. A wrong one costs a
  * takeover and never a promise: what is valid follows from the order of records in the log alone.
  */
-import { createHash } from 'node:crypto'
+import { rankByRendezvous } from '../hashing/hash.js'
 import type { Claim } from './state.js'
 import type { Sender } from './records.js'
 
@@ -73,11 +73,7 @@
 
 /** Candidates in the order in which they claim; differs from cell to cell so that claims spread over hosts. */
 export function rankCandidates (cell: string, hosts: string[]): string[] {
-  const weigh = (host: string) => createHash('sha256').update(`${cell}/${host}`).digest('hex')
-  return [...new Set(hosts)]
-    .map((host) => ({ host, weight: weigh(host) }))
-    .sort((a, b) => (a.weight < b.weight ? -1 : 1))
-    .map(({ host }) => host)
+  return rankByRendezvous(cell, [...new Set(hosts)], (host) => host)
 }
 
 function vacantMs (input: LeaseInput, settings: LeaseSettings): number {
--- /dev/null
+++ b/packages/control/src/cell/testing/cell-bench.ts
@@ -0,0 +1,137 @@
+/** A cell with hosts, engines and a log on one manual clock, for tests of failures. */
+import { ManualClock, SequentialIdSource, silentLogger } from '@figloom/runtime'
+import { CopyState, OrderAction, type CellStep, type PoolModel, type Runner } from '@figloom/tables'
+import { MemoryLog } from '@figloom/standin'
+import { CellHolder, type CellHolderOptions } from '../holder.js'
+import { Planner, type CellConfig, type CellView } from '../types.js'
+import { FakeEngines, type FakeEngineOptions } from './fake-engines.js'
+import { Gate, GatedClock, GatedEngines, GatedLog } from './gated-host.js'
+
+/** Planner whose steps a test sets; a step is given until it is in effect. */
+export class ScriptedPlanner extends Planner {
+  steps: CellStep[] = []
+
+  override plan (view: CellView): CellStep[] {
+    return this.steps.filter((step) => !isInEffect(step, view))
+  }
+}
+
+export type BenchHost = { name: string, gate: Gate, engines: GatedEngines, holder: CellHolder }
+
+export type CellBench = {
+  clock: ManualClock
+  log: MemoryLog
+  engines: FakeEngines
+  planner: ScriptedPlanner
+  hosts: BenchHost[]
+  config: CellConfig
+  /** Adds a host, also one that replaces another. */
+  start: (name: string, incarnation?: string) => BenchHost
+  configure: (config: Partial<CellConfig>) => void
+  holder: () => BenchHost
+  advance: (durationMs: number) => Promise<void>
+  stop: () => Promise<void>
+}
+
+export type BenchOptions = {
+  hosts: string[]
+  runners: Partial<FakeEngineOptions>[]
+  models: PoolModel[]
+  /** Models that routes name; all unless given. */
+  routed?: string[]
+  retentionMs?: number
+  holder?: Partial<CellHolderOptions>
+}
+
+/** A model of version 1 with 60 MiB of weights and 20 MiB of KV reserve unless given. */
+export function modelOf (name: string, weightsMiB = 60, kvReserveMiB = 20, version = '1'): PoolModel {
+  return { name, version, weightsMiB, kvReserveMiB, adapters: [] }
+}
+
+export function stepOf (action: OrderAction, runner: string, model: string, version = '1'): CellStep {
+  return { action, runner, model, version, addsMiB: 0, reason: 'test' }
+}
+
+export function createCellBench (options: BenchOptions): CellBench {
+  const clock = ManualClock.create()
+  const log = MemoryLog.create(options.retentionMs === undefined ? { clock } : { clock, retentionMs: options.retentionMs })
+  const engines = FakeEngines.create(clock, options.runners)
+  const planner = new ScriptedPlanner()
+  const hosts: BenchHost[] = []
+  const bench: CellBench = {
+    clock,
+    log,
+    engines,
+    planner,
+    hosts,
+    config: configOf(options, engines),
+    start: (name, incarnation) => startHost(bench, options, name, incarnation ?? `${name}-1`),
+    configure: (config) => {
+      bench.config = { ...bench.config, ...config }
+      for (const { holder } of hosts) holder.post({ type: 'config', config: bench.config })
+    },
+    holder: () => {
+      const host = hosts.find(({ holder, gate }) => gate.isOpen && holder.view?.isHolder)
+      if (host === undefined) throw new Error('no holder')
+      return host
+    },
+    advance: (durationMs) => clock.advance(durationMs),
+    stop: async () => {
+      for (const { holder, gate } of hosts) {
+        holder.stop()
+        gate.kill()
+      }
+      await clock.advance(0)
+    }
+  }
+  for (const name of options.hosts) bench.start(name)
+  return bench
+}
+
+function startHost (bench: CellBench, options: BenchOptions, name: string, incarnation: string): BenchHost {
+  const gate = new Gate()
+  const engines = GatedEngines.create(bench.engines, gate)
+  const holder = CellHolder.create({
+    cell: 'drafting',
+    self: { host: name, incarnation },
+    log: GatedLog.create(bench.log, gate),
+    engines,
+    clock: GatedClock.create(bench.clock, gate),
+    ids: SequentialIdSource.create(incarnation),
+    logger: silentLogger,
+    planner: bench.planner,
+    standbyLimit: 0,
+    onFault: (error) => { throw error },
+    ...options.holder
+  })
+  holder.post({ type: 'config', config: bench.config })
+  holder.post({ type: 'hosts', hosts: options.hosts })
+  holder.start()
+  const host = { name, gate, engines, holder }
+  bench.hosts.push(host)
+  return host
+}
+
+function configOf (options: BenchOptions, engines: FakeEngines): CellConfig {
+  const runners = [...engines.engines.values()].map((engine, index): Runner => ({
+    name: engine.options.name,
+    availabilityZone: `zone-${index + 1}`,
+    url: `http://${engine.options.name}`,
+    accelerators: 1,
+    memoryMiB: engine.options.memoryMiB,
+    checksFencing: engine.options.checksFencing
+  }))
+  const routed = options.models
+    .filter(({ name }) => options.routed === undefined || options.routed.includes(name))
+    .map(({ name, version }) => ({ model: name, version, adapters: [] }))
+  const share = { loadStartEveryMs: 0, concurrentLoads: 8, concurrentAdapters: 8 }
+  return { runners, models: options.models, routed, share, transitReserveMiB: 0 }
+}
+
+function isInEffect (step: CellStep, view: CellView): boolean {
+  const copy = view.runners.find(({ name }) => name === step.runner)?.copies
+    .find(({ model, version }) => model === step.model && version === step.version)
+  if (step.action === OrderAction.Load) return copy?.state === CopyState.Resident
+  if (step.action === OrderAction.Unload) return copy === undefined
+  return false
+}
