Add incremental placement planning

planCell covers every routed model, then two availability zones, then demand by moves that win back their cost; loads keep to budgets and free memory. Guards taken out and seen failing: serving sibling before an unload, free memory, load budget, unsettled copies, memory kept for adapters, successor of a version, cost of a move; in routing: idempotent repeat, idempotent hedge, retry budget, probe, own requests in reports, fair charge, order of cache events.

--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,2 +1,4 @@
 /** What is resident where: pure planning. */
-export {}
+export * from './types.js'
+export * from './forecast/demand-forecast.js'
+export * from './plan/plan-cell.js'
--- /dev/null
+++ b/packages/placement/src/plan/coverage.ts
@@ -0,0 +1,101 @@
+/** One copy of every routed model, then two availability zones where memory allows. */
+import type { Draft, DraftCopy, DraftRunner, RoutedModel } from './draft.js'
+import { compareText } from './utilization.js'
+
+/** Work of each model, in runners, by key. */
+export type WorkByModel = ReadonlyMap<string, number>
+
+/** Loads models that have no copy; makes room where none has any. */
+export function coverEveryModel (draft: Draft, work: WorkByModel): void {
+  const missing = draft.models.filter(({ key }) => draft.copiesOf(key).length === 0)
+  missing.sort((a, b) => b.sizeMiB - a.sizeMiB || compareText(a.key, b.key))
+  for (const model of missing) {
+    const runner = roomiest(draft, draft.runners.filter((runner) => draft.fits(runner, model)), work)
+    if (runner !== undefined) draft.load(runner, model, 'no copy')
+    else makeRoom(draft, model, draft.runners)
+  }
+}
+
+/** Loads a second copy in another availability zone for models that serve in one only. */
+export function coverTwoZones (draft: Draft, work: WorkByModel): void {
+  const single = draft.models.filter(({ key }) => draft.copiesOf(key).length > 0 && draft.zonesOf(key).size === 1)
+  single.sort((a, b) => (work.get(b.key) ?? 0) - (work.get(a.key) ?? 0) || a.sizeMiB - b.sizeMiB || compareText(a.key, b.key))
+  for (const model of single) {
+    const [zone] = draft.zonesOf(model.key)
+    const others = draft.runners.filter((runner) => runner.view.availabilityZone !== zone)
+    const runner = roomiest(draft, others.filter((runner) => draft.fits(runner, model)), work)
+    if (runner !== undefined) draft.load(runner, model, 'one availability zone')
+    else makeRoom(draft, model, others, true)
+  }
+}
+
+/** Unloads copies that no route names, once the routed versions of their model serve. */
+export function retireUnrouted (draft: Draft): void {
+  for (const runner of draft.runners) {
+    for (const copy of [...runner.copies.values()]) {
+      if (draft.routed(copy.key) !== undefined || !replacementsServe(draft, copy)) continue
+      draft.unload(copy, 'no route')
+    }
+  }
+}
+
+function replacementsServe (draft: Draft, copy: DraftCopy): boolean {
+  return draft.models.filter(({ model }) => model === copy.model)
+    .every(({ key }) => draft.copiesOf(key).some((other) => other.serving))
+}
+
+/** The runner with the most free memory for the work that it has. */
+function roomiest (draft: Draft, runners: readonly DraftRunner[], work: WorkByModel): DraftRunner | undefined {
+  let best: DraftRunner | undefined
+  let bestScore = -Infinity
+  for (const runner of runners) {
+    const score = runner.freeMiB / runner.view.memoryMiB - workOn(draft, runner, work)
+    if (score <= bestScore) continue
+    best = runner
+    bestScore = score
+  }
+  return best
+}
+
+function workOn (draft: Draft, runner: DraftRunner, work: WorkByModel): number {
+  let total = 0
+  for (const key of runner.copies.keys()) total += (work.get(key) ?? 0) / Math.max(1, draft.copiesOf(key).length)
+  return total
+}
+
+/** Unloads spare copies on the runner where the fewest have to go, unless enough memory is coming free already. */
+function makeRoom (draft: Draft, model: RoutedModel, runners: readonly DraftRunner[], keepZones = false): void {
+  const open = runners.filter((runner) => runner.open && !runner.copies.has(model.key))
+  const freeing = open.find((runner) => draft.willFit(runner, model))
+  if (freeing !== undefined) return draft.expect(freeing, model)
+  let best: { runner: DraftRunner, victims: DraftCopy[] } | undefined
+  for (const runner of open) {
+    const victims = victimsOn(draft, runner, model.sizeMiB, keepZones)
+    if (victims !== undefined && (best === undefined || victims.length < best.victims.length)) best = { runner, victims }
+  }
+  if (best === undefined) return
+  for (const copy of best.victims) draft.unload(copy, `room for ${model.key}`)
+  if (draft.willFit(best.runner, model)) draft.expect(best.runner, model)
+}
+
+/** Spare copies of a runner whose memory makes up what a model needs; undefined if they do not suffice. */
+function victimsOn (draft: Draft, runner: DraftRunner, sizeMiB: number, keepZones: boolean): DraftCopy[] | undefined {
+  const spare = [...runner.copies.values()].filter((copy) => isSpare(draft, copy, keepZones))
+  spare.sort((a, b) => draft.copiesOf(b.key).length - draft.copiesOf(a.key).length || b.sizeMiB - a.sizeMiB || compareText(a.key, b.key))
+  const victims: DraftCopy[] = []
+  let freeMiB = runner.freeMiB + runner.freeingMiB
+  for (const copy of spare) {
+    if (freeMiB >= sizeMiB) break
+    victims.push(copy)
+    freeMiB += copy.sizeMiB
+  }
+  return freeMiB >= sizeMiB ? victims : undefined
+}
+
+/** Whether a copy may go without taking its model out of its second availability zone. */
+export function isSpare (draft: Draft, copy: DraftCopy, keepZones: boolean): boolean {
+  if (!draft.mayUnload(copy)) return false
+  if (!keepZones || draft.routed(copy.key) === undefined) return true
+  const others = draft.copiesOf(copy.key).filter((other) => other !== copy && other.serving)
+  return new Set(others.map((other) => other.runner.view.availabilityZone)).size >= 2
+}
--- /dev/null
+++ b/packages/placement/src/types.ts
@@ -0,0 +1,57 @@
+/** Input of planning. Times are monotonic milliseconds; memory is in MiB. */
+import type { ModelKey, ModelRoute, Pool, RunnerView } from '@figloom/tables'
+
+/** Demand for one model version, from short history. */
+export type ModelDemand = ModelKey & {
+  /** Requests a second now. */
+  requestsPerS: number
+  /** Requests a second that are expected when a load that starts now is done. */
+  forecastPerS: number
+  /** Highest rate of late, decaying slowly; decides when a copy is no longer needed. */
+  recentPeakPerS: number
+  /** Share of one runner that one request takes, in milliseconds of the whole runner. */
+  runnerMsPerRequest: number
+}
+
+/** Orders that may start now. */
+export type PlanBudgets = { loads: number, adapterLoads: number }
+
+/** Last load or unload of a copy. */
+export type CopyChange = ModelKey & { runner: string, atMs: number }
+
+export type PlanInput = {
+  pool: Pool
+  /** Routes of the pool that name models. */
+  routes: readonly ModelRoute[]
+  runners: readonly RunnerView[]
+  demand: readonly ModelDemand[]
+  budgets: PlanBudgets
+  /** Changes of the last minutes. */
+  recentChanges: readonly CopyChange[]
+  nowMs: number
+}
+
+/** Settings of planning. */
+export type PlanOptions = {
+  /** Time over which a move has to win back its cost, in seconds. */
+  horizonS: number
+  /** Cost of a move at weight 1, in seconds of one runner's work. */
+  moveCostS: number
+  /** Cost of a move at weight 0, in seconds of one runner's work. */
+  minMoveCostS: number
+  /** A copy that was loaded for demand stays at least this long. */
+  minResidenceMs: number
+  /** Whether copies follow demand at all. */
+  followDemand: boolean
+  /** Moves for demand in one plan. */
+  maxDemandMoves: number
+}
+
+export const DEFAULT_PLAN_OPTIONS: PlanOptions = {
+  horizonS: 120,
+  moveCostS: 30,
+  minMoveCostS: 1,
+  minResidenceMs: 60_000,
+  followDemand: true,
+  maxDemandMoves: 4
+}
--- /dev/null
+++ b/packages/routing/src/admission/fair-queue.test.ts
@@ -0,0 +1,44 @@
+import t from 'tap'
+import { Priority } from '@figloom/tables'
+import type { RouteRequest } from '../types.js'
+import { FairQueue } from './fair-queue.js'
+
+function requestOf (id: string, route: string, deadlineMs: number, priority: Priority = Priority.Interactive): RouteRequest {
+  return { id, route, target: { model: 'm', version: '1' }, priority, deadlineMs, betweenTokensTargetMs: 43, promptTokens: 100, prefixHashes: [], idempotent: true }
+}
+
+/** Takes up to `count` requests and charges each. */
+function take (queue: FairQueue, count: number): string[] {
+  const taken: string[] = []
+  queue.drain((request) => {
+    if (taken.length === count) return false
+    taken.push(request.id)
+    queue.charge(request, 100)
+    return true
+  })
+  return taken
+}
+
+t.test('a burst of one route does not starve another', async (t) => {
+  const queue = FairQueue.create()
+  for (let n = 0; n < 50; n++) queue.push(requestOf(`burst-${n}`, 'burst', 10))
+  for (let n = 0; n < 5; n++) queue.push(requestOf(`calm-${n}`, 'calm', 1_000))
+  t.equal(take(queue, 10).filter((id) => id.startsWith('calm')).length, 5)
+  t.equal(queue.size, 45)
+})
+
+t.test('interactive goes before batch, earlier deadlines first', async (t) => {
+  const queue = FairQueue.create()
+  queue.push(requestOf('batch', 'menus', 1, Priority.Batch))
+  queue.push(requestOf('later', 'allergens', 20))
+  queue.push(requestOf('sooner', 'allergens', 10))
+  t.same(take(queue, 3), ['sooner', 'later', 'batch'])
+})
+
+t.test('a request that was given up leaves the queue', async (t) => {
+  const queue = FairQueue.create()
+  queue.push(requestOf('a', 'r', 1))
+  t.ok(queue.remove('a'))
+  t.notOk(queue.remove('a'))
+  t.equal(queue.size, 0)
+})
--- a/packages/routing/src/decider/route-decider.test.ts
+++ b/packages/routing/src/decider/route-decider.test.ts
@@ -143,11 +143,33 @@
   t.ok(used.filter(({ runner }) => runner === first.runner).length <= 1)
 })
 
-t.test('one host corrects a late report by what it has sent since', async (t) => {
+t.test('own requests are not counted twice in a report', async (t) => {
+  const [a, b] = RUNNERS as [RunnerInfo, RunnerInfo]
+  const decider = createDecider([a])
+  for (let count = 0; count < 8; count++) send(decider, requestOf(`own-${count}`), 1_000)
+  decider.setRunners([a, b])
+  decider.onReport('a', { running: 8, queued: 0, kvUsedMiB: 0, ageMs: 50 }, 1_100)
+  decider.onReport('b', { running: 12, queued: 0, kvUsedMiB: 0, ageMs: 50 }, 1_100)
+  t.equal((send(decider, requestOf('new'), 1_100) as SendDecision).runner, 'a')
+})
+
+t.test('a report that is older than what was sent is corrected', async (t) => {
   const decider = createDecider()
   for (let count = 0; count < 8; count++) send(decider, requestOf(`own-${count}`), 1_000)
   decider.onReport('a', { running: 0, queued: 0, kvUsedMiB: 0, ageMs: 900 }, 1_100)
-  decider.onReport('b', { running: 12, queued: 0, kvUsedMiB: 0, ageMs: 900 }, 1_100)
+  decider.onReport('b', { running: 3, queued: 0, kvUsedMiB: 0, ageMs: 900 }, 1_100)
   const used = [0, 1, 2].map((n) => send(decider, requestOf(`new-${n}`), 1_100) as SendDecision)
   t.same(used.map(({ runner }) => runner), ['a', 'a', 'a'])
 })
+
+t.test('only idempotent requests without a first token are hedged, elsewhere', async (t) => {
+  const decider = createDecider()
+  const sent = send(decider, requestOf('slow')) as SendDecision
+  t.ok((sent.hedgeAfterMs ?? 0) > 0)
+  t.not(decider.hedge('slow', 500)?.runner, sent.runner)
+  const once = send(decider, requestOf('once', { idempotent: false })) as SendDecision
+  t.equal(once.hedgeAfterMs, undefined)
+  t.equal(decider.hedge('once', 500), undefined)
+  decider.onFirstToken('slow', 600)
+  t.equal(decider.hedge('slow', 600), undefined)
+})
