--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -13,7 +13,7 @@
 } from '../types.js'
 import { DEFAULT_DECIDER_OPTIONS, type DeciderOptions } from './options.js'
 import { RunnerState } from './runner-state.js'
-import { TargetStats } from './target-stats.js'
+import { TargetStats, type TargetDemand } from './target-stats.js'
 
 /** What to do with an attempt that failed. */
 export type FailureDecision =
@@ -67,6 +67,7 @@
 
   /** Decides on a new request. One that waits is queued here until `release`, `cancel` or its deadline. */
   decide (request: RouteRequest, nowMs: number): Decision {
+    this.#statsOf(request).onRequest()
     const room = this.#roomFor(request, nowMs)
     const early = this.#refuseEarly(request, room, nowMs)
     if (early !== undefined) return early
@@ -139,8 +140,9 @@
     const state = attempt && this.#runners.get(attempt.runner)
     if (attempt === undefined || state === undefined) return
     state.health.onSuccess()
-    this.#statsOf(attempt.request).onDone(nowMs - attempt.sentMs)
     const firstMs = attempt.firstTokenMs ?? nowMs
+    const runnerMs = attempt.ownTokens * state.latency.prefillMsPerToken + (nowMs - firstMs) / state.limit.value
+    this.#statsOf(attempt.request).onDone(nowMs - attempt.sentMs, runnerMs)
     const stepMs = tokens > 1 ? (nowMs - firstMs) / (tokens - 1) : undefined
     const load = Math.max(attempt.loadWhenSent, state.load.total(nowMs) + 1)
     if (stepMs !== undefined) state.latency.onStep(stepMs, load)
@@ -199,6 +201,11 @@
       { host, runner: info.name, inFlight: load.inFlight, pendingTokens: load.ownPendingTokens }))
   }
 
+  /** Requests since the last call, by model version; refused ones count. */
+  takeDemand (): TargetDemand[] {
+    return [...this.#stats.values()].map((stats) => stats.take())
+  }
+
   /** Ejects runners whose attempts make no progress. Call about once a second. */
   checkStalls (nowMs: number): string[] {
     const stalled = new Set<string>()
@@ -318,7 +325,7 @@
     const key = targetKey(request.target)
     const existing = this.#stats.get(key)
     if (existing !== undefined) return existing
-    const stats = TargetStats.create()
+    const stats = TargetStats.create(request.target)
     this.#stats.set(key, stats)
     return stats
   }
--- a/packages/routing/src/decider/target-stats.ts
+++ b/packages/routing/src/decider/target-stats.ts
@@ -1,21 +1,49 @@
-/** Rates of one model version on this host; they tell how fast a queue drains. */
+/** Rates of one target on this host: how fast a queue drains, and what control plans by. */
+import type { Target } from '../types.js'
 
 const DURATION_WEIGHT = 0.1
 const DEFAULT_DURATION_MS = 1_000
 
+/** Requests for one model version since the last reading. */
+export type TargetDemand = {
+  model: string
+  version: string
+  requests: number
+  /** Mean share of one runner that a request took, in milliseconds; 0 before the first answer. */
+  runnerMsPerRequest: number
+}
+
 export class TargetStats {
   #durationMs = DEFAULT_DURATION_MS
+  #requests = 0
+  #runnerMs = 0
 
-  static create (): TargetStats {
-    return new TargetStats()
+  private constructor (readonly target: Target) {}
+
+  static create (target: Target): TargetStats {
+    return new TargetStats(target)
   }
 
-  onDone (durationMs: number): void {
+  onRequest (): void {
+    this.#requests += 1
+  }
+
+  onDone (durationMs: number, runnerMs: number): void {
     this.#durationMs += DURATION_WEIGHT * (durationMs - this.#durationMs)
+    if (this.#runnerMs === 0) this.#runnerMs = runnerMs
+    this.#runnerMs += DURATION_WEIGHT * (runnerMs - this.#runnerMs)
   }
 
   /** Expected wait behind `ahead` requests for `slots` places at the runners. */
   expectedWaitMs (ahead: number, slots: number): number {
     return (ahead + 1) * this.#durationMs / Math.max(1, slots)
   }
+
+  /** Demand since the last call. */
+  take (): TargetDemand {
+    const { model, version } = this.target
+    const demand = { model, version, requests: this.#requests, runnerMsPerRequest: this.#runnerMs }
+    this.#requests = 0
+    return demand
+  }
 }
