--- /dev/null
+++ b/packages/daemon/src/requests/generation.ts
@@ -0,0 +1,235 @@
+/** Serves one generation: chooses runners, passes the answer on, and repeats or resumes attempts that fail. */
+import { errAsync, ok, err, type Result, ResultAsync } from 'neverthrow'
+import { createFailure, ResultCode, SpanKind, startChildSpan, traceHeaders } from '@figloom/runtime'
+import type { ModelRoute } from '@figloom/tables'
+import type { PrefixHasher, RouteRequest } from '@figloom/routing'
+import type { BackendAnswer, BackendClient, BackendFailure } from '../backends/backend-client.js'
+import { TokenStream } from '../backends/token-stream.js'
+import type { CellRouter } from '../cells/cell-router.js'
+import type { RequestMetrics } from './metrics.js'
+import { estimateTokens, promptText, type ChatBody } from './chat-body.js'
+import { RunCertainty } from './outcome.js'
+import type { AnswerSink, CallerRequest, HeaderFields } from './types.js'
+import { DeadlineSignal } from './deadline-signal.js'
+import type { Clock, Failure, Logger } from '@figloom/runtime'
+
+export type GenerationOptions = {
+  clock: Clock
+  logger: Logger
+  backends: BackendClient
+  hasher: PrefixHasher
+  metrics: RequestMetrics
+  /** Time for a whole answer when the caller names no deadline, in milliseconds. */
+  defaultDeadlineMs: number
+  maxAnswerBytes: number
+  /** Tells an engine that an attempt is no longer wanted. */
+  cancelAttempt: (runnerUrl: string, attemptId: string) => void
+}
+
+type AttemptEnd = { tokens: number }
+
+const NOT_RESIDENT_STATUS = 404
+const SERVER_ERROR_STATUS = 500
+
+/** One generation request on this host. */
+export class Generation {
+  readonly #certainty = RunCertainty.create()
+  readonly #routeRequest: RouteRequest
+  readonly #deadline: DeadlineSignal
+  #attempts = 0
+  #tokens = 0
+
+  private constructor (
+    private readonly options: GenerationOptions,
+    private readonly router: CellRouter,
+    private readonly request: CallerRequest,
+    private readonly route: ModelRoute,
+    private readonly body: ChatBody,
+    private readonly sink: AnswerSink
+  ) {
+    this.#routeRequest = toRouteRequest(options, request, route, body)
+    const limitMs = request.deadlineMs ?? request.receivedMs + options.defaultDeadlineMs
+    this.#deadline = DeadlineSignal.create(options.clock, limitMs, request.signal)
+  }
+
+  static create (
+    options: GenerationOptions, router: CellRouter, request: CallerRequest, route: ModelRoute, body: ChatBody, sink: AnswerSink
+  ): Generation {
+    return new Generation(options, router, request, route, body, sink)
+  }
+
+  /** Resolves when the answer or its failure was handed to the sink. */
+  async run (): Promise<void> {
+    try {
+      await this.#serve()
+    } finally {
+      this.#deadline.release()
+    }
+  }
+
+  async #serve (): Promise<void> {
+    const first = await this.router.acquire(this.#routeRequest, this.#deadline.signal)
+    if (first.kind === 'refuse') return this.#giveUp(first.failure)
+    let runner = first.runner
+    for (;;) {
+      const result = await this.#attempt(runner)
+      if (result.isOk()) return this.router.onDone(this.request.id, result.value.tokens)
+      if (this.request.signal.aborted) return this.#abandon()
+      this.#certainty.note(result.error)
+      this.options.logger.debug('attempt failed', { requestId: this.request.id, runner, code: result.error.code.code, message: result.error.message })
+      const next = this.router.onFailed(this.#routeRequest, result.error, this.#attempts)
+      if (next.kind === 'give-up') return this.#giveUp(next.failure)
+      this.options.metrics.retries.inc({ kind: next.kind })
+      runner = next.send.runner
+    }
+  }
+
+  /** The caller is gone: nobody is left to answer. */
+  #abandon (): void {
+    this.router.onCanceled(this.request.id)
+    this.#giveUp(createFailure(ResultCode.Canceled, 'the caller went away'))
+  }
+
+  #giveUp (failure: Failure): void {
+    const final = this.#certainty.final(failure)
+    this.options.metrics.failures.inc({ code: final.code.code })
+    this.sink.fail(final)
+  }
+
+  async #attempt (runner: string): Promise<Result<AttemptEnd, Failure>> {
+    const url = this.router.urlOf(runner)
+    if (url === undefined) return err(createFailure(ResultCode.NoRunner, `runner ${runner} has left the tables`))
+    this.#attempts += 1
+    const attemptId = `${this.request.id}-${this.#attempts}`
+    const { span, context } = startChildSpan('backend server', SpanKind.CLIENT, this.request.trace)
+    span.setAttributes({ 'figloom.runner': runner, 'figloom.attempt': attemptId })
+    const exchanged = await this.#exchange(url, attemptId, traceHeaders(context))
+    const result = await exchanged.match(
+      (answer) => this.#takeAnswer(answer, attemptId),
+      ({ failure }) => Promise.resolve(err<AttemptEnd, Failure>(failure))
+    )
+    if (result.isErr()) {
+      span.setAttribute('figloom.code', result.error.code.code)
+      if (result.error.ran !== 'no') this.options.cancelAttempt(url, attemptId)
+    }
+    span.end()
+    return result
+  }
+
+  #exchange (url: string, attemptId: string, trace: HeaderFields): ResultAsync<BackendAnswer, BackendFailure> {
+    const { route, body } = this
+    const leftMs = this.#deadline.leftMs()
+    if (leftMs <= 0) return errAsync({ timedOut: true, failure: createFailure(ResultCode.DeadlinePassed, 'the deadline passed') })
+    const payload = {
+      ...body,
+      model: route.model,
+      figloom_version: route.version,
+      ...(route.adapter === undefined ? {} : { figloom_adapter: route.adapter }),
+      ...(this.#tokens === 0 ? {} : { figloom_resume_from: this.#tokens })
+    }
+    return this.options.backends.exchange({
+      baseUrl: url,
+      path: '/v1/chat/completions',
+      method: 'POST',
+      headers: {
+        'content-type': 'application/json',
+        'figloom-attempt-id': attemptId,
+        'figloom-priority': this.#routeRequest.priority,
+        'figloom-deadline-ms': String(Math.ceil(leftMs)),
+        ...trace
+      },
+      body: JSON.stringify(payload),
+      signal: this.#deadline.signal
+    })
+  }
+
+  async #takeAnswer (answer: BackendAnswer, attemptId: string): Promise<Result<AttemptEnd, Failure>> {
+    const { status } = answer
+    if (status === NOT_RESIDENT_STATUS) {
+      await answer.body.dump().catch(() => {})
+      return err(createFailure(ResultCode.NoRunner, 'the runner does not hold the model', { retryAfterMs: 1000 }))
+    }
+    if (status >= SERVER_ERROR_STATUS || status === 429 || status === 409) {
+      await answer.body.dump().catch(() => {})
+      return err(createFailure(ResultCode.BackendFailed, `the backend server answered ${status}`))
+    }
+    const isOwn = (answer.headers['figloom-attempt-id'] ?? attemptId) === attemptId
+    if (!isOwn) {
+      this.options.metrics.foreignAnswers.inc()
+      answer.body.destroy()
+      return err(createFailure(ResultCode.BackendFailed, 'the answer belongs to another attempt'))
+    }
+    const isStream = answer.headers['content-type']?.startsWith('text/event-stream') ?? false
+    return isStream ? this.#passStream(answer, attemptId) : this.#passWhole(answer)
+  }
+
+  async #passWhole (answer: BackendAnswer): Promise<Result<AttemptEnd, Failure>> {
+    const chunks: Buffer[] = []
+    let size = 0
+    try {
+      for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+        size += chunk.length
+        if (size > this.options.maxAnswerBytes) return err(createFailure(ResultCode.AnswerIncomplete, 'the answer exceeds the limit'))
+        chunks.push(chunk)
+      }
+    } catch {
+      return err(this.#brokenOff())
+    }
+    if (this.sink.started) return err(this.#brokenOff())
+    this.router.onFirstToken(this.request.id)
+    this.sink.head(answer.status, { 'content-type': answer.headers['content-type'] ?? 'application/json', 'content-length': String(size) })
+    await this.sink.write(Buffer.concat(chunks, size))
+    this.sink.end()
+    return ok({ tokens: 0 })
+  }
+
+  async #passStream (answer: BackendAnswer, attemptId: string): Promise<Result<AttemptEnd, Failure>> {
+    const stream = TokenStream.create({ attemptId, answerId: `chatcmpl-${this.request.id}`, fromToken: this.#tokens })
+    try {
+      for await (const bytes of answer.body as AsyncIterable<Buffer>) {
+        const piece = stream.push(bytes)
+        if (piece.foreign > 0) this.options.metrics.foreignAnswers.inc(piece.foreign)
+        if (piece.text !== '') await this.#pass(piece.text, piece.tokens)
+        if (stream.complete || stream.broken) break
+      }
+    } catch {
+      return err(this.#brokenOff())
+    }
+    if (!stream.complete) return err(this.#brokenOff())
+    this.sink.end()
+    return ok({ tokens: this.#tokens })
+  }
+
+  async #pass (text: string, tokens: number): Promise<void> {
+    if (!this.sink.started) this.sink.head(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' })
+    if (tokens > 0 && this.#tokens === 0) {
+      this.router.onFirstToken(this.request.id)
+      this.options.metrics.firstTokenSeconds.observe({ route: this.route.name }, (this.options.clock.monotonicMs() - this.request.receivedMs) / 1000)
+      if (this.request.deadlineMs !== undefined) this.#deadline.extend(this.options.defaultDeadlineMs)
+    }
+    this.#tokens += tokens
+    this.router.onToken(this.request.id, this.#tokens)
+    await this.sink.write(text)
+  }
+
+  #brokenOff (): Failure {
+    if (this.#deadline.passed) return createFailure(ResultCode.BackendTimeout, 'the deadline passed while the answer was under way')
+    const code = this.sink.started ? ResultCode.AnswerIncomplete : ResultCode.BackendFailed
+    return createFailure(code, 'the answer broke off')
+  }
+}
+
+function toRouteRequest (options: GenerationOptions, request: CallerRequest, route: ModelRoute, body: ChatBody): RouteRequest {
+  const prompt = promptText(body)
+  return {
+    id: request.id,
+    route: route.name,
+    target: { model: route.model, version: route.version, ...(route.adapter === undefined ? {} : { adapter: route.adapter }) },
+    priority: request.priority ?? route.priority,
+    deadlineMs: request.deadlineMs ?? request.receivedMs + route.firstTokenTargetMs,
+    betweenTokensTargetMs: route.betweenTokensTargetMs,
+    promptTokens: estimateTokens(prompt),
+    prefixHashes: options.hasher(prompt),
+    idempotent: true
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/service-call.ts
@@ -0,0 +1,206 @@
+/** Serves a call to a plain service; a non-idempotent one runs at most once under its key. */
+import { createHash } from 'node:crypto'
+import { err, ok, type Result } from 'neverthrow'
+import { createFailure, Ran, ResultCode, SpanKind, startChildSpan, traceHeaders, type Clock, type Failure } from '@figloom/runtime'
+import { Priority, type ServiceRoute } from '@figloom/tables'
+import type { RouteRequest } from '@figloom/routing'
+import type { Attempt, ClaimResult, KeyedCall, KeptAnswer, ServiceAnswer } from '@figloom/control'
+import type { BackendClient } from '../backends/backend-client.js'
+import type { CellRouter } from '../cells/cell-router.js'
+import { DeadlineSignal } from './deadline-signal.js'
+import type { RequestMetrics } from './metrics.js'
+import { RunCertainty } from './outcome.js'
+import type { AnswerSink, CallerRequest, HeaderFields } from './types.js'
+
+/** Version under which plain services stand in the routing decisions. */
+export const SERVICE_VERSION = 'service'
+
+export type ServiceCallOptions = {
+  clock: Clock
+  backends: BackendClient
+  metrics: RequestMetrics
+  /** Claims the key of a non-idempotent call. */
+  claim: (call: KeyedCall) => Promise<ClaimResult>
+  maxAnswerBytes: number
+}
+
+const KEY_HEADER = 'idempotency-key'
+const MAX_KEY_LENGTH = 256
+const SAFE_METHODS = new Set(['GET', 'HEAD', 'OPTIONS'])
+const NOT_PASSED_TO_SERVICE = new Set([
+  'host', 'connection', 'keep-alive', 'transfer-encoding', 'content-length', 'upgrade', 'te', 'trailer', 'expect',
+  'proxy-authorization', 'proxy-connection', 'http2-settings', 'traceparent', 'tracestate'
+])
+const NOT_PASSED_TO_CALLER = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length', 'upgrade', 'trailer', 'proxy-connection'])
+
+/** One call on this host. `path` is what the service gets, with its query. */
+export class ServiceCall {
+  readonly #certainty = RunCertainty.create()
+  readonly #deadline: DeadlineSignal
+  readonly #routeRequest: RouteRequest
+  #attempts = 0
+
+  private constructor (
+    private readonly options: ServiceCallOptions,
+    private readonly router: CellRouter,
+    private readonly request: CallerRequest,
+    private readonly route: ServiceRoute,
+    private readonly path: string,
+    private readonly sink: AnswerSink
+  ) {
+    const limitMs = request.deadlineMs ?? request.receivedMs + route.answerTargetMs
+    this.#deadline = DeadlineSignal.create(options.clock, limitMs, request.signal)
+    this.#routeRequest = toRouteRequest(request, route, limitMs)
+  }
+
+  static create (
+    options: ServiceCallOptions, router: CellRouter, request: CallerRequest, route: ServiceRoute, path: string, sink: AnswerSink
+  ): ServiceCall {
+    return new ServiceCall(options, router, request, route, path, sink)
+  }
+
+  /** Resolves when the answer or its failure was handed to the sink. */
+  async run (): Promise<void> {
+    try {
+      await (this.#routeRequest.idempotent ? this.#runRepeatable() : this.#runOnce())
+    } finally {
+      this.#deadline.release()
+    }
+  }
+
+  async #runRepeatable (): Promise<void> {
+    const result = await this.#callRunners()
+    result.match((answer) => this.#pass(answer), (failure) => this.#giveUp(failure))
+  }
+
+  async #runOnce (): Promise<void> {
+    const key = this.request.headers[KEY_HEADER]
+    if (key === undefined || key === '' || key.length > MAX_KEY_LENGTH) {
+      return this.#giveUp(createFailure(ResultCode.KeyRequired, `this call needs an Idempotency-Key of 1 to ${MAX_KEY_LENGTH} characters`))
+    }
+    const claim = await this.options.claim({
+      service: this.route.name, key, fingerprint: this.#fingerprint(), timeoutMs: Math.max(0, this.#deadline.leftMs())
+    })
+    if (claim.kind === 'refused') return this.#giveUp(claim.failure)
+    if (claim.kind === 'replay') return this.#replay(claim.answer)
+    await this.#runClaimed(claim.attempt)
+  }
+
+  async #runClaimed (attempt: Attempt): Promise<void> {
+    if (!attempt.beginSend()) return this.#giveUp(createFailure(ResultCode.DeadlinePassed, 'the deadline passed before the call was sent'))
+    const result = await this.#callRunners()
+    if (result.isOk()) {
+      attempt.answered(result.value)
+      return this.#pass(result.value)
+    }
+    if (this.#certainty.final(result.error).ran === Ran.No) attempt.notSent()
+    else attempt.outcomeUnknown()
+    this.#giveUp(result.error)
+  }
+
+  /** Calls runners until one answers or the failure is final. */
+  async #callRunners (): Promise<Result<ServiceAnswer, Failure>> {
+    const first = await this.router.acquire(this.#routeRequest, this.#deadline.signal)
+    if (first.kind === 'refuse') return err(first.failure)
+    let runner = first.runner
+    for (;;) {
+      this.#attempts += 1
+      const result = await this.#callOne(runner)
+      if (result.isOk()) {
+        this.router.onFirstToken(this.request.id)
+        this.router.onDone(this.request.id, 1)
+        return result
+      }
+      this.#certainty.note(result.error)
+      if (this.request.signal.aborted) {
+        this.router.onCanceled(this.request.id)
+        return result
+      }
+      const next = this.router.onFailed(this.#routeRequest, result.error, this.#attempts)
+      if (next.kind === 'give-up') return err(next.failure)
+      this.options.metrics.retries.inc({ kind: next.kind })
+      runner = next.send.runner
+    }
+  }
+
+  async #callOne (runner: string): Promise<Result<ServiceAnswer, Failure>> {
+    const url = this.router.urlOf(runner)
+    if (url === undefined) return err(createFailure(ResultCode.NoRunner, `runner ${runner} has left the tables`))
+    const { span, context } = startChildSpan('backend server', SpanKind.CLIENT, this.request.trace)
+    span.setAttribute('figloom.runner', runner)
+    const result = await this.#exchange(url, traceHeaders(context))
+    if (result.isErr()) span.setAttribute('figloom.code', result.error.code.code)
+    span.end()
+    return result
+  }
+
+  async #exchange (url: string, trace: HeaderFields): Promise<Result<ServiceAnswer, Failure>> {
+    const { request } = this
+    const exchanged = await this.options.backends.exchange({
+      baseUrl: url,
+      path: this.path,
+      method: request.method,
+      headers: { ...keepHeaders(request.headers, NOT_PASSED_TO_SERVICE), ...trace },
+      body: request.body.length === 0 ? null : request.body,
+      ownConnection: !this.#routeRequest.idempotent,
+      signal: this.#deadline.signal
+    })
+    if (exchanged.isErr()) return err(exchanged.error.failure)
+    const { status, headers, body } = exchanged.value
+    const bytes = await readWhole(body as AsyncIterable<Buffer>, this.options.maxAnswerBytes)
+    return bytes.map((whole) => ({ status, headers: Object.entries(keepHeaders(headers, NOT_PASSED_TO_CALLER)), body: whole }))
+  }
+
+  #pass ({ status, headers, body }: ServiceAnswer, extra: HeaderFields = {}): void {
+    this.sink.head(status, { ...Object.fromEntries(headers), 'content-length': String(body.length), ...extra })
+    this.sink.write(body).then(() => this.sink.end())
+  }
+
+  #replay ({ status, headers, bodyBase64 }: KeptAnswer): void {
+    this.#pass({ status, headers, body: Buffer.from(bodyBase64, 'base64') }, { 'figloom-replayed': 'true' })
+  }
+
+  #giveUp (failure: Failure): void {
+    const final = this.#certainty.final(failure)
+    this.options.metrics.failures.inc({ code: final.code.code })
+    this.sink.fail(final)
+  }
+
+  #fingerprint (): Uint8Array {
+    const { method, body } = this.request
+    return createHash('sha256').update(`${method} ${this.path}\n`).update(body).digest()
+  }
+}
+
+async function readWhole (body: AsyncIterable<Buffer>, maxBytes: number): Promise<Result<Buffer, Failure>> {
+  const chunks: Buffer[] = []
+  let size = 0
+  try {
+    for await (const chunk of body) {
+      size += chunk.length
+      if (size > maxBytes) return err(createFailure(ResultCode.AnswerIncomplete, 'the answer exceeds the limit'))
+      chunks.push(chunk)
+    }
+  } catch {
+    return err(createFailure(ResultCode.BackendFailed, 'the answer broke off'))
+  }
+  return ok(Buffer.concat(chunks, size))
+}
+
+function keepHeaders (headers: HeaderFields, dropped: ReadonlySet<string>): HeaderFields {
+  return Object.fromEntries(Object.entries(headers).filter(([name]) => !dropped.has(name) && !name.startsWith(':')))
+}
+
+function toRouteRequest (request: CallerRequest, route: ServiceRoute, deadlineMs: number): RouteRequest {
+  return {
+    id: request.id,
+    route: route.name,
+    target: { model: route.service, version: SERVICE_VERSION },
+    priority: request.priority ?? Priority.Interactive,
+    deadlineMs,
+    betweenTokensTargetMs: Infinity,
+    promptTokens: 0,
+    prefixHashes: [],
+    idempotent: route.idempotent || SAFE_METHODS.has(request.method)
+  }
+}
--- a/packages/standin/src/engine/chat-answer.ts
+++ b/packages/standin/src/engine/chat-answer.ts
@@ -88,7 +88,7 @@
     if (this.faults.reset || this.faults.cutAfterTokens !== undefined) return this.#reset()
     this.#ended = true
     if (!this.stream) return this.#sendWhole()
-    this.#writeChunk({ index: 0, delta: {}, finish_reason: 'stop' })
+    this.#writeChunk({ index: 0, delta: {}, finish_reason: 'stop' }, this.request.resumeFrom + this.#tokens)
     this.event.node.res.end('data: [DONE]\n\n')
   }
 
