--- /dev/null
+++ b/packages/standin/src/clients/append-until-known.test.ts
@@ -0,0 +1,71 @@
+import t from 'tap'
+import { ManualClock, type Failure } from '@figloom/runtime'
+import { appendUntilKnown, backoffMs, SeededRandomSource, type AppendedRecord } from '@figloom/platform'
+import type { ResultAsync } from 'neverthrow'
+import { MemoryLog } from '../log/memory-log.js'
+
+function createLog () {
+  const clock = ManualClock.create()
+  const log = MemoryLog.create({ clock })
+  const backoff = { firstMs: 100, maxMs: 1_000, random: SeededRandomSource.create(1) }
+  const append = (deadlineMs: number, signal?: AbortSignal) =>
+    appendUntilKnown(log, clock, 's', 'r', { a: 1 }, { deadlineMs, backoff, ...(signal === undefined ? {} : { signal }) })
+  return { clock, log, append }
+}
+
+async function outcome (result: ResultAsync<AppendedRecord, Failure>): Promise<unknown> {
+  return (await result).match((value) => value, (failure) => failure.code.type)
+}
+
+t.test('lost answer is repeated under the same id', async (t) => {
+  const { clock, log, append } = createLog()
+  log.faults.loseAnswers = 2
+  const appended = outcome(append(10_000))
+  await clock.advance(10_000)
+  t.same(await appended, { offset: 3, mayBeRepeated: true })
+  const page = (await log.read('s', { from: 1 }))._unsafeUnwrap()
+  t.same(page.records.map(({ recordId }) => recordId), ['r', 'r', 'r'])
+})
+
+t.test('refused append is repeated after retryAfterMs, once in effect', async (t) => {
+  const { clock, log, append } = createLog()
+  log.faults.rejectAppends = 1
+  const appended = outcome(append(10_000))
+  await clock.advance(99)
+  t.equal(log.appendCount, 0)
+  await clock.advance(1_000)
+  t.same(await appended, { offset: 1, mayBeRepeated: false })
+})
+
+t.test('deadline: unknown after a lost answer, rejected otherwise', async (t) => {
+  for (const [fault, code] of [['loseAnswers', 'log_unavailable'], ['rejectAppends', 'log_rejected']] as const) {
+    const { clock, log, append } = createLog()
+    log.faults[fault] = 1_000
+    const appended = outcome(append(3_000))
+    await clock.advance(3_000)
+    t.equal(await appended, code)
+  }
+})
+
+t.test('unknown stays unknown if a refusal comes last', async (t) => {
+  const { clock, log, append } = createLog()
+  log.faults.loseAnswers = 1
+  const appended = outcome(append(3_000))
+  await clock.advance(0)
+  log.faults.rejectAppends = 1_000
+  await clock.advance(3_000)
+  t.equal(await appended, 'log_unavailable')
+})
+
+t.test('passed deadline and abort send nothing', async (t) => {
+  const { clock, log, append } = createLog()
+  await clock.advance(10)
+  t.equal(await outcome(append(10)), 'log_rejected')
+  t.equal(await outcome(append(1_000, AbortSignal.abort())), 'log_rejected')
+  t.equal(log.appendCount, 0)
+})
+
+t.test('backoff grows to its limit', async (t) => {
+  const backoff = { firstMs: 100, maxMs: 1_000, random: { nextFraction: () => 0.5 } }
+  t.same([0, 1, 2, 3, 4, 50].map((attempt) => backoffMs(backoff, attempt)), [50, 100, 200, 400, 500, 500])
+})
--- a/packages/standin/src/clients/http-clients.test.ts
+++ b/packages/standin/src/clients/http-clients.test.ts
@@ -1,7 +1,10 @@
 import t from 'tap'
+import { createApp, eventHandler } from 'h3'
 import { request } from 'undici'
 import { SystemClock } from '@figloom/runtime'
 import { HttpEngineClient, HttpHostListClient, type EngineOrder } from '@figloom/platform'
+import { sendJson } from '../http/event.js'
+import { listen } from '../http/server.js'
 import { startStandins } from '../start.js'
 
 const clock = SystemClock.create()
@@ -45,6 +48,17 @@
   await client.close()
 })
 
+t.test('an answer for another order is no answer', async (t) => {
+  const outcome = { orderId: 'other', outcome: 'done', instance: 'instance-1' }
+  const app = createApp().use(eventHandler((event) => sendJson(event, 200, outcome)))
+  const { url, close } = await listen(app, '127.0.0.1', 0)
+  const client = HttpEngineClient.create({ clock })
+  t.equal((await client.order(url, order))._unsafeUnwrapErr().ran, 'unknown')
+  t.ok((await client.order(url, { ...order, orderId: 'other' })).isOk())
+  await client.close()
+  await close()
+})
+
 t.test('plain service counts runs per key', async (t) => {
   const running = await startStandins({ standin: [{ kind: 'service', name: 'booking' }] }, clock)
   const url = running.urlOf('booking')
