Add the parser and the checks of the tables

routes.toml and pools.toml are read with the settings' reader; each fault stands at file, line and key. The joined check finds routes that no pool serves, clashing runners, copies larger than any runner, and routed models that do not fit together. planPeak finds whether a change gets through with old and new copies side by side or step by step without unloading the last copy that a route needs. Packing is best fit by decreasing size: it may refuse a set that only just fits, and never passes one that does not.

--- a/packages/tables/src/index.ts
+++ b/packages/tables/src/index.ts
@@ -1,3 +1,12 @@
 /** Tables of routes and pools: types, checks, acceptance rule, snapshots. */
 export * from './types.js'
 export * from './residency/types.js'
+export * from './rows/rows.js'
+export * from './rows/canonical.js'
+export * from './rows/diff.js'
+export * from './check/check.js'
+export * from './check/copies.js'
+export * from './check/packing.js'
+export * from './check/peak.js'
+export * from './check/stepwise.js'
+export * from './parse/parse.js'
--- /dev/null
+++ b/packages/tables/src/schema/rows.ts
@@ -0,0 +1,88 @@
+/** Schemas of the rows of both tables, for TOML files and for records of the log alike. */
+import { z } from 'zod'
+import { isHttpUrl } from '@figloom/settings'
+import { Priority, type Adapter, type ModelRoute, type Pool, type PoolModel, type Runner, type ServiceRoute } from '../types.js'
+
+/** Name without separator characters; row keys join names by colons. */
+const rowName = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/, 'must be a name of letters, digits, . _ - (100 at most)')
+
+/** Name of a model, which may have a path. */
+const modelName = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._/-]{0,149}$/, 'must be a name of letters, digits, . _ / - (150 at most)')
+
+const targetMs = z.int().min(1, 'must be at least 1').max(86_400_000, 'must be at most 86400000 (a day)')
+const sizeMiB = z.int().min(0, 'must be at least 0').max(2 ** 40, 'is too large')
+
+export const adapterSchema: z.ZodType<Adapter> = z.strictObject({ name: modelName, sizeMiB })
+
+export const modelRouteSchema = z.strictObject({
+  kind: z.literal('model'),
+  name: modelName,
+  model: modelName,
+  version: rowName,
+  adapter: modelName.optional(),
+  pool: rowName,
+  firstTokenTargetMs: targetMs,
+  betweenTokensTargetMs: targetMs,
+  priority: z.enum(Object.values(Priority)).default(Priority.Interactive)
+}) satisfies z.ZodType<ModelRoute>
+
+export const serviceRouteSchema = z.strictObject({
+  kind: z.literal('service'),
+  name: modelName,
+  service: rowName,
+  pool: rowName,
+  answerTargetMs: targetMs,
+  idempotent: z.boolean().default(false)
+}) satisfies z.ZodType<ServiceRoute>
+
+/** A route as records of the log hold it. */
+export const routeSchema = z.discriminatedUnion('kind', [modelRouteSchema, serviceRouteSchema])
+
+export const runnerSchema = z.strictObject({
+  name: rowName,
+  availabilityZone: rowName,
+  url: z.string().refine(isHttpUrl, 'must be an http:// or https:// URL'),
+  accelerators: z.int().min(0, 'must be at least 0').max(10_000, 'is too large').default(0),
+  memoryMiB: sizeMiB.default(0),
+  checksFencing: z.boolean().default(false)
+}) satisfies z.ZodType<Runner>
+
+export const poolModelSchema = z.strictObject({
+  name: modelName,
+  version: rowName,
+  weightsMiB: sizeMiB,
+  kvReserveMiB: sizeMiB,
+  adapters: z.array(adapterSchema).default([])
+}) satisfies z.ZodType<PoolModel>
+
+export const poolHeadSchema = z.strictObject({
+  name: rowName,
+  region: rowName,
+  moveWeight: z.number().min(0, 'must be at least 0').max(1, 'must be at most 1').default(0.5)
+})
+
+const tomlRoute = z.preprocess(addKind, routeSchema)
+
+const tomlPool = z.strictObject({
+  ...poolHeadSchema.shape,
+  runner: z.array(runnerSchema).default([]),
+  model: z.array(poolModelSchema).default([])
+})
+
+/** A file of tables: routes, pools or both. */
+export const tablesFileSchema = z.strictObject({
+  route: z.array(tomlRoute).default([]),
+  pool: z.array(tomlPool).default([])
+})
+export type TablesFile = z.output<typeof tablesFileSchema>
+
+/** The pool that a `[[pool]]` of a file stands for. */
+export function toPool ({ runner, model, ...head }: TablesFile['pool'][number]): Pool {
+  return { ...head, runners: runner, models: model }
+}
+
+/** A file tells routes to plain services by their key `service`. */
+function addKind (raw: unknown): unknown {
+  if (typeof raw !== 'object' || raw === null || 'kind' in raw) return raw
+  return { kind: 'service' in raw ? 'service' : 'model', ...raw }
+}
