Add membership, runner health, lookup and cell assignment

Heartbeats between the hosts of a cell, the lagging list as a hint, drains passed on by every host that heard them, what a host may do without log or peers, lookup answers and a rendezvous assignment of cells.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,3 +1,5 @@
 /** Cells: leases, intents, memory ledger, claims, membership. */
 export * from './config/app.js'
 export * from './claims/app.js'
+export * from './membership/app.js'
+export { hash32, rankByRendezvous } from './hashing/hash.js'
--- /dev/null
+++ b/packages/control/src/membership/membership.test.ts
@@ -0,0 +1,197 @@
+import t from 'tap'
+import { okAsync } from 'neverthrow'
+import { ManualClock, silentLogger } from '@figloom/runtime'
+import { HostListClient, type ListedHost } from '@figloom/platform'
+import { allowedWork } from './allowed-work.js'
+import { assignHosts, cellsOfHost } from './assignment.js'
+import { lookupHosts } from './lookup.js'
+import { Membership, PeerExchange } from './membership.js'
+import { applyHostList, applyPeerReport, createMembershipState, viewAt } from './membership-state.js'
+import { RunnerHealth } from './runner-health.js'
+import { DEFAULT_MEMBERSHIP_TIMES as times, type PeerReport } from './types.js'
+
+const zones = ['norte-a', 'norte-b', 'norte-c']
+
+function reportOf (host: string, change: Partial<PeerReport> = {}): PeerReport {
+  const availabilityZone = zones[(host.charCodeAt(host.length - 1)) % 3] as string
+  const addresses = { url: `http://${host}`, innerUrl: `inner-${host}` }
+  const own = { host, availabilityZone, ...addresses, incarnation: '1', leaving: false, configVersion: 0 }
+  return { ...own, runners: [], drains: [], cells: [], release: 'r1', ...change }
+}
+
+function listedOf (host: string, state: ListedHost['state'] = 'live'): ListedHost {
+  const { url, innerUrl, availabilityZone } = reportOf(host)
+  return { name: host, url, innerUrl, availabilityZone, state }
+}
+
+class Network extends PeerExchange {
+  readonly members = new Map<string, Membership>()
+  readonly cut = new Set<string>()
+
+  override async exchange (innerUrl: string, report: PeerReport): Promise<PeerReport | undefined> {
+    const host = innerUrl.replace('inner-', '')
+    if (this.cut.has(host) || this.cut.has(report.host)) return undefined
+    return this.members.get(host)?.onExchange(report)
+  }
+}
+
+class FixedList extends HostListClient {
+  constructor (public hosts: ListedHost[]) { super() }
+  override list () { return okAsync(this.hosts) }
+}
+
+function setUp (names = ['h1', 'h2', 'h3']) {
+  const clock = ManualClock.create()
+  const network = new Network()
+  const hostList = new FixedList(names.map((name) => listedOf(name)))
+  const start = (name: string) => {
+    const member = Membership.create({ clock, logger: silentLogger, hostList, exchange: network, self: reportOf(name) })
+    network.members.set(name, member)
+    member.start()
+    return member
+  }
+  const members = names.map(start)
+  return { clock, network, hostList, members, first: members[0] as Membership, second: members[1] as Membership }
+}
+
+const livenessAt = (member: Membership, host: string) => member.view().hosts.find((view) => view.host === host)?.liveness
+
+t.test('a silent host is suspect after the suspicion time and heard again after', async (t) => {
+  const { clock, network, first } = setUp()
+  await clock.advance(3000)
+  t.equal(livenessAt(first, 'h2'), 'live')
+  network.cut.add('h2')
+  await clock.advance(times.suspectMs + times.heartbeatMs)
+  t.equal(livenessAt(first, 'h2'), 'suspect')
+  t.notOk(lookupHosts(first.view(), {}).some(({ host }) => host === 'h2'))
+  await clock.advance(times.removeMs)
+  t.equal(livenessAt(first, 'h2'), 'dead')
+  network.cut.delete('h2')
+  await clock.advance(2000)
+  t.equal(livenessAt(first, 'h2'), 'live')
+})
+
+t.test('a leaving host is out of lookups within 5 s although the list still says live', async (t) => {
+  const { clock, first, second } = setUp()
+  await clock.advance(3000)
+  second.leave()
+  await clock.advance(5000)
+  t.notOk(lookupHosts(first.view(), {}).some(({ host }) => host === 'h2'))
+  t.notOk(allowedWork(second.view(), true).serve)
+})
+
+t.test('the list alone takes a host out that never says that it leaves', async (t) => {
+  const { clock, hostList, first } = setUp()
+  await clock.advance(3000)
+  hostList.hosts = [listedOf('h1'), listedOf('h2', 'leaving'), listedOf('h3')]
+  await clock.advance(5000)
+  t.notOk(lookupHosts(first.view(), {}).some(({ host }) => host === 'h2'))
+})
+
+t.test('a list that still means the process before does not bar its successor for good', async (t) => {
+  const { clock, hostList, first, second } = setUp()
+  await clock.advance(3000)
+  hostList.hosts = [listedOf('h1'), listedOf('h2', 'leaving'), listedOf('h3')]
+  await clock.advance(3000)
+  second.update({ leaving: false })
+  hostList.hosts = [listedOf('h1'), listedOf('h2'), listedOf('h3')]
+  await clock.advance(3000)
+  t.ok(lookupHosts(first.view(), {}).some(({ host }) => host === 'h2'))
+})
+
+t.test('a drain reaches every host within 5 s and outlives the host that took it', async (t) => {
+  const { clock, network, members, first, second } = setUp()
+  const health = RunnerHealth.create()
+  await clock.advance(3000)
+  first.drainRunner('r1')
+  await clock.advance(5000)
+  for (const member of members) {
+    health.answered('r1', clock.monotonicMs())
+    t.equal(health.barOf('r1', member.state(), clock.monotonicMs()), 'draining')
+  }
+  network.cut.add('h1')
+  await clock.advance(2 * times.removeMs)
+  health.answered('r1', clock.monotonicMs())
+  t.equal(health.barOf('r1', second.state(), clock.monotonicMs()), 'draining')
+  second.drainRunner('r1', false)
+  network.cut.delete('h1')
+  await clock.advance(5000)
+  health.answered('r1', clock.monotonicMs())
+  t.equal(health.barOf('r1', first.state(), clock.monotonicMs()), undefined)
+})
+
+t.test('a runner that says it leaves, fails or falls silent gets nothing new within 5 s', (t) => {
+  const health = RunnerHealth.create()
+  const state = createMembershipState(reportOf('h1'))
+  for (const runner of ['leaving', 'failing', 'silent']) health.answered(runner, 0)
+  health.answered('leaving', 100, true)
+  health.answered('leaving', 200)
+  for (const atMs of [100, 200, 300]) health.failed('failing', atMs)
+  health.answered('failing-once', 4000)
+  health.failed('failing-once', 4500)
+  t.equal(health.barOf('leaving', state, 300), 'leaving')
+  t.equal(health.barOf('failing', state, 300), 'failing')
+  t.equal(health.barOf('silent', state, 300), undefined)
+  t.equal(health.barOf('silent', state, 5000), 'silent')
+  t.equal(health.barOf('failing-once', state, 5000), undefined)
+  t.equal(health.barOf('never-heard', state, 5000), 'silent')
+  t.end()
+})
+
+t.test('a late message of an older incarnation does not bring a process back', (t) => {
+  const state = createMembershipState(reportOf('h1'))
+  t.ok(applyPeerReport(state, reportOf('h2', { incarnation: '2', leaving: true }), 0, times))
+  t.notOk(applyPeerReport(state, reportOf('h2', { incarnation: '1' }), 10, times))
+  t.ok(applyPeerReport(state, reportOf('h2', { incarnation: '2' }), 20, times))
+  t.equal(state.hosts.get('h2')?.leaving, true)
+  t.ok(applyPeerReport(state, reportOf('h2', { incarnation: '3' }), 30, times))
+  t.equal(state.hosts.get('h2')?.leaving, false)
+  t.ok(applyPeerReport(state, reportOf('h2', { incarnation: '1' }), 30 + times.suspectMs, times))
+  t.end()
+})
+
+t.test('what a host may do without log or peers', async (t) => {
+  const { clock, network, first } = setUp()
+  first.logAnswered()
+  await clock.advance(3000)
+  t.match(allowedWork(first.view(), true), { serve: true, forward: true, claim: true, order: true, missing: [] })
+  network.cut.add('h1')
+  await clock.advance(times.logSilentMs + 5000)
+  const alone = allowedWork(first.view(), true)
+  t.match(alone, { serve: true, forward: false, claim: false, order: false, missing: ['log', 'peers'] })
+  t.match(allowedWork(first.view(), false), { serve: false, claim: false })
+})
+
+t.test('lookup gives two live hosts in different availability zones, the nearest first', (t) => {
+  const state = createMembershipState(reportOf('h1'))
+  applyHostList(state, ['h2', 'h3', 'h4', 'h5', 'h6'].map((name) => listedOf(name)), 0)
+  const view = viewAt(state, 100, times)
+  for (const callerAvailabilityZone of zones) {
+    const answer = lookupHosts(view, { cell: 'drafting', callerAvailabilityZone })
+    t.equal(answer[0]?.availabilityZone, callerAvailabilityZone)
+    t.not(answer[1]?.availabilityZone, callerAvailabilityZone)
+    t.same(lookupHosts(view, { cell: 'drafting', callerAvailabilityZone }), answer)
+  }
+  const firsts = Array.from({ length: 600 }, (_, n) => lookupHosts(view, { callerKey: `10.0.0.${n}` })[0]?.host)
+  const counts = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6'].map((host) => firsts.filter((first) => first === host).length)
+  t.ok(Math.min(...counts) >= 60, counts.join(' '))
+  t.end()
+})
+
+t.test('assignment is spread, and moves only cells of the host that leaves', (t) => {
+  const hosts = Array.from({ length: 240 }, (_, n) => ({ host: `host-${n}`, availabilityZone: `zone-${n % 3}` }))
+  const cells = Array.from({ length: 80 }, (_, n) => `cell-${n}`)
+  const assign = (among: typeof hosts) => new Map(cells.map((cell) => [cell, assignHosts(cell, among).map(({ host }) => host)]))
+  const before = assign(hosts)
+  for (const assigned of before.values()) t.equal(new Set(assigned.map((host) => hosts.find((h) => h.host === host)?.availabilityZone)).size, 3)
+  let moved = 0
+  for (const gone of hosts) {
+    const after = assign(hosts.filter(({ host }) => host !== gone.host))
+    for (const cell of cells) if (String(after.get(cell)) !== String(before.get(cell))) moved += 1
+  }
+  const share = moved / (hosts.length * cells.length)
+  t.comment(`share of cells that change when one of ${hosts.length} hosts leaves: ${share}`)
+  t.ok(share <= 3.5 / hosts.length)
+  t.equal(cellsOfHost('host-1', cells, hosts.slice(0, 8)).length, cells.length)
+  t.end()
+})
--- /dev/null
+++ b/packages/control/src/membership/membership.ts
@@ -0,0 +1,184 @@
+/** Task that keeps a host's view of its peers: reads the host list, exchanges state with the hosts of its cells. */
+import { Task, type Clock, type Logger, type Timer } from '@figloom/runtime'
+import type { HostListClient, ListedHost } from '@figloom/platform'
+import {
+  applyHostList, applyMissed, applyPeerReport, createMembershipState, forgetDead, setDraining, viewAt
+} from './membership-state.js'
+import {
+  DEFAULT_MEMBERSHIP_TIMES,
+  type MembershipState, type MembershipTimes, type MembershipView, type PeerReport, type RunnerLoadRecord
+} from './types.js'
+
+/** Carries this host's report to a peer and brings back the peer's. */
+export abstract class PeerExchange {
+  /** Undefined when the peer did not answer in time. */
+  abstract exchange (innerUrl: string, report: PeerReport): Promise<PeerReport | undefined>
+}
+
+export type MembershipOptions = {
+  clock: Clock
+  logger: Logger
+  hostList: HostListClient
+  exchange: PeerExchange
+  /** This host at its start. */
+  self: PeerReport
+  times?: MembershipTimes
+  /** Hosts to exchange state with: those that share a cell. All hosts by default. */
+  neighbors?: (view: MembershipView) => string[]
+}
+
+type Message =
+  | { kind: 'beat' | 'read-list' }
+  | { kind: 'list', list: ListedHost[] }
+  | { kind: 'report', report: PeerReport }
+  | { kind: 'missed', host: string }
+  | { kind: 'self', change: Partial<PeerReport> }
+  | { kind: 'drain', runner: string, draining: boolean }
+  | { kind: 'runners', runners: ReadonlySet<string> }
+  | { kind: 'log-answered', atMs: number }
+
+export type MembershipListener = (view: MembershipView) => void
+
+/** Owns the membership state; others see views of it. */
+export class Membership extends Task<Message> {
+  readonly #state: MembershipState
+  readonly #times: MembershipTimes
+  readonly #listeners = new Set<MembershipListener>()
+  readonly #timers = new Map<string, Timer>()
+  readonly #asked = new Set<string>()
+
+  private constructor (private readonly options: MembershipOptions) {
+    super((error) => options.logger.error('membership failed', { error: String(error) }))
+    this.#state = createMembershipState(options.self)
+    this.#times = options.times ?? DEFAULT_MEMBERSHIP_TIMES
+  }
+
+  static create (options: MembershipOptions): Membership {
+    return new Membership(options)
+  }
+
+  start (): void {
+    this.post({ kind: 'read-list' })
+    this.post({ kind: 'beat' })
+  }
+
+  override stop (): void {
+    super.stop()
+    for (const timer of this.#timers.values()) timer.cancel()
+  }
+
+  /** What is known now. */
+  view (): MembershipView {
+    return viewAt(this.#state, this.options.clock.monotonicMs(), this.#times)
+  }
+
+  /** State for `RunnerHealth.barOf`. */
+  state (): Readonly<MembershipState> {
+    return this.#state
+  }
+
+  /** Loads of a runner as its peers last told them. */
+  loadsOf (runner: string): RunnerLoadRecord[] {
+    return [...this.#state.loads.get(runner)?.values() ?? []]
+  }
+
+  /** Forgets drains of runners that no pool names any more. */
+  keepOnlyRunners (runners: ReadonlySet<string>): void {
+    this.post({ kind: 'runners', runners })
+  }
+
+  /** Takes a peer's report in and returns this host's, for the inner protocol's ExchangeState. */
+  onExchange (report: PeerReport): PeerReport {
+    this.post({ kind: 'report', report })
+    return this.#ownReport()
+  }
+
+  /** Changes what this host says of itself: cells, loads, configuration version, leaving. */
+  update (change: Partial<Pick<PeerReport, 'leaving' | 'configVersion' | 'runners' | 'cells'>>): void {
+    this.post({ kind: 'self', change })
+  }
+
+  /** Says that this host leaves, to all neighbors at once. */
+  leave (): void {
+    this.post({ kind: 'self', change: { leaving: true } })
+    this.post({ kind: 'beat' })
+  }
+
+  /** Drains a runner, or takes that back; told to all neighbors at once. */
+  drainRunner (runner: string, draining = true): void {
+    this.post({ kind: 'drain', runner, draining })
+    this.post({ kind: 'beat' })
+  }
+
+  /** Notes that the log answered, from any of its readers. */
+  logAnswered (): void {
+    this.post({ kind: 'log-answered', atMs: this.options.clock.monotonicMs() })
+  }
+
+  /** Calls `listener` after each heartbeat, list and report; returns what ends that. */
+  subscribe (listener: MembershipListener): () => void {
+    this.#listeners.add(listener)
+    return () => { this.#listeners.delete(listener) }
+  }
+
+  protected override handle (message: Message): void {
+    const nowMs = this.options.clock.monotonicMs()
+    switch (message.kind) {
+      case 'beat': return this.#beat()
+      case 'read-list': this.#readList(); return
+      case 'list': applyHostList(this.#state, message.list, nowMs); break
+      case 'report': applyPeerReport(this.#state, message.report, nowMs, this.#times); break
+      case 'missed': applyMissed(this.#state, message.host, nowMs); break
+      case 'self': this.#state.self = { ...this.#state.self, ...message.change }; break
+      case 'drain': setDraining(this.#state, message.runner, message.draining); break
+      case 'runners': this.#keepOnly(message.runners); break
+      case 'log-answered': this.#state.logAnsweredMs = message.atMs
+    }
+    this.#notify()
+  }
+
+  #keepOnly (runners: ReadonlySet<string>): void {
+    for (const runner of this.#state.drains.keys()) if (!runners.has(runner)) this.#state.drains.delete(runner)
+    for (const runner of this.#state.loads.keys()) if (!runners.has(runner)) this.#state.loads.delete(runner)
+  }
+
+  #beat (): void {
+    this.#again('beat', this.#times.heartbeatMs)
+    forgetDead(this.#state, this.options.clock.monotonicMs(), this.#times)
+    const view = this.view()
+    const neighbors = this.options.neighbors?.(view) ?? view.hosts.filter(({ self }) => !self).map(({ host }) => host)
+    for (const host of neighbors) this.#exchangeWith(host)
+    this.#notify()
+  }
+
+  async #exchangeWith (host: string): Promise<void> {
+    const record = this.#state.hosts.get(host)
+    if (record === undefined || this.#asked.has(host)) return
+    this.#asked.add(host)
+    const report = await this.options.exchange.exchange(record.innerUrl, this.#ownReport()).catch(() => undefined)
+    this.#asked.delete(host)
+    if (report === undefined || report.host !== host) return this.post({ kind: 'missed', host })
+    this.post({ kind: 'report', report })
+  }
+
+  async #readList (): Promise<void> {
+    this.#again('read-list', this.#times.listMs)
+    const result = await this.options.hostList.list()
+    if (result.isOk()) this.post({ kind: 'list', list: result.value })
+  }
+
+  #ownReport (): PeerReport {
+    return { ...this.#state.self, drains: [...this.#state.drains.values()] }
+  }
+
+  #again (kind: 'beat' | 'read-list', delayMs: number): void {
+    this.#timers.get(kind)?.cancel()
+    this.#timers.set(kind, this.options.clock.setTimer(delayMs, () => this.post({ kind })))
+  }
+
+  #notify (): void {
+    if (this.#listeners.size === 0) return
+    const view = this.view()
+    for (const listener of this.#listeners) listener(view)
+  }
+}
