--- a/packages/control/src/cell/holder-duties.ts
+++ b/packages/control/src/cell/holder-duties.ts
@@ -87,7 +87,7 @@
       const isOwn = intent.claim === state.claim?.offset && endOffsetOf(intent) === undefined
       if (!isOwn || answer?.outcome !== 'accepted' || taken === undefined) continue
       if (taken.takenMs < answer.atMs + acceptedPatienceMs || isVisible(intent, taken.report.copies)) continue
-      if (journal.has((body) => body.kind === 'withdrawn' && body.intent === intent.offset)) continue
+      if (journal.isWithdrawing(intent.offset)) continue
       journal.append({ kind: 'withdrawn', claim: intent.claim, intent: intent.offset, word: Word.Answered })
     }
   }
@@ -142,7 +142,7 @@
     const without = { ...context, intents: context.intents.filter((intent) => !isReclaimable(intent)) }
     if (!isAdmitted(order, without)) return
     for (const intent of reclaimable) {
-      if (journal.has((body) => body.kind === 'withdrawn' && body.intent === intent.offset)) continue
+      if (journal.isWithdrawing(intent.offset)) continue
       journal.append({ kind: 'withdrawn', claim: intent.claim, intent: intent.offset, word: Word.NeverSent })
     }
   }
@@ -156,11 +156,7 @@
   /** Whether the intent is a standby of this tenure that is not being withdrawn. */
   isOwnStandby (state: CellState, intent: Intent): boolean {
     if (!intent.standby || intent.claim !== state.claim?.offset || endOffsetOf(intent) !== undefined) return false
-    return !this.options.isSent(intent) && !this.isBeingWithdrawn(intent)
-  }
-
-  isBeingWithdrawn (intent: Intent): boolean {
-    return this.options.journal.has((body) => body.kind === 'withdrawn' && body.intent === intent.offset)
+    return !this.options.isSent(intent) && !this.options.journal.isWithdrawing(intent.offset)
   }
 
   #ownStandby (state: CellState, order: CellOrder): Intent | undefined {
--- a/packages/control/src/cell/holder.ts
+++ b/packages/control/src/cell/holder.ts
@@ -5,17 +5,16 @@
 import type { EngineClient, LogClient, LogRecord } from '@figloom/platform'
 import { Task, type Clock, type IdSource, type Logger, type TaskFault, type Timer } from '@figloom/runtime'
 import type { StreamEvent } from '../streams/stream-follower.js'
-import { keepsReachable } from './admission.js'
 import { HolderDuties } from './holder-duties.js'
 import { CellJournal } from './journal.js'
 import { LeaseWatch } from './lease-watch.js'
 import { DEFAULT_LEASE_SETTINGS, LeaseAction, type LeaseSettings } from './lease.js'
+import { OrderRelease } from './order-release.js'
 import { OrderSender, type CopyEvent } from './order-sender.js'
 import { GoneEvidence, parseCellRecord, type CellRecordBody, type Sender } from './records.js'
 import { ReportPoller } from './report-poller.js'
 import { CellSituation } from './situation.js'
-import { dueStandby } from './standby.js'
-import { endOffsetOf, holdsClaim, isVoid, type CellState, type Intent } from './state.js'
+import { holdsClaim, isVoid, type CellState } from './state.js'
 import { StreamReader } from './stream-reader.js'
 import type { CellConfig, CellMessage, CellView, Planner } from './types.js'
 import { WordKeeper } from './words.js'
@@ -34,6 +33,7 @@
   staleReportMs: number
   fenceEveryMs: number
   acceptedPatienceMs: number
+  confirmPatienceMs: number
   snapshotEveryMs: number
   /** How long reads of the log must fail before standby intents are sent. */
   standbyAfterMs: number
@@ -50,6 +50,7 @@
   staleReportMs: 15_000,
   fenceEveryMs: 5_000,
   acceptedPatienceMs: 5_000,
+  confirmPatienceMs: 5_000,
   snapshotEveryMs: 20 * 60_000,
   standbyAfterMs: 3_000
 }
@@ -93,6 +94,7 @@
   readonly #situation: CellSituation
   readonly #duties: HolderDuties
   readonly #words: WordKeeper
+  readonly #release: OrderRelease
   readonly #gone = new Map<string, { sender: Sender, evidence: GoneEvidence }>()
   #tenure: number | undefined
   #retire: { onRetired: () => void, isAnnounced: boolean } | undefined
@@ -120,6 +122,15 @@
       onReport: (runner, report, askedMs) => this.post({ type: 'report', runner, report, askedMs })
     })
     this.#words = WordKeeper.create({ self, journal: this.#journal, sender: this.#sender, books: this.#situation.books })
+    this.#release = OrderRelease.create({
+      clock,
+      situation: this.#situation,
+      sender: this.#sender,
+      journal: this.#journal,
+      currentState: () => this.#reader.state,
+      isRetiring: () => this.#retire !== undefined,
+      confirmPatienceMs: times.confirmPatienceMs
+    })
     this.#duties = HolderDuties.create({
       clock,
       logger,
@@ -224,6 +235,7 @@
     const tenure = holdsClaim(state, this.options.self) ? state.claim?.offset : undefined
     if (tenure === this.#tenure) return
     this.#tenure = tenure
+    this.#release.reset()
     this.#journal.dropWhere((body) => isVoid(state, body))
     this.options.logger.info(tenure === undefined ? 'lease lost' : 'lease held', { cell: this.options.cell, claim: state.claim?.offset })
     if (tenure !== undefined) this.#duties.begin(this.#situation.config)
@@ -252,7 +264,7 @@
     this.#duties.snapshot(state)
     const view = this.view
     if (view === undefined) return
-    for (const intent of this.#duties.plan(state, view)) this.#send(state, intent)
+    for (const intent of this.#duties.plan(state, view)) this.#release.release(state, intent)
   }
 
   #keepLease (state: CellState): void {
@@ -267,38 +279,16 @@
     }
   }
 
-  /** Sends the orders of this tenure's intents that were read back, and standby ones that are due. */
   #sendOrders (state: CellState): void {
     if (this.#tenure === undefined || this.#retire !== undefined) return
-    const own = state.intents
-      .filter((intent) => intent.claim === this.#tenure && endOffsetOf(intent) === undefined)
-      .sort((a, b) => a.offset - b.offset)
-    for (const intent of own) if (!intent.standby) this.#send(state, intent)
-    if (this.#lease.logFailedMs < this.#times.standbyAfterMs || this.#situation.config === undefined) return
-    const standby = own.filter((intent) => this.#duties.isOwnStandby(state, intent))
-    const context = this.#situation.admissionContext(state, this.#situation.config, true)
-    for (const intent of dueStandby(context, standby)) this.#send(state, intent)
-  }
-
-  #send (state: CellState, intent: Intent): void {
-    const spec = this.#situation.specsOf(state).find(({ name }) => name === intent.order.runner)
-    if (spec === undefined || this.#sender.hasTaken(intent.offset)) return
-    this.#sender.send(intent, spec.url, () => this.#isWanted(intent))
-  }
-
-  /** Asked right before the copy leaves: another holder or another table may have come since. */
-  #isWanted (intent: Intent): boolean {
-    const state = this.#reader.state
-    const config = this.#situation.config
-    if (state === undefined || config === undefined || this.#retire !== undefined) return false
-    if (state.claim?.offset !== intent.claim || this.#duties.isBeingWithdrawn(intent)) return false
-    return keepsReachable(intent.order, this.#situation.admissionContext(state, config, true))
+    this.#release.releaseAll(state, this.#tenure)
+    if (this.#lease.logFailedMs >= this.#times.standbyAfterMs) this.#release.releaseStandby(state, this.#tenure)
   }
 
   #askReports (state: CellState): void {
     const busy = new Set(state.intents.filter(({ standby }) => !standby).map(({ order }) => order.runner))
     this.#poller.askDue([...this.#situation.orderableRunners(state).values()].map(({ spec, taken }) => ({
-      name: spec.name, url: spec.url, busy: busy.has(spec.name) || taken === undefined
+      name: spec.name, url: spec.url, busy: this.#release.isWaiting || busy.has(spec.name) || taken === undefined
     })))
   }
 
--- a/packages/control/src/cell/journal.ts
+++ b/packages/control/src/cell/journal.ts
@@ -69,6 +69,11 @@
     return [...this.#pending.values()].some(({ body }) => matches(body))
   }
 
+  /** Whether the word that an order is not sent any more is on its way. */
+  isWithdrawing (intent: number): boolean {
+    return this.has((body) => body.kind === 'withdrawn' && body.intent === intent)
+  }
+
   get size (): number {
     return this.#pending.size
   }
--- a/packages/control/src/cell/situation.ts
+++ b/packages/control/src/cell/situation.ts
@@ -33,11 +33,11 @@
     return [...named, ...state.runners.filter(({ name }) => !names.has(name) && this.#isOnBooks(state, name))]
   }
 
-  /** Runners as a holder may order on them: reports from before its claim do not count. */
-  orderableRunners (state: CellState): Map<string, OrderableRunner> {
+  /** Runners as a holder may order on them: reports from before its claim, or from before `sinceOffset`, do not count. */
+  orderableRunners (state: CellState, sinceOffset = 0): Map<string, OrderableRunner> {
     const runners = this.specsOf(state).map((spec): OrderableRunner => {
       const taken = this.books.reportOf(spec.name)
-      const isUsable = taken !== undefined && taken.asOfOffset >= (state.claim?.offset ?? Infinity)
+      const isUsable = taken !== undefined && taken.asOfOffset >= Math.max(sinceOffset, state.claim?.offset ?? Infinity)
       return {
         spec,
         taken: isUsable ? taken : undefined,
@@ -49,8 +49,8 @@
     return new Map(runners.map((runner) => [runner.spec.name, runner]))
   }
 
-  admissionContext (state: CellState, config: CellConfig, mayStartLoad: boolean): AdmissionContext {
-    return { config, runners: this.orderableRunners(state), intents: state.intents, mayStartLoad }
+  admissionContext (state: CellState, config: CellConfig, mayStartLoad: boolean, sinceOffset = 0): AdmissionContext {
+    return { config, runners: this.orderableRunners(state, sinceOffset), intents: state.intents, mayStartLoad }
   }
 
   /** The view; `reclaimable` intents do not count as booked. */
--- a/packages/control/src/cell/testing/cell-bench.ts
+++ b/packages/control/src/cell/testing/cell-bench.ts
@@ -3,6 +3,7 @@
 import { CopyState, OrderAction, type CellStep, type PoolModel, type Runner } from '@figloom/tables'
 import { MemoryLog } from '@figloom/standin'
 import { CellHolder, type CellHolderOptions } from '../holder.js'
+import type { Sender } from '../records.js'
 import { Planner, type CellConfig, type CellView } from '../types.js'
 import { FakeEngines, type FakeEngineOptions } from './fake-engines.js'
 import { Gate, GatedClock, GatedEngines, GatedLog } from './gated-host.js'
@@ -16,7 +17,7 @@
   }
 }
 
-export type BenchHost = { name: string, gate: Gate, engines: GatedEngines, holder: CellHolder }
+export type BenchHost = { name: string, sender: Sender, gate: Gate, engines: GatedEngines, holder: CellHolder }
 
 export type CellBench = {
   clock: ManualClock
@@ -25,6 +26,10 @@
   planner: ScriptedPlanner
   hosts: BenchHost[]
   config: CellConfig
+  /** Runners that the tables named at first. */
+  allRunners: Runner[]
+  /** When each offset of the cell's stream was written. */
+  appendedMs: Map<number, number>
   /** Adds a host, also one that replaces another. */
   start: (name: string, incarnation?: string) => BenchHost
   configure: (config: Partial<CellConfig>) => void
@@ -58,13 +63,16 @@
   const engines = FakeEngines.create(clock, options.runners)
   const planner = new ScriptedPlanner()
   const hosts: BenchHost[] = []
+  const config = configOf(options, engines)
   const bench: CellBench = {
     clock,
     log,
     engines,
     planner,
     hosts,
-    config: configOf(options, engines),
+    config,
+    allRunners: config.runners,
+    appendedMs: watchAppends(log, clock),
     start: (name, incarnation) => startHost(bench, options, name, incarnation ?? `${name}-1`),
     configure: (config) => {
       bench.config = { ...bench.config, ...config }
@@ -90,10 +98,11 @@
 
 function startHost (bench: CellBench, options: BenchOptions, name: string, incarnation: string): BenchHost {
   const gate = new Gate()
+  const sender = { host: name, incarnation }
   const engines = GatedEngines.create(bench.engines, gate)
   const holder = CellHolder.create({
     cell: 'drafting',
-    self: { host: name, incarnation },
+    self: sender,
     log: GatedLog.create(bench.log, gate),
     engines,
     clock: GatedClock.create(bench.clock, gate),
@@ -107,11 +116,28 @@
   holder.post({ type: 'config', config: bench.config })
   holder.post({ type: 'hosts', hosts: options.hosts })
   holder.start()
-  const host = { name, gate, engines, holder }
+  const host = { name, sender, gate, engines, holder }
   bench.hosts.push(host)
   return host
 }
 
+/** Notes when each record of the log, which has one stream, was written; also those whose answer was lost. */
+function watchAppends (log: MemoryLog, clock: ManualClock): Map<number, number> {
+  const appendedMs = new Map<number, number>()
+  const append = log.append.bind(log)
+  const note = () => {
+    for (let offset = appendedMs.size + 1; offset <= log.appendCount; offset += 1) appendedMs.set(offset, clock.monotonicMs())
+  }
+  log.append = (...args) => append(...args).map((value) => {
+    note()
+    return value
+  }).mapErr((failure) => {
+    note()
+    return failure
+  })
+  return appendedMs
+}
+
 function configOf (options: BenchOptions, engines: FakeEngines): CellConfig {
   const runners = [...engines.engines.values()].map((engine, index): Runner => ({
     name: engine.options.name,
--- a/packages/control/src/cell/testing/fake-engines.ts
+++ b/packages/control/src/cell/testing/fake-engines.ts
@@ -29,7 +29,11 @@
   peakMiB = 0
   readonly applied: EngineOrder[] = []
 
-  constructor (readonly options: FakeEngineOptions, private readonly clock: Clock) {
+  constructor (
+    readonly options: FakeEngineOptions,
+    private readonly clock: Clock,
+    private readonly onUnload: (engine: FakeEngine, order: EngineOrder) => void = () => {}
+  ) {
     this.instance = `${options.name}-1`
   }
 
@@ -93,7 +97,7 @@
     const copy = this.#copies.find(({ model, version }) => model === order.model && version === order.version)
     switch (order.action) {
       case 'load': return copy === undefined ? this.#load(order) : 'done'
-      case 'unload': return copy === undefined ? 'done' : this.#unload(copy)
+      case 'unload': return copy === undefined ? 'done' : this.#unload(copy, order)
       case 'load-adapter': return copy === undefined ? 'refused' : this.#loadAdapter(copy, order)
       case 'unload-adapter':
         if (copy !== undefined) copy.adapters = copy.adapters.filter(({ name }) => name !== order.adapter)
@@ -112,7 +116,8 @@
     return 'accepted'
   }
 
-  #unload (copy: ReportedCopy): OrderOutcome['outcome'] {
+  #unload (copy: ReportedCopy, order: EngineOrder): OrderOutcome['outcome'] {
+    this.onUnload(this, order)
     copy.state = 'unloading'
     this.clock.setTimer(this.options.unloadMs, () => { this.#copies = this.#copies.filter((other) => other !== copy) })
     return 'accepted'
@@ -130,6 +135,8 @@
   readonly engines = new Map<string, FakeEngine>()
   /** Faults of the coming orders by runner, first one first. */
   readonly faults = new Map<string, OrderFault[]>()
+  /** Called when an unload takes effect, before the copy goes. */
+  onUnload: (engine: FakeEngine, order: EngineOrder) => void = () => {}
 
   private constructor (private readonly clock: Clock) {
     super()
@@ -138,7 +145,7 @@
   static create (clock: Clock, engines: Partial<FakeEngineOptions>[]): FakeEngines {
     const fakes = new FakeEngines(clock)
     for (const options of engines) {
-      const engine = new FakeEngine({ name: 'r1', memoryMiB: 100, checksFencing: true, loadMs: 1_000, unloadMs: 500, listsOrders: false, ...options }, clock)
+      const engine = new FakeEngine({ name: 'r1', memoryMiB: 100, checksFencing: true, loadMs: 1_000, unloadMs: 500, listsOrders: false, ...options }, clock, (...args) => fakes.onUnload(...args))
       fakes.engines.set(`http://${engine.options.name}`, engine)
     }
     return fakes
--- a/packages/control/src/cell/words.ts
+++ b/packages/control/src/cell/words.ts
@@ -26,8 +26,7 @@
     const { journal } = this.options
     for (const intent of this.#owed(state)) {
       const word = this.#wordOn(intent, ends || intent.claim !== state.claim?.offset)
-      const isGiven = journal.has((body) => body.kind === 'withdrawn' && body.intent === intent.offset)
-      if (word !== undefined && !isGiven) journal.append({ kind: 'withdrawn', claim: intent.claim, intent: intent.offset, word })
+      if (word !== undefined && !journal.isWithdrawing(intent.offset)) journal.append({ kind: 'withdrawn', claim: intent.claim, intent: intent.offset, word })
     }
   }
 
