--- /dev/null
+++ b/packages/control/src/cell/memory-promise.test.ts
@@ -0,0 +1,231 @@
+/** Promise 1, accelerator memory is never overcommitted: one failure, or two together, each with the guard it needs. */
+import t from 'tap'
+import { OrderAction } from '@figloom/tables'
+import { createCellBench, modelOf, stepOf, type BenchHost, type BenchOptions, type CellBench } from './testing/cell-bench.js'
+
+const SETTLED_MS = 8_000
+const TAKEOVER_MS = 25_000
+
+/** Two hosts, one runner of 100 MiB, models of 80 MiB: two of them never fit together. */
+function createBench (options: Partial<BenchOptions> & { checksFencing?: boolean } = {}): CellBench {
+  const { checksFencing = true, ...rest } = options
+  return createCellBench({
+    hosts: ['host-a', 'host-b'],
+    runners: [{ name: 'r1', checksFencing }],
+    models: [modelOf('m'), modelOf('n'), modelOf('s', 10, 5)],
+    routed: [],
+    ...rest
+  })
+}
+
+/** The same with models of 40 MiB beside 50 MiB that are taken: one of them fits. */
+function createHalfFullBench (checksFencing: boolean): CellBench {
+  const bench = createBench({ checksFencing, models: [modelOf('m', 30, 10), modelOf('n', 30, 10)] })
+  bench.engines.get('r1').place('x', 40, 10)
+  return bench
+}
+
+/** Freezes the holder between the read-back of the next intent and its order. */
+async function freezeAtOrder (bench: CellBench): Promise<BenchHost> {
+  await bench.advance(2_000)
+  const host = bench.holder()
+  host.engines.freezeBefore = () => true
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+  await bench.advance(4_000)
+  host.engines.freezeBefore = () => false
+  return host
+}
+
+function thaw (host: BenchHost): void {
+  host.gate.thaw()
+}
+
+function peakOf (bench: CellBench): number {
+  return bench.engines.get('r1').peakMiB
+}
+
+function bookedIntents (bench: CellBench): number {
+  return bench.holder().holder.view?.unsettled.length ?? -1
+}
+
+for (const checksFencing of [true, false]) {
+  const kind = checksFencing ? 'checks fences' : 'ignores fences'
+
+  t.test(`holder frozen before its order, engine ${kind}`, async (t) => {
+    const bench = createHalfFullBench(checksFencing)
+    const frozen = await freezeAtOrder(bench)
+    bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'n')]
+    await bench.advance(TAKEOVER_MS)
+    t.not(bench.holder().name, frozen.name)
+    t.equal(bench.engines.get('r1').holds('n'), checksFencing, 'memory is given away only behind a fence')
+    thaw(frozen)
+    await bench.advance(TAKEOVER_MS)
+    t.ok(peakOf(bench) <= 100, `peak ${peakOf(bench)} MiB`)
+    t.notOk(bench.engines.get('r1').holds('m') && bench.engines.get('r1').holds('n'))
+    await bench.stop()
+  })
+
+  t.test(`order delayed past a takeover, engine ${kind}`, async (t) => {
+    const bench = createHalfFullBench(checksFencing)
+    await bench.advance(2_000)
+    bench.engines.fail('r1', { kind: 'delay', delayMs: 2 * TAKEOVER_MS })
+    bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+    await bench.advance(1_000)
+    bench.holder().gate.kill()
+    bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'n')]
+    await bench.advance(TAKEOVER_MS)
+    t.equal(bench.engines.get('r1').holds('n'), checksFencing)
+    await bench.advance(2 * TAKEOVER_MS)
+    t.ok(peakOf(bench) <= 100, `peak ${peakOf(bench)} MiB`)
+    t.equal(bench.engines.get('r1').holds('m'), !checksFencing, 'the late copy arrived')
+    await bench.stop()
+  })
+
+  t.test(`answer to an unload lost, engine ${kind}`, async (t) => {
+    const bench = createBench({ checksFencing })
+    bench.engines.get('r1').place('m', 60, 20)
+    await bench.advance(2_000)
+    bench.engines.fail('r1', { kind: 'delay', delayMs: 12_000 })
+    bench.planner.steps = [stepOf(OrderAction.Unload, 'r1', 'm')]
+    await bench.advance(1_000)
+    bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'n')]
+    await bench.advance(SETTLED_MS)
+    t.ok(bench.engines.get('r1').holds('m'))
+    t.notOk(bench.engines.get('r1').holds('n'), 'not confirmed, so not free')
+    await bench.advance(TAKEOVER_MS)
+    t.ok(peakOf(bench) <= 100, `peak ${peakOf(bench)} MiB`)
+    t.equal(bench.engines.get('r1').holds('n'), !checksFencing, 'free once a report shows that the late unload took effect')
+    await bench.stop()
+  })
+
+  t.test(`engine replaced after a takeover, then the former holder wakes, engine ${kind}`, async (t) => {
+    const bench = createBench({ checksFencing })
+    const frozen = await freezeAtOrder(bench)
+    bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 's')]
+    await bench.advance(TAKEOVER_MS)
+    bench.engines.fail('r1', { kind: 'delay', delayMs: 100 })
+    bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'n')]
+    bench.engines.get('r1').replaceProcess()
+    thaw(frozen)
+    await bench.advance(TAKEOVER_MS)
+    t.ok(peakOf(bench) <= 100, `peak ${peakOf(bench)} MiB`)
+    await bench.stop()
+  })
+}
+
+t.test('fence of a replaced engine is raised before memory is given', async (t) => {
+  const bench = createBench()
+  const frozen = await freezeAtOrder(bench)
+  await bench.advance(TAKEOVER_MS)
+  const other = bench.holder()
+  t.not(other.name, frozen.name)
+  bench.engines.get('r1').replaceProcess()
+  bench.planner.steps = []
+  const before = bench.engines.get('r1').applied.length
+  await bench.advance(SETTLED_MS)
+  const [first] = bench.engines.get('r1').applied.slice(before)
+  t.equal(first?.action, 'set-role', 'an order that adds nothing comes first')
+  t.ok((first?.fence ?? 0) > 0)
+  t.equal(bench.engines.get('r1').usedMiB, 0)
+  await bench.stop()
+})
+
+t.test('version change holds both copies in the books', async (t) => {
+  const bench = createBench({ models: [modelOf('m'), modelOf('m', 60, 20, '2'), modelOf('k', 30, 10), modelOf('k', 30, 10, '2')], routed: ['k'] })
+  bench.engines.get('r1').place('m', 60, 20)
+  await bench.advance(2_000)
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm', '2')]
+  await bench.advance(SETTLED_MS)
+  t.equal(bench.engines.get('r1').usedMiB, 80, 'the second version does not fit beside the first')
+  bench.planner.steps = [stepOf(OrderAction.Unload, 'r1', 'm'), stepOf(OrderAction.Load, 'r1', 'm', '2')]
+  await bench.advance(SETTLED_MS)
+  t.match(bench.engines.get('r1').report().copies, [{ model: 'm', version: '2', state: 'resident' }])
+  t.ok(peakOf(bench) <= 100)
+  await bench.stop()
+})
+
+t.test('pool removed while a load is under way', async (t) => {
+  const bench = createBench({ runners: [{ name: 'r1', loadMs: 6_000 }] })
+  await bench.advance(2_000)
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+  await bench.advance(2_000)
+  bench.planner.steps = []
+  bench.configure({ runners: [], models: [], routed: [] })
+  await bench.advance(1_000)
+  for (const { holder } of bench.hosts) t.same(holder.view?.retiring, ['r1'], 'still on the books')
+  const dead = bench.holder()
+  dead.gate.kill()
+  await bench.advance(TAKEOVER_MS)
+  t.equal(bench.engines.get('r1').usedMiB, 0, 'the successor unloads it')
+  t.same(bench.holder().holder.view?.retiring, ['r1'], 'the dead sender could still load')
+  bench.holder().holder.post({ type: 'sender-gone', sender: dead.sender, evidence: 'operator' })
+  await bench.advance(SETTLED_MS)
+  t.same(bench.holder().holder.view?.retiring, [])
+  await bench.stop()
+})
+
+t.test('lost answer, takeover and engine replaced together', async (t) => {
+  const bench = createBench({ checksFencing: false })
+  await bench.advance(2_000)
+  bench.engines.fail('r1', { kind: 'delay', delayMs: 1_500 })
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+  await bench.advance(1_000)
+  const dead = bench.holder()
+  dead.gate.kill()
+  bench.engines.get('r1').replaceProcess()
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'n')]
+  await bench.advance(TAKEOVER_MS)
+  t.notOk(bench.engines.get('r1').holds('n'), 'the sender is not known to be gone')
+  bench.holder().holder.post({ type: 'sender-gone', sender: dead.sender, evidence: 'host-restarted' })
+  await bench.advance(SETTLED_MS)
+  t.notOk(bench.engines.get('r1').holds('n'), 'the process that a copy may be on its way to still runs')
+  bench.engines.get('r1').replaceProcess()
+  await bench.advance(SETTLED_MS)
+  t.ok(bench.engines.get('r1').holds('n'))
+  t.ok(peakOf(bench) <= 100)
+  await bench.stop()
+})
+
+t.test('slot of an uncertain load serves the same model', async (t) => {
+  const bench = createBench({ checksFencing: false })
+  await bench.advance(2_000)
+  bench.engines.fail('r1', { kind: 'lose' })
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+  await bench.advance(2 * SETTLED_MS)
+  t.ok(bench.engines.get('r1').holds('m'), 'loaded by a second order')
+  t.match(bench.holder().holder.view?.runners[0]?.copies, [{ model: 'm', unsettled: false }])
+  t.equal(bookedIntents(bench), 1, 'the first one stays on the books')
+  await bench.stop()
+})
+
+t.test('listed order of an engine that ignores fences is settled', async (t) => {
+  const bench = createBench({ runners: [{ name: 'r1', checksFencing: false, listsOrders: true }] })
+  await bench.advance(2_000)
+  bench.engines.fail('r1', { kind: 'lose-answer' })
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+  await bench.advance(2 * SETTLED_MS)
+  t.ok(bench.engines.get('r1').holds('m'))
+  t.equal(bookedIntents(bench), 0)
+  await bench.stop()
+})
+
+t.test('retired host leaves nothing uncertain', async (t) => {
+  const bench = createBench({ checksFencing: false })
+  await bench.advance(2_000)
+  bench.engines.fail('r1', { kind: 'lose' })
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+  await bench.advance(1_000)
+  bench.planner.steps = []
+  const leaving = bench.holder()
+  let retired = false
+  leaving.holder.post({ type: 'retire', onRetired: () => { retired = true } })
+  await bench.advance(SETTLED_MS)
+  t.ok(retired)
+  t.not(bench.holder().name, leaving.name)
+  t.ok(bench.holder().holder.state?.goneIncarnations.includes(leaving.sender.incarnation))
+  await bench.advance(SETTLED_MS)
+  bench.engines.get('r1').replaceProcess()
+  await bench.advance(2 * SETTLED_MS)
+  t.equal(bookedIntents(bench), 0)
+  await bench.stop()
+})
