--- /dev/null
+++ b/packages/daemon/src/callers/app.ts
@@ -0,0 +1,95 @@
+/** The callers' HTTP interface. */
+import { createApp, createRouter, eventHandler, getQuery, toNodeListener, type H3Event } from 'h3'
+import { createFailure, ResultCode, SpanKind, startHopSpan, type Clock, type Failure, type IdSource } from '@figloom/runtime'
+import type { ListenerHandler, ListenerRequest, ListenerResponse } from '../listener/http-listener.js'
+import { readBody } from '../requests/body.js'
+import type { Directory } from '../requests/directory.js'
+import { CHAT_PATH, SERVICES_PREFIX, type RequestService } from '../requests/serve.js'
+import { flattenHeaders, toCallerRequest } from './caller-request.js'
+import { HttpSink } from './http-sink.js'
+import type { LookupAnswer, LookupService } from './lookup.js'
+
+export type CallersOptions = {
+  clock: Clock
+  ids: IdSource
+  host: string
+  directory: Directory
+  lookup: LookupService
+  requests: RequestService
+  maxBodyBytes: number
+}
+
+/** Creates the handler of the callers' listener. */
+export function createCallersHandler (options: CallersOptions): ListenerHandler {
+  const router = createRouter()
+  router.get('/v1/lookup', eventHandler((event) => answerLookup(options, event)))
+  router.get('/v1/models', eventHandler((event) => answerModels(options, event)))
+  router.use(CHAT_PATH, eventHandler((event) => serve(options, event)))
+  router.use(`${SERVICES_PREFIX}**`, eventHandler((event) => serve(options, event)))
+  const app = createApp({ onError: (_error, event) => refuse(options, event, createFailure(ResultCode.Internal, 'a fault in figloom')) })
+  app.use(router.handler)
+  app.use(eventHandler((event) => refuse(options, event, createFailure(ResultCode.NotFound, 'no such path'))))
+  return toNodeListener(app) as ListenerHandler
+}
+
+async function serve (options: CallersOptions, event: H3Event): Promise<void> {
+  const { request, response } = nodePair(event)
+  const receivedMs = options.clock.monotonicMs()
+  const id = options.ids.next()
+  const { span, context } = startHopSpan('entry', SpanKind.SERVER, flattenHeaders(request.headers))
+  const { traceId, spanId, traceFlags } = span.spanContext()
+  const sink = HttpSink.create(response, {
+    'figloom-request-id': id,
+    'figloom-host': options.host,
+    traceparent: `00-${traceId}-${spanId}-0${traceFlags & 1}`
+  })
+  span.setAttribute('figloom.request', id)
+  const body = await readBody(request, options.maxBodyBytes)
+  const parsed = body.andThen((bytes) => toCallerRequest(request, response, { id, clock: options.clock, trace: context, body: bytes, receivedMs }))
+  if (parsed.isErr()) sink.fail(parsed.error)
+  else await options.requests.serve(parsed.value, sink)
+  span.end()
+  if (!response.writableFinished && !response.destroyed) await closed(response)
+}
+
+function answerLookup (options: CallersOptions, event: H3Event): void {
+  const query = getQuery(event)
+  const text = (name: string) => typeof query[name] === 'string' ? query[name] : undefined
+  const answer = options.lookup.lookup({
+    model: text('model'),
+    service: text('service'),
+    availabilityZone: text('availabilityZone'),
+    callerKey: nodePair(event).request.socket?.remoteAddress
+  })
+  answer.match((found: LookupAnswer) => sendJson(options, event, found), (failure: Failure) => refuse(options, event, failure))
+}
+
+function answerModels (options: CallersOptions, event: H3Event): void {
+  const data = options.directory.routes
+    .filter((route) => route.kind === 'model')
+    .map(({ name }) => ({ id: name, object: 'model', created: 0, owned_by: 'figloom' }))
+  sendJson(options, event, { object: 'list', data })
+}
+
+function sendJson (options: CallersOptions, event: H3Event, value: unknown): void {
+  const { response } = nodePair(event)
+  const body = JSON.stringify(value)
+  response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'figloom-host': options.host })
+  response.end(body)
+}
+
+function refuse (options: CallersOptions, event: H3Event, failure: Failure): void {
+  HttpSink.create(nodePair(event).response, { 'figloom-host': options.host }).fail(failure)
+}
+
+/** The node pair of an event; over HTTP/2 the objects are those of the compatibility interface. */
+function nodePair (event: H3Event): { request: ListenerRequest, response: ListenerResponse } {
+  return { request: event.node.req as ListenerRequest, response: event.node.res as ListenerResponse }
+}
+
+function closed (response: ListenerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    response.once('finish', resolve)
+    response.once('close', resolve)
+  })
+}
--- a/packages/daemon/src/cells/cell-router.ts
+++ b/packages/daemon/src/cells/cell-router.ts
@@ -2,7 +2,7 @@
 import { createFailure, ResultCode, type Clock, type Failure, type Timer } from '@figloom/runtime'
 import {
   RouteDecider, type FailureDecision, type LoadReport, type NeighbourLoad, type PrefixEvent, type RandomSource,
-  type RefuseDecision, type RouteRequest, type RunnerInfo, type SendDecision
+  type RefuseDecision, type RouteRequest, type RunnerInfo, type SendDecision, type TargetDemand
 } from '@figloom/routing'
 
 export type CellRouterOptions = {
@@ -104,6 +104,11 @@
     return this.#decider.ownLoads(host)
   }
 
+  /** Requests since the last call, by model version. */
+  takeDemand (): TargetDemand[] {
+    return this.#decider.takeDemand()
+  }
+
   get waiting (): number {
     return this.#waiters.size
   }
--- /dev/null
+++ b/packages/daemon/src/cells/cell-set.ts
@@ -0,0 +1,250 @@
+/** The cells of this host: started and stopped as tables and hosts change. */
+import {
+  assignHosts, cellConfigOf, CellHolder, GoneEvidence, Liveness,
+  type HostView, type LeaseSettings, type MembershipState, type MembershipView, type Sender, type StoreLimits
+} from '@figloom/control'
+import type { EngineClient, EngineReport, LogClient } from '@figloom/platform'
+import type { Clock, IdSource, Logger } from '@figloom/runtime'
+import type { RandomSource } from '@figloom/routing'
+import type { Pool, Tables } from '@figloom/tables'
+import { Cell, type RunnerBars } from './cell.js'
+import { CellPlanner } from './cell-planner.js'
+import { CellRouter } from './cell-router.js'
+import type { RunnerWatch, WatchedRunner } from './runner-watch.js'
+
+export type CellSetOptions = {
+  clock: Clock
+  ids: IdSource
+  logger: Logger
+  random: RandomSource
+  log: LogClient
+  engines: EngineClient
+  self: Sender
+  region: string
+  availabilityZone: string
+  lease: LeaseSettings
+  limits: StoreLimits
+  transitReserveMiB: number
+  planEveryMs: number
+  horizonMs: number
+  /** Whether this host takes part in control. */
+  isControlEnabled: boolean
+  watch: RunnerWatch
+  /** State of membership, for drains. */
+  membership: () => Readonly<MembershipState>
+  /** Called with the names of the cells that this host serves. */
+  onCells: (cells: string[]) => void
+}
+
+/** Owns this host's cells. */
+export class CellSet {
+  readonly #cells = new Map<string, Cell>()
+  readonly #incarnations = new Map<string, { incarnation: string, innerUrl: string }>()
+  #tables: Tables = { routes: [], pools: [] }
+  #view: MembershipView | undefined
+  #leavingBackends: ReadonlySet<string> = new Set()
+
+  private constructor (private readonly options: CellSetOptions) {}
+
+  static create (options: CellSetOptions): CellSet {
+    return new CellSet(options)
+  }
+
+  get (pool: string): Cell | undefined {
+    return this.#cells.get(pool)
+  }
+
+  get all (): Cell[] {
+    return [...this.#cells.values()]
+  }
+
+  setTables (tables: Tables): void {
+    this.#tables = tables
+    this.#reconcile()
+  }
+
+  setMembership (view: MembershipView): void {
+    this.#view = view
+    this.#reconcile()
+    for (const cell of this.#cells.values()) this.#tellHosts(cell, view)
+    this.#noteRestarts(view)
+    this.refreshBars()
+  }
+
+  /** Names and URLs of backend servers that the platform's host list calls leaving. */
+  setLeavingBackends (names: ReadonlySet<string>): void {
+    this.#leavingBackends = names
+    this.refreshBars()
+  }
+
+  takeReport ({ pool, runner }: WatchedRunner, report: EngineReport, askedMs: number): void {
+    const cell = this.#cells.get(pool)
+    const { running, queued, kvUsedMiB, ageMs } = report
+    cell?.router.onReport(runner.name, { running, queued, kvUsedMiB, ageMs })
+    cell?.holder?.post({ type: 'report', runner: runner.name, report, askedMs })
+  }
+
+  /** Applies drains and health to every cell's runners. */
+  refreshBars (): void {
+    for (const cell of this.#cells.values()) {
+      const bars = this.#barsOf(cell.pool)
+      cell.setBars(bars)
+      this.#tellHolder(cell, bars)
+    }
+  }
+
+  /** Requests of this host in flight at a runner. */
+  inFlightOf (runner: string): number {
+    for (const cell of this.#cells.values()) {
+      const load = cell.router.ownLoads(this.options.self.host).find((own) => own.runner === runner)
+      if (load !== undefined) return load.inFlight
+    }
+    return 0
+  }
+
+  /** Gives up all leases; resolves when the log has this host's word, or after `timeoutMs`. */
+  async retire (timeoutMs: number): Promise<void> {
+    const holders = this.all.flatMap(({ holder }) => holder ?? [])
+    const retired = holders.map((holder) => new Promise<void>((resolve) => holder.post({ type: 'retire', onRetired: resolve })))
+    await Promise.race([Promise.all(retired), this.options.clock.sleep(timeoutMs)])
+  }
+
+  stop (): void {
+    for (const cell of this.#cells.values()) cell.stop()
+    this.#cells.clear()
+  }
+
+  /** Hosts of the pool's cell that may serve it, the best first. */
+  hostsOf (pool: Pool): HostView[] {
+    const zones = zonesOfRegion(this.#tables, pool.region)
+    const inRegion = this.#usableHosts().filter((host) => zones.has(host.availabilityZone) || (host.self && pool.region === this.options.region))
+    return assignHosts(pool.name, inRegion)
+  }
+
+  #usableHosts (): HostView[] {
+    return (this.#view?.hosts ?? [])
+      .filter(({ self, leaving, liveness }) => self || (!leaving && (liveness === Liveness.Live || liveness === Liveness.Listed)))
+  }
+
+  #reconcile (): void {
+    const wanted = this.#tables.pools.filter((pool) => pool.region === this.options.region && this.#servesHere(pool))
+    const names = new Set(wanted.map(({ name }) => name))
+    for (const [name, cell] of this.#cells) if (!names.has(name)) this.#drop(name, cell)
+    let changed = false
+    for (const pool of wanted) changed = this.#upsert(pool) || changed
+    this.options.watch.setRunners(wanted.flatMap((pool) => this.#watched(pool)))
+    this.options.onCells([...names])
+    if (changed) this.refreshBars()
+  }
+
+  #servesHere (pool: Pool): boolean {
+    if (this.#view === undefined) return true
+    return this.hostsOf(pool).some(({ self }) => self)
+  }
+
+  /** True if the cell is new. */
+  #upsert (pool: Pool): boolean {
+    const routes = this.#tables.routes.filter((route) => route.pool === pool.name)
+    const known = this.#cells.get(pool.name)
+    if (known === undefined) this.#cells.set(pool.name, this.#createCell(pool))
+    else if (known.pool !== pool || !sameRoutes(known, routes)) known.setTables(pool, routes)
+    const cell = this.#cells.get(pool.name)
+    cell?.holder?.post({ type: 'config', config: this.#configOf(pool.name) })
+    return known === undefined
+  }
+
+  #createCell (pool: Pool): Cell {
+    const { clock, random, availabilityZone, isControlEnabled } = this.options
+    const router = CellRouter.create({ clock, random, availabilityZone })
+    const routes = this.#tables.routes.filter((route) => route.pool === pool.name)
+    const holder = pool.models.length > 0 && isControlEnabled ? this.#createHolder(pool.name, router) : undefined
+    const cell = Cell.create({ pool, routes, router, holder })
+    cell.refresh()
+    holder?.start()
+    return cell
+  }
+
+  #createHolder (name: string, router: CellRouter): CellHolder {
+    const { clock, ids, logger, log, engines, self, lease, planEveryMs, horizonMs } = this.options
+    const planner = CellPlanner.create({
+      clock,
+      planEveryMs,
+      horizonMs,
+      takeDemand: () => router.takeDemand(),
+      tables: () => {
+        const cell = this.#cells.get(name)
+        return cell === undefined ? undefined : { pool: cell.pool, routes: cell.routes, config: this.#configOf(name) }
+      }
+    })
+    return CellHolder.create({
+      cell: name, self, log, engines, clock, ids, logger, planner, lease, onView: (view) => this.#cells.get(name)?.setView(view)
+    })
+  }
+
+  #configOf (pool: string) {
+    return cellConfigOf(this.#tables, pool, this.options.limits, this.options.transitReserveMiB)
+  }
+
+  #watched (pool: Pool): WatchedRunner[] {
+    const hosts = this.hostsOf(pool).map(({ host }) => host)
+    return pool.runners.map((runner) => ({ pool: pool.name, runner, hosts, isService: pool.models.length === 0 }))
+  }
+
+  #barsOf (pool: Pool): RunnerBars {
+    const bars = new Map<string, string>()
+    for (const { name, url } of pool.runners) {
+      const isLeaving = this.#leavingBackends.has(name) || this.#leavingBackends.has(url)
+      const bar = isLeaving ? 'leaving' : this.options.watch.barOf(name, this.options.membership())
+      if (bar !== undefined) bars.set(name, bar)
+    }
+    return bars
+  }
+
+  #tellHolder ({ holder, pool }: Cell, bars: RunnerBars): void {
+    if (holder === undefined) return
+    for (const { name } of pool.runners) {
+      const bar = bars.get(name)
+      const isDraining = bar === 'draining' || bar === 'leaving'
+      holder.post({ type: 'draining', runner: name, draining: isDraining })
+      holder.post({ type: 'health', runner: name, healthy: bar === undefined || isDraining })
+    }
+  }
+
+  #tellHosts ({ holder, pool }: Cell, view: MembershipView): void {
+    if (holder === undefined) return
+    holder.post({ type: 'hosts', hosts: this.hostsOf(pool).map(({ host }) => host) })
+    for (const { host, liveness, self } of view.hosts) {
+      if (!self) holder.post({ type: 'suspect', host, suspected: liveness === Liveness.Suspect || liveness === Liveness.Dead })
+    }
+  }
+
+  /** A later process that bound the same inner address proves that the earlier one has ended. */
+  #noteRestarts (view: MembershipView): void {
+    for (const { host, incarnation, innerUrl, self } of view.hosts) {
+      if (self || incarnation === '') continue
+      const known = this.#incarnations.get(host)
+      this.#incarnations.set(host, { incarnation, innerUrl })
+      if (known === undefined || known.incarnation === incarnation || known.innerUrl !== innerUrl) continue
+      const sender = { host, incarnation: known.incarnation }
+      for (const { holder } of this.#cells.values()) holder?.post({ type: 'sender-gone', sender, evidence: GoneEvidence.HostRestarted })
+    }
+  }
+
+  #drop (name: string, cell: Cell): void {
+    this.#cells.delete(name)
+    const { holder } = cell
+    if (holder === undefined) return cell.stop()
+    cell.router.stop()
+    holder.post({ type: 'retire', onRetired: () => cell.stop() })
+  }
+}
+
+/** Availability zones in which a region has runners. */
+export function zonesOfRegion (tables: Tables, region: string): Set<string> {
+  const pools = tables.pools.filter((pool) => pool.region === region)
+  return new Set(pools.flatMap(({ runners }) => runners.map(({ availabilityZone }) => availabilityZone)))
+}
+
+function sameRoutes (cell: Cell, routes: Tables['routes']): boolean {
+  return cell.routes.length === routes.length && cell.routes.every((route, index) => route === routes[index])
+}
--- /dev/null
+++ b/packages/daemon/src/config/host-directory.ts
@@ -0,0 +1,106 @@
+import { err, ok, type Result } from 'neverthrow'
+import { lookupHosts, type MembershipView } from '@figloom/control'
+import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
+import type { ModelRoute, Route, ServiceRoute, Tables } from '@figloom/tables'
+import { zonesOfRegion, type CellSet } from '../cells/cell-set.js'
+import type { CellRouter } from '../cells/cell-router.js'
+import { LookupService, type LookupAnswer, type LookupRequest } from '../callers/lookup.js'
+import { Directory, type CellPeer } from '../requests/directory.js'
+
+export type HostDirectoryOptions = {
+  cells: CellSet
+  membership: () => MembershipView
+  lookupTtlMs: number
+}
+
+/** The tables in force as the request path and lookup see them. */
+export class HostDirectory extends Directory {
+  #tables: Tables = { routes: [], pools: [] }
+  #version = 0
+  #models = new Map<string, ModelRoute>()
+  #services = new Map<string, ServiceRoute>()
+
+  private constructor (private readonly options: HostDirectoryOptions) {
+    super()
+  }
+
+  static create (options: HostDirectoryOptions): HostDirectory {
+    return new HostDirectory(options)
+  }
+
+  setTables (tables: Tables, version: number): void {
+    this.#tables = tables
+    this.#version = version
+    this.#models = new Map(tables.routes.flatMap((route) => route.kind === 'model' ? [[route.name, route]] : []))
+    this.#services = new Map(tables.routes.flatMap((route) => route.kind === 'service' ? [[route.name, route]] : []))
+  }
+
+  override get configVersion (): number {
+    return this.#version
+  }
+
+  override get routes (): readonly Route[] {
+    return this.#tables.routes
+  }
+
+  override findModel (name: string): ModelRoute | undefined {
+    return this.#models.get(name)
+  }
+
+  override findService (name: string): ServiceRoute | undefined {
+    return this.#services.get(name)
+  }
+
+  override routerOf (pool: string): CellRouter | undefined {
+    return this.options.cells.get(pool)?.router
+  }
+
+  override peersOf (pool: string): CellPeer[] {
+    const row = this.#tables.pools.find(({ name }) => name === pool)
+    if (row === undefined) return []
+    return this.options.cells.hostsOf(row).filter(({ self }) => !self)
+  }
+
+  /** Regions with their availability zones. */
+  zonesOf (region: string): Set<string> {
+    return zonesOfRegion(this.#tables, region)
+  }
+
+  poolOf (pool: string) {
+    return this.#tables.pools.find(({ name }) => name === pool)
+  }
+}
+
+/** Lookup from the directory and membership. */
+export class HostLookup extends LookupService {
+  private constructor (private readonly directory: HostDirectory, private readonly options: HostDirectoryOptions) {
+    super()
+  }
+
+  static create (directory: HostDirectory, options: HostDirectoryOptions): HostLookup {
+    return new HostLookup(directory, options)
+  }
+
+  override lookup (request: LookupRequest): Result<LookupAnswer, Failure> {
+    const { directory } = this
+    if (directory.configVersion === 0) return err(createFailure(ResultCode.NotReady, 'no configuration is in force here', { retryAfterMs: NOT_READY_RETRY_MS }))
+    const route = this.#routeOf(request)
+    const isNamed = request.model !== undefined || request.service !== undefined
+    if (isNamed && route === undefined) return err(createFailure(ResultCode.NoSuchRoute, 'no route has this name'))
+    const pool = route === undefined ? undefined : directory.poolOf(route.pool)
+    const hosts = lookupHosts(this.options.membership(), {
+      ...(pool === undefined ? {} : { cell: pool.name, availabilityZones: directory.zonesOf(pool.region) }),
+      ...(request.availabilityZone === undefined ? {} : { callerAvailabilityZone: request.availabilityZone }),
+      ...(request.callerKey === undefined ? {} : { callerKey: request.callerKey })
+    })
+    const named = hosts.map(({ host, availabilityZone, url }) => ({ host, availabilityZone, url }))
+    return ok({ hosts: named, ttlMs: this.options.lookupTtlMs, configVersion: directory.configVersion })
+  }
+
+  #routeOf ({ model, service }: LookupRequest): Route | undefined {
+    if (model !== undefined) return this.directory.findModel(model)
+    return service === undefined ? undefined : this.directory.findService(service)
+  }
+}
+
+const NOT_READY_RETRY_MS = 1000
--- /dev/null
+++ b/packages/daemon/src/peers/inner-clients.ts
@@ -0,0 +1,27 @@
+import { createClient, type Client } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { InnerService } from '@figloom/protocol'
+
+export type InnerClient = Client<typeof InnerService>
+
+const MAX_CLIENTS = 64
+
+/** Clients of the inner protocol, one for each peer in use, over one HTTP/2 connection each. */
+export class InnerClients {
+  readonly #clients = new Map<string, InnerClient>()
+
+  static create (): InnerClients {
+    return new InnerClients()
+  }
+
+  /** Client of the peer at `innerUrl`; the one unused for longest is dropped when there are too many. */
+  get (innerUrl: string): InnerClient {
+    const known = this.#clients.get(innerUrl)
+    const client = known ?? createClient(InnerService, createConnectTransport({ baseUrl: innerUrl, httpVersion: '2' }))
+    this.#clients.delete(innerUrl)
+    this.#clients.set(innerUrl, client)
+    const oldest = this.#clients.keys().next().value
+    if (this.#clients.size > MAX_CLIENTS && oldest !== undefined) this.#clients.delete(oldest)
+    return client
+  }
+}
--- a/packages/platform/src/hosts/http-host-list-client.ts
+++ b/packages/platform/src/hosts/http-host-list-client.ts
@@ -15,7 +15,7 @@
 export const listedHostSchema = z.object({
   name: z.string().min(1),
   url: z.url(),
-  innerUrl: z.url(),
+  innerUrl: z.url().or(z.literal('')).default(''),
   availabilityZone: z.string().min(1),
   state: z.enum(['live', 'leaving'])
 })
--- a/packages/platform/src/hosts/types.ts
+++ b/packages/platform/src/hosts/types.ts
@@ -6,7 +6,7 @@
   name: string
   /** Address for callers. */
   url: string
-  /** Address of the operators' listener, which also carries the inner protocol. */
+  /** Address of the operators' listener, which also carries the inner protocol; empty for a backend server. */
   innerUrl: string
   availabilityZone: string
   state: 'live' | 'leaving'
