--- a/packages/control/src/claims/claim-stream.ts
+++ b/packages/control/src/claims/claim-stream.ts
@@ -2,74 +2,46 @@
  * A claim gateway for one stream: batches claims of many hosts, appends them, and answers a claim only once the fold
  * has read it back, without a gap, first in order.
  */
-import { Task, type Clock, type Logger, type Timer } from '@figloom/runtime'
-import type { LogClient, LogRecord } from '@figloom/platform'
-import { SnapshotSchedule } from '../config/snapshot-schedule.js'
+import { Task, type Timer } from '@figloom/runtime'
+import type { LogRecord } from '@figloom/platform'
 import { StreamFollower, type StreamEvent } from '../streams/stream-follower.js'
 import { AbandonedAttempts } from './abandoned-attempts.js'
 import { AppendQueue } from './append-queue.js'
-import { applyClaimRecord, ClaimState } from './claim-state.js'
+import { applyClaimRecord, ClaimState, type ClaimStep } from './claim-state.js'
+import { ClaimUpkeep } from './claim-upkeep.js'
 import { judgeRequest } from './judge.js'
-import type { ClaimLimits } from './limits.js'
+import { Trust, type ClaimStreamMessage, type ClaimStreamOptions } from './claim-stream-types.js'
 import { claimStreamName } from './keys.js'
-import { SnapshotCollector, toSnapshotParts, type ClaimSnapshot } from './snapshot.js'
+import { PendingClaims, type PendingClaim } from './pending-claims.js'
+import { SnapshotCollector, type ClaimSnapshot } from './snapshot.js'
 import { findClaimStart, type ClaimStart } from './start.js'
-import { CLAIM_RULE, type AttemptEnd, type ClaimAnswer, type ClaimRequest, type IsLive } from './types.js'
-
-export type ClaimStreamOptions = {
-  log: LogClient
-  clock: Clock
-  logger: Logger
-  index: number
-  host: string
-  incarnation: string
-  isLive: IsLive
-  /** Hosts that take turns in writing snapshots. */
-  gateways: () => string[]
-  limits: ClaimLimits
-}
-
-type Pending = { request: ClaimRequest, deadlineMs: number, timer: Timer, answer: (answer: ClaimAnswer) => void }
-
-type Message =
-  | { kind: 'claim', request: ClaimRequest, answer: (answer: ClaimAnswer) => void }
-  | { kind: 'end', end: AttemptEnd }
-  | { kind: 'event', event: StreamEvent }
-  | { kind: 'started', start: ClaimStart }
-  | { kind: 'expired', attemptId: string }
-  | { kind: 'append-failed' | 'grace-over' | 'tick' | 'snapshot' }
-
-const TICKS_PER_PERIOD = 10
+import type { AttemptEnd, ClaimAnswer, ClaimRequest } from './types.js'
 
 /** Task of one stream. Every host may run it; which ones do is decided by `rankGateways`. */
-export class ClaimStream extends Task<Message> {
-  readonly #pending = new Map<string, Pending>()
+export class ClaimStream extends Task<ClaimStreamMessage> {
   readonly #abandoned = AbandonedAttempts.create()
+  readonly #pending: PendingClaims
   readonly #queue: AppendQueue
   readonly #follower: StreamFollower
-  readonly #schedule: SnapshotSchedule
+  readonly #upkeep: ClaimUpkeep
   #collector = SnapshotCollector.create()
   #state = ClaimState.create()
-  #trust: 'starting' | 'whole' | 'broken' | 'unreachable' | 'unknown-rule' = 'starting'
+  #trust: Trust = Trust.Starting
   #readFailed = false
-  #generationSinceMs = 0
-  /** Oldest offset that the log still had when a broken stream was entered. */
-  #brokenFrom = 1
-  /** Offset since which a broken stream was read without a claim, and since when. */
-  #quietSince = { offset: 0, atMs: 0 }
-  #askedRotation = -1
+  /** Oldest snapshot that a broken stream can go on from. */
+  #oldestAsOf = 0
   #graceTimer: Timer | undefined
-  #tickTimer: Timer | undefined
 
   private constructor (private readonly options: ClaimStreamOptions) {
     super((error) => options.logger.error('claim stream failed', { stream: options.index, error: String(error) }))
-    const { log, clock, limits, index } = options
-    const stream = claimStreamName(index)
+    const { log, clock, limits } = options
+    const stream = claimStreamName(options.index)
+    this.#pending = PendingClaims.create(clock, (attemptId) => this.post({ kind: 'expired', attemptId }))
     this.#queue = AppendQueue.create({
       log,
       stream,
       clock,
-      recordIdPrefix: `${options.host}-${options.incarnation}-${index}`,
+      recordIdPrefix: `${options.host}-${options.incarnation}-${options.index}`,
       windowMs: limits.windowMs,
       lazyWindowMs: limits.lazyWindowMs,
       timeoutMs: limits.appendTimeoutMs,
@@ -85,14 +57,15 @@
       timeoutMs: limits.appendTimeoutMs,
       onEvent: (event) => this.post({ kind: 'event', event })
     })
-    const snapshots = { host: options.host, everyMs: limits.snapshotEveryMs, hosts: options.gateways }
-    this.#schedule = SnapshotSchedule.create(clock, snapshots, () => this.post({ kind: 'snapshot' }))
+    const onTick = () => this.post({ kind: 'tick' })
+    const onSnapshotDue = () => this.post({ kind: 'snapshot' })
+    this.#upkeep = ClaimUpkeep.create({ ...options, onTick, onSnapshotDue })
   }
 
   static create (options: ClaimStreamOptions): ClaimStream {
     const stream = new ClaimStream(options)
     stream.#begin()
-    stream.#tick()
+    stream.#upkeep.scheduleTick()
     return stream
   }
 
@@ -100,9 +73,9 @@
     super.stop()
     this.#follower.stop()
     this.#queue.stop()
-    this.#schedule.stop()
-    this.#tickTimer?.cancel()
-    for (const pending of this.#pending.values()) this.#answer(pending, { kind: 'unavailable', mayBeAppended: true })
+    this.#upkeep.stop()
+    this.#graceTimer?.cancel()
+    for (const claim of this.#pending.all()) this.#pending.answer(claim, { kind: 'unavailable', mayBeAppended: true })
   }
 
   /** Claims a key. Answers within `timeoutMs`, and at once while the log does not answer. */
@@ -120,10 +93,10 @@
   /** Keys held, bytes of their tables, and whether the stream can be claimed from. */
   stats (): { keys: number, tableBytes: number, whole: boolean, pending: number } {
     const { current, previous, size } = this.#state
-    return { keys: size, tableBytes: current.bytes + previous.bytes, whole: this.#trust === 'whole', pending: this.#pending.size }
+    return { keys: size, tableBytes: current.bytes + previous.bytes, whole: this.#trust === Trust.Whole, pending: this.#pending.size }
   }
 
-  protected override handle (message: Message): void | Promise<void> {
+  protected override handle (message: ClaimStreamMessage): void {
     switch (message.kind) {
       case 'claim': return this.#claim(message.request, message.answer)
       case 'end': return this.#end(message.end)
@@ -131,32 +104,32 @@
       case 'started': return this.#onStarted(message.start)
       case 'expired': return this.#onExpired(message.attemptId)
       case 'append-failed': return this.#onTrouble()
-      case 'grace-over': return this.#refuseAll()
+      case 'grace-over': return this.#onGraceOver()
       case 'tick': return this.#tick()
-      case 'snapshot': return this.#appendSnapshot()
+      case 'snapshot': this.#appendSnapshot()
     }
   }
 
   #claim (request: ClaimRequest, answer: (answer: ClaimAnswer) => void): void {
-    const judged = this.#trust === 'whole' ? judgeRequest(this.#state, request, this.options.isLive) : undefined
+    const whole = this.#trust === Trust.Whole
+    const judged = whole ? judgeRequest(this.#state, request, this.options.isLive) : undefined
     if (judged !== undefined) return answer(judged)
     if (this.#refuses()) return answer({ kind: 'unavailable', mayBeAppended: false })
-    const { clock } = this.options
-    const timer = clock.setTimer(request.timeoutMs, () => this.post({ kind: 'expired', attemptId: request.attemptId }))
-    const pending = { request, deadlineMs: clock.monotonicMs() + request.timeoutMs, timer, answer }
-    this.#pending.set(request.attemptId, pending)
-    if (this.#trust === 'whole') this.#append(pending)
+    this.#pending.add(request, answer)
+    if (whole) this.#append(request)
   }
 
   #refuses (): boolean {
-    if (this.#trust === 'starting') return false
-    return this.#trust !== 'whole' || this.#queue.failing || this.#readFailed || this.#state.size >= this.options.limits.maxKeys
+    if (this.#trust === Trust.Starting) return false
+    const full = this.#state.size >= this.options.limits.maxKeys
+    return this.#trust !== Trust.Whole || this.#queue.failing || this.#readFailed || full
   }
 
-  #append (pending: Pending): void {
-    const { key, fingerprint, attemptId, host, incarnation } = pending.request
-    const queued = this.#queue.add({ kind: 'claim', key, fingerprint, attemptId, host, incarnation })
-    if (!queued) this.#answer(pending, { kind: 'unavailable', mayBeAppended: false })
+  #append ({ key, fingerprint, attemptId, host, incarnation }: ClaimRequest): void {
+    const claim = this.#pending.get(attemptId)
+    if (claim === undefined || claim.queued) return
+    claim.queued = this.#queue.add({ kind: 'claim', key, fingerprint, attemptId, host, incarnation })
+    if (!claim.queued) this.#pending.answer(claim, { kind: 'unavailable', mayBeAppended: false })
   }
 
   #end (end: AttemptEnd): void {
@@ -164,38 +137,37 @@
       this.#queue.add(end)
       return
     }
-    const pending = this.#pending.get(end.attemptId)
-    if (pending !== undefined) this.#answer(pending, { kind: 'unavailable', mayBeAppended: true })
-    if (this.#queue.withdraw(end.attemptId)) return
+    const claim = this.#pending.get(end.attemptId)
+    if (claim !== undefined) this.#refuse(claim)
     this.#abandoned.add(end)
     if (this.#state.isHeldBy(end.key, end.attemptId)) this.#queue.add(end)
   }
 
   #onExpired (attemptId: string): void {
-    const pending = this.#pending.get(attemptId)
-    if (pending === undefined) return
-    this.#answer(pending, { kind: 'unavailable', mayBeAppended: !this.#queue.withdraw(attemptId) })
+    const claim = this.#pending.get(attemptId)
+    if (claim !== undefined) this.#refuse(claim)
   }
 
-  #answer (pending: Pending, answer: ClaimAnswer): void {
-    pending.timer.cancel()
-    this.#pending.delete(pending.request.attemptId)
-    pending.answer(answer)
+  #refuse (claim: PendingClaim): void {
+    const mayBeAppended = claim.queued && !this.#queue.withdraw(claim.request.attemptId)
+    this.#pending.answer(claim, { kind: 'unavailable', mayBeAppended })
   }
 
+  /** With neither append nor read answered, claims are refused at once; else the read-back gets a moment. */
   #onTrouble (): void {
-    if (this.#readFailed && this.#queue.failed) return this.#refuseAll()
+    if (this.#readFailed && this.#queue.failed) return this.#onGraceOver()
     if (this.#pending.size === 0 || this.#graceTimer !== undefined) return
     this.#graceTimer = this.options.clock.setTimer(this.options.limits.graceMs, () => this.post({ kind: 'grace-over' }))
   }
 
-  #refuseAll (): void {
+  #onGraceOver (): void {
     this.#graceTimer?.cancel()
     this.#graceTimer = undefined
-    if (!this.#readFailed && !this.#queue.failed && this.#trust === 'whole') return
-    for (const pending of [...this.#pending.values()]) {
-      this.#answer(pending, { kind: 'unavailable', mayBeAppended: !this.#queue.withdraw(pending.request.attemptId) })
-    }
+    if (this.#readFailed || this.#queue.failed) this.#refuseAll()
+  }
+
+  #refuseAll (): void {
+    for (const claim of this.#pending.all()) this.#refuse(claim)
   }
 
   #onEvent (event: StreamEvent): void {
@@ -205,44 +177,48 @@
     for (const record of event.records) if (!this.#apply(record)) return
   }
 
-  /** Applies a record; false when the follower was moved or stopped. */
+  /** Applies a record; false when it is not the next, or the follower was moved or stopped. */
   #apply (record: LogRecord): boolean {
+    if (record.offset !== this.#state.offset + 1) return false
     const step = applyClaimRecord(this.#state, record)
     if (!step.applied) {
-      if (record.offset !== this.#state.offset + 1) return false
-      this.#loseTrust('unknown-rule')
+      this.#loseTrust(Trust.UnknownRule)
       return false
     }
-    if (step.rotated) this.#generationSinceMs = this.options.clock.monotonicMs()
-    if (step.resetSince !== undefined && step.resetSince >= this.#quietSince.offset) this.#trust = 'whole'
-    if (step.claims.length > 0) this.#quietSince = { offset: record.offset + 1, atMs: this.options.clock.monotonicMs() }
-    for (const claim of step.claims) this.#onJudged(claim.key, claim.attemptId, claim.won)
+    this.#noteStep(record, step)
+    for (const claim of step.claims) this.#onJudged(claim.attemptId, claim.won)
     return !this.#collect(record)
   }
 
-  #onJudged (key: string, attemptId: string, won: boolean): void {
-    if (this.#trust !== 'whole') return
+  #noteStep (record: LogRecord, step: ClaimStep): void {
+    if (step.rotated) this.#upkeep.onRotated()
+    if (step.resetSince !== undefined && this.#upkeep.covers(step.resetSince)) this.#trust = Trust.Whole
+    if (step.claims.length > 0) this.#upkeep.onQuietFrom(record.offset + 1)
+  }
+
+  #onJudged (attemptId: string, won: boolean): void {
+    if (this.#trust !== Trust.Whole) return
     const end = this.#abandoned.get(attemptId)
     if (end !== undefined && won) this.#queue.add(end)
-    const pending = this.#pending.get(attemptId)
-    if (pending === undefined || pending.request.key !== key) return
-    const inTime = this.options.clock.monotonicMs() < pending.deadlineMs
-    const judged = judgeRequest(this.#state, pending.request, this.options.isLive)
-    this.#answer(pending, judged === undefined || !inTime ? { kind: 'unavailable', mayBeAppended: true } : judged)
+    const claim = this.#pending.get(attemptId)
+    if (claim === undefined) return
+    const inTime = this.options.clock.monotonicMs() < claim.deadlineMs
+    const judged = judgeRequest(this.#state, claim.request, this.options.isLive)
+    this.#pending.answer(claim, judged === undefined || !inTime ? { kind: 'unavailable', mayBeAppended: true } : judged)
   }
 
-  /** Takes a snapshot over when this stream has no unbroken start; true if it did. */
+  /** Notes snapshots, and goes on from one when this stream has no unbroken start; true if it did. */
   #collect (record: LogRecord): boolean {
-    const snapshot = this.#collector.add(record, this.#brokenFrom - 1)
+    const snapshot = this.#collector.add(record, this.#oldestAsOf)
     if (snapshot === undefined) return false
-    this.#schedule.restart()
-    if (this.#trust !== 'broken') return false
+    this.#upkeep.onSnapshotRead()
+    if (this.#trust !== Trust.Broken) return false
     this.#load(snapshot)
     return true
   }
 
   #begin (): void {
-    this.#trust = 'starting'
+    this.#trust = Trust.Starting
     this.#follower.stop()
     findClaimStart(this.options.log, claimStreamName(this.options.index))
       .then((start) => this.post({ kind: 'started', start }))
@@ -250,68 +226,55 @@
 
   #onStarted (start: ClaimStart): void {
     if (start.kind === 'unbroken') return this.#load(start.snapshot)
-    this.#loseTrust(start.kind === 'broken' ? 'broken' : 'unreachable')
-    if (start.kind !== 'broken') {
-      this.options.clock.setTimer(this.options.limits.retryMs, () => { if (!this.stopped) this.#begin() })
-      return
-    }
+    if (start.kind === 'broken') return this.#enterBroken(start.firstOffset)
+    this.#loseTrust(Trust.Unreachable)
+    this.options.clock.setTimer(this.options.limits.retryMs, () => { if (!this.stopped) this.#begin() })
+  }
+
+  #enterBroken (firstOffset: number): void {
+    this.#loseTrust(Trust.Broken)
     this.#state = ClaimState.create()
-    this.#state.offset = start.firstOffset - 1
-    this.#brokenFrom = start.firstOffset
-    this.#quietSince = { offset: start.firstOffset, atMs: this.options.clock.monotonicMs() }
-    this.#follower.follow(start.firstOffset)
+    this.#state.offset = firstOffset - 1
+    this.#oldestAsOf = firstOffset - 1
+    this.#upkeep.onQuietFrom(firstOffset)
+    this.#follower.follow(firstOffset)
   }
 
-  #load (snapshot: ClaimSnapshot): void {
-    this.#state = snapshot.state
-    this.#trust = 'whole'
-    this.#brokenFrom = 1
-    this.#generationSinceMs = this.options.clock.monotonicMs() - snapshot.generationAgeMs
+  #load ({ state, generationAgeMs }: ClaimSnapshot): void {
+    this.#state = state
+    this.#trust = Trust.Whole
+    this.#oldestAsOf = 0
     this.#collector = SnapshotCollector.create()
-    this.#schedule.restart()
-    this.#follower.follow(this.#state.offset + 1)
-    for (const pending of this.#pending.values()) this.#append(pending)
+    this.#upkeep.onLoaded(generationAgeMs)
+    this.#follower.follow(state.offset + 1)
+    for (const claim of this.#pending.all()) this.#resume(claim)
   }
 
-  #loseTrust (trust: 'broken' | 'unreachable' | 'unknown-rule'): void {
+  /** The loaded state may contain the claim already. */
+  #resume (claim: PendingClaim): void {
+    const judged = judgeRequest(this.#state, claim.request, this.options.isLive)
+    if (judged === undefined) return this.#append(claim.request)
+    this.#pending.answer(claim, judged)
+  }
+
+  #loseTrust (trust: Trust): void {
     this.#trust = trust
     this.#follower.stop()
     this.#refuseAll()
   }
 
   #tick (): void {
-    const { clock, limits } = this.options
-    const periodMs = Math.min(limits.keepMs, limits.snapshotEveryMs) / TICKS_PER_PERIOD
-    this.#tickTimer = clock.setTimer(periodMs, () => this.post({ kind: 'tick' }))
-    if (this.#trust === 'broken') return this.#resetIfQuiet()
-    const due = clock.monotonicMs() - this.#generationSinceMs >= limits.keepMs
-    if (this.#trust !== 'whole' || !due || this.#state.size === 0 || this.#askedRotation === this.#state.generation) return
-    this.#askedRotation = this.#state.generation
-    this.#queue.add({ kind: 'rotate', generation: this.#state.generation + 1 })
+    this.#upkeep.scheduleTick()
+    const due = this.#trust === Trust.Whole ? this.#upkeep.dueRotation(this.#state) : this.#dueReset()
+    if (due !== undefined) this.#queue.add(due)
   }
 
-  /** A key that this host cannot know of is older than the time that it has read without a claim. */
-  #resetIfQuiet (): void {
-    const { clock, limits } = this.options
-    const quietMs = clock.monotonicMs() - this.#quietSince.atMs
-    if (quietMs < limits.keepMs - limits.minRetentionMs) return
-    this.#queue.add({ kind: 'reset', since: this.#quietSince.offset })
+  #dueReset (): ReturnType<ClaimUpkeep['dueReset']> {
+    return this.#trust === Trust.Broken ? this.#upkeep.dueReset() : undefined
   }
 
-  async #appendSnapshot (): Promise<void> {
-    this.#schedule.restart()
-    if (this.#trust !== 'whole' || this.#state.offset === 0) return
-    const { log, clock, host, incarnation, index } = this.options
-    const id = `${host}-${incarnation}-${index}-at-${this.#state.offset}`
-    const parts = toSnapshotParts(this.#state, id, clock.monotonicMs() - this.#generationSinceMs)
-    this.#appendParts(log, id, parts.map((snapshot) => ({ rule: CLAIM_RULE, snapshot })))
-  }
-
-  async #appendParts (log: LogClient, id: string, bodies: unknown[]): Promise<void> {
-    for (const [part, body] of bodies.entries()) {
-      const result = await log.append(claimStreamName(this.options.index), `${id}-${part}`, body)
-      if (result.isOk()) continue
-      return this.options.logger.warn('claim snapshot was not written', { stream: this.options.index, reason: result.error.message })
-    }
+  #appendSnapshot (): void {
+    if (this.#trust !== Trust.Whole || this.#state.offset === 0) return this.#upkeep.onSnapshotRead()
+    this.#upkeep.appendSnapshot(this.#state)
   }
 }
--- a/packages/control/src/claims/claim-streams.ts
+++ b/packages/control/src/claims/claim-streams.ts
@@ -1,5 +1,6 @@
 /** The claim streams that a host runs: those it is a gateway of, and others on demand. */
-import { ClaimStream, type ClaimStreamOptions } from './claim-stream.js'
+import { ClaimStream } from './claim-stream.js'
+import type { ClaimStreamOptions } from './claim-stream-types.js'
 
 export type ClaimStreamsOptions = Omit<ClaimStreamOptions, 'index' | 'gateways'> & {
   /** Gateways of a stream at present, the first in turn first. */
--- /dev/null
+++ b/packages/control/src/claims/key-claims.property.test.ts
@@ -0,0 +1,112 @@
+import t from 'tap'
+import fc from 'fast-check'
+import { ClaimCluster, settled, type CallEnd, type KillPoint } from '../testing/claim-cluster.js'
+
+const HOSTS = ['a', 'b', 'c']
+const NUM_RUNS = 300
+const SEED = 5
+const END_MS = 60_000
+
+type Action =
+  | { kind: 'call', host: string, key: string, timeoutMs: number, serviceMs: number, killAt: KillPoint | undefined }
+  | { kind: 'kill' | 'freeze' | 'thaw' | 'cut-log' | 'join-log', host: string }
+  | { kind: 'cut' | 'join', pair: string }
+  | { kind: 'log', down: boolean, delayMs: number, loseAnswers: number, rejectAppends: number }
+  | { kind: 'unlist' }
+type Step = { afterMs: number, action: Action }
+
+const host = fc.constantFrom(...HOSTS)
+const action: fc.Arbitrary<Action> = fc.oneof(
+  {
+    weight: 12,
+    arbitrary: fc.record({
+      kind: fc.constant('call' as const),
+      host,
+      key: fc.constantFrom('k1', 'k2'),
+      timeoutMs: fc.constantFrom(60, 400, 5000),
+      serviceMs: fc.constantFrom(1, 50, 800),
+      killAt: fc.oneof({ weight: 8, arbitrary: fc.constant(undefined) }, { weight: 2, arbitrary: fc.constantFrom<KillPoint>('after-claim', 'after-send', 'after-answer') })
+    })
+  },
+  { weight: 4, arbitrary: fc.record({ kind: fc.constantFrom('kill' as const, 'freeze' as const, 'thaw' as const, 'cut-log' as const, 'join-log' as const), host }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constantFrom('cut' as const, 'join' as const), pair: fc.constantFrom('a-b', 'b-c', 'a-c') }) },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant('log' as const),
+      down: fc.boolean(),
+      delayMs: fc.constantFrom(0, 0, 15, 300, 1500),
+      loseAnswers: fc.nat(3),
+      rejectAppends: fc.nat(2)
+    })
+  },
+  { weight: 1, arbitrary: fc.constant({ kind: 'unlist' as const }) }
+)
+const script = fc.array(fc.record({ afterMs: fc.constantFrom(0, 1, 5, 21, 40, 300, 2000), action }), { minLength: 4, maxLength: 25 })
+
+/** Runs a script, then heals everything and repeats both keys at each host. */
+async function play (steps: Step[]): Promise<{ cluster: ClaimCluster, ends: { key: string, result: { end: CallEnd } }[] }> {
+  const cluster = new ClaimCluster({ limits: { keepMs: 600_000 } })
+  const ends: { key: string, result: { end: CallEnd } }[] = []
+  const call = (host: string, key: string, options = {}) => ends.push({ key, result: settled(cluster.call(host, key, options)) })
+  for (const { afterMs, action } of steps) {
+    await cluster.clock.advance(afterMs)
+    perform(cluster, action, call)
+  }
+  heal(cluster)
+  await cluster.clock.advance(END_MS)
+  for (const key of ['k1', 'k2']) for (const host of HOSTS) call(host, key)
+  await cluster.clock.advance(END_MS)
+  return { cluster, ends }
+}
+
+function perform (cluster: ClaimCluster, action: Action, call: (host: string, key: string, options: object) => void): void {
+  switch (action.kind) {
+    case 'call': return call(action.host, action.key, action)
+    case 'kill':
+      cluster.kill(action.host)
+      cluster.start(action.host)
+      return
+    case 'freeze': return cluster.host(action.host).gate.freeze()
+    case 'thaw': return cluster.host(action.host).gate.thaw()
+    case 'cut-log': cluster.host(action.host).log.cut = true; return
+    case 'join-log': cluster.host(action.host).log.cut = false; return
+    case 'cut': cluster.cuts.add(action.pair); return
+    case 'join': cluster.cuts.delete(action.pair); return
+    case 'log': Object.assign(cluster.log.faults, action); return
+    case 'unlist': cluster.listed.delete('a')
+  }
+}
+
+function heal (cluster: ClaimCluster): void {
+  Object.assign(cluster.log.faults, { down: false, delayMs: 0, loseAnswers: 0, rejectAppends: 0 })
+  cluster.cuts.clear()
+  for (const name of HOSTS) {
+    const host = cluster.host(name)
+    host.log.cut = false
+    host.gate.thaw()
+    if (host.gate.dead) cluster.start(name)
+    cluster.listed.add(name)
+  }
+}
+
+t.test('no interleaving runs a key twice, and a repeat after "not run" by all runs it once', async (t) => {
+  let calls = 0
+  await fc.assert(fc.asyncProperty(script, async (steps) => {
+    const { cluster, ends } = await play(steps)
+    calls += ends.length
+    for (const key of ['k1', 'k2']) {
+      const runs = cluster.runs.get(key) ?? 0
+      const ofKey = ends.filter((end) => end.key === key).map(({ result }) => result.end)
+      if (runs > 1) throw new Error(`${key} ran ${runs} times`)
+      const bodies = new Set(ofKey.flatMap(({ body }) => body ?? []))
+      if (bodies.size > 1) throw new Error(`${key} was answered in two ways`)
+      const certain = ofKey.every(({ kind, ran }) => kind === 'refused' && ran === 'no')
+      if (certain && runs > 0) throw new Error(`${key} ran although every call was told that it did not`)
+      if (ofKey.slice(-3).every(({ kind }) => kind === 'lost')) throw new Error(`${key} is never answered again`)
+      if (ofKey.slice(-3).some(({ code }) => code === 4004)) throw new Error(`${key} cannot be claimed after all has healed`)
+    }
+    for (const { streams } of cluster.hosts.values()) streams.stop()
+  }), { numRuns: NUM_RUNS, seed: SEED, ...(process.env.FIGLOOM_RUNS === undefined ? {} : { numRuns: Number(process.env.FIGLOOM_RUNS), seed: Number(process.env.FIGLOOM_SEED ?? SEED) }) })
+  t.comment(`${calls} calls`)
+})
