--- a/packages/control/src/cell/holder.ts
+++ b/packages/control/src/cell/holder.ts
@@ -189,7 +189,7 @@
       case 'health': return setMember(this.#situation.unhealthy, message.runner, !message.healthy)
       case 'draining': return setMember(this.#situation.draining, message.runner, message.draining)
       case 'sender-gone': this.#gone.set(message.sender.incarnation, message); return
-      case 'peer-snapshot': return this.#reader.takePeerState(message.state)
+      case 'peer-snapshot': return this.#takePeerState(message.state)
       case 'retire': this.#retire = { onRetired: message.onRetired, isAnnounced: false }
     }
   }
@@ -199,6 +199,10 @@
     this.#showView()
   }
 
+  #takePeerState (peer: CellState): void {
+    if (this.#reader.takePeerState(peer)) this.#lease.hear()
+  }
+
   #takeReport ({ runner, report, askedMs }: Extract<CellMessage, { type: 'report' }>): void {
     const intents = this.#reader.state?.intents ?? []
     this.#situation.books.takeReport(runner, report, askedMs, this.options.clock.monotonicMs(), intents)
@@ -206,7 +210,9 @@
 
   #takeStream (event: StreamEvent): void {
     this.#lease.noteRead(event.kind !== 'failed')
+    const hadState = this.#reader.state !== undefined
     const records = this.#reader.take(event)
+    if (!hadState) this.#lease.hear()
     for (const record of records) this.#readBack(record)
     const state = this.#reader.state
     if (state === undefined || records.length === 0) return
--- a/packages/control/src/cell/stream-reader.ts
+++ b/packages/control/src/cell/stream-reader.ts
@@ -61,17 +61,18 @@
     return fresh
   }
 
-  /** Takes a peer's state if it stands for a higher offset; the stream is read on from there. */
-  takePeerState (state: CellState): void {
+  /** Takes a peer's state if it stands for a higher offset; the stream is read on from there. Returns whether it did. */
+  takePeerState (state: CellState): boolean {
     if (this.#state === undefined) {
       this.#held = this.#held === undefined ? state : adoptSnapshot(this.#held, state)
       this.#restart()
-      return
+      return false
     }
     const adopted = adoptSnapshot(this.#state, state)
-    if (adopted === this.#state) return
+    if (adopted === this.#state) return false
     this.#state = adopted
     this.#follower.follow(adopted.offset + 1)
+    return true
   }
 
   /** Reads on from the state if the log still keeps what follows it, else from the oldest record. */
