--- /dev/null
+++ b/packages/daemon/src/assembly/membership.ts
@@ -0,0 +1,42 @@
+import { DEFAULT_MEMBERSHIP_TIMES, Membership, type PeerReport } from '@figloom/control'
+import type { HostListClient } from '@figloom/platform'
+import { InnerPeerExchange } from '../peers/peer-calls.js'
+import { RELEASE } from '../program.js'
+import type { DaemonFrame } from './types.js'
+
+/** Limit for one call to a peer, in milliseconds. */
+export const PEER_TIMEOUT_MS = 1500
+
+/** Creates the task that keeps this host's view of its peers. */
+export function createMembership (frame: DaemonFrame, hostList: HostListClient): Membership {
+  const { settings, clock, logger, clients } = frame
+  return Membership.create({
+    clock,
+    logger,
+    hostList,
+    exchange: InnerPeerExchange.create(clients.inner, PEER_TIMEOUT_MS),
+    self: createOwnReport(frame),
+    times: {
+      ...DEFAULT_MEMBERSHIP_TIMES,
+      heartbeatMs: settings.health.peerExchangeMs,
+      suspectMs: settings.health.peerTimeoutMs,
+      listMs: settings.platform.hostListPollMs
+    }
+  })
+}
+
+function createOwnReport ({ settings, self, addresses }: DaemonFrame): PeerReport {
+  return {
+    host: self.host,
+    incarnation: self.incarnation,
+    availabilityZone: settings.host.availabilityZone,
+    url: addresses.callerUrl,
+    innerUrl: addresses.operatorUrl,
+    leaving: false,
+    configVersion: 0,
+    runners: [],
+    drains: [],
+    cells: [],
+    release: settings.host.release ?? RELEASE
+  }
+}
--- a/packages/daemon/src/cells/cell.ts
+++ b/packages/daemon/src/cells/cell.ts
@@ -64,6 +64,16 @@
     this.router.setRunners(infos, new Map(this.pool.runners.map(({ name, url }) => [name, url])))
   }
 
+  /** What each runner has of a route's target, for operators. */
+  describeRunners (route: Route) {
+    return this.pool.runners.map(({ name, availabilityZone }) => ({
+      runner: name,
+      availabilityZone,
+      barred: this.#bars.get(name),
+      copy: route.kind === 'model' ? this.#copyState(name, route.model, route.version) : 'plain service'
+    }))
+  }
+
   stop (): void {
     this.router.stop()
     this.holder?.stop()
@@ -87,6 +97,11 @@
       }))
   }
 
+  #copyState (runner: string, model: string, version: string): string {
+    const copies = this.#view?.runners.find(({ name }) => name === runner)?.copies ?? []
+    return copies.find((copy) => copy.model === model && copy.version === version)?.state ?? 'none'
+  }
+
   /** Every runner of a pool runs the plain services that routes send there. */
   #serviceCopies (): RoutableCopy[] {
     const services = new Set(this.routes.flatMap((route) => route.kind === 'service' ? [route.service] : []))
--- a/packages/daemon/src/config/host-directory.ts
+++ b/packages/daemon/src/config/host-directory.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { lookupHosts, type MembershipView } from '@figloom/control'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
-import type { ModelRoute, Route, ServiceRoute, Tables } from '@figloom/tables'
+import type { ModelRoute, Pool, Route, ServiceRoute, Tables } from '@figloom/tables'
 import { zonesOfRegion, type CellSet } from '../cells/cell-set.js'
 import type { CellRouter } from '../cells/cell-router.js'
 import { LookupService, type LookupAnswer, type LookupRequest } from '../callers/lookup.js'
@@ -56,7 +56,7 @@
   }
 
   override peersOf (pool: string): CellPeer[] {
-    const row = this.#tables.pools.find(({ name }) => name === pool)
+    const row = this.poolOf(pool)
     if (row === undefined) return []
     return this.options.cells.hostsOf(row).filter(({ self }) => !self)
   }
@@ -66,18 +66,22 @@
     return zonesOfRegion(this.#tables, region)
   }
 
-  poolOf (pool: string) {
+  poolOf (pool: string): Pool | undefined {
     return this.#tables.pools.find(({ name }) => name === pool)
   }
+
+  hasRunner (runner: string): boolean {
+    return this.#tables.pools.some(({ runners }) => runners.some(({ name }) => name === runner))
+  }
 }
 
 /** Lookup from the directory and membership. */
 export class HostLookup extends LookupService {
-  private constructor (private readonly directory: HostDirectory, private readonly options: HostDirectoryOptions) {
+  private constructor (private readonly directory: HostDirectory, private readonly options: Omit<HostDirectoryOptions, 'cells'>) {
     super()
   }
 
-  static create (directory: HostDirectory, options: HostDirectoryOptions): HostLookup {
+  static create (directory: HostDirectory, options: Omit<HostDirectoryOptions, 'cells'>): HostLookup {
     return new HostLookup(directory, options)
   }
 
@@ -88,11 +92,14 @@
     const isNamed = request.model !== undefined || request.service !== undefined
     if (isNamed && route === undefined) return err(createFailure(ResultCode.NoSuchRoute, 'no route has this name'))
     const pool = route === undefined ? undefined : directory.poolOf(route.pool)
-    const hosts = lookupHosts(this.options.membership(), {
-      ...(pool === undefined ? {} : { cell: pool.name, availabilityZones: directory.zonesOf(pool.region) }),
+    const caller = {
       ...(request.availabilityZone === undefined ? {} : { callerAvailabilityZone: request.availabilityZone }),
       ...(request.callerKey === undefined ? {} : { callerKey: request.callerKey })
-    })
+    }
+    const view = this.options.membership()
+    const ofCell = pool === undefined ? [] : lookupHosts(view, { ...caller, cell: pool.name, availabilityZones: directory.zonesOf(pool.region) })
+    // Any host can forward where the pool's own region has none.
+    const hosts = ofCell.length > 0 ? ofCell : lookupHosts(view, caller)
     const named = hosts.map(({ host, availabilityZone, url }) => ({ host, availabilityZone, url }))
     return ok({ hosts: named, ttlMs: this.options.lookupTtlMs, configVersion: directory.configVersion })
   }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,2 @@
 /** figloomd: the daemon of an entry host. */
-export {}
+export * from './app.js'
--- /dev/null
+++ b/scripts/first-run/cluster.mjs
@@ -0,0 +1,66 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { spawn } from 'node:child_process'
+import { startProgram, stopPrograms } from './children.mjs'
+import { daemonSettings, poolsTable, routesTable, standinSettings, ZONES } from './settings.mjs'
+
+const packages = fileURLToPath(new URL('../../packages/', import.meta.url))
+const programs = {
+  daemon: join(packages, 'daemon/dist/main.js'),
+  standin: join(packages, 'standin/dist/main.js'),
+  cli: join(packages, 'cli/dist/main.js')
+}
+
+/** Starts stand-ins and entry hosts, publishes the tables and waits until every host is ready. */
+export async function startCluster ({ log } = {}) {
+  const directory = await mkdtemp(join(tmpdir(), 'figloom-'))
+  const write = async (name, text) => {
+    const path = join(directory, name)
+    await writeFile(path, text)
+    return path
+  }
+  const running = []
+  const stop = async () => {
+    await stopPrograms(running.filter(({ name }) => name !== 'standins'))
+    await stopPrograms(running.filter(({ name }) => name === 'standins'))
+    await rm(directory, { recursive: true })
+  }
+  try {
+    const standins = await startProgram('standins', programs.standin, ['--settings', await write('standins.toml', standinSettings())], { log })
+    running.push(standins)
+    const urls = Object.fromEntries(standins.ready.listening.map(({ name, url }) => [name, url]))
+    const settingsFiles = await Promise.all(ZONES.map((zone, index) => write(`host-${index + 1}.toml`, daemonSettings(`host-${index + 1}`, zone, urls))))
+    const daemons = await Promise.all(settingsFiles.map((file, index) => startProgram(`host-${index + 1}`, programs.daemon, ['--settings', file], { log })))
+    running.push(...daemons)
+    const tables = [await write('routes.toml', routesTable()), await write('pools.toml', poolsTable(urls))]
+    await runCli(['publish', ...tables, '--settings', settingsFiles[0]])
+    const hosts = daemons.map(({ ready }) => ready.listening)
+    await Promise.all(hosts.map(({ operatorUrl }) => waitReady(operatorUrl)))
+    return { hosts, urls, daemons, standins, settingsFiles, stop }
+  } catch (error) {
+    await stop()
+    throw error
+  }
+}
+
+/** Runs the operators' command line; rejects unless it succeeds. */
+export function runCli (args) {
+  const child = spawn(process.execPath, [programs.cli, ...args], { stdio: ['ignore', 'inherit', 'inherit'] })
+  return new Promise((resolve, reject) => {
+    child.once('exit', (code) => code === 0 ? resolve() : reject(new Error(`figloom ${args[0]} ended with ${code}`)))
+  })
+}
+
+const READY_POLL_MS = 100
+const READY_TRIES = 300
+
+async function waitReady (operatorUrl) {
+  for (let tries = 0; tries < READY_TRIES; tries++) {
+    const answer = await fetch(`${operatorUrl}/readyz`).catch(() => undefined)
+    if (answer?.ok) return
+    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS))
+  }
+  throw new Error(`${operatorUrl} did not get ready`)
+}
--- /dev/null
+++ b/scripts/first-run/settings.mjs
@@ -0,0 +1,104 @@
+/** Availability zones of the three entry hosts. */
+export const ZONES = ['porto-a', 'porto-b', 'braga-c']
+
+const ENGINES = ['drafting-01', 'drafting-02']
+
+export function standinSettings () {
+  const engines = ENGINES.map((name) => `
+[[standin]]
+kind = "engine"
+name = "${name}"
+memoryMiB = 65536
+`).join('')
+  return `
+[[standin]]
+kind = "log"
+name = "log"
+
+[[standin]]
+kind = "hosts"
+name = "hosts"
+
+[[standin]]
+kind = "service"
+name = "booking"
+${engines}`
+}
+
+export function daemonSettings (name, zone, urls) {
+  return `
+[host]
+name = "${name}"
+availabilityZone = "${zone}"
+region = "pt-norte"
+callerAddress = "127.0.0.1:0"
+operatorAddress = "127.0.0.1:0"
+
+[platform]
+logUrl = "${urls.log}"
+hostListUrl = "${urls.hosts}"
+hostListPollMs = 500
+announceToHostList = true
+
+[lookup]
+ttlMs = 1000
+
+[traces]
+exporter = "none"
+`
+}
+
+export function routesTable () {
+  return `
+[[route]]
+name = "tasting-notes"
+model = "vinho-8b"
+adapter = "douro"
+version = "3"
+pool = "drafting"
+firstTokenTargetMs = 380
+betweenTokensTargetMs = 43
+priority = "interactive"
+
+[[route]]
+name = "bookings"
+service = "booking"
+pool = "booking"
+answerTargetMs = 2000
+idempotent = false
+`
+}
+
+export function poolsTable (urls) {
+  const runners = ENGINES.map((name, index) => runner(name, ZONES[index], urls[name], 65536)).join('')
+  return `
+[[pool]]
+name = "drafting"
+region = "pt-norte"
+moveWeight = 0.2
+${runners}
+[[pool.model]]
+name = "vinho-8b"
+version = "3"
+weightsMiB = 16384
+kvReserveMiB = 8192
+adapters = [{ name = "douro", sizeMiB = 64 }]
+
+[[pool]]
+name = "booking"
+region = "pt-norte"
+moveWeight = 0.2
+${runner('booking-01', ZONES[0], urls.booking, 1024)}`
+}
+
+function runner (name, zone, url, memoryMiB) {
+  return `
+[[pool.runner]]
+name = "${name}"
+availabilityZone = "${zone}"
+url = "${url}"
+accelerators = 1
+memoryMiB = ${memoryMiB}
+checksFencing = true
+`
+}
--- /dev/null
+++ b/scripts/write-docs.mjs
@@ -0,0 +1,6 @@
+/** Writes the pages that are generated from the source. */
+import { writeFile } from 'node:fs/promises'
+import { formatErrorsPage } from '@figloom/runtime'
+
+const docs = new URL('../docs/', import.meta.url)
+await writeFile(new URL('ERRORS.md', docs), formatErrorsPage())
