--- /dev/null
+++ b/packages/tables/src/acceptance/records.ts
@@ -0,0 +1,87 @@
+/** Records of the configuration stream. */
+import { z } from 'zod'
+import { err, ok, type Result } from 'neverthrow'
+import { rowChangeSchema } from '../schema/rows.js'
+import type { RowChange, RowKey } from '../rows/rows.js'
+import { stateJsonSchema, type StateJson } from './state-json.js'
+
+/** Newest version of the acceptance rule that this release knows. */
+export const RULE_VERSION = 1
+
+/** Kinds of records. */
+export const RecordKind = { Edit: 'edit', RetiredClear: 'retired-clear', Snapshot: 'snapshot' } as const
+export type RecordKind = (typeof RecordKind)[keyof typeof RecordKind]
+
+/** Changes of rows that are accepted or refused together. */
+export type EditRecord = {
+  kind: 'edit'
+  ruleVersion: number
+  /** Repeats carry the same id and are one edit. */
+  editId: string
+  author: string
+  /** Offset of the configuration that the author had seen. */
+  baseOffset: number
+  changes: RowChange[]
+}
+
+/** Word of a cell's holder that nothing of removed rows is resident or in use any more. */
+export type RetiredClearRecord = {
+  kind: 'retired-clear'
+  ruleVersion: number
+  author: string
+  cleared: { row: RowKey, retiredAt: number }[]
+}
+
+/** Whole state at an offset; equal states give equal records, whichever host appends them. */
+export type SnapshotRecord = {
+  kind: 'snapshot'
+  ruleVersion: number
+  /** Offset of the last record that the state contains. */
+  standsFor: number
+  state: StateJson
+}
+
+export type ConfigRecord = EditRecord | RetiredClearRecord | SnapshotRecord
+
+/** Why a record's body cannot be applied. */
+export type RecordFault =
+  /** Every release that knows its rule version ignores it. */
+  | { kind: 'malformed', editId?: string }
+  /** Its verdict cannot be known here; a reader must stop before it. */
+  | { kind: 'unknown-rule', ruleVersion: number }
+
+const editId = z.string().min(1).max(200)
+const author = z.string().min(1).max(200)
+const offset = z.int().min(0)
+const text = z.string()
+
+const recordSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('edit'), ruleVersion: z.literal(1), editId, author, baseOffset: offset, changes: z.array(rowChangeSchema).min(1) }),
+  z.strictObject({
+    kind: z.literal('retired-clear'),
+    ruleVersion: z.literal(1),
+    author,
+    cleared: z.array(z.strictObject({ row: text, retiredAt: offset })).min(1)
+  }),
+  z.strictObject({ kind: z.literal('snapshot'), ruleVersion: z.literal(1), standsFor: offset, state: stateJsonSchema })
+])
+
+/** Reads the body of a record. Only the envelope's `ruleVersion` is read before the rest is known to be understood. */
+export function parseConfigRecord (body: unknown): Result<ConfigRecord, RecordFault> {
+  const ruleVersion = readRuleVersion(body)
+  if (ruleVersion === undefined) return err({ kind: 'malformed' })
+  if (ruleVersion > RULE_VERSION) return err({ kind: 'unknown-rule', ruleVersion })
+  const parsed = recordSchema.safeParse(body)
+  if (parsed.success) return ok(parsed.data as ConfigRecord)
+  return err({ kind: 'malformed', ...readEditId(body) })
+}
+
+function readRuleVersion (body: unknown): number | undefined {
+  const envelope = z.looseObject({ ruleVersion: z.int().min(1) }).safeParse(body)
+  return envelope.success ? envelope.data.ruleVersion : undefined
+}
+
+function readEditId (body: unknown): { editId: string } | undefined {
+  const edit = z.looseObject({ kind: z.literal('edit'), editId }).safeParse(body)
+  return edit.success ? { editId: edit.data.editId } : undefined
+}
--- /dev/null
+++ b/packages/tables/src/acceptance/state-json.ts
@@ -0,0 +1,79 @@
+/** JSON form of a state, the content of snapshots. */
+import { z } from 'zod'
+import { adapterSchema, poolHeadSchema, poolModelSchema, rowChangeSchema, runnerSchema } from '../schema/rows.js'
+import { compareText, rowKey, type RowChange } from '../rows/rows.js'
+import { shardOf, type ConfigState, type KnownEdit, type RetiringRow, type RowEntry, type Shard } from './state.js'
+
+/** State without its offset and rule version, which the snapshot's envelope carries. All lists are sorted. */
+export type StateJson = {
+  version: number
+  oldestBase: number
+  rows: RowEntry[]
+  edits: KnownEdit[]
+  retiring: RetiringRow[]
+}
+
+const offset = z.int().min(0)
+const text = z.string()
+
+const verdictSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('accepted'), version: offset }),
+  z.strictObject({
+    kind: z.literal('conflicting'),
+    rows: z.array(z.strictObject({ row: text, author: text, offset })),
+    oldestBase: offset
+  }),
+  z.strictObject({ kind: z.literal('invalid'), issues: z.array(z.strictObject({ row: text, field: text, message: text })) })
+])
+
+const retired = { row: text, pool: text, retiredAt: offset }
+
+const retiringSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ ...retired, kind: z.literal('pool'), value: poolHeadSchema }),
+  z.strictObject({ ...retired, kind: z.literal('runner'), value: runnerSchema }),
+  z.strictObject({ ...retired, kind: z.literal('model'), value: poolModelSchema }),
+  z.strictObject({ ...retired, kind: z.literal('adapter'), model: text, version: text, value: adapterSchema })
+])
+
+export const stateJsonSchema = z.strictObject({
+  version: offset,
+  oldestBase: offset,
+  rows: z.array(z.strictObject({ change: rowChangeSchema, author: text, offset })),
+  edits: z.array(z.strictObject({ editId: text, offset, verdict: verdictSchema })),
+  retiring: z.array(retiringSchema)
+})
+
+/** Writes a state; removals that no edit can conflict with any more are left out. */
+export function toStateJson (state: ConfigState): StateJson {
+  const entries = [...state.shards.values()].flatMap((shard) => [...shard.values()])
+  return {
+    version: state.version,
+    oldestBase: state.oldestBase,
+    rows: entries.filter((entry) => !isForgotten(entry, state.oldestBase)).sort((a, b) => compareText(rowKey(a.change), rowKey(b.change))),
+    edits: [...state.edits.values()].sort((a, b) => a.offset - b.offset),
+    retiring: [...state.retiring.values()].sort((a, b) => compareText(a.row, b.row))
+  }
+}
+
+/** Reads a state. */
+export function fromStateJson (json: StateJson, envelope: { offset: number, ruleVersion: number }): ConfigState {
+  const shards = new Map<string, Shard & Map<string, RowEntry>>()
+  for (const entry of json.rows) {
+    const name = shardOf(entry.change)
+    const shard = shards.get(name) ?? new Map<string, RowEntry>()
+    shards.set(name, shard.set(rowKey(entry.change), entry))
+  }
+  return {
+    ...envelope,
+    version: json.version,
+    oldestBase: json.oldestBase,
+    shards,
+    edits: new Map(json.edits.map((edit) => [edit.editId, edit])),
+    retiring: new Map(json.retiring.map((entry) => [entry.row, entry]))
+  }
+}
+
+/** Whether a removal is older than the base of any edit that can still be accepted. */
+export function isForgotten ({ change, offset }: { change: RowChange, offset: number }, oldestBase: number): boolean {
+  return change.value === null && offset <= oldestBase
+}
--- a/packages/tables/src/check/check.ts
+++ b/packages/tables/src/check/check.ts
@@ -23,7 +23,7 @@
   return [
     ...routes.flatMap((route) => checkRoute(route, pools.get(route.pool))),
     ...(scope === undefined || scope.runners ? checkRunners(tables.pools) : []),
-    ...tables.pools.filter(({ name }) => inScope(name)).flatMap((pool) => checkPool(pool, routes))
+    ...tables.pools.filter(({ name }) => inScope(name)).flatMap((pool) => [...checkAdapters(pool), ...checkMemory(pool, routes)])
   ]
 }
 
@@ -69,7 +69,13 @@
   return URL.canParse(url) ? new URL(url).href.replace(/\/+$/, '') : url
 }
 
-function checkPool (pool: Pool, routes: readonly Route[]): TableIssue[] {
+function checkAdapters (pool: Pool): TableIssue[] {
+  return pool.models
+    .filter(({ adapters }) => new Set(adapters.map(({ name }) => name)).size < adapters.length)
+    .map(({ name, version }) => ({ row: rowKey({ row: 'model', pool: pool.name, name, version }), field: 'adapters', message: 'an adapter is named twice' }))
+}
+
+function checkMemory (pool: Pool, routes: readonly Route[]): TableIssue[] {
   const needs = neededCopies(pool, routes)
   if (pool.runners.length === 0) return []
   const tooLarge = needs.filter(({ sizeMiB }) => pool.runners.every(({ memoryMiB }) => memoryMiB < sizeMiB))
--- a/packages/tables/src/check/peak.ts
+++ b/packages/tables/src/check/peak.ts
@@ -24,7 +24,9 @@
  * since the tables do not say what is resident where.
  */
 export function planPeak (before: Tables, after: Tables, pools: ReadonlySet<string>): PeakPlan {
-  const changes = [...pools].sort().map((name) => readChange(name, before, after))
+  const oldPools = indexPools(before)
+  const newPools = indexPools(after)
+  const changes = [...pools].sort().map((name) => readChange(name, { pool: oldPools.get(name), tables: before }, { pool: newPools.get(name), tables: after }))
   const tight = changes.filter((change) => !fitsSideBySide(change))
   if (tight.length === 0) return { mode: PeakMode.SideBySide, steps: [], issues: [] }
   const planner = StepwisePlanner.create(tight, successorsOf(before, after))
@@ -41,16 +43,11 @@
   newCopies: CopyNeed[]
 }
 
-function readChange (name: string, before: Tables, after: Tables): PoolChange {
-  const oldPool = indexPools(before).get(name)
-  const newPool = indexPools(after).get(name)
-  return {
-    name,
-    before: oldPool,
-    after: newPool,
-    oldCopies: oldPool === undefined ? [] : neededCopies(oldPool, before.routes),
-    newCopies: newPool === undefined ? [] : neededCopies(newPool, after.routes)
-  }
+type Side = { pool: Pool | undefined, tables: Tables }
+
+function readChange (name: string, before: Side, after: Side): PoolChange {
+  const copiesOf = ({ pool, tables }: Side): CopyNeed[] => pool === undefined ? [] : neededCopies(pool, tables.routes)
+  return { name, before: before.pool, after: after.pool, oldCopies: copiesOf(before), newCopies: copiesOf(after) }
 }
 
 /** Whether the union of old and new copies fits on the runners that stay. */
--- a/packages/tables/src/schema/rows.ts
+++ b/packages/tables/src/schema/rows.ts
@@ -1,6 +1,7 @@
 /** Schemas of the rows of both tables, for TOML files and for records of the log alike. */
 import { z } from 'zod'
 import { isHttpUrl } from '@figloom/settings'
+import type { RowChange } from '../rows/rows.js'
 import { Priority, type Adapter, type ModelRoute, type Pool, type PoolModel, type Runner, type ServiceRoute } from '../types.js'
 
 /** Name without separator characters; row keys join names by colons. */
@@ -61,6 +62,16 @@
   moveWeight: z.number().min(0, 'must be at least 0').max(1, 'must be at most 1').default(0.5)
 })
 
+const text = z.string()
+
+/** A change of a row as records of the log hold it; `value` null removes the row. */
+export const rowChangeSchema = z.discriminatedUnion('row', [
+  z.strictObject({ row: z.literal('route'), name: text, value: routeSchema.nullable() }),
+  z.strictObject({ row: z.literal('pool'), pool: text, value: poolHeadSchema.nullable() }),
+  z.strictObject({ row: z.literal('runner'), pool: text, name: text, value: runnerSchema.nullable() }),
+  z.strictObject({ row: z.literal('model'), pool: text, name: text, version: text, value: poolModelSchema.nullable() })
+]).refine(namesItsValue)
+
 const tomlRoute = z.preprocess(addKind, routeSchema)
 
 const tomlPool = z.strictObject({
@@ -81,6 +92,14 @@
   return { ...head, runners: runner, models: model }
 }
 
+/** A row's key and its value carry the same names. */
+function namesItsValue (change: RowChange): boolean {
+  if (change.value === null) return true
+  if (change.row === 'pool') return change.value.name === change.pool
+  if (change.row === 'model' && change.value.version !== change.version) return false
+  return change.value.name === change.name
+}
+
 /** A file tells routes to plain services by their key `service`. */
 function addKind (raw: unknown): unknown {
   if (typeof raw !== 'object' || raw === null || 'kind' in raw) return raw
