--- a/packages/tables/src/acceptance/fold.ts
+++ b/packages/tables/src/acceptance/fold.ts
@@ -10,10 +10,13 @@
 /** A record as the log gives it. */
 export type StreamRecord = { offset: number, body: unknown }
 
+/** An edit with its verdict. */
+export type JudgedEdit = { editId: string, verdict: Verdict }
+
 /** What came of a record. Only `applied` brings a new state. */
 export type FoldOutcome =
-  /** Read in order; edits come with their id and verdict. */
-  | { kind: 'applied', state: ConfigState, edit?: { editId: string, verdict: Verdict } }
+  /** Read in order; edits come with their id and verdict. Malformed records have no kind. */
+  | { kind: 'applied', state: ConfigState, recordKind?: RecordKind, edit?: JudgedEdit }
   /** Read before; nothing to do. */
   | { kind: 'behind' }
   /** Records between were missed: read on from `expectedOffset` or start from a snapshot. */
@@ -26,7 +29,7 @@
   if (record.offset <= state.offset) return { kind: 'behind' }
   if (record.offset > state.offset + 1) return { kind: 'gap', expectedOffset: state.offset + 1 }
   return parseConfigRecord(record.body).match(
-    (parsed) => ({ kind: 'applied', ...applyConfigRecord(state, parsed, limits) }),
+    (parsed) => ({ kind: 'applied', recordKind: parsed.kind, ...applyConfigRecord(state, parsed, limits) }),
     (fault) => foldFault(state, fault, limits)
   )
 }
@@ -36,7 +39,7 @@
   state: ConfigState,
   record: ConfigRecord,
   limits: RuleLimits = RULE_LIMITS
-): { state: ConfigState, edit?: { editId: string, verdict: Verdict } } {
+): { state: ConfigState, edit?: JudgedEdit } {
   if (record.kind === RecordKind.Snapshot) return { state: { ...state, offset: state.offset + 1 } }
   if (record.kind === RecordKind.RetiredClear) return { state: applyRetiredClear(state, record) }
   const outcome = applyEdit(state, record, limits)
@@ -64,6 +67,13 @@
   return fromStateJson(snapshot.state, { offset: snapshot.standsFor, ruleVersion: snapshot.ruleVersion })
 }
 
+/** The snapshot that a record carries, if it is one; it can stand only for what comes before itself. */
+export function snapshotIn (record: StreamRecord): SnapshotRecord | undefined {
+  const parsed = parseConfigRecord(record.body).unwrapOr(undefined)
+  if (parsed?.kind !== RecordKind.Snapshot || parsed.standsFor >= record.offset) return undefined
+  return parsed
+}
+
 /**
  * The newest snapshot from which the log can be read on: nothing that follows it may be lost to retention.
  * Candidates may come from the log and from peers.
--- a/packages/tables/src/acceptance/rule.test.ts
+++ b/packages/tables/src/acceptance/rule.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap'
 import type { PoolModel, Runner } from '../types.js'
 import type { RowChange } from '../rows/rows.js'
-import { adoptSnapshot, chooseSnapshot, createSnapshot, encodeSnapshot, foldRecord, type FoldOutcome } from './fold.js'
+import { adoptSnapshot, chooseSnapshot, createSnapshot, encodeSnapshot, foldRecord, snapshotIn, type FoldOutcome } from './fold.js'
 import type { SnapshotRecord } from './records.js'
 import { createConfigState, tablesOf, type ConfigState } from './state.js'
 
@@ -166,3 +166,10 @@
   t.equal(chooseSnapshot([at(3), at(8), at(5)], 9)?.standsFor, 8)
   t.equal(chooseSnapshot([at(3), at(8), at(5)], 10), undefined)
 })
+
+t.test('snapshot in a record stands for what comes before it', async (t) => {
+  const body = createSnapshot(started().state)
+  t.equal(snapshotIn({ offset: 2, body })?.standsFor, 1)
+  t.equal(snapshotIn({ offset: 1, body }), undefined)
+  t.equal(snapshotIn({ offset: 2, body: { kind: 'edit' } }), undefined)
+})
