--- /dev/null
+++ b/packages/cli/src/commands/check.ts
@@ -0,0 +1,18 @@
+import { checkTables, type ParsedTables } from '@figloom/tables'
+import { ExitCode } from '../exit-codes.js'
+import { reportIssues, type Report } from '../output/report.js'
+import { holdsBothTables, readTables } from './tables-files.js'
+
+/** `figloom check FILE…`: parses and checks files without touching the log. */
+export async function check (paths: readonly string[]): Promise<Report> {
+  return readTables(paths).match(checkJoined, reportIssues)
+}
+
+function checkJoined ({ tables, locate }: ParsedTables): Report {
+  const joined = holdsBothTables(tables)
+  const issues = joined ? checkTables(tables).map(locate) : []
+  if (issues.length > 0) return reportIssues(issues)
+  const counts = { routes: tables.routes.length, pools: tables.pools.length, joined }
+  const note = joined ? '' : '; only one of the tables was given, so the joined check was not made'
+  return { exitCode: ExitCode.Done, json: { outcome: 'ok', ...counts }, lines: [`ok: ${counts.routes} routes, ${counts.pools} pools${note}`] }
+}
--- /dev/null
+++ b/packages/cli/src/commands/drain.ts
@@ -0,0 +1,22 @@
+import { PROTOCOL_VERSION, type DrainResponse } from '@figloom/protocol'
+import type { ClientSettings } from '@figloom/settings'
+import type { Environment } from '../environment.js'
+import { ExitCode } from '../exit-codes.js'
+import { reportFailure, type Report } from '../output/report.js'
+import { askDaemon } from '../platform/daemons.js'
+
+/** `figloom drain HOST|RUNNER`: stops new work there. Repeats change nothing. */
+export async function drain (environment: Environment, settings: ClientSettings, target: string): Promise<Report> {
+  const answer = await askDaemon(environment, settings.daemon, (daemon, options) => daemon.drain({ protocolVersion: PROTOCOL_VERSION, target }, options))
+  return answer.match((response) => reportDrain(target, response), (failure) => reportFailure(failure))
+}
+
+function reportDrain (target: string, { resultCode, message }: DrainResponse): Report {
+  const done = resultCode === 0
+  const note = message === '' ? '' : `: ${message}`
+  return {
+    exitCode: done ? ExitCode.Done : ExitCode.Invalid,
+    json: { outcome: done ? 'draining' : 'refused', target, resultCode, message },
+    lines: [done ? `${target} takes no new work${note}` : `${target} is not drained (code ${resultCode})${note}`]
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/wait-in-force.ts
@@ -0,0 +1,34 @@
+import type { StatusResponse } from '@figloom/protocol'
+import { PROTOCOL_VERSION } from '@figloom/protocol'
+import type { ClientSettings } from '@figloom/settings'
+import type { Environment } from '../environment.js'
+import { ExitCode } from '../exit-codes.js'
+import type { Report } from '../output/report.js'
+import { askDaemon } from '../platform/daemons.js'
+
+/** Waits until every live host has a version in force; `accepted` is the report until then. */
+export async function waitInForce (environment: Environment, settings: ClientSettings['daemon'], version: number, accepted: Report): Promise<Report> {
+  const { clock, signal } = environment
+  const startedMs = clock.monotonicMs()
+  for (;;) {
+    const status = await askDaemon(environment, settings, (daemon, options) => daemon.getStatus({ protocolVersion: PROTOCOL_VERSION }, options))
+    const behind = status.isOk() ? hostsBehind(status.value, version) : undefined
+    const elapsedMs = Math.round(clock.monotonicMs() - startedMs)
+    if (behind?.length === 0) return extend(accepted, ExitCode.Done, { inForce: true, elapsedMs }, `in force on every host after ${elapsedMs} ms`)
+    if (signal.aborted || elapsedMs + settings.pollMs > settings.inForceTimeoutMs) {
+      const missing = behind === undefined ? 'no daemon answered' : `missing on ${behind.join(', ')}`
+      return extend(accepted, ExitCode.NotInForce, { inForce: false, elapsedMs, hostsBehind: behind ?? [] }, `not yet in force everywhere: ${missing}`)
+    }
+    await clock.sleep(settings.pollMs, signal)
+  }
+}
+
+/** Hosts that serve and have an older version; the silent and the leaving ones are not waited for. */
+function hostsBehind (status: StatusResponse, version: number): string[] {
+  const peers = status.peers.filter(({ live, leaving }) => live && !leaving)
+  return [status, ...peers].filter(({ configVersion }) => configVersion < version).map(({ host }) => host)
+}
+
+function extend (report: Report, exitCode: ExitCode, json: object, line: string): Report {
+  return { exitCode, json: { ...report.json as object, ...json }, lines: [...report.lines, line] }
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,6 @@
 /** figloom: the command line for operators. */
-export {}
+export * from './app.js'
+export * from './environment.js'
+export * from './exit-codes.js'
+export { Output, type Report } from './output/report.js'
+export { readConfig, readOn, type ConfigView } from './platform/config-reader.js'
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,34 @@
+#!/usr/bin/env node
+/** `figloom`: the program. */
+import { createClient } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { HttpLogClient } from '@figloom/platform'
+import { InnerService } from '@figloom/protocol'
+import { RandomIdSource, SystemClock } from '@figloom/runtime'
+import { runFigloom } from './app.js'
+import { Output } from './output/report.js'
+
+class ConsoleOutput extends Output {
+  override write (line: string): void {
+    process.stdout.write(`${line}\n`)
+  }
+
+  override writeError (line: string): void {
+    process.stderr.write(`${line}\n`)
+  }
+}
+
+const abort = new AbortController()
+const clock = SystemClock.create()
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => abort.abort())
+
+const exitCode = await runFigloom(process.argv.slice(2), {
+  clock,
+  ids: RandomIdSource.create(),
+  output: new ConsoleOutput(),
+  createLog: ({ url, timeoutMs }) => HttpLogClient.create({ url, clock, timeoutMs }),
+  createDaemon: (operatorUrl) => createClient(InnerService, createConnectTransport({ baseUrl: operatorUrl, httpVersion: '2' })),
+  signal: abort.signal
+})
+// Kept connections would hold the process.
+process.exit(exitCode)
--- /dev/null
+++ b/packages/cli/src/platform/config-reader.ts
@@ -0,0 +1,69 @@
+/** Reads the configuration from the log, as a host does that starts empty. */
+import { err, ok, ResultAsync, type Result } from 'neverthrow'
+import type { LogClient, LogRecord } from '@figloom/platform'
+import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
+import { adoptSnapshot, chooseSnapshot, createConfigState, foldRecord, snapshotIn, type ConfigState, type SnapshotRecord } from '@figloom/tables'
+
+/** The state at the end of the stream, and at an earlier offset if that was asked for and is still known. */
+export type ConfigView = { state: ConfigState, atBase: ConfigState | undefined }
+
+/**
+ * Reads the stream to its end. `baseOffset` asks for the state at that offset as well. Errors: `LogUnavailable`;
+ * `LogTruncated` if the log keeps no snapshot to start from; `PeerVersion` if a record needs a newer release.
+ */
+export function readConfig (log: LogClient, stream: string, baseOffset?: number): ResultAsync<ConfigView, Failure> {
+  return new ResultAsync(readFromStart(log, stream, baseOffset))
+}
+
+/** Reads on from a state to the end of the stream. Errors as `readConfig`; `LogTruncated` if records in between are lost. */
+export function readOn (log: LogClient, stream: string, state: ConfigState): ResultAsync<ConfigState, Failure> {
+  return new ResultAsync(readRecords(log, stream, state.offset + 1, Infinity))
+    .andThen((records) => foldRecords(state, records, undefined))
+    .map((view) => view.state)
+}
+
+async function readFromStart (log: LogClient, stream: string, baseOffset?: number): Promise<Result<ConfigView, Failure>> {
+  const bounds = await log.read(stream, { from: Number.MAX_SAFE_INTEGER, limit: 1 })
+  if (bounds.isErr()) return err(bounds.error)
+  const { firstOffset, nextOffset } = bounds.value
+  const records = await readRecords(log, stream, firstOffset, nextOffset)
+  if (records.isErr()) return err(records.error)
+  const start = findStart(records.value, firstOffset, baseOffset)
+  if (start === undefined) return err(createFailure(ResultCode.LogTruncated, `the log keeps nothing before offset ${firstOffset} and no snapshot to start from`))
+  return foldRecords(start, records.value, baseOffset)
+}
+
+async function readRecords (log: LogClient, stream: string, from: number, end: number): Promise<Result<LogRecord[], Failure>> {
+  const records: LogRecord[] = []
+  for (let next = from; next < end;) {
+    const page = await log.read(stream, { from: next })
+    if (page.isErr()) return err(page.error)
+    if (page.value.records.length === 0) break
+    records.push(...page.value.records)
+    next += page.value.records.length
+  }
+  return ok(records)
+}
+
+/** The empty state if the stream is whole, else the newest snapshot, or the newest that is not after the base. */
+function findStart (records: readonly LogRecord[], firstOffset: number, baseOffset: number | undefined): ConfigState | undefined {
+  if (firstOffset === 1) return createConfigState()
+  const snapshots = records.flatMap((record) => snapshotIn(record) ?? [])
+  const beforeBase = snapshots.filter(({ standsFor }) => baseOffset === undefined || standsFor <= baseOffset)
+  const best: SnapshotRecord | undefined = chooseSnapshot(beforeBase, firstOffset) ?? chooseSnapshot(snapshots, firstOffset)
+  return best === undefined ? undefined : adoptSnapshot(createConfigState(), best)
+}
+
+function foldRecords (start: ConfigState, records: readonly LogRecord[], baseOffset: number | undefined): Result<ConfigView, Failure> {
+  let state = start
+  let atBase = state.offset === baseOffset ? state : undefined
+  for (const record of records) {
+    const outcome = foldRecord(state, record)
+    if (outcome.kind === 'behind') continue
+    if (outcome.kind === 'unknown-rule') return err(createFailure(ResultCode.PeerVersion, `the record at offset ${record.offset} needs a newer release of figloom`))
+    if (outcome.kind === 'gap') return err(createFailure(ResultCode.LogTruncated, `the log has no record at offset ${outcome.expectedOffset}`))
+    state = outcome.state
+    if (state.offset === baseOffset) atBase = state
+  }
+  return ok({ state, atBase })
+}
--- a/packages/settings/src/toml/positions.ts
+++ b/packages/settings/src/toml/positions.ts
@@ -58,10 +58,14 @@
     }
   }
 
+  /** Adds a path, and the tables and arrays around it that begin here. */
   #add (path: KeyPath, node: { loc: AST.SourceLocation }): void {
-    const key = toIndexKey(path)
-    if (this.#positions.has(key)) return
-    this.#positions.set(key, { line: node.loc.start.line, column: node.loc.start.column + 1 })
+    const position = { line: node.loc.start.line, column: node.loc.start.column + 1 }
+    for (let length = path.length; length > 0; length -= 1) {
+      const key = toIndexKey(path.slice(0, length))
+      if (this.#positions.has(key)) return
+      this.#positions.set(key, position)
+    }
   }
 }
 
--- a/packages/settings/src/toml/read.test.ts
+++ b/packages/settings/src/toml/read.test.ts
@@ -31,6 +31,10 @@
   t.same(messages('waitMs = 1\nitem = [{ name = "a" }, { name = 3 }]'), ['a.toml:2:27: item[1].name: expected string, got number 3'])
 })
 
+t.test('unknown tables', async (t) => {
+  t.same(messages('waitMs = 1\n[[items]]\nname = "a"\n[a.b]\nc = 1\n'), ['a.toml:2:3: items: unknown key', 'a.toml:4:2: a: unknown key'])
+})
+
 t.test('all syntax errors at once', async (t) => {
   t.same(messages('waitMs = \nwaitMs = 5 5\n[[item]]\nname = "a\n').map((line) => line.replace(/syntax: .*/, 'syntax')), [
     'a.toml:1:9: syntax', 'a.toml:2:12: syntax', 'a.toml:4:10: syntax'
