--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,4 +1,5 @@
 /** Settings files in TOML and their schemas. */
+export { renderSettingsPage } from './docs/settings-page.js'
 export * from './toml/issue.js'
 export type { PathIssue } from './toml/messages.js'
 export * from './toml/read.js'
--- a/packages/settings/src/schema/describe.ts
+++ b/packages/settings/src/schema/describe.ts
@@ -45,6 +45,7 @@
 function typeOf (field: z.ZodType): string {
   if (field instanceof z.ZodEnum) return field.options.map((option) => JSON.stringify(option)).join(' or ')
   if (field instanceof z.ZodNumber) return field.format === 'safeint' ? 'integer' : 'number'
+  if (field instanceof z.ZodArray) return `array of ${typeOf(field.element as z.ZodType)}`
   return field.type
 }
 
