--- /dev/null
+++ b/packages/control/src/claims/app.ts
@@ -0,0 +1,11 @@
+/** Claims of idempotency keys: what the daemon wires together. */
+export * from './types.js'
+export * from './limits.js'
+export * from './gateways.js'
+export * from './claim-streams.js'
+export * from './key-claims.js'
+export { streamIndexOf } from './keys.js'
+export { Attempt, type ServiceAnswer } from './attempt.js'
+export { ClaimState, applyClaimRecord, type ClaimStep, type JudgedClaim } from './claim-state.js'
+export { ClaimStream } from './claim-stream.js'
+export type { ClaimStreamOptions } from './claim-stream-types.js'
