Add figloom-load

It sends a seeded load as callers do: lookup, kept for its time to live, then straight to the host named, and once to the next host if the first certainly did not run the request. Answers are checked against the deterministic tokens of the engine stand-in.

--- /dev/null
+++ b/packages/load/src/main.test.ts
@@ -0,0 +1,39 @@
+import t from 'tap'
+import { execFile } from 'node:child_process'
+import { writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { SystemClock } from '@figloom/runtime'
+import { startStandins } from '@figloom/standin'
+
+const program = fileURLToPath(new URL('./main.js', import.meta.url))
+
+function run (...args: string[]): Promise<{ code: number, stdout: string, stderr: string }> {
+  return new Promise((resolve) => {
+    execFile(process.execPath, [program, ...args], (error, stdout, stderr) => resolve({ code: Number(error?.code ?? 0), stdout, stderr }))
+  })
+}
+
+t.test('sends a file\'s load, flags over it, and reports as JSON', async (t) => {
+  const copies = [{ model: 'mesa-8b', version: '1', weightsMiB: 1, kvReserveMiB: 1 }]
+  const standins = await startStandins({ standin: [{ kind: 'engine', name: 'r1', tokenMs: 0, copies }] }, SystemClock.create())
+  t.teardown(() => standins.close())
+  const file = join(t.testdir({}), 'load.toml')
+  await writeFile(file, `seed = 4\nmaxRequests = 50\n[[route]]\nname = "menus"\nrequestsPerSecond = 100\ndirect = { url = "${standins.urlOf('r1')}", model = "mesa-8b" }\n`)
+  const { code, stdout } = await run('--settings', file, '--max-requests', '3', '--json')
+  t.equal(code, 0)
+  t.match(JSON.parse(stdout), { seed: 4, planned: 3, total: { answered: 3 } })
+  const text = await run('--settings', file, '--max-requests', '2')
+  t.match(text.stdout, /^menus: 2 of 2 answered/)
+})
+
+t.test('refuses addresses of other hosts', async (t) => {
+  const { code, stderr } = await run('--entry', 'http://192.0.2.1:80', '--route', 'menus')
+  t.equal(code, 1)
+  t.match(stderr, /entries\.0: must be a loopback http URL/)
+})
+
+t.test('exit codes for no load and no answer', async (t) => {
+  t.equal((await run()).code, 2)
+  t.equal((await run('--entry', 'http://127.0.0.1:1', '--route', 'menus', '--max-requests', '1', '--rate', '100')).code, 4)
+})
--- /dev/null
+++ b/packages/load/src/report/stats.ts
@@ -0,0 +1,49 @@
+import { z } from 'zod'
+import type { JsonHttp } from '@figloom/platform'
+import type { MovesReport } from './types.js'
+
+const countSchema = z.number().int().nonnegative()
+const serviceSchema = z.object({ ranTwice: countSchema, runs: z.record(z.string(), countSchema) })
+const engineSchema = z.object({
+  loads: countSchema,
+  unloads: countSchema,
+  roleChanges: countSchema,
+  adapterLoads: countSchema,
+  adapterUnloads: countSchema,
+  overcommitCount: countSchema,
+  startedTwice: countSchema
+})
+
+/** Figures of a service stand-in. */
+export type ServiceStats = z.infer<typeof serviceSchema>
+/** Figures of an engine stand-in. */
+export type EngineStats = z.infer<typeof engineSchema>
+
+/** Reads the figures of a service stand-in; undefined if it does not answer. */
+export function readServiceStats (http: JsonHttp, url: string, timeoutMs: number): Promise<ServiceStats | undefined> {
+  return readStats(http, url, timeoutMs, serviceSchema)
+}
+
+/** Reads the figures of an engine stand-in; undefined if it does not answer. */
+export function readEngineStats (http: JsonHttp, url: string, timeoutMs: number): Promise<EngineStats | undefined> {
+  return readStats(http, url, timeoutMs, engineSchema)
+}
+
+/** Sums what engines did between two readings. */
+export function sumMoves (pairs: { before: EngineStats, after: EngineStats }[]): MovesReport {
+  const sum = (name: keyof EngineStats) => pairs.reduce((total, { before, after }) => total + after[name] - before[name], 0)
+  return {
+    loads: sum('loads'),
+    unloads: sum('unloads'),
+    roleChanges: sum('roleChanges'),
+    adapterLoads: sum('adapterLoads'),
+    adapterUnloads: sum('adapterUnloads'),
+    overcommits: sum('overcommitCount'),
+    startedTwice: sum('startedTwice')
+  }
+}
+
+async function readStats<T> (http: JsonHttp, url: string, timeoutMs: number, schema: z.ZodType<T>): Promise<T | undefined> {
+  const answer = await http.send({ method: 'GET', url: `${url.replace(/\/$/, '')}/stats`, timeoutMs })
+  return answer.isOk() ? schema.safeParse(answer.value.body).data : undefined
+}
