Test the guards of figloom-load

Each was taken out and its test seen failing: loopback addresses in settings and in lookup answers, moving on only after ran=no, partial and foreign answers whole and streamed, an error before [DONE], a stream without end, the echo of another call, concurrency, abort, the bound on requests, runs after a refusal and the exit code for a broken promise.

--- a/packages/load/src/main.test.ts
+++ b/packages/load/src/main.test.ts
@@ -25,10 +25,13 @@
   t.match(JSON.parse(stdout), { seed: 4, planned: 3, total: { answered: 3 } })
   const text = await run('--settings', file, '--max-requests', '2')
   t.match(text.stdout, /^menus: 2 of 2 answered/)
+  const engine = standins.standins[0]?.core
+  if (engine?.kind === 'engine') engine.engine.setFaults({ crossAnswers: 1 })
+  t.equal((await run('--settings', file, '--max-requests', '2')).code, 3)
 })
 
 t.test('refuses addresses of other hosts', async (t) => {
-  const { code, stderr } = await run('--entry', 'http://192.0.2.1:80', '--route', 'menus')
+  const { code, stderr } = await run('--entry', 'http://0.0.0.0:1', '--route', 'menus')
   t.equal(code, 1)
   t.match(stderr, /entries\.0: must be a loopback http URL/)
 })
--- a/packages/load/src/plan/plan.test.ts
+++ b/packages/load/src/plan/plan.test.ts
@@ -18,7 +18,7 @@
   t.equal(new Set(planned.map(({ id }) => id)).size, planned.length)
   t.equal(new Set(planned.map(({ prompt }) => prompt)).size, planned.length)
   t.ok(planned.every(({ prompt, atMs }) => prompt.length === 200 && atMs < 10_000))
-  t.equal(plan({ maxRequests: 5 }).length, 5)
+  t.equal(plan({ maxRequests: 5, route: [{ name: 'a', requestsPerSecond: 9 }, { name: 'b', requestsPerSecond: 9 }] }).length, 5)
 })
 
 t.test('uniform and burst arrivals', async (t) => {
--- a/packages/load/src/run/run-load.test.ts
+++ b/packages/load/src/run/run-load.test.ts
@@ -104,6 +104,7 @@
     ['whole', false, (body) => JSON.stringify({ choices: [{ message: { content: answerText(prompt(body), 3) } }] }), { partial: 1 }],
     ['stream', true, (body) => `${chunk(answerText(prompt(body), 3))}data: [DONE]\n\n`, { partial: 1 }],
     ['error event', true, (body) => chunk(answerText(prompt(body), 3)) + error, { partial: 0, refusals: { '3004 answer_incomplete ran=unknown': 1 } }],
+    ['error event and end', true, (body) => `${chunk(answerText(prompt(body), 4))}${error}data: [DONE]\n\n`, { refusals: { '3004 answer_incomplete ran=unknown': 1 } }],
     ['no end', true, (body) => chunk(answerText(prompt(body), 4)), { partial: 0, failures: { 'stream ended without [DONE]': 1 } }],
     ['other and no end', true, () => chunk('other '), { foreign: 1 }]
   ]
@@ -114,6 +115,16 @@
   }
 })
 
+t.test('an echo of another call is foreign', async (t) => {
+  const { load } = await startSystem(t)
+  const url = await startServer(t, (body, res, req) => res.end(JSON.stringify({ key: req.headers['idempotency-key'], body: { ...JSON.parse(body), id: 'other' } })))
+  const keyless = await startServer(t, (body, res) => res.end(JSON.stringify({ body: JSON.parse(body) })))
+  for (const one of [url, keyless]) {
+    const route = { ...bookingRoute, direct: { url: one, model: 'none' } }
+    t.match((await load({ route: [route], maxRequests: 1 })).total, { answered: 0, foreign: 1 })
+  }
+})
+
 t.test('double runs are counted', async (t) => {
   const { load, service } = await startSystem(t)
   const once = await load({ route: [bookingRoute] })
@@ -144,7 +155,7 @@
 })
 
 t.test('addresses that are not loopback are not used', async (t) => {
-  const { load } = await startSystem(t, () => ['http://192.0.2.1:80'])
+  const { load } = await startSystem(t, () => ['http://0.0.0.0:1'])
   const report = await load({ maxRequests: 2 })
   t.equal(report.total.failures['no address from lookup'], 2)
   t.ok(report.lookups.remoteAddresses > 0)
