Hash each prompt once for the stand-in's tokens

The token of an index now hangs on a hash of the prompt in place of the whole prompt, which cost time in proportion to prompt × tokens on both sides.

--- a/packages/standin/src/engine/engine-attempts.ts
+++ b/packages/standin/src/engine/engine-attempts.ts
@@ -2,12 +2,19 @@
 import { copyKey, type EngineMemory } from './engine-memory.js'
 import type { Gate } from './gate.js'
 import { PREFIX_CHARACTERS, type PrefixCache } from './prefix-cache.js'
-import { tokenAt } from './tokens.js'
+import { tokensOf } from './tokens.js'
 import type { EngineConfig, GenerateRequest, GenerateSink } from './types.js'
 
 type FinalState = 'finished' | 'stopped' | 'not-started'
 type AttemptState = 'queued' | 'running' | FinalState
-type Attempt = { request: GenerateRequest, sink: GenerateSink, key: string, state: AttemptState, timer?: Timer }
+type Attempt = {
+  request: GenerateRequest
+  sink: GenerateSink
+  key: string
+  state: AttemptState
+  tokenOf: (index: number) => string
+  timer?: Timer
+}
 
 /** Answer to a cancel. */
 export type CancelOutcome = 'not-started' | 'stopped' | 'finished' | 'unknown'
@@ -69,7 +76,7 @@
       this.counts.refused += 1
       return 'not-resident'
     }
-    const attempt: Attempt = { request, sink, key: copyKey(copy.model, copy.version), state: 'queued' }
+    const attempt: Attempt = { request, sink, key: copyKey(copy.model, copy.version), state: 'queued', tokenOf: tokensOf(request.prompt) }
     this.#remember(request.attemptId, attempt)
     this.#queue.push(attempt)
     this.#startNext()
@@ -164,8 +171,8 @@
 
   #emit (attempt: Attempt, index: number): void {
     if (attempt.state !== 'running') return
-    const { prompt, maxTokens } = attempt.request
-    if (index < maxTokens) attempt.sink.onToken(index, tokenAt(prompt, index))
+    const { maxTokens } = attempt.request
+    if (index < maxTokens) attempt.sink.onToken(index, attempt.tokenOf(index))
     if (index + 1 >= maxTokens) this.#finish(attempt, 'finished')
     else this.#schedule(attempt, index + 1, this.config.tokenMs)
   }
--- a/packages/standin/src/engine/tokens.ts
+++ b/packages/standin/src/engine/tokens.ts
@@ -17,15 +17,22 @@
   return messages.map(({ role, content }) => `${role}: ${content}`).join('\n')
 }
 
+/** Returns the function that gives token number `index`, from 0, of the answer to a prompt. */
+export function tokensOf (prompt: string): (index: number) => string {
+  const promptHash = hashText(prompt)
+  return (index) => hashText(`${promptHash}:${index}`) + ' '
+}
+
 /** Returns token number `index`, from 0, of the answer to a prompt. */
 export function tokenAt (prompt: string, index: number): string {
-  return hashText(`${index}:${prompt}`) + ' '
+  return tokensOf(prompt)(index)
 }
 
 /** Returns the tokens `from` (included) to `to` (excluded) of an answer as one text. */
 export function answerText (prompt: string, to: number, from = 0): string {
+  const tokenOf = tokensOf(prompt)
   let text = ''
-  for (let index = from; index < to; index += 1) text += tokenAt(prompt, index)
+  for (let index = from; index < to; index += 1) text += tokenOf(index)
   return text
 }
 
