--- a/packages/load/src/main.test.ts
+++ b/packages/load/src/cli.test.ts
@@ -1,17 +1,19 @@
 import t from 'tap'
-import { execFile } from 'node:child_process'
 import { writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
-import { fileURLToPath } from 'node:url'
 import { SystemClock } from '@figloom/runtime'
 import { startStandins } from '@figloom/standin'
+import { runCli } from './cli.js'
 
-const program = fileURLToPath(new URL('./main.js', import.meta.url))
-
-function run (...args: string[]): Promise<{ code: number, stdout: string, stderr: string }> {
-  return new Promise((resolve) => {
-    execFile(process.execPath, [program, ...args], (error, stdout, stderr) => resolve({ code: Number(error?.code ?? 0), stdout, stderr }))
+async function run (...argv: string[]): Promise<{ code: number, stdout: string, stderr: string }> {
+  const written = { stdout: '', stderr: '' }
+  const code = await runCli(argv, {
+    clock: SystemClock.create(),
+    stdout: (text) => { written.stdout += text },
+    stderr: (text) => { written.stderr += text },
+    signal: new AbortController().signal
   })
+  return { code, ...written }
 }
 
 t.test('sends a file\'s load, flags over it, and reports as JSON', async (t) => {
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -16,6 +16,7 @@
   Prints {"listening":[{"name","kind","url"}]} once every stand-in listens.
 `, {
   importMeta: import.meta,
+  allowUnknownFlags: false,
   flags: { settings: { type: 'string', shortFlag: 's' } }
 })
 
