--- a/packages/control/src/config/app.ts
+++ b/packages/control/src/config/app.ts
@@ -2,4 +2,5 @@
 export * from './types.js'
 export * from './config-follower.js'
 export * from './publish.js'
+export * from './tables-rule.js'
 export { snapshotDelayMs, type SnapshotScheduleOptions } from './snapshot-schedule.js'
--- a/packages/control/src/config/config-follower.test.ts
+++ b/packages/control/src/config/config-follower.test.ts
@@ -34,8 +34,8 @@
     await clock.advance(0)
     return result
   }
-  const publish = (follower: ConfigFollower<CountingState>, recordId: string, base: number) =>
-    publishEdit({ log, clock, follower, recordId, body: { rule: 1, base, value: recordId }, timeoutMs: 2000 })
+  const publish = (follower: ConfigFollower<CountingState>, editId: string, base: number) =>
+    publishEdit({ log, clock, follower, editId, body: { rule: 1, base, value: editId }, timeoutMs: 2000 })
   return { clock, log, seen, startHost, edit, publish }
 }
 
--- a/packages/control/src/config/config-follower.ts
+++ b/packages/control/src/config/config-follower.ts
@@ -6,15 +6,12 @@
 import { findStart } from './start.js'
 import {
   ConfigVerdict, FollowerStatus,
-  type ConfigListener, type ConfigRule, type FollowerReport, type JudgedRecord, type SnapshotSource
+  type ConfigListener, type ConfigRule, type FollowerReport, type JudgedEdit, type SnapshotSource
 } from './types.js'
 
 /** Stream that operators publish to. */
 export const CONFIG_STREAM = 'config'
 
-/** Number of verdicts that a follower keeps for authors who ask later. */
-const KEPT_VERDICTS = 1000
-
 export type ConfigFollowerOptions<State> = {
   log: LogClient
   clock: Clock
@@ -40,8 +37,7 @@
 /** Task that keeps a host's configuration current. */
 export class ConfigFollower<State> extends Task<Message> {
   readonly #listeners = new Set<ConfigListener<State>>()
-  readonly #verdicts = new Map<string, JudgedRecord>()
-  readonly #verdictWaiters = new Set<() => void>()
+  readonly #readWaiters = new Set<() => void>()
   readonly #follower: StreamFollower
   readonly #schedule: SnapshotSchedule
   #state: State | undefined
@@ -112,15 +108,15 @@
     return () => { this.#listeners.delete(listener) }
   }
 
-  /** Verdict on a record by its id, once it was read. */
-  verdictOf (recordId: string): JudgedRecord | undefined {
-    return this.#verdicts.get(recordId)
+  /** Verdict on an edit, once it was read by this host or by the one whose snapshot this host took. */
+  verdictOf (editId: string): JudgedEdit | undefined {
+    return this.#state === undefined ? undefined : this.options.rule.judgedEdit(this.#state, editId)
   }
 
-  /** Calls `wake` after each judged record; returns what ends that. */
-  onVerdict (wake: () => void): () => void {
-    this.#verdictWaiters.add(wake)
-    return () => { this.#verdictWaiters.delete(wake) }
+  /** Calls `wake` after each record read; returns what ends that. */
+  onRead (wake: () => void): () => void {
+    this.#readWaiters.add(wake)
+    return () => { this.#readWaiters.delete(wake) }
   }
 
   protected override async handle (message: Message): Promise<void> {
@@ -165,7 +161,6 @@
     if (record.offset !== this.#offset() + 1) return record.offset <= this.#offset()
     const before = this.#state ?? rule.empty()
     const step = rule.apply(before, record)
-    this.#judge(record, step.verdict, step.detail)
     if (step.verdict === ConfigVerdict.UnknownRule) {
       logger.error('configuration needs a newer release; keeping the version in force', { offset: record.offset })
       this.#setStatus(FollowerStatus.UnknownRule)
@@ -173,8 +168,9 @@
       this.#follower.stop()
       return false
     }
-    if (step.verdict === ConfigVerdict.Snapshot) this.#schedule.restart()
+    if (rule.stateInRecord(record) !== undefined) this.#schedule.restart()
     this.#state = step.state
+    for (const wake of [...this.#readWaiters]) wake()
     if (rule.versionOf(step.state) !== rule.versionOf(before)) this.#publish()
     return true
   }
@@ -208,21 +204,12 @@
     listener(state, this.options.rule.versionOf(state))
   }
 
-  #judge (record: LogRecord, verdict: ConfigVerdict, detail: unknown): void {
-    if (!this.#verdicts.has(record.recordId)) {
-      this.#verdicts.set(record.recordId, { offset: record.offset, recordId: record.recordId, verdict, detail })
-    }
-    const oldest = this.#verdicts.keys().next()
-    if (this.#verdicts.size > KEPT_VERDICTS && oldest.done !== true) this.#verdicts.delete(oldest.value)
-    for (const wake of [...this.#verdictWaiters]) wake()
-  }
-
   async #appendSnapshot (): Promise<void> {
-    const { log, rule, snapshots } = this.options
+    const { log, rule } = this.options
     this.#schedule.restart()
     if (!this.#serving || this.#state === undefined || this.#offset() === 0 || this.#status !== FollowerStatus.Following) return
-    const recordId = `config-snapshot-${snapshots.host}-${this.#offset()}`
-    const result = await log.append(CONFIG_STREAM, recordId, rule.snapshotRecord(this.#state))
+    const { recordId, body } = rule.snapshotRecord(this.#state)
+    const result = await log.append(CONFIG_STREAM, recordId, body)
     if (result.isErr()) this.options.logger.warn('configuration snapshot was not written', { reason: result.error.message })
   }
 
--- a/packages/control/src/config/publish.ts
+++ b/packages/control/src/config/publish.ts
@@ -3,14 +3,14 @@
 import { createFailure, ResultCode, type Clock, type Failure } from '@figloom/runtime'
 import type { LogClient } from '@figloom/platform'
 import { CONFIG_STREAM, type ConfigFollower } from './config-follower.js'
-import type { JudgedRecord } from './types.js'
+import type { JudgedEdit } from './types.js'
 
 export type PublishOptions<State> = {
   log: LogClient
   clock: Clock
   follower: ConfigFollower<State>
-  /** Same for each repeat of the same edit. */
-  recordId: string
+  /** Same for each repeat of the same edit; also the id of its record. */
+  editId: string
   body: unknown
   /** Longest wait for the verdict, in milliseconds. */
   timeoutMs: number
@@ -22,38 +22,38 @@
  * Appends the edit, again under the same id while its fate is unknown, until the verdict was read back.
  * Errors: `LogUnavailable` with `ran` `no` when nothing was ever sent, else `unknown`: safe to repeat under the same id.
  */
-export function publishEdit<State> (options: PublishOptions<State>): ResultAsync<JudgedRecord, Failure> {
+export function publishEdit<State> (options: PublishOptions<State>): ResultAsync<JudgedEdit, Failure> {
   if (options.follower.current() === undefined) {
     return errAsync(createFailure(ResultCode.NotReady, 'this host follows no configuration yet', { retryAfterMs: RETRY_MS }))
   }
   return new ResultAsync(publish(options))
 }
 
-async function publish<State> (options: PublishOptions<State>): Promise<Result<JudgedRecord, Failure>> {
-  const { log, clock, follower, recordId, body, timeoutMs } = options
+async function publish<State> (options: PublishOptions<State>): Promise<Result<JudgedEdit, Failure>> {
+  const { log, clock, follower, editId, body, timeoutMs } = options
   const deadlineMs = clock.monotonicMs() + timeoutMs
   let appended = false
   let uncertain = false
   while (clock.monotonicMs() < deadlineMs) {
-    const judged = follower.verdictOf(recordId)
+    const judged = follower.verdictOf(editId)
     if (judged !== undefined) return ok(judged)
     if (!appended) {
-      const result = await log.append(CONFIG_STREAM, recordId, body)
+      const result = await log.append(CONFIG_STREAM, editId, body)
       appended = result.isOk()
       uncertain ||= result.isOk() || result.error.ran !== 'no'
     }
     await verdictOrDelay(options, Math.min(RETRY_MS, deadlineMs - clock.monotonicMs()))
   }
-  const judged = follower.verdictOf(recordId)
+  const judged = follower.verdictOf(editId)
   if (judged !== undefined) return ok(judged)
   const ran = uncertain ? 'unknown' : 'no'
   return err(createFailure(ResultCode.LogUnavailable, 'the verdict on the edit was not read back', { ran }))
 }
 
-async function verdictOrDelay<State> ({ clock, follower, recordId }: PublishOptions<State>, delayMs: number): Promise<void> {
-  if (follower.verdictOf(recordId) !== undefined) return
+async function verdictOrDelay<State> ({ clock, follower, editId }: PublishOptions<State>, delayMs: number): Promise<void> {
+  if (follower.verdictOf(editId) !== undefined) return
   const abort = new AbortController()
-  const release = follower.onVerdict(() => { if (follower.verdictOf(recordId) !== undefined) abort.abort() })
+  const release = follower.onRead(() => { if (follower.verdictOf(editId) !== undefined) abort.abort() })
   await clock.sleep(delayMs, abort.signal)
   release()
 }
--- /dev/null
+++ b/packages/control/src/config/tables-rule.ts
@@ -0,0 +1,67 @@
+/** The acceptance rule of the tables, as the follower runs it. */
+import { err, ok, type Result } from 'neverthrow'
+import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
+import type { LogRecord } from '@figloom/platform'
+import {
+  adoptSnapshot, createConfigState, createSnapshot, foldRecord, parseConfigRecord, RecordKind, snapshotRecordId,
+  type ConfigState
+} from '@figloom/tables'
+import { ConfigRule, ConfigVerdict, type ConfigStep, type JudgedEdit } from './types.js'
+
+/** Runs the fold of the tables package. */
+export class TablesRule extends ConfigRule<ConfigState> {
+  private constructor () {
+    super()
+  }
+
+  static create (): TablesRule {
+    return new TablesRule()
+  }
+
+  override empty (): ConfigState {
+    return createConfigState()
+  }
+
+  override apply (state: ConfigState, record: LogRecord): ConfigStep<ConfigState> {
+    const outcome = foldRecord(state, record)
+    if (outcome.kind === 'unknown-rule') return { state, verdict: ConfigVerdict.UnknownRule }
+    if (outcome.kind !== 'applied') return { state, verdict: ConfigVerdict.None }
+    return { state: outcome.state, verdict: outcome.edit?.verdict.kind ?? ConfigVerdict.None }
+  }
+
+  override offsetOf (state: ConfigState): number {
+    return state.offset
+  }
+
+  override versionOf (state: ConfigState): number {
+    return state.version
+  }
+
+  override judgedEdit (state: ConfigState, editId: string): JudgedEdit | undefined {
+    const known = state.edits.get(editId)
+    return known === undefined ? undefined : { editId, offset: known.offset, verdict: known.verdict.kind, detail: known.verdict }
+  }
+
+  override toSnapshot (state: ConfigState): unknown {
+    return createSnapshot(state)
+  }
+
+  override fromSnapshot (snapshot: unknown): Result<ConfigState, Failure> {
+    const state = toState(snapshot)
+    return state === undefined ? err(createFailure(ResultCode.InvalidTables, 'not a snapshot that this release reads')) : ok(state)
+  }
+
+  override snapshotRecord (state: ConfigState): { recordId: string, body: unknown } {
+    return { recordId: snapshotRecordId(state), body: createSnapshot(state) }
+  }
+
+  override stateInRecord (record: LogRecord): ConfigState | undefined {
+    return toState(record.body)
+  }
+}
+
+function toState (body: unknown): ConfigState | undefined {
+  const parsed = parseConfigRecord(body)
+  if (parsed.isErr() || parsed.value.kind !== RecordKind.Snapshot) return undefined
+  return adoptSnapshot(createConfigState(), parsed.value)
+}
--- a/packages/control/src/config/types.ts
+++ b/packages/control/src/config/types.ts
@@ -8,17 +8,18 @@
   Accepted: 'accepted',
   Conflicting: 'conflicting',
   Invalid: 'invalid',
-  /** Repeat of an edit that was judged before. */
-  Repeated: 'repeated',
-  /** A snapshot of the state at an earlier offset. */
-  Snapshot: 'snapshot',
+  /** No edit: a snapshot or another record that is read without a verdict. */
+  None: 'none',
   /** The record needs a rule version that this release does not have. */
   UnknownRule: 'unknown-rule'
 } as const
 export type ConfigVerdict = (typeof ConfigVerdict)[keyof typeof ConfigVerdict]
 
-/** Result of applying one record; `detail` is the rule's own report to the author. */
-export type ConfigStep<State> = { state: State, verdict: ConfigVerdict, detail?: unknown }
+/** Result of applying one record. */
+export type ConfigStep<State> = { state: State, verdict: ConfigVerdict }
+
+/** Verdict on an edit; `detail` is the rule's own report to the author. */
+export type JudgedEdit = { editId: string, offset: number, verdict: ConfigVerdict, detail: unknown }
 
 /** The pure acceptance rule. The same state and record give the same step on every host. */
 export abstract class ConfigRule<State> {
@@ -28,11 +29,13 @@
   abstract offsetOf (state: State): number
   /** Version in force: the offset of the last accepted edit. */
   abstract versionOf (state: State): number
+  /** Verdict on an edit that the state remembers, whoever read it first. */
+  abstract judgedEdit (state: State, editId: string): JudgedEdit | undefined
   /** Canonical JSON form of a state. */
   abstract toSnapshot (state: State): unknown
   abstract fromSnapshot (snapshot: unknown): Result<State, Failure>
-  /** Body of a record that carries a snapshot. */
-  abstract snapshotRecord (state: State): unknown
+  /** Record that carries a snapshot; every host gives the same for the same state. */
+  abstract snapshotRecord (state: State): { recordId: string, body: unknown }
   /** State inside a snapshot record; undefined for other records and for unreadable snapshots. */
   abstract stateInRecord (record: LogRecord): State | undefined
 }
@@ -57,9 +60,6 @@
 } as const
 export type FollowerStatus = (typeof FollowerStatus)[keyof typeof FollowerStatus]
 
-/** Verdict on a record, as subscribers see it. */
-export type JudgedRecord = { offset: number, recordId: string, verdict: ConfigVerdict, detail?: unknown }
-
 /** What a follower knows at present. */
 export type FollowerReport = {
   status: FollowerStatus
--- a/packages/control/src/testing/counting-rule.ts
+++ b/packages/control/src/testing/counting-rule.ts
@@ -2,9 +2,9 @@
 import { err, ok, type Result } from 'neverthrow'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import type { LogRecord } from '@figloom/platform'
-import { ConfigRule, ConfigVerdict, type ConfigStep } from '../config/types.js'
+import { ConfigRule, ConfigVerdict, type ConfigStep, type JudgedEdit } from '../config/types.js'
 
-export type CountingState = { offset: number, version: number, value: string, edits: string[] }
+export type CountingState = { offset: number, version: number, value: string, edits: JudgedEdit[] }
 export type CountingBody = { rule: number, base?: number, value?: string, state?: CountingState }
 
 const KNOWN_RULE = 1
@@ -22,11 +22,18 @@
     const body = record.body as CountingBody
     const moved = { ...state, offset: record.offset }
     if (body.rule !== KNOWN_RULE) return { state, verdict: ConfigVerdict.UnknownRule }
-    if (body.state !== undefined) return { state: moved, verdict: ConfigVerdict.Snapshot }
-    if (state.edits.includes(record.recordId)) return { state: moved, verdict: ConfigVerdict.Repeated }
-    if (body.base !== state.version) return { state: moved, verdict: ConfigVerdict.Conflicting }
-    const accepted = { offset: record.offset, version: record.offset, value: body.value ?? '', edits: [...state.edits, record.recordId] }
-    return { state: accepted, verdict: ConfigVerdict.Accepted }
+    if (body.state !== undefined) return { state: moved, verdict: ConfigVerdict.None }
+    const known = this.judgedEdit(state, record.recordId)
+    if (known !== undefined) return { state: moved, verdict: known.verdict }
+    const accepted = body.base === state.version
+    const verdict = accepted ? ConfigVerdict.Accepted : ConfigVerdict.Conflicting
+    const edits = [...state.edits, { editId: record.recordId, offset: record.offset, verdict, detail: undefined }]
+    if (!accepted) return { state: { ...moved, edits }, verdict }
+    return { state: { offset: record.offset, version: record.offset, value: body.value ?? '', edits }, verdict }
+  }
+
+  override judgedEdit (state: CountingState, editId: string): JudgedEdit | undefined {
+    return state.edits.find((edit) => edit.editId === editId)
   }
 
   override offsetOf (state: CountingState): number {
@@ -47,8 +54,8 @@
     return ok(state)
   }
 
-  override snapshotRecord (state: CountingState): unknown {
-    return { rule: KNOWN_RULE, state }
+  override snapshotRecord (state: CountingState): { recordId: string, body: unknown } {
+    return { recordId: `snapshot-${state.offset}`, body: { rule: KNOWN_RULE, state } }
   }
 
   override stateInRecord (record: LogRecord): CountingState | undefined {
