--- a/packages/control/src/config/config-follower.ts
+++ b/packages/control/src/config/config-follower.ts
@@ -208,8 +208,7 @@
     const { log, rule } = this.options
     this.#schedule.restart()
     if (!this.#serving || this.#state === undefined || this.#offset() === 0 || this.#status !== FollowerStatus.Following) return
-    const { recordId, body } = rule.snapshotRecord(this.#state)
-    const result = await log.append(CONFIG_STREAM, recordId, body)
+    const result = await log.append(CONFIG_STREAM, `snapshot-${this.#offset()}`, rule.snapshotRecord(this.#state))
     if (result.isErr()) this.options.logger.warn('configuration snapshot was not written', { reason: result.error.message })
   }
 
--- a/packages/control/src/config/tables-rule.ts
+++ b/packages/control/src/config/tables-rule.ts
@@ -3,7 +3,7 @@
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import type { LogRecord } from '@figloom/platform'
 import {
-  adoptSnapshot, createConfigState, createSnapshot, foldRecord, parseConfigRecord, RecordKind, snapshotRecordId,
+  adoptSnapshot, createConfigState, createSnapshot, foldRecord, parseConfigRecord, RecordKind,
   type ConfigState
 } from '@figloom/tables'
 import { ConfigRule, ConfigVerdict, type ConfigStep, type JudgedEdit } from './types.js'
@@ -25,8 +25,10 @@
   override apply (state: ConfigState, record: LogRecord): ConfigStep<ConfigState> {
     const outcome = foldRecord(state, record)
     if (outcome.kind === 'unknown-rule') return { state, verdict: ConfigVerdict.UnknownRule }
-    if (outcome.kind !== 'applied') return { state, verdict: ConfigVerdict.None }
-    return { state: outcome.state, verdict: outcome.edit?.verdict.kind ?? ConfigVerdict.None }
+    if (outcome.kind !== 'applied') return { state, verdict: ConfigVerdict.Snapshot }
+    if (outcome.edit === undefined) return { state: outcome.state, verdict: ConfigVerdict.Snapshot }
+    const { editId, verdict } = outcome.edit
+    return { state: outcome.state, verdict: state.edits.has(editId) ? ConfigVerdict.Repeated : verdict.kind, detail: outcome.edit }
   }
 
   override offsetOf (state: ConfigState): number {
@@ -51,8 +53,8 @@
     return state === undefined ? err(createFailure(ResultCode.InvalidTables, 'not a snapshot that this release reads')) : ok(state)
   }
 
-  override snapshotRecord (state: ConfigState): { recordId: string, body: unknown } {
-    return { recordId: snapshotRecordId(state), body: createSnapshot(state) }
+  override snapshotRecord (state: ConfigState): unknown {
+    return createSnapshot(state)
   }
 
   override stateInRecord (record: LogRecord): ConfigState | undefined {
--- a/packages/control/src/config/types.ts
+++ b/packages/control/src/config/types.ts
@@ -8,15 +8,17 @@
   Accepted: 'accepted',
   Conflicting: 'conflicting',
   Invalid: 'invalid',
-  /** No edit: a snapshot or another record that is read without a verdict. */
-  None: 'none',
+  /** Repeat of an edit that was judged before. */
+  Repeated: 'repeated',
+  /** A snapshot, or another record without a verdict. */
+  Snapshot: 'snapshot',
   /** The record needs a rule version that this release does not have. */
   UnknownRule: 'unknown-rule'
 } as const
 export type ConfigVerdict = (typeof ConfigVerdict)[keyof typeof ConfigVerdict]
 
-/** Result of applying one record. */
-export type ConfigStep<State> = { state: State, verdict: ConfigVerdict }
+/** Result of applying one record; `detail` is the rule's own report. */
+export type ConfigStep<State> = { state: State, verdict: ConfigVerdict, detail?: unknown }
 
 /** Verdict on an edit; `detail` is the rule's own report to the author. */
 export type JudgedEdit = { editId: string, offset: number, verdict: ConfigVerdict, detail: unknown }
@@ -30,12 +32,15 @@
   /** Version in force: the offset of the last accepted edit. */
   abstract versionOf (state: State): number
   /** Verdict on an edit that the state remembers, whoever read it first. */
-  abstract judgedEdit (state: State, editId: string): JudgedEdit | undefined
+  judgedEdit (_state: State, _editId: string): JudgedEdit | undefined {
+    return undefined
+  }
+
   /** Canonical JSON form of a state. */
   abstract toSnapshot (state: State): unknown
   abstract fromSnapshot (snapshot: unknown): Result<State, Failure>
-  /** Record that carries a snapshot; every host gives the same for the same state. */
-  abstract snapshotRecord (state: State): { recordId: string, body: unknown }
+  /** Body of a record that carries a snapshot; every host gives the same for the same state. */
+  abstract snapshotRecord (state: State): unknown
   /** State inside a snapshot record; undefined for other records and for unreadable snapshots. */
   abstract stateInRecord (record: LogRecord): State | undefined
 }
--- a/packages/control/src/testing/counting-rule.ts
+++ b/packages/control/src/testing/counting-rule.ts
@@ -22,9 +22,9 @@
     const body = record.body as CountingBody
     const moved = { ...state, offset: record.offset }
     if (body.rule !== KNOWN_RULE) return { state, verdict: ConfigVerdict.UnknownRule }
-    if (body.state !== undefined) return { state: moved, verdict: ConfigVerdict.None }
+    if (body.state !== undefined) return { state: moved, verdict: ConfigVerdict.Snapshot }
     const known = this.judgedEdit(state, record.recordId)
-    if (known !== undefined) return { state: moved, verdict: known.verdict }
+    if (known !== undefined) return { state: moved, verdict: ConfigVerdict.Repeated }
     const accepted = body.base === state.version
     const verdict = accepted ? ConfigVerdict.Accepted : ConfigVerdict.Conflicting
     const edits = [...state.edits, { editId: record.recordId, offset: record.offset, verdict, detail: undefined }]
@@ -54,8 +54,8 @@
     return ok(state)
   }
 
-  override snapshotRecord (state: CountingState): { recordId: string, body: unknown } {
-    return { recordId: `snapshot-${state.offset}`, body: { rule: KNOWN_RULE, state } }
+  override snapshotRecord (state: CountingState): unknown {
+    return { rule: KNOWN_RULE, state }
   }
 
   override stateInRecord (record: LogRecord): CountingState | undefined {
