--- a/packages/control/src/claims/claim-stream.ts
+++ b/packages/control/src/claims/claim-stream.ts
@@ -253,8 +253,9 @@
   /** The loaded state may contain the claim already. */
   #resume (claim: PendingClaim): void {
     const judged = judgeRequest(this.#state, claim.request, this.options.isLive)
-    if (judged === undefined) return this.#append(claim.request)
-    this.#pending.answer(claim, judged)
+    if (judged !== undefined) return this.#pending.answer(claim, judged)
+    if (this.#refuses()) return this.#refuse(claim)
+    this.#append(claim.request)
   }
 
   #loseTrust (trust: Trust): void {
--- a/packages/control/src/streams/stream-follower.ts
+++ b/packages/control/src/streams/stream-follower.ts
@@ -16,7 +16,7 @@
   clock: Clock
   /** Longest wait of one poll. */
   waitMs: number
-  /** Pause after a failed poll. */
+  /** Pause after a failed poll; doubles with each further one up to eight times as long. */
   retryMs: number
   /** Time after which a poll counts as failed, on top of `waitMs`. */
   timeoutMs: number
@@ -27,6 +27,8 @@
 /** Offsets between which the log keeps a stream: `firstOffset` is the oldest, `nextOffset` the next to be given. */
 export type StreamBounds = { firstOffset: number, nextOffset: number }
 
+const MAX_PAUSE_FACTOR = 8
+
 /** Polls a stream from an offset; `follow` starts again at another one. */
 export class StreamFollower {
   #abort = new AbortController()
@@ -52,6 +54,7 @@
   async #run (start: number, signal: AbortSignal): Promise<void> {
     let from = start
     let waitMs = this.options.waitMs
+    let failures = 0
     while (!signal.aborted) {
       const event = await this.#poll(from, waitMs, signal)
       if (signal.aborted) return
@@ -60,10 +63,15 @@
       waitMs = event.kind === 'failed' ? 0 : this.options.waitMs
       this.options.onEvent(event)
       if (event.kind === 'truncated') return
-      if (event.kind === 'failed') await this.options.clock.sleep(this.options.retryMs, signal)
+      failures = event.kind === 'failed' ? failures + 1 : 0
+      if (failures > 0) await this.options.clock.sleep(this.#pauseMs(failures), signal)
     }
   }
 
+  #pauseMs (failures: number): number {
+    return this.options.retryMs * Math.min(2 ** (failures - 1), MAX_PAUSE_FACTOR)
+  }
+
   async #poll (from: number, waitMs: number, signal: AbortSignal): Promise<StreamEvent> {
     const { log, stream, clock, timeoutMs } = this.options
     const expiry = new AbortController()
--- a/packages/control/src/testing/claim-cluster.ts
+++ b/packages/control/src/testing/claim-cluster.ts
@@ -8,9 +8,10 @@
 import { MemoryLog } from '@figloom/standin'
 import { ClaimStreams } from '../claims/claim-streams.js'
 import { rankGateways } from '../claims/gateways.js'
+import { streamIndexOf } from '../claims/keys.js'
 import { KeyClaims, type ClaimResult } from '../claims/key-claims.js'
 import { DEFAULT_CLAIM_LIMITS, type ClaimLimits } from '../claims/limits.js'
-import { ClaimPeers, type AttemptEnd, type ClaimAnswer, type ClaimRequest } from '../claims/types.js'
+import { CLAIM_STREAM_COUNT, ClaimPeers, type AttemptEnd, type ClaimAnswer, type ClaimRequest } from '../claims/types.js'
 
 const NEVER = new Promise<never>(() => {})
 const HOP_MS = 1
@@ -138,7 +139,7 @@
   }
 
   streamOf (key: string): ReturnType<ClaimStreams['get']> {
-    return this.streams.get((Buffer.from(key, 'base64url')[0] ?? 0) % 16)
+    return this.streams.get(streamIndexOf(key))
   }
 }
 
@@ -176,6 +177,13 @@
     return host
   }
 
+  /** Starts every stream at every host, so that none reads its start during a call. */
+  async warm (): Promise<void> {
+    const indexes = Array.from({ length: CLAIM_STREAM_COUNT }, (_, index) => index)
+    for (const { streams } of this.hosts.values()) streams.keepOnly(indexes)
+    await this.clock.advance(10)
+  }
+
   kill (name: string): void {
     this.host(name).gate.kill()
   }
