--- a/packages/control/src/cell/golden.test.ts
+++ b/packages/control/src/cell/golden.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap'
 import { readFileSync } from 'node:fs'
 import { OrderAction } from '@figloom/tables'
-import { cellStreamOf } from './holder.js'
+import { cellStreamOf } from './holder-options.js'
 import { createCellBench, modelOf, stepOf, type CellBench } from './testing/cell-bench.js'
 
 const GOLDEN = new URL('../../src/cell/testing/session.golden.json', import.meta.url)
--- a/packages/control/src/cell/holder.ts
+++ b/packages/control/src/cell/holder.ts
@@ -2,87 +2,28 @@
  * The task of one cell on one host. It follows the cell's stream, claims the lease when its turn comes, and as the
  * holder writes intents, reads them back, sends the orders and settles them. Every host of the cell runs one.
  */
-import type { EngineClient, LogClient, LogRecord } from '@figloom/platform'
-import { Task, type Clock, type IdSource, type Logger, type TaskFault, type Timer } from '@figloom/runtime'
+import type { LogRecord } from '@figloom/platform'
+import { Task, type Timer } from '@figloom/runtime'
 import type { StreamEvent } from '../streams/stream-follower.js'
-import { HolderDuties } from './holder-duties.js'
-import { CellJournal } from './journal.js'
-import { LeaseWatch } from './lease-watch.js'
-import { DEFAULT_LEASE_SETTINGS, LeaseAction, type LeaseSettings } from './lease.js'
-import { OrderRelease } from './order-release.js'
-import { OrderSender, type CopyEvent } from './order-sender.js'
-import { GoneEvidence, parseCellRecord, type CellRecordBody, type Sender } from './records.js'
-import { ReportPoller } from './report-poller.js'
-import { CellSituation } from './situation.js'
+import { createCellParts } from './cell-parts.js'
+import type { HolderDuties } from './holder-duties.js'
+import { DEFAULT_CELL_TIMES, type CellHolderOptions, type CellTimes } from './holder-options.js'
+import type { CellJournal } from './journal.js'
+import type { LeaseWatch } from './lease-watch.js'
+import { DEFAULT_LEASE_SETTINGS, LeaseAction } from './lease.js'
+import type { OrderRelease } from './order-release.js'
+import type { CopyEvent, OrderSender } from './order-sender.js'
+import { parseCellRecord, type GoneEvidence, type Sender } from './records.js'
+import type { ReportPoller } from './report-poller.js'
+import { Retirement } from './retirement.js'
+import type { CellSituation } from './situation.js'
 import { holdsClaim, isVoid, type CellState } from './state.js'
-import { StreamReader } from './stream-reader.js'
-import type { CellConfig, CellMessage, CellView, Planner } from './types.js'
-import { WordKeeper } from './words.js'
-
-/** Times of a cell's task, in milliseconds. */
-export type CellTimes = {
-  tickMs: number
-  /** Longest wait of one read of the log. */
-  readWaitMs: number
-  readRetryMs: number
-  /** Limit for an answer of the log. */
-  logTimeoutMs: number
-  orderTimeoutMs: number
-  restReportMs: number
-  busyReportMs: number
-  staleReportMs: number
-  fenceEveryMs: number
-  acceptedPatienceMs: number
-  confirmPatienceMs: number
-  snapshotEveryMs: number
-  /** How long reads of the log must fail before standby intents are sent. */
-  standbyAfterMs: number
-}
-
-export const DEFAULT_CELL_TIMES: CellTimes = {
-  tickMs: 250,
-  readWaitMs: 5_000,
-  readRetryMs: 500,
-  logTimeoutMs: 2_000,
-  orderTimeoutMs: 3_000,
-  restReportMs: 5_000,
-  busyReportMs: 500,
-  staleReportMs: 15_000,
-  fenceEveryMs: 5_000,
-  acceptedPatienceMs: 5_000,
-  confirmPatienceMs: 5_000,
-  snapshotEveryMs: 20 * 60_000,
-  standbyAfterMs: 3_000
-}
-
-const DEFAULT_STANDBY_LIMIT = 4
-
-export type CellHolderOptions = {
-  /** Name of the cell: one pool's runners in one region. */
-  cell: string
-  self: Sender
-  log: LogClient
-  engines: EngineClient
-  clock: Clock
-  ids: IdSource
-  logger: Logger
-  planner: Planner
-  /** Called with each new view. */
-  onView?: (view: CellView) => void
-  lease?: LeaseSettings
-  times?: Partial<CellTimes>
-  /** Standby intents that may be pending at once; 0 for none. */
-  standbyLimit?: number
-  onFault?: TaskFault
-}
+import type { StreamReader } from './stream-reader.js'
+import type { CellConfig, CellMessage, CellView } from './types.js'
+import type { WordKeeper } from './words.js'
 
 type InnerMessage = { type: 'tick' } | { type: 'stream', event: StreamEvent } | CopyEvent
 
-/** Name of a cell's stream. */
-export function cellStreamOf (cell: string): string {
-  return `cell.${cell}`
-}
-
 /** Follows a cell and holds its lease when it can. */
 export class CellHolder extends Task<CellMessage | InnerMessage> {
   readonly #times: CellTimes
@@ -97,52 +38,27 @@
   readonly #release: OrderRelease
   readonly #gone = new Map<string, { sender: Sender, evidence: GoneEvidence }>()
   #tenure: number | undefined
-  #retire: { onRetired: () => void, isAnnounced: boolean } | undefined
+  #retire: Retirement | undefined
   #timer: Timer | undefined
 
   private constructor (private readonly options: CellHolderOptions) {
     super(options.onFault ?? ((error) => options.logger.error('cell task failed', { cell: options.cell, error: String(error) })))
-    const times = { ...DEFAULT_CELL_TIMES, ...options.times }
-    const { log, clock, engines, ids, cell, self, logger, planner } = options
-    const stream = cellStreamOf(cell)
-    this.#times = times
-    this.#lease = LeaseWatch.create({ clock, cell, self, settings: this.#leaseSettings })
-    this.#reader = StreamReader.create({
-      log, clock, stream, waitMs: times.readWaitMs, retryMs: times.readRetryMs, timeoutMs: times.logTimeoutMs, post: (event) => this.post({ type: 'stream', event })
-    })
-    this.#journal = CellJournal.create({ log, clock, ids, stream, timeoutMs: times.logTimeoutMs, retryMs: times.readRetryMs, maxRetryMs: 4 * times.readRetryMs })
-    this.#sender = OrderSender.create({ engines, clock, timeoutMs: times.orderTimeoutMs, post: (event) => this.post(event) })
-    this.#situation = CellSituation.create({ clock, cell, staleReportMs: times.staleReportMs })
-    this.#poller = ReportPoller.create({
-      engines,
-      clock,
-      restEveryMs: times.restReportMs,
-      busyEveryMs: times.busyReportMs,
-      timeoutMs: times.logTimeoutMs,
-      onReport: (runner, report, askedMs) => this.post({ type: 'report', runner, report, askedMs })
-    })
-    this.#words = WordKeeper.create({ self, journal: this.#journal, sender: this.#sender, books: this.#situation.books })
-    this.#release = OrderRelease.create({
-      clock,
-      situation: this.#situation,
-      sender: this.#sender,
-      journal: this.#journal,
-      currentState: () => this.#reader.state,
-      isRetiring: () => this.#retire !== undefined,
-      confirmPatienceMs: times.confirmPatienceMs
-    })
-    this.#duties = HolderDuties.create({
-      clock,
-      logger,
-      planner,
-      journal: this.#journal,
-      situation: this.#situation,
-      isSent: (intent) => this.#sender.hasTaken(intent.offset),
-      fenceEveryMs: times.fenceEveryMs,
-      acceptedPatienceMs: times.acceptedPatienceMs,
-      snapshotEveryMs: times.snapshotEveryMs,
-      standbyLimit: options.standbyLimit ?? DEFAULT_STANDBY_LIMIT
+    this.#times = { ...DEFAULT_CELL_TIMES, ...options.times }
+    const parts = createCellParts(options, this.#times, {
+      postStream: (event) => this.post({ type: 'stream', event }),
+      postCopy: (event) => this.post(event),
+      postReport: (runner, report, askedMs) => this.post({ type: 'report', runner, report, askedMs }),
+      isRetiring: () => this.#retire !== undefined
     })
+    this.#lease = parts.lease
+    this.#reader = parts.reader
+    this.#journal = parts.journal
+    this.#sender = parts.sender
+    this.#poller = parts.poller
+    this.#situation = parts.situation
+    this.#duties = parts.duties
+    this.#words = parts.words
+    this.#release = parts.release
   }
 
   static create (options: CellHolderOptions): CellHolder {
@@ -190,7 +106,7 @@
       case 'draining': return setMember(this.#situation.draining, message.runner, message.draining)
       case 'sender-gone': this.#gone.set(message.sender.incarnation, message); return
       case 'peer-snapshot': return this.#takePeerState(message.state)
-      case 'retire': this.#retire = { onRetired: message.onRetired, isAnnounced: false }
+      case 'retire': this.#retire = Retirement.create({ self: this.options.self, journal: this.#journal, words: this.#words, onRetired: message.onRetired })
     }
   }
 
@@ -252,7 +168,7 @@
     const state = this.#reader.state
     if (state === undefined) return
     this.#words.keep(state, this.#retire !== undefined)
-    if (this.#retire !== undefined) return this.#finishRetirement(state, this.#retire)
+    if (this.#retire !== undefined) return this.#retire.proceed(state)
     this.#act(state)
     this.#keepLease(state)
     this.#showView()
@@ -277,7 +193,7 @@
     const action = this.#lease.decide(state.claim)
     this.#journal.dropWhere((body) => body.kind === 'claim' && isVoid(state, body))
     if (action === LeaseAction.Claim && !this.#journal.has(({ kind }) => kind === 'claim')) {
-      this.#journal.append({ kind: 'claim', sender: this.options.self, succeeds: state.claim?.offset ?? 0, leaseMs: this.#leaseSettings.leaseMs })
+      this.#journal.append({ kind: 'claim', sender: this.options.self, succeeds: state.claim?.offset ?? 0, leaseMs: (this.options.lease ?? DEFAULT_LEASE_SETTINGS).leaseMs })
     }
     const isRenewing = this.#journal.has((body) => 'claim' in body && body.claim === state.claim?.offset && body.kind !== 'withdrawn')
     if (action === LeaseAction.Renew && state.claim !== undefined && !isRenewing) {
@@ -309,24 +225,6 @@
     }
   }
 
-  /** Releases the lease and, once every copy has this host's word, says that it sends nothing more. */
-  #finishRetirement (state: CellState, retire: { onRetired: () => void, isAnnounced: boolean }): void {
-    if (this.#words.hasCopyInFlight(state)) return
-    if (!retire.isAnnounced) {
-      retire.isAnnounced = true
-      for (const body of this.#lastWords(state)) this.#journal.append(body)
-      return
-    }
-    if (this.#journal.size === 0) retire.onRetired()
-  }
-
-  #lastWords (state: CellState): CellRecordBody[] {
-    const claim = state.claim?.offset ?? 0
-    const release: CellRecordBody[] = this.#tenure === undefined ? [] : [{ kind: 'release', claim }]
-    const hasIntents = state.intents.some((intent) => intent.sender.incarnation === this.options.self.incarnation)
-    return hasIntents ? [{ kind: 'gone', claim, sender: this.options.self, evidence: GoneEvidence.OwnWord }, ...release] : release
-  }
-
   #showView (): void {
     const view = this.view
     if (view !== undefined) this.options.onView?.(view)
@@ -335,10 +233,6 @@
   #tickLater (): void {
     this.#timer = this.options.clock.setTimer(this.#times.tickMs, () => this.post({ type: 'tick' }))
   }
-
-  get #leaseSettings (): LeaseSettings {
-    return this.options.lease ?? DEFAULT_LEASE_SETTINGS
-  }
 }
 
 function setMember (set: Set<string>, name: string, isMember: boolean): void {
--- a/packages/control/src/cell/stream.test.ts
+++ b/packages/control/src/cell/stream.test.ts
@@ -1,7 +1,7 @@
 /** A cell's stream: retention, snapshots, outages, repeated appends, and what rest costs. */
 import t from 'tap'
 import { OrderAction } from '@figloom/tables'
-import { cellStreamOf } from './holder.js'
+import { cellStreamOf } from './holder-options.js'
 import { createCellBench, modelOf, stepOf, type BenchOptions, type CellBench } from './testing/cell-bench.js'
 
 const SETTLED_MS = 8_000
