Show a cell's view only when it changed, and meet orders that arrive twice

On an engine that checks fences a repeated load is refused after a later order. On one that ignores them nothing can be done, which docs/design/cell.md says.

--- a/packages/control/src/cell/holder.ts
+++ b/packages/control/src/cell/holder.ts
@@ -38,6 +38,8 @@
   readonly #release: OrderRelease
   readonly #gone = new Map<string, { sender: Sender, evidence: GoneEvidence }>()
   #tenure: number | undefined
+  #isViewOld = true
+  #shownStatus = ''
   #retire: Retirement | undefined
   #timer: Timer | undefined
 
@@ -93,6 +95,7 @@
   }
 
   protected override handle (message: CellMessage | InnerMessage): void {
+    if (message.type !== 'tick') this.#isViewOld = true
     switch (message.type) {
       case 'tick': return this.#tick()
       case 'stream': return this.#takeStream(message.event)
@@ -120,6 +123,7 @@
   }
 
   #takeReport ({ runner, report, askedMs }: Extract<CellMessage, { type: 'report' }>): void {
+    this.#poller.noteAsked(runner, askedMs)
     const intents = this.#reader.state?.intents ?? []
     this.#situation.books.takeReport(runner, report, askedMs, this.options.clock.monotonicMs(), intents)
   }
@@ -131,7 +135,7 @@
     if (!hadState) this.#lease.hear()
     for (const record of records) this.#readBack(record)
     const state = this.#reader.state
-    if (state === undefined || records.length === 0) return
+    if (state === undefined || (records.length === 0 && hadState)) return
     this.#situation.books.markRead(state.offset, this.options.clock.monotonicMs())
     this.#situation.books.forgetSettled(state)
     this.#journal.passOver(state.offset)
@@ -226,8 +230,13 @@
   }
 
   #showView (): void {
+    const status = `${this.#lease.isHolder(this.#reader.state?.claim)} ${this.#lease.isLogReachable}`
+    if (!this.#isViewOld && status === this.#shownStatus) return
     const view = this.view
-    if (view !== undefined) this.options.onView?.(view)
+    if (view === undefined) return
+    this.#isViewOld = false
+    this.#shownStatus = status
+    this.options.onView?.(view)
   }
 
   #tickLater (): void {
--- a/packages/control/src/cell/memory-promise.test.ts
+++ b/packages/control/src/cell/memory-promise.test.ts
@@ -229,3 +229,16 @@
   t.equal(bookedIntents(bench), 0)
   await bench.stop()
 })
+
+t.test('load that arrives twice is shut out by the fence', async (t) => {
+  const bench = createBench()
+  await bench.advance(2_000)
+  bench.engines.fail('r1', { kind: 'repeat', delayMs: TAKEOVER_MS })
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+  await bench.advance(SETTLED_MS)
+  bench.planner.steps = [stepOf(OrderAction.Unload, 'r1', 'm'), stepOf(OrderAction.Load, 'r1', 'n')]
+  await bench.advance(2 * TAKEOVER_MS)
+  t.ok(bench.engines.get('r1').holds('n'))
+  t.ok(peakOf(bench) <= 100, `peak ${peakOf(bench)} MiB`)
+  await bench.stop()
+})
--- a/packages/control/src/cell/report-poller.ts
+++ b/packages/control/src/cell/report-poller.ts
@@ -24,6 +24,11 @@
     return new ReportPoller(options)
   }
 
+  /** Notes a question that another task asked. */
+  noteAsked (runner: string, askedMs: number): void {
+    this.#askedMs.set(runner, Math.max(askedMs, this.#askedMs.get(runner) ?? -Infinity))
+  }
+
   /** Asks those of the runners that are due. */
   askDue (runners: { name: string, url: string, busy: boolean }[]): void {
     const { clock, restEveryMs, busyEveryMs } = this.options
--- a/packages/control/src/cell/testing/fake-engines.ts
+++ b/packages/control/src/cell/testing/fake-engines.ts
@@ -11,6 +11,8 @@
   | { kind: 'lose-answer' }
   /** It arrives late; without an answer by then. */
   | { kind: 'delay', delayMs: number }
+  /** It arrives, is answered, and arrives once more. */
+  | { kind: 'repeat', delayMs: number }
 
 export type FakeEngineOptions = { name: string, memoryMiB: number, checksFencing: boolean, loadMs: number, unloadMs: number, listsOrders: boolean }
 
@@ -85,7 +87,7 @@
   }
 
   #judge (order: EngineOrder): OrderOutcome['outcome'] {
-    if (this.options.checksFencing && order.fence <= this.#highestFence) return 'stale-fence'
+    if (this.options.checksFencing && order.fence < this.#highestFence) return 'stale-fence'
     if (this.options.checksFencing) this.#highestFence = order.fence
     this.applied.push(order)
     const outcome = this.#take(order)
@@ -179,6 +181,11 @@
     return errAsync(unavailable('no attempts'))
   }
 
+  #repeat (engine: FakeEngine, order: EngineOrder, delayMs: number): void {
+    const { instance } = engine
+    this.clock.setTimer(delayMs, () => { if (engine.alive && engine.instance === instance) engine.apply(order) })
+  }
+
   async #order (url: string, order: EngineOrder): Promise<Result<OrderOutcome, Failure>> {
     const engine = this.engines.get(url)
     if (engine === undefined || !engine.alive) return err(unavailable('no answer'))
@@ -188,7 +195,8 @@
     if (fault?.kind === 'delay') await this.clock.sleep(fault.delayMs)
     if (!engine.alive || engine.instance !== instance) return err(unavailable('the process ended'))
     const outcome = engine.apply(order)
-    return fault === undefined ? ok(outcome) : err(unavailable('the answer was lost'))
+    if (fault?.kind === 'repeat') this.#repeat(engine, order, fault.delayMs)
+    return fault === undefined || fault.kind === 'repeat' ? ok(outcome) : err(unavailable('the answer was lost'))
   }
 }
 
