Keep a planned load waiting while standby intents are withdrawn for it

A planner that plans once a second never got its load in: the standby was written again before the next plan. The test failed before the change and passes now.

--- a/packages/control/src/cell/cell-parts.ts
+++ b/packages/control/src/cell/cell-parts.ts
@@ -58,6 +58,7 @@
     fenceEveryMs: times.fenceEveryMs,
     acceptedPatienceMs: times.acceptedPatienceMs,
     snapshotEveryMs: times.snapshotEveryMs,
+    standbyQuietMs: times.standbyQuietMs,
     standbyLimit: options.standbyLimit ?? DEFAULT_STANDBY_LIMIT
   })
   const lease = LeaseWatch.create({ clock, cell, self, settings: options.lease ?? DEFAULT_LEASE_SETTINGS })
--- a/packages/control/src/cell/holder-duties.ts
+++ b/packages/control/src/cell/holder-duties.ts
@@ -24,6 +24,8 @@
   /** Time after which an accepted order without any visible effect no longer hinders another. */
   acceptedPatienceMs: number
   snapshotEveryMs: number
+  /** How long the planner must want nothing before standby intents are written. */
+  standbyQuietMs: number
   /** Standby intents that may be pending at once; 0 for none. */
   standbyLimit: number
 }
@@ -32,6 +34,9 @@
 export class HolderDuties {
   #nextLoadMs = 0
   #snapshotDueMs = 0
+  #quietSinceMs = 0
+  /** Steps that wait for the withdrawal of standby intents. */
+  readonly #waitingSteps: CellStep[] = []
   readonly #fencedMs = new Map<string, number>()
 
   private constructor (private readonly options: HolderDutiesOptions) {}
@@ -44,6 +49,8 @@
   begin (config: CellConfig | undefined): void {
     this.#nextLoadMs = this.#nowMs + (config?.share.loadStartEveryMs ?? 0)
     this.#snapshotDueMs = this.#nowMs
+    this.#quietSinceMs = this.#nowMs
+    this.#waitingSteps.length = 0
   }
 
   /** Notes that the stream has a new snapshot. */
@@ -96,11 +103,12 @@
   plan (state: CellState, view: CellView): Intent[] {
     const { situation, planner } = this.options
     const config = situation.config
-    if (config === undefined || this.#hasPendingIntent()) return []
-    const steps = [...retirementSteps(view), ...planner.plan(view)]
+    if (config === undefined || this.#hasPendingIntent() || this.options.journal.has(({ kind }) => kind === 'withdrawn')) return []
+    const steps = [...this.#waitingSteps.splice(0), ...retirementSteps(view), ...planner.plan(view)]
+    if (steps.length > 0) this.#quietSinceMs = this.#nowMs
     const context = situation.admissionContext(state, config, this.#nowMs >= this.#nextLoadMs)
     const wanted = steps.flatMap((step) => this.#take(state, step, context) ?? [])
-    if (steps.length === 0 && wanted.length === 0) this.#reserve(state, context)
+    if (this.#nowMs - this.#quietSinceMs >= this.options.standbyQuietMs) this.#reserve(state, context)
     return wanted
   }
 
@@ -118,7 +126,7 @@
     const standby = this.#ownStandby(state, order)
     if (standby !== undefined && order.action === OrderAction.Load) return context.mayStartLoad ? this.#startLoad(context, standby) : undefined
     if (!isAdmitted(order, context)) {
-      this.#makeRoom(state, order, context)
+      if (this.#makeRoom(state, order, context)) this.#waitingSteps.push(step)
       return undefined
     }
     if (order.action === OrderAction.Load) this.#startLoad(context)
@@ -133,18 +141,19 @@
     return result
   }
 
-  /** Withdraws own standby intents of a runner if the order fits without them. */
-  #makeRoom (state: CellState, order: CellOrder, context: AdmissionContext): void {
+  /** Withdraws own standby intents of a runner if the order fits without them; returns whether it does. */
+  #makeRoom (state: CellState, order: CellOrder, context: AdmissionContext): boolean {
     const { journal } = this.options
     const isReclaimable = (intent: Intent) => this.isOwnStandby(state, intent) && intent.order.runner === order.runner
     const reclaimable = state.intents.filter(isReclaimable)
-    if (reclaimable.length === 0) return
+    if (reclaimable.length === 0) return false
     const without = { ...context, intents: context.intents.filter((intent) => !isReclaimable(intent)) }
-    if (!isAdmitted(order, without)) return
+    if (!isAdmitted(order, without)) return false
     for (const intent of reclaimable) {
       if (journal.isWithdrawing(intent.offset)) continue
       journal.append({ kind: 'withdrawn', claim: intent.claim, intent: intent.offset, word: Word.NeverSent })
     }
+    return true
   }
 
   #reserve (state: CellState, context: AdmissionContext): void {
--- a/packages/control/src/cell/holder-options.ts
+++ b/packages/control/src/cell/holder-options.ts
@@ -23,6 +23,8 @@
   snapshotEveryMs: number
   /** How long reads of the log must fail before standby intents are sent. */
   standbyAfterMs: number
+  /** How long the planner must want nothing before standby intents are written. */
+  standbyQuietMs: number
 }
 
 export const DEFAULT_CELL_TIMES: CellTimes = {
@@ -38,7 +40,8 @@
   acceptedPatienceMs: 5_000,
   confirmPatienceMs: 5_000,
   snapshotEveryMs: 20 * 60_000,
-  standbyAfterMs: 3_000
+  standbyAfterMs: 3_000,
+  standbyQuietMs: 5_000
 }
 
 /** Standby intents that may be pending at once. */
--- a/packages/control/src/cell/reachability-promise.test.ts
+++ b/packages/control/src/cell/reachability-promise.test.ts
@@ -195,3 +195,30 @@
   t.same(bench.holder().holder.view?.retiring, [])
   await bench.stop()
 })
+
+/** Gives its steps once a second, as a planner with a period of its own does. */
+class PeriodicPlanner extends Planner {
+  #calls = 0
+
+  constructor (private readonly steps: () => CellStep[]) {
+    super()
+  }
+
+  override plan (): CellStep[] {
+    this.#calls += 1
+    return this.#calls % 4 === 0 ? this.steps() : []
+  }
+}
+
+t.test('standby gives way to a planner that plans now and then', async (t) => {
+  let steps: CellStep[] = []
+  const planner = new PeriodicPlanner(() => steps)
+  const bench = createBench({ models: [modelOf('m'), modelOf('n')], routed: ['m'], holder: { standbyLimit: 2, planner } })
+  bench.engines.get('r1').place('m', 60, 20)
+  await bench.advance(2 * SETTLED_MS)
+  t.equal(bench.holder().holder.view?.unsettled.length, 1)
+  steps = [stepOf(OrderAction.Load, 'r2', 'n')]
+  await bench.advance(SETTLED_MS)
+  t.ok(bench.engines.get('r2').holds('n'))
+  await bench.stop()
+})
--- a/packages/control/src/cell/testing/cell-faults.ts
+++ b/packages/control/src/cell/testing/cell-faults.ts
@@ -69,7 +69,7 @@
     holder: {
       lease: SHORT_LEASE,
       standbyLimit: interleaving.standby ? 2 : 0,
-      times: { readWaitMs: 1_000, readRetryMs: 200, logTimeoutMs: 600, orderTimeoutMs: 800, restReportMs: 1_000, busyReportMs: 300, staleReportMs: 4_000, fenceEveryMs: 1_000, acceptedPatienceMs: 2_000, confirmPatienceMs: 2_000, snapshotEveryMs: 30_000, standbyAfterMs: 800 }
+      times: { readWaitMs: 1_000, readRetryMs: 200, logTimeoutMs: 600, orderTimeoutMs: 800, restReportMs: 1_000, busyReportMs: 300, staleReportMs: 4_000, fenceEveryMs: 1_000, acceptedPatienceMs: 2_000, confirmPatienceMs: 2_000, snapshotEveryMs: 30_000, standbyAfterMs: 800, standbyQuietMs: 500 }
     }
   })
   bench.engines.get('r1').place('m', sizeOf('m'), 5)
