--- a/packages/control/src/cell/holder-duties.ts
+++ b/packages/control/src/cell/holder-duties.ts
@@ -6,6 +6,7 @@
 import type { CellJournal } from './journal.js'
 import { modelKeyOf } from './ledger.js'
 import { Word, type CellOrder, type CellRecordBody } from './records.js'
+import type { TakenReport } from './settlement.js'
 import type { CellSituation } from './situation.js'
 import { endOffsetOf, type CellState, type Intent } from './state.js'
 import { planStandby, toTentativeIntent } from './standby.js'
@@ -37,6 +38,7 @@
   #quietSinceMs = 0
   /** Steps that wait for the withdrawal of standby intents. */
   readonly #waitingSteps: CellStep[] = []
+  readonly #examined = new Map<string, { taken: TakenReport, offset: number, version: number }>()
   readonly #fencedMs = new Map<string, number>()
 
   private constructor (private readonly options: HolderDutiesOptions) {}
@@ -65,14 +67,21 @@
     if (claim === undefined) return
     for (const runner of situation.orderableRunners(state).values()) {
       const observed = situation.books.observedOf(runner.spec)
-      if (runner.taken === undefined || observed === undefined) continue
+      if (runner.taken === undefined || observed === undefined || this.#isExamined(state, runner.spec.name, runner.taken)) continue
       if (journal.has((body) => (body.kind === 'settled' || body.kind === 'observed') && body.observed.name === observed.name)) continue
       const intents = situation.books.settlementsOf(state, runner.spec)
       if (intents.length > 0) journal.append({ kind: 'settled', claim: claim.offset, intents, observed })
       else if (situation.books.needsObservation(state, runner.spec)) journal.append({ kind: 'observed', claim: claim.offset, observed })
+      else this.#examined.set(runner.spec.name, { taken: runner.taken, offset: state.offset, version: situation.books.version })
     }
   }
 
+  /** Whether the same report was found to settle nothing and nothing else was learned since. */
+  #isExamined (state: CellState, runner: string, taken: TakenReport): boolean {
+    const examined = this.#examined.get(runner)
+    return examined?.taken === taken && examined.offset === state.offset && examined.version === this.options.situation.books.version
+  }
+
   /** Raises the fence of engines that may still receive an order of unknown fate. */
   raiseFences (state: CellState): void {
     const { situation, fenceEveryMs } = this.options
--- a/packages/control/src/cell/holder.ts
+++ b/packages/control/src/cell/holder.ts
@@ -114,7 +114,7 @@
   }
 
   #takeConfig (config: CellConfig): void {
-    this.#situation.config = config
+    this.#situation.setConfig(config)
     this.#showView()
   }
 
--- a/packages/control/src/cell/runner-books.ts
+++ b/packages/control/src/cell/runner-books.ts
@@ -21,11 +21,17 @@
   readonly #answers = new Map<number, CopyAnswer>()
   readonly #fences = new Map<string, ConfirmedFence>()
   readonly #marks: Mark[] = []
+  #version = 0
 
   static create (): RunnerBooks {
     return new RunnerBooks()
   }
 
+  /** Changes with each answer and each confirmed fence. */
+  get version (): number {
+    return this.#version
+  }
+
   /** Notes when an offset of the stream was read. */
   markRead (offset: number, readMs: number): void {
     this.#marks.push({ offset, readMs })
@@ -59,6 +65,7 @@
   /** Takes the answer to an order's copy; one that had an effect also confirms its fence. */
   takeAnswer (intent: Intent, answer: CopyAnswer): void {
     this.#answers.set(intent.offset, answer)
+    this.#version += 1
     if (answer.outcome !== 'done' && answer.outcome !== 'accepted') return
     this.#confirmFence(intent.order.runner, intent.offset, answer.instance, answer.atMs)
   }
@@ -117,6 +124,7 @@
       const intent = intents.find((candidate) => candidate.orderId === orderId)
       if (intent === undefined || this.#answers.has(intent.offset)) continue
       const known = outcome === 'done' || outcome === 'refused' || outcome === 'stale-fence' ? outcome : 'accepted'
+      this.#version += 1
       this.#answers.set(intent.offset, { atMs: nowMs, outcome: known, instance: report.instance })
     }
   }
@@ -125,6 +133,7 @@
     const known = this.#fences.get(runner)
     if (known?.instance === instance && known.fence >= fence) return
     this.#fences.set(runner, { fence, instance, atMs })
+    this.#version += 1
   }
 
   #offsetReadBefore (takenMs: number): number {
--- a/packages/control/src/cell/situation.ts
+++ b/packages/control/src/cell/situation.ts
@@ -16,7 +16,8 @@
 /** Knowledge of one host; the stream's state is passed in. */
 export class CellSituation {
   readonly books = RunnerBooks.create()
-  config: CellConfig | undefined
+  #config: CellConfig | undefined
+  #namedRunners: ReadonlySet<string> = new Set()
   readonly unhealthy = new Set<string>()
   readonly draining = new Set<string>()
 
@@ -26,11 +27,19 @@
     return new CellSituation(options)
   }
 
+  get config (): CellConfig | undefined {
+    return this.#config
+  }
+
+  setConfig (config: CellConfig): void {
+    this.#config = config
+    this.#namedRunners = new Set(config.runners.map(({ name }) => name))
+  }
+
   /** Runners of the tables, and those that only the stream still knows. */
   specsOf (state: CellState): RunnerSpec[] {
-    const named = this.config?.runners ?? []
-    const names = new Set(named.map(({ name }) => name))
-    return [...named, ...state.runners.filter(({ name }) => !names.has(name) && this.#isOnBooks(state, name))]
+    const named = this.#config?.runners ?? []
+    return [...named, ...state.runners.filter(({ name }) => !this.#isInTables(name) && this.#isOnBooks(state, name))]
   }
 
   /** Runners as a holder may order on them: reports from before its claim, or from before `sinceOffset`, do not count. */
@@ -76,7 +85,7 @@
   }
 
   #isInTables (runner: string): boolean {
-    return this.config?.runners.some(({ name }) => name === runner) === true
+    return this.#namedRunners.has(runner)
   }
 
   #isHealthy (runner: string): boolean {
