--- a/packages/control/src/cell/situation.ts
+++ b/packages/control/src/cell/situation.ts
@@ -1,7 +1,8 @@
 /** All that one host knows of a cell besides its stream: tables, health, and what the books say of its runners. */
 import type { Clock } from '@figloom/runtime'
 import type { AdmissionContext, OrderableRunner } from './admission.js'
-import { toRunnerView } from './cell-view.js'
+import type { RunnerView } from '@figloom/tables'
+import { toRunnerView, type RunnerViewInput } from './cell-view.js'
 import { RunnerBooks, type RunnerSpec } from './runner-books.js'
 import type { CellState, Intent } from './state.js'
 import type { CellConfig, CellView } from './types.js'
@@ -18,6 +19,7 @@
   readonly books = RunnerBooks.create()
   #config: CellConfig | undefined
   #namedRunners: ReadonlySet<string> = new Set()
+  readonly #views = new Map<string, { input: RunnerViewInput, view: RunnerView }>()
   readonly unhealthy = new Set<string>()
   readonly draining = new Set<string>()
 
@@ -71,7 +73,7 @@
       holder: state.claim?.sender,
       leaseOffset: state.claim?.offset,
       ...lease,
-      runners: specs.map((spec) => toRunnerView({
+      runners: specs.map((spec) => this.#runnerView({
         spec,
         report: this.#shownReport(state, spec.name),
         intents: state.intents.filter((intent) => intent.order.runner === spec.name && !reclaimable(intent)),
@@ -84,6 +86,18 @@
     }
   }
 
+  /** Builds the view of a runner, or gives the last one again where nothing changed and no order is open. */
+  #runnerView (input: RunnerViewInput): RunnerView {
+    const known = this.#views.get(input.spec.name)
+    const isSame = known !== undefined && input.intents.length === 0 && known.input.intents.length === 0 &&
+      known.input.spec === input.spec && known.input.report === input.report && known.input.healthy === input.healthy &&
+      known.input.draining === input.draining && known.input.transitReserveMiB === input.transitReserveMiB
+    if (isSame) return known.view
+    const view = toRunnerView(input)
+    this.#views.set(input.spec.name, { input, view })
+    return view
+  }
+
   #isInTables (runner: string): boolean {
     return this.#namedRunners.has(runner)
   }
