Mend refusals at low load in the routing decisions

Causes: the prompt time was a mean of ratios, which short uncached prompts blew up; the limit fell to the load of one late answer; a stall check ejected every holder.

--- a/packages/routing/src/admission/concurrency-limit.ts
+++ b/packages/routing/src/admission/concurrency-limit.ts
@@ -1,39 +1,47 @@
 /** Limit of the requests at one runner that follows what the runner carries. */
 
-const INITIAL_LIMIT = 16
-const MIN_LIMIT = 2
+/** Number of requests that a runner may have. */
+export abstract class ConcurrencyLimit {
+  abstract get value (): number
+
+  /** Takes in one answer: whether it met its targets, and the load under which it ran. */
+  abstract onSample (metTarget: boolean, load: number, nowMs: number): void
+}
+
+const INITIAL_LIMIT = 32
+const MIN_LIMIT = 8
 const MAX_LIMIT = 1024
+const INCREASE_FACTOR = 1.01
 const DECREASE_FACTOR = 0.9
 /** Least time between two decreases, so that one slow moment counts once. */
-const DECREASE_INTERVAL_MS = 500
+const DECREASE_INTERVAL_MS = 250
 /** The limit grows only while at least this part of it is in use. */
 const USED_SHARE = 0.5
 
-/** Additive increase while answers meet their targets, multiplicative decrease when they do not. */
-export class ConcurrencyLimit {
+/**
+ * Grows a little with each answer that met its targets and shrinks more with each that did not, so that it settles
+ * where a small share of answers is late.
+ */
+export class AdaptiveLimit extends ConcurrencyLimit {
   #limit = INITIAL_LIMIT
-  #slowStart = true
   #decreasedMs = -Infinity
 
-  static create (): ConcurrencyLimit {
-    return new ConcurrencyLimit()
+  static create (): AdaptiveLimit {
+    return new AdaptiveLimit()
   }
 
-  get value (): number {
+  override get value (): number {
     return Math.floor(this.#limit)
   }
 
-  /** Takes in one answer: whether it met its targets, and the load under which it ran. */
-  onSample (metTarget: boolean, load: number, nowMs: number): void {
-    if (!metTarget) return this.#decrease(load, nowMs)
-    if (load < this.#limit * USED_SHARE) return
-    this.#limit = Math.min(MAX_LIMIT, this.#limit + (this.#slowStart ? 0.5 : 1 / this.#limit))
+  override onSample (metTarget: boolean, load: number, nowMs: number): void {
+    if (!metTarget) return this.#decrease(nowMs)
+    if (load >= this.#limit * USED_SHARE) this.#limit = Math.min(MAX_LIMIT, this.#limit * INCREASE_FACTOR)
   }
 
-  #decrease (load: number, nowMs: number): void {
+  #decrease (nowMs: number): void {
     if (nowMs - this.#decreasedMs < DECREASE_INTERVAL_MS) return
     this.#decreasedMs = nowMs
-    this.#slowStart = false
-    this.#limit = Math.max(MIN_LIMIT, Math.min(this.#limit, Math.max(load, MIN_LIMIT)) * DECREASE_FACTOR)
+    this.#limit = Math.max(MIN_LIMIT, this.#limit * DECREASE_FACTOR)
   }
 }
--- a/packages/routing/src/decider/options.ts
+++ b/packages/routing/src/decider/options.ts
@@ -1,8 +1,11 @@
 /** Settings of the decisions that depend on the deployment. */
+import { AdaptiveLimit, type ConcurrencyLimit } from '../admission/concurrency-limit.js'
 import { LeastExpectedChooser, type RunnerChooser } from '../choose/choose-runner.js'
 
 export type DeciderOptions = {
   chooser: RunnerChooser
+  /** Makes the limit of a new runner. */
+  createLimit: () => ConcurrencyLimit
   /** Availability zone of this host. */
   availabilityZone: string
   /** Network time to a runner of the own and of another availability zone, and back. */
@@ -18,6 +21,7 @@
 
 export const DEFAULT_DECIDER_OPTIONS: DeciderOptions = {
   chooser: LeastExpectedChooser.create(),
+  createLimit: AdaptiveLimit.create,
   availabilityZone: '',
   sameZoneRoundTripMs: 0.2,
   otherZoneRoundTripMs: 3,
--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -12,7 +12,7 @@
   type Released, type RouteRequest, type RunnerInfo, type SendDecision
 } from '../types.js'
 import { DEFAULT_DECIDER_OPTIONS, type DeciderOptions } from './options.js'
-import { RunnerState } from './runner-state.js'
+import { RunnerState, type RunnerStatus } from './runner-state.js'
 import { TargetStats, type TargetDemand } from './target-stats.js'
 
 /** What to do with an attempt that failed. */
@@ -20,8 +20,8 @@
   { kind: 'repeat' | 'resume', send: SendDecision } |
   { kind: 'give-up', failure: Failure }
 
-/** How many requests fit at a target's runners: whether any runner holds it, and the places within limits. */
-type Room = { candidates: Candidate[], slots: number, holders: number }
+/** Runners that may take a request and the places within their limits. Ejected ones only where no other holds the model. */
+type Room = { candidates: Candidate[], slots: number }
 
 const MIN_RETRY_AFTER_MS = 50
 const NO_RUNNER_RETRY_MS = 1_000
@@ -60,7 +60,7 @@
     for (const name of this.#runners.keys()) if (!names.has(name)) this.#forget(name)
     for (const info of infos) {
       const known = this.#runners.get(info.name)
-      if (known === undefined) this.#runners.set(info.name, RunnerState.create(info))
+      if (known === undefined) this.#runners.set(info.name, RunnerState.create(info, this.options.createLimit()))
       else known.update(info)
     }
   }
@@ -123,7 +123,8 @@
     const state = attempt && this.#runners.get(attempt.runner)
     if (attempt === undefined || state === undefined || attempt.firstTokenMs !== undefined) return
     state.load.onFirstToken(attempt, nowMs)
-    state.latency.onFirstToken(nowMs - attempt.sentMs - this.#roundTripMs(state), attempt.tokensAhead)
+    const waitedMs = nowMs - attempt.sentMs - this.#roundTripMs(state) - state.latency.stepMs(attempt.loadWhenSent)
+    state.latency.onFirstToken(waitedMs, attempt.tokensAhead)
   }
 
   /** Notes progress of a stream: tokens delivered so far. */
@@ -201,6 +202,11 @@
       { host, runner: info.name, inFlight: load.inFlight, pendingTokens: load.ownPendingTokens }))
   }
 
+  /** Figures of every runner, for metrics and status. */
+  runnerStatus (nowMs: number): RunnerStatus[] {
+    return [...this.#runners.values()].map((state) => state.status(nowMs))
+  }
+
   /** Requests since the last call, by model version; refused ones count. */
   takeDemand (): TargetDemand[] {
     return [...this.#stats.values()].map((stats) => stats.take())
@@ -231,18 +237,14 @@
   }
 
   #roomFor (request: RouteRequest, nowMs: number, except?: string): Room {
-    const candidates: Candidate[] = []
-    let holders = 0
-    let slots = 0
+    const holders: Candidate[] = []
     for (const [name, state] of this.#runners) {
-      if (!state.holds(request.target)) continue
-      const candidate = this.#candidate(state, request, nowMs)
-      if (!candidate.draining) holders += 1
-      if (name === except || !isEligible(candidate)) continue
-      slots += candidate.limit
-      candidates.push(candidate)
+      if (name === except || state.info.draining || !state.holds(request.target)) continue
+      holders.push(this.#candidate(state, request, nowMs))
     }
-    return { candidates, slots, holders }
+    const healthy = holders.filter(isEligible)
+    const candidates = healthy.length > 0 ? healthy : holders.map((candidate) => ({ ...candidate, healthy: true }))
+    return { candidates, slots: candidates.reduce((sum, { limit }) => sum + limit, 0) }
   }
 
   #candidate (state: RunnerState, request: RouteRequest, nowMs: number): Candidate {
@@ -276,7 +278,7 @@
 
   #refuseEarly (request: RouteRequest, room: Room, nowMs: number): RefuseDecision | undefined {
     if (nowMs >= request.deadlineMs) return refuse(createFailure(ResultCode.DeadlinePassed, 'deadline passed before the request was sent'))
-    if (room.holders > 0 && room.candidates.length > 0) return undefined
+    if (room.candidates.length > 0) return undefined
     const message = `no runner serves ${targetKey(request.target)} now`
     return refuse(createFailure(ResultCode.NoRunner, message, { retryAfterMs: NO_RUNNER_RETRY_MS }))
   }
--- a/packages/routing/src/decider/runner-state.ts
+++ b/packages/routing/src/decider/runner-state.ts
@@ -1,23 +1,25 @@
 /** All that a host knows of one runner; bounded. */
-import { ConcurrencyLimit } from '../admission/concurrency-limit.js'
-import { RunnerHealth } from '../health/runner-health.js'
+import type { ConcurrencyLimit } from '../admission/concurrency-limit.js'
+import { RunnerHealth, type HealthState } from '../health/runner-health.js'
 import { LatencyModel } from '../load/latency-model.js'
 import { RunnerLoad } from '../load/runner-load.js'
 import { targetKey, type RunnerInfo, type Target } from '../types.js'
 
+/** What a host believes of one runner. */
+export type RunnerStatus = { runner: string, health: HealthState, load: number, limit: number, stepMs: number, prefillMsPerToken: number }
+
 export class RunnerState {
   readonly load = RunnerLoad.create()
   readonly health = RunnerHealth.create()
   readonly latency = LatencyModel.create()
-  readonly limit = ConcurrencyLimit.create()
   #adapters = new Map<string, ReadonlySet<string>>()
 
-  private constructor (public info: RunnerInfo) {
+  private constructor (public info: RunnerInfo, readonly limit: ConcurrencyLimit) {
     this.update(info)
   }
 
-  static create (info: RunnerInfo): RunnerState {
-    return new RunnerState(info)
+  static create (info: RunnerInfo, limit: ConcurrencyLimit): RunnerState {
+    return new RunnerState(info, limit)
   }
 
   update (info: RunnerInfo): void {
@@ -30,4 +32,10 @@
     const adapters = this.#adapters.get(targetKey(target))
     return adapters !== undefined && (target.adapter === undefined || adapters.has(target.adapter))
   }
+
+  status (nowMs: number): RunnerStatus {
+    const load = this.load.total(nowMs)
+    const { prefillMsPerToken } = this.latency
+    return { runner: this.info.name, health: this.health.state(nowMs), load, limit: this.limit.value, stepMs: this.latency.stepMs(load), prefillMsPerToken }
+  }
 }
