--- /dev/null
+++ b/packages/bench/src/decisions/worker.ts
@@ -0,0 +1,16 @@
+/** Worker thread that carries out replays. */
+import { parentPort } from 'node:worker_threads'
+import { DEPLOYMENTS, type Deployment } from './deployments.js'
+import type { Job } from './jobs.js'
+import { replay } from './replay.js'
+import { versionNamed } from './versions.js'
+
+parentPort?.on('message', (job: Job) => {
+  parentPort?.postMessage(replay(deploymentOf(job), versionNamed(job.version), job))
+})
+
+function deploymentOf (job: Job): Deployment {
+  const deployment = DEPLOYMENTS.find(({ name }) => name === job.deployment) as Deployment
+  if (job.moveWeight === undefined) return deployment
+  return { ...deployment, pool: { ...deployment.pool, moveWeight: job.moveWeight } }
+}
--- a/packages/placement/src/plan/coverage.ts
+++ b/packages/placement/src/plan/coverage.ts
@@ -9,10 +9,11 @@
 export function coverEveryModel (draft: Draft, work: WorkByModel): void {
   const missing = draft.models.filter(({ key }) => draft.copiesOf(key).length === 0)
   missing.sort((a, b) => b.sizeMiB - a.sizeMiB || compareText(a.key, b.key))
+  const room = RoomByRunner.create(draft, work)
   for (const model of missing) {
-    const runner = roomiest(draft, draft.runners.filter((runner) => draft.fits(runner, model)), work)
-    if (runner !== undefined) draft.load(runner, model, 'no copy')
-    else makeRoom(draft, model, draft.runners)
+    const runner = room.best(draft.runners.filter((runner) => draft.fits(runner, model)))
+    if (runner === undefined) makeRoom(draft, model, draft.runners)
+    else if (draft.load(runner, model, 'no copy')) room.onLoad(runner, model)
   }
 }
 
@@ -20,12 +21,13 @@
 export function coverTwoZones (draft: Draft, work: WorkByModel): void {
   const single = draft.models.filter(({ key }) => draft.copiesOf(key).length > 0 && draft.zonesOf(key).size === 1)
   single.sort((a, b) => (work.get(b.key) ?? 0) - (work.get(a.key) ?? 0) || a.sizeMiB - b.sizeMiB || compareText(a.key, b.key))
+  const room = RoomByRunner.create(draft, work)
   for (const model of single) {
     const [zone] = draft.zonesOf(model.key)
     const others = draft.runners.filter((runner) => runner.view.availabilityZone !== zone)
-    const runner = roomiest(draft, others.filter((runner) => draft.fits(runner, model)), work)
-    if (runner !== undefined) draft.load(runner, model, 'one availability zone')
-    else makeRoom(draft, model, others, true)
+    const runner = room.best(others.filter((runner) => draft.fits(runner, model)))
+    if (runner === undefined) makeRoom(draft, model, others, true)
+    else if (draft.load(runner, model, 'one availability zone')) room.onLoad(runner, model)
   }
 }
 
@@ -44,23 +46,44 @@
     .every(({ key }) => draft.copiesOf(key).some((other) => other.serving))
 }
 
-/** The runner with the most free memory for the work that it has. */
-function roomiest (draft: Draft, runners: readonly DraftRunner[], work: WorkByModel): DraftRunner | undefined {
-  let best: DraftRunner | undefined
-  let bestScore = -Infinity
-  for (const runner of runners) {
-    const score = runner.freeMiB / runner.view.memoryMiB - workOn(draft, runner, work)
-    if (score <= bestScore) continue
-    best = runner
-    bestScore = score
+/** Work on each runner, kept while copies are added. */
+class RoomByRunner {
+  readonly #work = new Map<DraftRunner, number>()
+
+  private constructor (private readonly draft: Draft, private readonly work: WorkByModel) {
+    for (const runner of draft.runners) this.#work.set(runner, this.#workOn(runner))
+  }
+
+  static create (draft: Draft, work: WorkByModel): RoomByRunner {
+    return new RoomByRunner(draft, work)
+  }
+
+  /** The runner with the most free memory for the work that it has. */
+  best (runners: readonly DraftRunner[]): DraftRunner | undefined {
+    let best: DraftRunner | undefined
+    let bestScore = -Infinity
+    for (const runner of runners) {
+      const score = runner.freeMiB / runner.view.memoryMiB - (this.#work.get(runner) ?? 0)
+      if (score <= bestScore) continue
+      best = runner
+      bestScore = score
+    }
+    return best
+  }
+
+  onLoad (runner: DraftRunner, model: RoutedModel): void {
+    this.#work.set(runner, (this.#work.get(runner) ?? 0) + this.#shareOf(model.key))
   }
-  return best
-}
 
-function workOn (draft: Draft, runner: DraftRunner, work: WorkByModel): number {
-  let total = 0
-  for (const key of runner.copies.keys()) total += (work.get(key) ?? 0) / Math.max(1, draft.copiesOf(key).length)
-  return total
+  #workOn (runner: DraftRunner): number {
+    let total = 0
+    for (const key of runner.copies.keys()) total += this.#shareOf(key)
+    return total
+  }
+
+  #shareOf (key: string): number {
+    return (this.work.get(key) ?? 0) / Math.max(1, this.draft.copiesOf(key).length)
+  }
 }
 
 /** Unloads spare copies on the runner where the fewest have to go, unless enough memory is coming free already. */
--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -3,7 +3,7 @@
 import { Priority } from '@figloom/tables'
 import { isEligible, type Candidate, type Choice } from '../choose/choose-runner.js'
 import { FairQueue } from '../admission/fair-queue.js'
-import { PrefixIndex, type PrefixEvent } from '../prefix-index/prefix-index.js'
+import { PrefixIndex, prefixKeys, type PrefixEvent } from '../prefix-index/prefix-index.js'
 import { RetryBudget } from '../retry/retry-budget.js'
 import { decideRetry, RetryAction } from '../retry/retry-rules.js'
 import type { Attempt } from '../load/runner-load.js'
@@ -98,7 +98,8 @@
   onSent (request: RouteRequest, decision: SendDecision, nowMs: number): void {
     const state = this.#runners.get(decision.runner)
     if (state === undefined) return
-    const ownTokens = request.promptTokens - this.#cachedTokens(state, request)
+    const keys = prefixKeysOf(request)
+    const ownTokens = request.promptTokens - this.#cachedTokens(state, request, keys)
     const attempt = {
       request,
       runner: decision.runner,
@@ -115,7 +116,7 @@
     state.health.onSent(request.id)
     this.#budget.onFirstAttempt()
     this.#queue.charge(request, request.promptTokens + 1)
-    this.#prefixes.onSent(decision.runner, targetKey(request.target), request.prefixHashes)
+    this.#prefixes.onSent(decision.runner, keys)
   }
 
   onFirstToken (requestId: string, nowMs: number): void {
@@ -238,16 +239,17 @@
 
   #roomFor (request: RouteRequest, nowMs: number, except?: string): Room {
     const holders: Candidate[] = []
+    const keys = prefixKeysOf(request)
     for (const [name, state] of this.#runners) {
       if (name === except || state.info.draining || !state.holds(request.target)) continue
-      holders.push(this.#candidate(state, request, nowMs))
+      holders.push(this.#candidate(state, request, keys, nowMs))
     }
     const healthy = holders.filter(isEligible)
     const candidates = healthy.length > 0 ? healthy : holders.map((candidate) => ({ ...candidate, healthy: true }))
     return { candidates, slots: candidates.reduce((sum, { limit }) => sum + limit, 0) }
   }
 
-  #candidate (state: RunnerState, request: RouteRequest, nowMs: number): Candidate {
+  #candidate (state: RunnerState, request: RouteRequest, keys: readonly string[], nowMs: number): Candidate {
     const load = state.load.total(nowMs)
     const share = request.priority === Priority.Batch ? this.options.batchShare : 1
     return {
@@ -262,7 +264,7 @@
       prefillMsPerToken: state.latency.prefillMsPerToken,
       stepMs: state.latency.stepMs(load + 1),
       roundTripMs: this.#roundTripMs(state),
-      cachedTokens: this.#cachedTokens(state, request)
+      cachedTokens: this.#cachedTokens(state, request, keys)
     }
   }
 
@@ -271,9 +273,8 @@
     return same ? this.options.sameZoneRoundTripMs : this.options.otherZoneRoundTripMs
   }
 
-  #cachedTokens (state: RunnerState, request: RouteRequest): number {
-    if (request.prefixHashes.length === 0) return 0
-    return request.promptTokens * this.#prefixes.expectedShare(state.info.name, targetKey(request.target), request.prefixHashes)
+  #cachedTokens (state: RunnerState, request: RouteRequest, keys: readonly string[]): number {
+    return request.promptTokens * this.#prefixes.expectedShare(state.info.name, keys)
   }
 
   #refuseEarly (request: RouteRequest, room: Room, nowMs: number): RefuseDecision | undefined {
@@ -333,6 +334,10 @@
   }
 }
 
+function prefixKeysOf (request: RouteRequest): string[] {
+  return request.prefixHashes.length === 0 ? [] : prefixKeys(targetKey(request.target), request.prefixHashes)
+}
+
 function refuse (failure: Failure): RefuseDecision {
   return { kind: 'refuse', failure }
 }
--- a/packages/routing/src/prefix-index/prefix-index.ts
+++ b/packages/routing/src/prefix-index/prefix-index.ts
@@ -27,10 +27,9 @@
   }
 
   /** Assumes that a runner keeps the prefixes of a request sent to it, until its events say otherwise. */
-  onSent (runner: string, model: string, prefixHashes: readonly string[]): void {
+  onSent (runner: string, keys: readonly string[]): void {
     const cache = this.#cacheOf(runner)
-    for (const hash of prefixHashes) {
-      const key = entryKey(model, hash)
+    for (const key of keys) {
       const sequence = cache.entries.get(key)?.sequence ?? ASSUMED
       remember(cache, key, { stored: true, sequence, gaps: cache.gaps })
     }
@@ -42,12 +41,12 @@
   }
 
   /** Expected part of the prompt's hashed prefix that the runner holds, 0 to 1. */
-  expectedShare (runner: string, model: string, prefixHashes: readonly string[]): number {
+  expectedShare (runner: string, keys: readonly string[]): number {
     const cache = this.#runners.get(runner)
     if (cache === undefined) return 0
-    for (let length = prefixHashes.length; length > 0; length--) {
-      const entry = cache.entries.get(entryKey(model, prefixHashes[length - 1] ?? ''))
-      if (entry?.stored === true) return length / prefixHashes.length * GAP_CONFIDENCE ** (cache.gaps - entry.gaps)
+    for (let length = keys.length; length > 0; length--) {
+      const entry = cache.entries.get(keys[length - 1] ?? '')
+      if (entry?.stored === true) return length / keys.length * GAP_CONFIDENCE ** (cache.gaps - entry.gaps)
     }
     return 0
   }
@@ -83,6 +82,11 @@
   if (oldest.done !== true) cache.entries.delete(oldest.value)
 }
 
+/** Keys of a prompt's prefixes in the index, shortest first. */
+export function prefixKeys (model: string, prefixHashes: readonly string[]): string[] {
+  return prefixHashes.map((hash) => entryKey(model, hash))
+}
+
 function entryKey (model: string, hash: string): string {
   return `${model} ${hash}`
 }
