--- a/packages/bench/src/decisions/cell.ts
+++ b/packages/bench/src/decisions/cell.ts
@@ -49,6 +49,12 @@
     }
   }
 
+  /** Places the named models on each runner. */
+  placeExactly (placement: readonly (readonly string[])[]): void {
+    const engines = [...this.engines.values()]
+    placement.forEach((models, index) => models.forEach((model) => engines[index]?.load(this.#specOf(model))))
+  }
+
   /** Places copies by plan for a known demand, without counting moves: the state after an ordinary day. */
   placeByPlan (demand: readonly { model: string, perS: number }[]): void {
     const planned = demand.map(({ model, perS }) => this.#demandOf(model, perS))
--- a/packages/bench/src/decisions/deployments.ts
+++ b/packages/bench/src/decisions/deployments.ts
@@ -3,7 +3,7 @@
 
 /** What the platform of a deployment allows, and its network. */
 export type Deployment = {
-  name: 'cooperative' | 'franchise'
+  name: 'cooperative' | 'franchise' | 'small'
   pool: Pool
   routes: ModelRoute[]
   zones: string[]
@@ -121,3 +121,20 @@
 }
 
 export const DEPLOYMENTS = [COOPERATIVE, FRANCHISE]
+
+/** Small enough that every placement can be tried. */
+export const SMALL: Deployment = {
+  ...COOPERATIVE,
+  name: 'small',
+  ...buildTables({
+    name: 'small',
+    region: 'pt-norte',
+    zones: ['porto-a', 'porto-b', 'braga-c'],
+    runners: 3,
+    runnerGiB: 46,
+    adapters: 0,
+    moveWeight: 0.2,
+    classes: [{ prefix: 'medium', count: 4, weightsGiB: 16, kvGiB: 6 }]
+  }),
+  ordinaryPerS: 18
+}
--- a/packages/bench/src/decisions/jobs.ts
+++ b/packages/bench/src/decisions/jobs.ts
@@ -14,6 +14,8 @@
   reportLagMs: number
   /** Replaces the deployment's weight of a move. */
   moveWeight?: number
+  /** Models of each runner, in place of the version's own placement. */
+  placement?: string[][]
 }
 
 export type JobResult = { job: Job, result: ReplayResult }
--- a/packages/bench/src/decisions/replay.ts
+++ b/packages/bench/src/decisions/replay.ts
@@ -9,7 +9,7 @@
 import { Timeline } from './timeline.js'
 import type { Version } from './versions.js'
 
-export type ReplayOptions = DemandOptions & { reportLagMs: number }
+export type ReplayOptions = DemandOptions & { reportLagMs: number, placement?: string[][] }
 
 export type ReplayResult = {
   version: string
@@ -77,7 +77,8 @@
 }
 
 function place (cell: Cell, version: Version, options: ReplayOptions): void {
-  if (version.plan === undefined) cell.placeEvenly()
+  if (options.placement !== undefined) cell.placeExactly(options.placement)
+  else if (version.plan === undefined) cell.placeEvenly()
   else cell.placeByPlan(ordinaryRates(cell.deployment, options))
 }
 
--- a/packages/bench/src/decisions/worker.ts
+++ b/packages/bench/src/decisions/worker.ts
@@ -1,6 +1,6 @@
 /** Worker thread that carries out replays. */
 import { parentPort } from 'node:worker_threads'
-import { DEPLOYMENTS, type Deployment } from './deployments.js'
+import { DEPLOYMENTS, SMALL, type Deployment } from './deployments.js'
 import type { Job } from './jobs.js'
 import { replay } from './replay.js'
 import { versionNamed } from './versions.js'
@@ -10,7 +10,7 @@
 })
 
 function deploymentOf (job: Job): Deployment {
-  const deployment = DEPLOYMENTS.find(({ name }) => name === job.deployment) as Deployment
+  const deployment = [...DEPLOYMENTS, SMALL].find(({ name }) => name === job.deployment) as Deployment
   if (job.moveWeight === undefined) return deployment
   return { ...deployment, pool: { ...deployment.pool, moveWeight: job.moveWeight } }
 }
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,14 @@
+#!/usr/bin/env node
+/** Runs one benchmark: `npm run bench -- NAME`. */
+import { runDecisions } from './decisions/app.js'
+
+const BENCHMARKS: Record<string, () => Promise<void>> = { decisions: runDecisions }
+
+const name = process.argv[2] ?? ''
+const run = BENCHMARKS[name]
+if (run === undefined) {
+  console.error(`usage: npm run bench -- ${Object.keys(BENCHMARKS).join('|')}`)
+  process.exitCode = 2
+} else {
+  await run()
+}
