--- a/packages/daemon/src/app.ts
+++ b/packages/daemon/src/app.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import type { ConfigFollower, Membership, Sender } from '@figloom/control'
 import type { HostListClient } from '@figloom/platform'
-import { createRegistry, Gauge, type Registry } from '@figloom/runtime'
+import { createRegistry, Gauge, type Registry, type Timer } from '@figloom/runtime'
 import { parseAddress } from '@figloom/settings'
 import { tablesOf, type ConfigState } from '@figloom/tables'
 import { createCells } from './assembly/cells.js'
@@ -48,6 +48,10 @@
 /** Time beyond a lookup's time to live in which callers may still come, in milliseconds. */
 const LOOKUP_MARGIN_MS = 250
 
+/** Age of the log's last answer to the configuration follower below which the log counts as answering, in milliseconds. */
+const LOG_FRESH_MS = 12_000
+const LOG_CHECK_MS = 1000
+
 /** One entry host. */
 export class Daemon {
   readonly registry: Registry
@@ -55,6 +59,7 @@
   readonly #clients: Clients
   #parts: Parts | undefined
   #listeners: Listeners | undefined
+  #logTimer: Timer | undefined
   #isLeaving = false
   #isClosed = false
 
@@ -113,6 +118,7 @@
   /** Stops at once; requests in flight are cut. */
   async stop (): Promise<void> {
     this.#isClosed = true
+    this.#logTimer?.cancel()
     const parts = this.#parts
     if (parts !== undefined) {
       for (const part of [parts.watch, parts.membership, parts.follower, parts.claims.keys, parts.claims.streams, parts.cells]) part.stop()
@@ -142,7 +148,6 @@
       cells.setMembership(view)
       watch.takePeerLoads((runner) => membership.loadsOf(runner))
       claims.followGateways()
-      if ((follower.report().logAgeMs ?? Infinity) < LOG_FRESH_MS) membership.logAnswered()
     })
     follower.subscribe((state, version) => {
       const tables = tablesOf(state)
@@ -150,12 +155,20 @@
       cells.setTables(tables)
       membership.update({ configVersion: version })
     })
+    this.#watchLog()
     this.#registerGauges()
     membership.start()
     follower.start()
     watch.start()
   }
 
+  /** Tells membership while the follower's reads of the log are answered. */
+  #watchLog (): void {
+    this.#logTimer = this.options.clock.setTimer(LOG_CHECK_MS, () => this.#watchLog())
+    const { logAgeMs = Infinity } = this.#parts?.follower.report() ?? {}
+    if (logAgeMs < LOG_FRESH_MS) this.#parts?.membership.logAnswered()
+  }
+
   #registerGauges (): void {
     const registers = [this.registry]
     const parts = () => this.#parts
@@ -205,9 +218,6 @@
   }
 }
 
-/** Age of the log's last answer to the configuration follower below which the log counts as answering. */
-const LOG_FRESH_MS = 12_000
-
 /** Later processes of a host sort behind earlier ones. */
 function createIncarnation ({ clock }: DaemonOptions): string {
   return `${clock.now().getTime().toString(36).padStart(9, '0')}-${randomUUID().slice(0, 8)}`
--- a/packages/daemon/src/cells/cell-set.ts
+++ b/packages/daemon/src/cells/cell-set.ts
@@ -42,6 +42,7 @@
   readonly #incarnations = new Map<string, { incarnation: string, innerUrl: string }>()
   #tables: Tables = { routes: [], pools: [] }
   #view: MembershipView | undefined
+  #toldCells = ''
   #leavingBackends: ReadonlySet<string> = new Set()
 
   private constructor (private readonly options: CellSetOptions) {}
@@ -133,10 +134,18 @@
     let changed = false
     for (const pool of wanted) changed = this.#upsert(pool) || changed
     this.options.watch.setRunners(wanted.flatMap((pool) => this.#watched(pool)))
-    this.options.onCells([...names])
+    this.#tellCells([...names])
     if (changed) this.refreshBars()
   }
 
+  /** Only on a change: membership tells its listeners of every update. */
+  #tellCells (names: string[]): void {
+    const joined = names.join('\n')
+    if (joined === this.#toldCells) return
+    this.#toldCells = joined
+    this.options.onCells(names)
+  }
+
   #servesHere (pool: Pool): boolean {
     if (this.#view === undefined) return true
     return this.hostsOf(pool).some(({ self }) => self)
--- a/scripts/first-run/cluster.mjs
+++ b/scripts/first-run/cluster.mjs
@@ -4,7 +4,7 @@
 import { fileURLToPath } from 'node:url'
 import { spawn } from 'node:child_process'
 import { startProgram, stopPrograms } from './children.mjs'
-import { daemonSettings, poolsTable, routesTable, standinSettings, ZONES } from './settings.mjs'
+import { cliSettings, daemonSettings, poolsTable, routesTable, standinSettings, ZONES } from './settings.mjs'
 
 const packages = fileURLToPath(new URL('../../packages/', import.meta.url))
 const programs = {
@@ -23,22 +23,23 @@
   }
   const running = []
   const stop = async () => {
-    await stopPrograms(running.filter(({ name }) => name !== 'standins'))
-    await stopPrograms(running.filter(({ name }) => name === 'standins'))
+    await stopPrograms(running.filter(({ name }) => name !== STANDINS))
+    await stopPrograms(running.filter(({ name }) => name === STANDINS))
     await rm(directory, { recursive: true })
   }
   try {
-    const standins = await startProgram('standins', programs.standin, ['--settings', await write('standins.toml', standinSettings())], { log })
+    const standins = await startProgram(STANDINS, programs.standin, ['--settings', await write('standins.toml', standinSettings())], { log })
     running.push(standins)
     const urls = Object.fromEntries(standins.ready.listening.map(({ name, url }) => [name, url]))
     const settingsFiles = await Promise.all(ZONES.map((zone, index) => write(`host-${index + 1}.toml`, daemonSettings(`host-${index + 1}`, zone, urls))))
     const daemons = await Promise.all(settingsFiles.map((file, index) => startProgram(`host-${index + 1}`, programs.daemon, ['--settings', file], { log })))
     running.push(...daemons)
     const tables = [await write('routes.toml', routesTable()), await write('pools.toml', poolsTable(urls))]
-    await runCli(['publish', ...tables, '--settings', settingsFiles[0]])
     const hosts = daemons.map(({ ready }) => ready.listening)
+    const cliFile = await write('figloom.toml', cliSettings(urls, hosts[0].operatorUrl))
+    await runCli(['publish', ...tables, '--settings', cliFile])
     await Promise.all(hosts.map(({ operatorUrl }) => waitReady(operatorUrl)))
-    return { hosts, urls, daemons, standins, settingsFiles, stop }
+    return { hosts, urls, daemons, standins, cliFile, stop }
   } catch (error) {
     await stop()
     throw error
@@ -53,6 +54,7 @@
   })
 }
 
+const STANDINS = 'standins'
 const READY_POLL_MS = 100
 const READY_TRIES = 300
 
--- a/scripts/first-run/settings.mjs
+++ b/scripts/first-run/settings.mjs
@@ -102,3 +102,17 @@
 checksFencing = true
 `
 }
+
+/** Settings of the operators' command line. */
+export function cliSettings (urls, operatorUrl) {
+  return `
+[operator]
+name = "first-run"
+
+[log]
+url = "${urls.log}"
+
+[daemon]
+operatorUrls = ["${operatorUrl}"]
+`
+}
--- a/scripts/first-run/tour.mjs
+++ b/scripts/first-run/tour.mjs
@@ -1,5 +1,7 @@
 const RETRY_MS = 200
 const TRIES = 150
+/** The answer to an earlier call with the same key is not kept yet. */
+const KEY_IN_PROGRESS = 4005
 
 /** Sends one lookup, one streamed generation and one keyed booking, twice, and prints the answers. */
 export async function sendTour (cluster) {
@@ -31,13 +33,14 @@
   return answer.json()
 }
 
-/** Sends again while the answer says that nothing ran: models are still being loaded on a first run. */
+/** Sends again while that is safe: models are still being loaded on a first run. */
 async function sendUntilServed (send) {
   for (let tries = 0; tries < TRIES; tries++) {
     const answer = await send()
-    if (answer.status !== 503) return answer
+    if (answer.ok) return answer
     const { error } = await answer.json()
-    if (error.ran !== 'no') throw new Error(JSON.stringify(error))
+    const mayRepeat = error.ran === 'no' || error.code === KEY_IN_PROGRESS
+    if (!mayRepeat) throw new Error(JSON.stringify(error))
     await new Promise((resolve) => setTimeout(resolve, RETRY_MS))
   }
   throw new Error('not served in time')
