--- a/packages/tables/src/acceptance/fold.ts
+++ b/packages/tables/src/acceptance/fold.ts
@@ -1,7 +1,7 @@
 /** Reading of the configuration stream, record by record. */
-import { canonicalJson } from '../rows/canonical.js'
 import type { Tables } from '../types.js'
-import { parseConfigRecord, RecordKind, type ConfigRecord, type RecordFault, type SnapshotRecord } from './records.js'
+import { ok, type Result } from 'neverthrow'
+import { parseConfigRecord, readEnvelope, RecordKind, RULE_VERSION, type ConfigRecord, type RecordFault, type SnapshotRecord } from './records.js'
 import { applyEdit, applyRetiredClear, refuseMalformed, RULE_LIMITS, type RuleLimits } from './rule.js'
 import { tablesOf, type ConfigState } from './state.js'
 import { fromStateJson, toStateJson } from './state-json.js'
@@ -28,7 +28,7 @@
 export function foldRecord (state: ConfigState, record: StreamRecord, limits: RuleLimits = RULE_LIMITS): FoldOutcome {
   if (record.offset <= state.offset) return { kind: 'behind' }
   if (record.offset > state.offset + 1) return { kind: 'gap', expectedOffset: state.offset + 1 }
-  return parseConfigRecord(record.body).match(
+  return parseFollowed(record.body).match(
     (parsed) => ({ kind: 'applied', recordKind: parsed.kind, ...applyConfigRecord(state, parsed, limits) }),
     (fault) => foldFault(state, fault, limits)
   )
@@ -46,7 +46,7 @@
   return { state: outcome.state, edit: { editId: record.editId, verdict: outcome.verdict } }
 }
 
-/** Record of a snapshot; equal states give equal bytes under `canonicalJson`. */
+/** Record of a snapshot; equal states give equal JSON text. */
 export function createSnapshot (state: ConfigState): SnapshotRecord {
   return { kind: 'snapshot', ruleVersion: state.ruleVersion, standsFor: state.offset, state: toStateJson(state) }
 }
@@ -56,9 +56,9 @@
   return `snapshot-${state.offset}`
 }
 
-/** Snapshot as bytes for peers and for comparison. */
+/** Snapshot as JSON text, for peers and for comparison. */
 export function encodeSnapshot (state: ConfigState): string {
-  return canonicalJson(createSnapshot(state))
+  return JSON.stringify(createSnapshot(state))
 }
 
 /** The state of a snapshot if it is ahead of the present one, else the present one: a reader never goes back. */
@@ -89,6 +89,13 @@
   return { version: state.version, tables: tablesOf(state) }
 }
 
+/** A reader that follows learns nothing from a snapshot, so it does not check the large state inside. */
+function parseFollowed (body: unknown): Result<ConfigRecord, RecordFault> {
+  const envelope = readEnvelope(body)
+  const isSnapshot = envelope?.kind === RecordKind.Snapshot && envelope.ruleVersion <= RULE_VERSION
+  return isSnapshot ? ok(body as SnapshotRecord) : parseConfigRecord(body)
+}
+
 function foldFault (state: ConfigState, fault: RecordFault, limits: RuleLimits): FoldOutcome {
   if (fault.kind === 'unknown-rule') return fault
   if (fault.editId === undefined) return { kind: 'applied', state: { ...state, offset: state.offset + 1 } }
--- a/packages/tables/src/acceptance/records.ts
+++ b/packages/tables/src/acceptance/records.ts
@@ -68,17 +68,21 @@
 
 /** Reads the body of a record. Only the envelope's `ruleVersion` is read before the rest is known to be understood. */
 export function parseConfigRecord (body: unknown): Result<ConfigRecord, RecordFault> {
-  const ruleVersion = readRuleVersion(body)
-  if (ruleVersion === undefined) return err({ kind: 'malformed' })
+  const envelope = readEnvelope(body)
+  if (envelope === undefined) return err({ kind: 'malformed' })
+  const { ruleVersion } = envelope
   if (ruleVersion > RULE_VERSION) return err({ kind: 'unknown-rule', ruleVersion })
   const parsed = recordSchema.safeParse(body)
   if (parsed.success) return ok(parsed.data as ConfigRecord)
   return err({ kind: 'malformed', ...readEditId(body) })
 }
 
-function readRuleVersion (body: unknown): number | undefined {
-  const envelope = z.looseObject({ ruleVersion: z.int().min(1) }).safeParse(body)
-  return envelope.success ? envelope.data.ruleVersion : undefined
+const envelopeSchema = z.looseObject({ ruleVersion: z.int().min(1), kind: z.unknown() })
+
+/** What every release can read of any record; undefined if it is no record. */
+export function readEnvelope (body: unknown): { ruleVersion: number, kind?: unknown } | undefined {
+  const envelope = envelopeSchema.safeParse(body)
+  return envelope.success ? envelope.data : undefined
 }
 
 function readEditId (body: unknown): { editId: string } | undefined {
--- a/packages/tables/src/acceptance/rule.ts
+++ b/packages/tables/src/acceptance/rule.ts
@@ -71,8 +71,7 @@
 function changeRows (state: ConfigState, { changes, author }: EditRecord, offset: number): ConfigState {
   const shards = new Map<string, Shard>(state.shards)
   const retiring = new Map(state.retiring)
-  for (const name of new Set(changes.map(shardOf))) {
-    const group = changes.filter((change) => shardOf(change) === name)
+  for (const [name, group] of groupByShard(changes)) {
     const old = getShard(state, name)
     for (const change of group) retireRow(retiring, old.get(rowKey(change))?.change, change, offset)
     shards.set(name, changeShard(old, group, { author, offset, oldestBase: state.oldestBase }))
@@ -80,6 +79,17 @@
   return { ...state, shards, retiring, version: offset }
 }
 
+function groupByShard (changes: readonly RowChange[]): Map<string, RowChange[]> {
+  const groups = new Map<string, RowChange[]>()
+  for (const change of changes) {
+    const name = shardOf(change)
+    const group = groups.get(name)
+    if (group === undefined) groups.set(name, [change])
+    else group.push(change)
+  }
+  return groups
+}
+
 function changeShard (old: Shard, changes: readonly RowChange[], by: { author: string, offset: number, oldestBase: number }): Shard {
   const shard = new Map<string, RowEntry>([...old].filter(([, entry]) => !isForgotten(entry, by.oldestBase)))
   for (const change of changes) shard.set(rowKey(change), { change, author: by.author, offset: by.offset })
--- a/packages/tables/src/acceptance/state-json.ts
+++ b/packages/tables/src/acceptance/state-json.ts
@@ -43,13 +43,19 @@
   retiring: z.array(retiringSchema)
 })
 
-/** Writes a state; removals that no edit can conflict with any more are left out. */
+/**
+ * Writes a state. Keys stand in the order of the schemas, through which every record and snapshot has come, so that equal
+ * states give equal bytes. Removals that no edit can conflict with any more are left out.
+ */
 export function toStateJson (state: ConfigState): StateJson {
-  const entries = [...state.shards.values()].flatMap((shard) => [...shard.values()])
+  const entries = [...state.shards.values()].flatMap((shard) => [...shard])
   return {
     version: state.version,
     oldestBase: state.oldestBase,
-    rows: entries.filter((entry) => !isForgotten(entry, state.oldestBase)).sort((a, b) => compareText(rowKey(a.change), rowKey(b.change))),
+    rows: entries
+      .filter(([, entry]) => !isForgotten(entry, state.oldestBase))
+      .sort(([a], [b]) => compareText(a, b))
+      .map(([, entry]) => entry),
     edits: [...state.edits.values()].sort((a, b) => a.offset - b.offset),
     retiring: [...state.retiring.values()].sort((a, b) => compareText(a.row, b.row))
   }
--- a/packages/tables/src/check/copies.ts
+++ b/packages/tables/src/check/copies.ts
@@ -34,6 +34,17 @@
     .sort((a, b) => compareText(a.key, b.key))
 }
 
+/** Routes by the pool that they name. */
+export function groupRoutes (routes: readonly Route[]): Map<string, Route[]> {
+  const groups = new Map<string, Route[]>()
+  for (const route of routes) {
+    const group = groups.get(route.pool)
+    if (group === undefined) groups.set(route.pool, [route])
+    else group.push(route)
+  }
+  return groups
+}
+
 /** Pools by name. */
 export function indexPools ({ pools }: Tables): Map<string, Pool> {
   return new Map(pools.map((pool) => [pool.name, pool]))
