--- a/packages/standin/src/clients/http-clients.test.ts
+++ b/packages/standin/src/clients/http-clients.test.ts
@@ -70,6 +70,15 @@
   await running.close()
 })
 
+t.test('the weight store is slowed down over HTTP', async (t) => {
+  const running = await startStandins({ store: { startsPerSecond: 2 }, standin: [{ kind: 'store', name: 'store' }] }, clock)
+  const url = running.urlOf('store')
+  t.equal((await post(`${url}/faults`, { delayMs: 5_000 })).status, 200)
+  t.match(running.store.config, { startsPerSecond: 2, delayMs: 5_000 })
+  t.match(await (await request(`${url}/stats`)).body.json(), { loads: 0, peakLoads: 0 })
+  await running.close()
+})
+
 t.test('a port in use leaves nothing running', async (t) => {
   const first = await startStandins({ standin: [{ kind: 'service', name: 'a' }] }, clock)
   const port = Number(new URL(first.urlOf('a')).port)
--- a/packages/standin/src/config.ts
+++ b/packages/standin/src/config.ts
@@ -68,8 +68,10 @@
   delayMs: msSchema.optional()
 })
 
-/** Settings of one stand-in. */
-export const standinSchema = z.discriminatedUnion('kind', [logSchema, hostsSchema, engineSchema, serviceSchema])
+const storeListenerSchema = z.strictObject({ kind: z.literal('store'), ...common })
+
+/** Settings of one stand-in. A `store` makes the process's weight store reachable, for its faults and figures. */
+export const standinSchema = z.discriminatedUnion('kind', [logSchema, hostsSchema, engineSchema, serviceSchema, storeListenerSchema])
 export type StandinConfig = z.infer<typeof standinSchema>
 
 /** Settings of a process: its stand-ins, and the weight store that its engines share. */
--- a/packages/standin/src/engine/engine-attempts.ts
+++ b/packages/standin/src/engine/engine-attempts.ts
@@ -31,6 +31,8 @@
   cache: PrefixCache
   gate: Gate
   replaced: boolean
+  /** Added to the time of each token, in milliseconds. */
+  slowTokenMs: () => number
 }
 
 /** Runs generations: a limited number at once, the rest queued by priority and order of arrival. */
@@ -46,18 +48,11 @@
   readonly runs = new Map<string, number>()
   readonly counts = { started: 0, finished: 0, canceled: 0, refused: 0, startedTwice: 0, peakRunning: 0 }
 
-  private constructor (
-    private readonly clock: Clock,
-    private readonly config: EngineConfig,
-    private readonly memory: EngineMemory,
-    private readonly cache: PrefixCache,
-    private readonly gate: Gate,
-    private readonly replaced: boolean
-  ) {}
+  private constructor (private readonly options: EngineAttemptsOptions) {}
 
   /** `replaced` says that an earlier process may have run attempts that this one does not know. */
   static create (options: EngineAttemptsOptions): EngineAttempts {
-    return new EngineAttempts(options.clock, options.config, options.memory, options.cache, options.gate, options.replaced)
+    return new EngineAttempts(options)
   }
 
   get running (): number {
@@ -71,7 +66,7 @@
   /** Queues or starts a generation. `not-resident` and `canceled`: it did not run and will not. */
   submit (request: GenerateRequest, sink: GenerateSink): 'accepted' | 'not-resident' | 'canceled' {
     if (this.#canceledAhead.has(request.attemptId)) return 'canceled'
-    const copy = this.memory.residentCopy(request.model, request.version, request.adapter)
+    const copy = this.options.memory.residentCopy(request.model, request.version, request.adapter)
     if (copy === undefined) {
       this.counts.refused += 1
       return 'not-resident'
@@ -124,7 +119,7 @@
   }
 
   #cancelAhead (attemptId: string): CancelOutcome {
-    if (this.replaced || this.#latest.size >= KEPT_ATTEMPTS) return 'unknown'
+    if (this.options.replaced || this.#latest.size >= KEPT_ATTEMPTS) return 'unknown'
     this.#canceledAhead.add(attemptId)
     return 'not-started'
   }
@@ -148,7 +143,7 @@
   }
 
   #startNext (): void {
-    while (this.#running.size < this.config.slots && this.#queue.length > 0) {
+    while (this.#running.size < this.options.config.slots && this.#queue.length > 0) {
       const interactive = this.#queue.findIndex(({ request }) => request.priority === 'interactive')
       const [attempt] = this.#queue.splice(Math.max(0, interactive), 1)
       if (attempt !== undefined) this.#start(attempt)
@@ -160,13 +155,14 @@
     attempt.state = 'running'
     this.#running.add(attempt)
     this.#countRun(request.attemptId)
-    const cachedCharacters = this.cache.use(request.model, request.prompt) ? PREFIX_CHARACTERS : 0
+    const cachedCharacters = this.options.cache.use(request.model, request.prompt) ? PREFIX_CHARACTERS : 0
     const prefillTokens = Math.ceil(Math.max(0, request.prompt.length - cachedCharacters) / CHARACTERS_PER_TOKEN)
-    this.#schedule(attempt, request.resumeFrom, this.config.firstTokenMs + prefillTokens * this.config.prefillTokenMs)
+    this.#schedule(attempt, request.resumeFrom, this.options.config.firstTokenMs + prefillTokens * this.options.config.prefillTokenMs)
   }
 
   #schedule (attempt: Attempt, index: number, delayMs: number): void {
-    attempt.timer = this.clock.setTimer(delayMs, () => this.gate.run(() => this.#emit(attempt, index)))
+    const { clock, gate, slowTokenMs } = this.options
+    attempt.timer = clock.setTimer(delayMs + slowTokenMs(), () => gate.run(() => this.#emit(attempt, index)))
   }
 
   #emit (attempt: Attempt, index: number): void {
@@ -174,7 +170,7 @@
     const { maxTokens } = attempt.request
     if (index < maxTokens) attempt.sink.onToken(index, attempt.tokenOf(index))
     if (index + 1 >= maxTokens) this.#finish(attempt, 'finished')
-    else this.#schedule(attempt, index + 1, this.config.tokenMs)
+    else this.#schedule(attempt, index + 1, this.options.config.tokenMs)
   }
 
   #finish (attempt: Attempt, state: 'finished' | 'stopped'): void {
--- a/packages/standin/src/engine/engine-core.test.ts
+++ b/packages/standin/src/engine/engine-core.test.ts
@@ -126,6 +126,17 @@
   t.match(engine.stats(), { started: 2, finished: 2, refused: 2, runs: { a: 1, b: 1 } })
 })
 
+t.test('slow tokens', async (t) => {
+  const { clock, engine } = createEngine({ copies: [copy] })
+  engine.setFaults({ slowTokenMs: 100 })
+  const { sink, seen } = createSink()
+  await engine.generate(request('a'), sink)
+  await clock.advance(329)
+  t.same(seen.events, [])
+  await clock.advance(1)
+  t.same(seen.events, ['end'])
+})
+
 t.test('queue by priority', async (t) => {
   const { clock, engine } = createEngine({ copies: [copy], slots: 1 })
   const ended: string[] = []
--- a/packages/standin/src/engine/engine-core.ts
+++ b/packages/standin/src/engine/engine-core.ts
@@ -127,7 +127,15 @@
       this.#memory.add({ ...copy, state: 'resident', adapters: copy.adapters.map((adapter) => ({ ...adapter, state: 'resident' })) })
     }
     const cache = PrefixCache.create(config.cachedPrefixes, () => this.takeFault('skipCacheEvents'))
-    const attempts = EngineAttempts.create({ clock, config, memory: this.#memory, cache, gate: this.#gate, replaced: this.#restarts > 0 })
+    const attempts = EngineAttempts.create({
+      clock,
+      config,
+      memory: this.#memory,
+      cache,
+      gate: this.#gate,
+      replaced: this.#restarts > 0,
+      slowTokenMs: () => this.faults.slowTokenMs
+    })
     this.#cache = cache
     this.#attempts = attempts
     this.#orders = EngineOrders.create({
--- a/packages/standin/src/engine/types.ts
+++ b/packages/standin/src/engine/types.ts
@@ -59,6 +59,8 @@
   frozen: boolean
   /** Every call is cut off before it has an effect. */
   down: boolean
+  /** Added to the time of each token, also the first, in milliseconds. */
+  slowTokenMs: number
   /** Orders that never arrive. */
   loseOrders: number
   /** Orders that arrive `orderDelayMs` later, also after the sender gave up. */
@@ -88,6 +90,7 @@
 export const noEngineFaults: EngineFaults = {
   frozen: false,
   down: false,
+  slowTokenMs: 0,
   loseOrders: 0,
   delayOrders: 0,
   orderDelayMs: 0,
--- a/packages/standin/src/start.ts
+++ b/packages/standin/src/start.ts
@@ -11,6 +11,7 @@
 import { MemoryLog } from './log/memory-log.js'
 import { createServiceApp } from './service/service-app.js'
 import { ServiceCore } from './service/service-core.js'
+import { createStoreApp } from './store/store-app.js'
 import { WeightStore, type WeightStoreConfig } from './store/weight-store.js'
 
 /** The core of a stand-in, for its faults and figures. */
@@ -19,6 +20,7 @@
   | { kind: 'hosts', hosts: MemoryHostList }
   | { kind: 'engine', engine: EngineCore }
   | { kind: 'service', service: ServiceCore }
+  | { kind: 'store', store: WeightStore }
 
 /** A stand-in that listens. */
 export type RunningStandin = { name: string, url: string, core: StandinCore, close: () => Promise<void> }
@@ -59,6 +61,7 @@
     return { kind: 'hosts', hosts: MemoryHostList.create({ clock, hosts: config.entries ?? [], lagMs: config.lagMs ?? 0 }) }
   }
   if (config.kind === 'engine') return { kind: 'engine', engine: createEngine(config, clock, store) }
+  if (config.kind === 'store') return { kind: 'store', store }
   const service = ServiceCore.create({ clock, service: config.name })
   service.faults.delayMs = config.delayMs ?? 0
   return { kind: 'service', service }
@@ -81,6 +84,7 @@
     case 'hosts': return createHostsApp(core.hosts)
     case 'engine': return createEngineApp(core.engine, clock)
     case 'service': return createServiceApp(core.service)
+    case 'store': return createStoreApp(core.store)
   }
 }
 
