--- a/packages/control/src/config/types.ts
+++ b/packages/control/src/config/types.ts
@@ -10,16 +10,19 @@
   Invalid: 'invalid',
   /** Repeat of an edit that was judged before. */
   Repeated: 'repeated',
-  /** A snapshot of the state at an earlier offset. */
+  /** A snapshot, or another record without a verdict. */
   Snapshot: 'snapshot',
   /** The record needs a rule version that this release does not have. */
   UnknownRule: 'unknown-rule'
 } as const
 export type ConfigVerdict = (typeof ConfigVerdict)[keyof typeof ConfigVerdict]
 
-/** Result of applying one record; `detail` is the rule's own report to the author. */
+/** Result of applying one record; `detail` is the rule's own report. */
 export type ConfigStep<State> = { state: State, verdict: ConfigVerdict, detail?: unknown }
 
+/** Verdict on an edit; `detail` is the rule's own report to the author. */
+export type JudgedEdit = { editId: string, offset: number, verdict: ConfigVerdict, detail: unknown }
+
 /** The pure acceptance rule. The same state and record give the same step on every host. */
 export abstract class ConfigRule<State> {
   abstract empty (): State
@@ -28,10 +31,15 @@
   abstract offsetOf (state: State): number
   /** Version in force: the offset of the last accepted edit. */
   abstract versionOf (state: State): number
+  /** Verdict on an edit that the state remembers, whoever read it first. */
+  judgedEdit (_state: State, _editId: string): JudgedEdit | undefined {
+    return undefined
+  }
+
   /** Canonical JSON form of a state. */
   abstract toSnapshot (state: State): unknown
   abstract fromSnapshot (snapshot: unknown): Result<State, Failure>
-  /** Body of a record that carries a snapshot. */
+  /** Body of a record that carries a snapshot; every host gives the same for the same state. */
   abstract snapshotRecord (state: State): unknown
   /** State inside a snapshot record; undefined for other records and for unreadable snapshots. */
   abstract stateInRecord (record: LogRecord): State | undefined
@@ -57,9 +65,6 @@
 } as const
 export type FollowerStatus = (typeof FollowerStatus)[keyof typeof FollowerStatus]
 
-/** Verdict on a record, as subscribers see it. */
-export type JudgedRecord = { offset: number, recordId: string, verdict: ConfigVerdict, detail?: unknown }
-
 /** What a follower knows at present. */
 export type FollowerReport = {
   status: FollowerStatus
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,4 +1,5 @@
 /** Settings files in TOML and their schemas. */
+export { renderSettingsPage } from './docs/settings-page.js'
 export * from './toml/issue.js'
 export type { PathIssue } from './toml/messages.js'
 export * from './toml/read.js'
@@ -6,5 +7,6 @@
 export * from './schema/fields.js'
 export * from './schema/rules.js'
 export * from './schema/units.js'
+export * from './client/settings.js'
 export * from './daemon/schema.js'
 export * from './daemon/settings.js'
