--- a/packages/control/src/claims/key-claims.test.ts
+++ b/packages/control/src/claims/key-claims.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import { claimStreamName, hashKey, streamIndexOf } from './keys.js'
 import { ClaimCluster, settled, type KillPoint } from '../testing/claim-cluster.js'
 
 const HOUR_MS = 3_600_000
@@ -207,6 +208,29 @@
   t.equal(cluster.runs.get('k1'), 1)
 })
 
+t.test('a gateway that starts on a long stream reads its end and finds the last snapshot', async (t) => {
+  const cluster = new ClaimCluster({ hosts: ['a'], limits: { snapshotEveryMs: 2000 } })
+  const stream = claimStreamName(streamIndexOf(hashKey('booking', 'k1')))
+  const first = settled(cluster.call('a', 'k1'))
+  await cluster.clock.advance(1000)
+  for (let n = 0; n < 6000; n++) await cluster.log.append(stream, `filler-${n}`, {})
+  await cluster.clock.advance(3000)
+  let oldestRead = Infinity
+  const read = cluster.log.read.bind(cluster.log)
+  cluster.log.read = (name, options) => {
+    if (name === stream) oldestRead = Math.min(oldestRead, options.from)
+    return read(name, options)
+  }
+  cluster.kill('a')
+  cluster.listed.clear()
+  cluster.start('d')
+  const repeat = settled(cluster.call('d', 'k1'))
+  await cluster.clock.advance(1000)
+  t.equal(first.end.kind, 'ran')
+  t.match(repeat.end, { kind: 'refused', code: 4003 })
+  t.ok(oldestRead > 1500, `read from ${oldestRead}`)
+})
+
 t.test('a key is kept for keepMs at least and forgotten after twice that and a little', async (t) => {
   const cluster = new ClaimCluster({ limits: { keepMs: HOUR_MS / 10, snapshotEveryMs: HOUR_MS / 40 } })
   const first = settled(cluster.call('a', 'k1'))
--- a/packages/control/src/config/config-follower.test.ts
+++ b/packages/control/src/config/config-follower.test.ts
@@ -103,6 +103,28 @@
   await clock.advance(20_000)
   t.equal(b.report().status, FollowerStatus.Following)
   t.same(seen.get('b'), [1])
+  await edit('edit-2', 1, 'two')
+  await clock.advance(20_000)
+  t.equal(b.current()?.value, 'two')
+})
+
+t.test('a reader behind retention whose only peer is older keeps what it has', async (t) => {
+  const { clock, log, seen, startHost, edit } = setUp({ retentionMs: HOUR_MS / 60 })
+  await edit('edit-1', 0, 'one')
+  const peers: unknown[] = []
+  const b = startHost('b', peers)
+  await clock.advance(10)
+  peers.push(b.snapshot(0)?.snapshot)
+  const read = log.read.bind(log)
+  log.read = (stream, options) => options.from === 3 ? read('void', options) : read(stream, options)
+  await edit('edit-2', 1, 'two')
+  await log.append(CONFIG_STREAM, 'edit-3', { rule: 1, base: 2, value: 'three' })
+  await clock.advance(HOUR_MS / 30)
+  log.read = read
+  await clock.advance(20_000)
+  t.equal(b.current()?.value, 'two')
+  t.equal(b.report().status, FollowerStatus.LogUnreachable)
+  t.same(seen.get('b'), [1, 2])
 })
 
 t.test('a host that starts on a stale peer takes the newer log', async (t) => {
@@ -179,6 +201,7 @@
   for (const host of hosts) startHost(host)
   await edit('edit-1', 0, 'one')
   const before = log.appendCount
+  log.faults.delayMs = 20
   await clock.advance(HOUR_MS)
   t.ok(log.appendCount - before <= 8, `${log.appendCount - before} snapshots in an hour`)
   t.ok(log.appendCount - before >= 4)
--- a/packages/control/src/membership/membership.ts
+++ b/packages/control/src/membership/membership.ts
@@ -162,7 +162,7 @@
   }
 
   async #readList (): Promise<void> {
-    this.#again('read-list', this.#times.listMs)
+    this.#again('read-list', Math.max(this.#times.listMs, this.#state.hosts.size * this.#times.listPerHostMs))
     const result = await this.options.hostList.list()
     if (result.isOk()) this.post({ kind: 'list', list: result.value })
   }
--- a/packages/control/src/membership/types.ts
+++ b/packages/control/src/membership/types.ts
@@ -87,8 +87,10 @@
   suspectMs: number
   /** Silence after which a host is forgotten, unless it is listed. */
   removeMs: number
-  /** Time between two reads of the host list. */
+  /** Least time between two reads of the host list. */
   listMs: number
+  /** Time between two reads for each host listed, so that long lists cost no more bytes a second. */
+  listPerHostMs: number
   /** Silence of the log after which it counts as unreachable. */
   logSilentMs: number
 }
@@ -98,6 +100,7 @@
   suspectMs: 3500,
   removeMs: 30_000,
   listMs: 2000,
+  listPerHostMs: 75,
   logSilentMs: 15_000
 }
 
