Refuse a claim after two gateways said that the log does not answer

At the onset of an outage a call asked three hosts one after the other, each of which waited for its read-back: 829 ms at most before, 554 ms after; later calls take 2 ms. Ran against 10 calls/s with three hosts and outages of 5, 60 and 600 s: all 6,650 calls in an outage refused as not run, none ran, none ran twice after.

--- a/packages/control/src/claims/key-claims.ts
+++ b/packages/control/src/claims/key-claims.ts
@@ -35,6 +35,8 @@
   gatewaysOf: (index: number) => string[]
 }
 
+/** Gateways that may say that the log does not answer before the call is refused. */
+const MAX_REFUSALS = 2
 const UNAVAILABLE_RETRY_MS = 1000
 const IN_PROGRESS_RETRY_MS = 500
 const DELIVERY_RETRY_MS = 1000
@@ -74,24 +76,26 @@
   async #ask (request: ClaimRequest, deadlineMs: number): Promise<{ answer: ClaimAnswer, mayBeAppended: boolean }> {
     const order = this.#gateways(request.key)
     let mayBeAppended = false
+    let refusals = 0
     for (const [turn, gateway] of order.entries()) {
       const leftMs = deadlineMs - this.options.clock.monotonicMs()
-      if (leftMs <= 0) break
+      if (leftMs <= 0 || refusals === MAX_REFUSALS) break
       const timeoutMs = leftMs / Math.min(order.length - turn, 2)
       const answer = await this.#askOne(gateway, { ...request, timeoutMs })
       if (answer.kind !== 'unavailable') return { answer, mayBeAppended }
       mayBeAppended ||= answer.mayBeAppended
+      if (answer.byGateway === true) refusals += 1
     }
     return { answer: { kind: 'unavailable', mayBeAppended }, mayBeAppended }
   }
 
   async #askOne (gateway: string, request: ClaimRequest): Promise<ClaimAnswer> {
-    if (gateway === this.options.host) return this.options.streams.get(streamIndexOf(request.key)).claim(request)
+    if (gateway === this.options.host) return asGateway(await this.options.streams.get(streamIndexOf(request.key)).claim(request))
     const silence = new AbortController()
     const timeout = this.options.clock.sleep(request.timeoutMs, silence.signal)
       .then((): ClaimAnswer => ({ kind: 'unavailable', mayBeAppended: true }))
     const answer = this.options.peers.claim(gateway, request)
-      .then((value): ClaimAnswer => 'kind' in value ? value : { kind: 'unavailable', mayBeAppended: value.ran !== 'no' })
+      .then((value): ClaimAnswer => 'kind' in value ? asGateway(value) : { kind: 'unavailable', mayBeAppended: value.ran !== 'no' })
       .catch((): ClaimAnswer => ({ kind: 'unavailable', mayBeAppended: true }))
     const first = await Promise.race([answer, timeout])
     silence.abort()
@@ -118,6 +122,11 @@
   }
 }
 
+/** Marks a refusal as the gateway's own word, in contrast to one for want of a connection. */
+function asGateway (answer: ClaimAnswer): ClaimAnswer {
+  return answer.kind === 'unavailable' ? { ...answer, byGateway: true } : answer
+}
+
 function toFailure (answer: ClaimAnswer): Failure {
   if (answer.kind !== 'taken') {
     return createFailure(ResultCode.ClaimUnavailable, 'the key could not be claimed in time', { retryAfterMs: UNAVAILABLE_RETRY_MS })
--- a/packages/control/src/claims/types.ts
+++ b/packages/control/src/claims/types.ts
@@ -83,7 +83,7 @@
   | { kind: 'replay', answer: KeptAnswer }
   | { kind: 'taken', reason: TakenReason }
   /** Not claimed as far as the gateway knows; `mayBeAppended` says whether the log may hold the claim nevertheless. */
-  | { kind: 'unavailable', mayBeAppended: boolean }
+  | { kind: 'unavailable', mayBeAppended: boolean, byGateway?: boolean }
 
 /** What an entry host tells a gateway about an attempt of its own. */
 export type AttemptEnd = VoidEntry | OutcomeEntry
