--- /dev/null
+++ b/packages/load/src/main.ts
@@ -0,0 +1,15 @@
+#!/usr/bin/env node
+/** figloom-load: sends a described load to entry hosts on this machine and reports. */
+import { SystemClock } from '@figloom/runtime'
+import { runCli } from './cli.js'
+
+const abort = new AbortController()
+process.once('SIGINT', () => abort.abort())
+process.once('SIGTERM', () => abort.abort())
+
+process.exitCode = await runCli(process.argv.slice(2), {
+  clock: SystemClock.create(),
+  stdout: (text) => { process.stdout.write(text) },
+  stderr: (text) => { process.stderr.write(text) },
+  signal: abort.signal
+})
