--- a/packages/control/src/cell/memory-promise.test.ts
+++ b/packages/control/src/cell/memory-promise.test.ts
@@ -242,3 +242,57 @@
   t.ok(peakOf(bench) <= 100, `peak ${peakOf(bench)} MiB`)
   await bench.stop()
 })
+
+t.test('report from before the claim does not count', async (t) => {
+  const bench = createBench()
+  await bench.advance(2_000)
+  const former = bench.holder()
+  const other = bench.hosts.find((host) => host !== former)
+  other?.holder.post({ type: 'report', runner: 'r1', report: bench.engines.get('r1').report(), askedMs: bench.clock.monotonicMs() })
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+  await bench.advance(4_000)
+  former.gate.kill()
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'n')]
+  other?.holder.post({ type: 'suspect', host: former.name, suspected: true })
+  await bench.advance(SETTLED_MS)
+  t.equal(bench.holder(), other)
+  t.ok(peakOf(bench) <= 100, `peak ${peakOf(bench)} MiB`)
+  await bench.stop()
+})
+
+t.test('queued order of a lost lease is withdrawn', async (t) => {
+  const bench = createBench()
+  await bench.advance(2_000)
+  const former = bench.holder()
+  bench.engines.fail('r1', { kind: 'delay', delayMs: 2_500 })
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 's')]
+  await bench.advance(400)
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+  await bench.advance(400)
+  t.equal(bookedIntents(bench), 2)
+  bench.planner.steps = []
+  for (const { holder } of bench.hosts) holder.post({ type: 'suspect', host: former.name, suspected: true })
+  await bench.advance(SETTLED_MS)
+  t.not(bench.holder(), former)
+  t.notOk(bench.engines.get('r1').holds('m'))
+  t.notOk(bench.holder().holder.view?.unsettled.some(({ order }) => order.model === 'm'))
+  await bench.stop()
+})
+
+t.test('one copy of each order is sent', async (t) => {
+  const bench = createBench({ checksFencing: false })
+  await bench.advance(2_000)
+  const sent: string[] = []
+  for (const { engines } of bench.hosts) {
+    engines.freezeBefore = ({ orderId }) => {
+      sent.push(orderId)
+      return false
+    }
+  }
+  bench.engines.fail('r1', { kind: 'lose' }, { kind: 'lose-answer' }, { kind: 'delay', delayMs: 6_000 })
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+  await bench.advance(TAKEOVER_MS)
+  t.ok(sent.length >= 2)
+  t.equal(new Set(sent).size, sent.length)
+  await bench.stop()
+})
--- a/packages/control/src/cell/reachability-promise.test.ts
+++ b/packages/control/src/cell/reachability-promise.test.ts
@@ -222,3 +222,22 @@
   t.ok(bench.engines.get('r2').holds('n'))
   await bench.stop()
 })
+
+t.test('model routed again while its unload waits in the queue', async (t) => {
+  const bench = createBench({ models: [modelOf('m', 40, 10), modelOf('s', 10, 5)], runners: [{ name: 'r1' }] })
+  bench.engines.get('r1').place('m', 40, 10)
+  await bench.advance(3_000)
+  const routed = bench.config.routed
+  bench.configure({ routed: [] })
+  bench.engines.fail('r1', { kind: 'delay', delayMs: 2_500 })
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 's')]
+  await bench.advance(400)
+  bench.planner.steps = [stepOf(OrderAction.Unload, 'r1', 'm')]
+  await bench.advance(600)
+  t.equal(bench.holder().holder.view?.unsettled.length, 2)
+  bench.configure({ routed })
+  bench.planner.steps = []
+  await bench.advance(2 * SETTLED_MS)
+  t.ok(bench.engines.get('r1').holds('m'))
+  await bench.stop()
+})
