--- a/packages/bench/src/decisions/versions.ts
+++ b/packages/bench/src/decisions/versions.ts
@@ -51,7 +51,7 @@
 }
 
 export const NAIVE: Version = { name: 'naive', createHost: NaiveHost.create }
-export const FIRST = deciding('first', { createLimit: FirstLimit.create })
+export const FIRST = deciding('first limit', { createLimit: FirstLimit.create })
 export const PRESENT = deciding('present')
 /** Our routing with moves that cost nothing: what hysteresis and cost of moves are compared with. */
 export const EAGER = deciding('eager moves', {}, { moveCostS: 0, minMoveCostS: 0, minResidenceMs: 0, maxDemandMoves: 16 })
