Resume streams whose first-token deadline has passed

Ruled out: the retry budget (capacity 200 in place of 20 changed nothing, reverted). The new test was seen failing with the guard taken out.

--- a/packages/routing/src/decider/route-decider.test.ts
+++ b/packages/routing/src/decider/route-decider.test.ts
@@ -133,6 +133,14 @@
   t.ok(kinds.filter((kind) => kind === 'resume').length <= 14)
 })
 
+t.test('a stream resumes after the deadline of its first token', async (t) => {
+  const decider = createDecider()
+  send(decider, requestOf('s', { deadlineMs: 300 }))
+  decider.onFirstToken('s', 200)
+  decider.onToken('s', 40, 1_000)
+  t.equal(decider.onFailed('s', createFailure(ResultCode.BackendFailed, 'cut'), 1, 1_000).kind, 'resume')
+})
+
 t.test('a stalled runner is ejected and probed again', async (t) => {
   const decider = createDecider()
   const first = send(decider, requestOf('stuck')) as SendDecision
--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -158,17 +158,17 @@
     if (attempt !== undefined) this.#runners.get(attempt.runner)?.health.onNeutral(requestId)
   }
 
-  /** An attempt failed: repeat, resume or give up, at once. */
+  /** An attempt failed: repeat, resume or give up, at once. A resumed stream has met its deadline already. */
   onFailed (requestId: string, failure: Failure, attempts: number, nowMs: number): FailureDecision {
     const attempt = this.#end(requestId, nowMs)
     if (attempt === undefined) return { kind: 'give-up', failure }
     this.#runners.get(attempt.runner)?.health.onFailure(requestId, nowMs)
     const action = decideRetry(attempt.request, failure, { attempts, tokens: attempt.tokens })
     if (action === RetryAction.GiveUp || !this.#budget.take(nowMs)) return { kind: 'give-up', failure }
-    const room = this.#roomFor(attempt.request, nowMs, attempt.runner)
-    const choice = this.#choose(attempt.request, room, nowMs)
+    const request = action === RetryAction.Resume ? { ...attempt.request, deadlineMs: Infinity } : attempt.request
+    const choice = this.#choose(request, this.#roomFor(request, nowMs, attempt.runner), nowMs)
     if (choice === undefined) return { kind: 'give-up', failure }
-    return { kind: action, send: this.#sendTo(choice, attempt.request) }
+    return { kind: action, send: this.#sendTo(choice, request) }
   }
 
   /** Runner for a second attempt of a request whose first token is overdue; undefined where none pays. */
