Test whole answers, bookings and shutdown through the daemon

Seen failing first: a whole answer of another attempt ended the process by an unhandled abort; a stream cut at the only holder of a model was given up although the runner still answered; the grace timer of a finished shutdown held the process.

--- a/packages/daemon/src/app.ts
+++ b/packages/daemon/src/app.ts
@@ -110,11 +110,17 @@
     await this.#announce(parts, 'leaving')
     await Promise.all([clock.sleep(settings.lookup.ttlMs + LOOKUP_MARGIN_MS), parts.cells.retire(RETIRE_TIMEOUT_MS)])
     this.#isClosed = true
-    await Promise.race([parts.requests.idle(), clock.sleep(settings.shutdown.graceMs)])
+    await this.#waitIdle(parts.requests, settings.shutdown.graceMs)
     logger.info('stopped', { inFlight: parts.requests.inFlight })
     await this.stop()
   }
 
+  async #waitIdle (requests: RequestService, graceMs: number): Promise<void> {
+    const waited = new AbortController()
+    await Promise.race([requests.idle(), this.options.clock.sleep(graceMs, waited.signal)])
+    waited.abort()
+  }
+
   /** Stops at once; requests in flight are cut. */
   async stop (): Promise<void> {
     this.#isClosed = true
--- a/packages/daemon/src/cells/cell-set.ts
+++ b/packages/daemon/src/cells/cell-set.ts
@@ -107,7 +107,9 @@
   async retire (timeoutMs: number): Promise<void> {
     const holders = this.all.flatMap(({ holder }) => holder ?? [])
     const retired = holders.map((holder) => new Promise<void>((resolve) => holder.post({ type: 'retire', onRetired: resolve })))
-    await Promise.race([Promise.all(retired), this.options.clock.sleep(timeoutMs)])
+    const waited = new AbortController()
+    await Promise.race([Promise.all(retired), this.options.clock.sleep(timeoutMs, waited.signal)])
+    waited.abort()
   }
 
   stop (): void {
--- a/packages/daemon/src/requests/generation.ts
+++ b/packages/daemon/src/requests/generation.ts
@@ -76,7 +76,7 @@
       if (result.isOk()) return this.router.onDone(this.request.id, result.value.tokens)
       if (this.request.signal.aborted) return this.#abandon()
       this.#certainty.note(result.error)
-      this.options.logger.debug('attempt failed', { requestId: this.request.id, runner, code: result.error.code.code, message: result.error.message })
+      this.options.logger.debug('attempt failed', { requestId: this.request.id, runner, code: result.error.code.code, reason: result.error.message })
       const next = this.router.onFailed(this.#routeRequest, result.error, this.#attempts)
       if (next.kind === 'give-up') return this.#giveUp(next.failure)
       this.options.metrics.retries.inc({ kind: next.kind })
@@ -156,7 +156,7 @@
     const isOwn = (answer.headers['figloom-attempt-id'] ?? attemptId) === attemptId
     if (!isOwn) {
       this.options.metrics.foreignAnswers.inc()
-      answer.body.destroy()
+      answer.body.on('error', () => {}).destroy()
       return err(createFailure(ResultCode.BackendFailed, 'the answer belongs to another attempt'))
     }
     const isStream = answer.headers['content-type']?.startsWith('text/event-stream') ?? false
--- a/packages/daemon/src/testing/cluster.ts
+++ b/packages/daemon/src/testing/cluster.ts
@@ -19,11 +19,20 @@
   startHost: (name: string, zone: string) => Promise<RunningHost>
 }
 
+export type ClusterOptions = {
+  hostCount?: number
+  /** Sections that replace those of the test's settings. */
+  settings?: object
+  verbose?: boolean
+  /** False returns as soon as one engine holds the model. */
+  untilEveryEngine?: boolean
+}
+
 const READY_TRIES = 400
 const POLL_MS = 25
 
 /** Starts `hostCount` hosts with the test tables in force and the model resident; all ends with the test. */
-export async function startCluster (t: Test, options: { hostCount?: number, settings?: object, verbose?: boolean } = {}): Promise<TestCluster> {
+export async function startCluster (t: Test, options: ClusterOptions = {}): Promise<TestCluster> {
   const clock = SystemClock.create()
   const standins = await startStandins({
     standin: [
@@ -46,13 +55,15 @@
     return { name, daemon, ...addresses }
   }
   const hosts = await Promise.all(ZONES.slice(0, options.hostCount ?? 1).map((zone, index) => startHost(`host-${index + 1}`, zone)))
+  const engines = ENGINES.map((name) => coreOf(standins, name, 'engine').engine)
   await Promise.all(hosts.map(waitServing))
+  if (options.untilEveryEngine !== false) await until(async () => (await Promise.all(engines.map(holdsAll))).every(Boolean), 'every engine holds the model')
   return {
     hosts,
     standins,
     tables,
     log,
-    engines: ENGINES.map((name) => coreOf(standins, name, 'engine').engine),
+    engines,
     service: coreOf(standins, SERVICE, 'service').service,
     startHost
   }
@@ -65,6 +76,12 @@
   return (await log.append('config', editId, record))._unsafeUnwrap().offset
 }
 
+/** Attempts that run at an engine. */
+export function runningAt (engine: EngineCore): number {
+  const { started, finished, canceled } = engine.stats()
+  return started - finished - canceled
+}
+
 /** Body of a generation request. */
 export function chat (content: string, fields: object = {}): string {
   return JSON.stringify({ model: 'tasting-notes', messages: [{ role: 'user', content }], ...fields })
@@ -88,6 +105,11 @@
   }, 'model resident')
 }
 
+async function holdsAll (engine: EngineCore): Promise<boolean> {
+  const report = await engine.report()
+  return report?.copies.some(({ state, adapters }) => state === 'resident' && adapters.some((adapter) => adapter.state === 'resident')) ?? false
+}
+
 function createSettings (name: string, zone: string, standins: RunningStandins, overrides: object): DaemonSettings {
   return daemonSettingsSchema.parse({
     host: { name, availabilityZone: zone, region: REGION, callerAddress: '127.0.0.1:0', operatorAddress: '127.0.0.1:0' },
--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -166,7 +166,9 @@
     const action = decideRetry(attempt.request, failure, { attempts, tokens: attempt.tokens })
     if (action === RetryAction.GiveUp || !this.#budget.take(nowMs)) return { kind: 'give-up', failure }
     const request = action === RetryAction.Resume ? { ...attempt.request, deadlineMs: Infinity } : attempt.request
-    const choice = this.#choose(request, this.#roomFor(request, nowMs, attempt.runner), nowMs)
+    // The runner that failed is better than none: a single broken connection need not be its end.
+    const choice = this.#choose(request, this.#roomFor(request, nowMs, attempt.runner), nowMs) ??
+      this.#choose(request, this.#roomFor(request, nowMs), nowMs)
     if (choice === undefined) return { kind: 'give-up', failure }
     return { kind: action, send: this.#sendTo(choice, request) }
   }
