--- a/packages/tables/src/check/peak.test.ts
+++ b/packages/tables/src/check/peak.test.ts
@@ -72,3 +72,8 @@
   t.same(planPeak(tables([20], [['a', '1', 12]]), tables([20], [['a', '1', 20]]), POOLS).issues, [])
   t.equal(planPeak(tables([20], [['a', '1', 12]]), tables([20], [['a', '1', 21]]), POOLS).issues.length, 1)
 })
+
+t.test('old copy that no longer fits where it is', async (t) => {
+  const plan = planPeak(tables([20], [['a', '1', 15]]), tables([10, 20], [['a', '2', 15]]), POOLS)
+  t.match(plan, { mode: 'stepwise', issues: [{ row: 'model:p:a:1' }] })
+})
