--- a/packages/control/src/membership/membership.test.ts
+++ b/packages/control/src/membership/membership.test.ts
@@ -6,7 +6,7 @@
 import { assignHosts, cellsOfHost } from './assignment.js'
 import { lookupHosts } from './lookup.js'
 import { Membership, PeerExchange } from './membership.js'
-import { applyHostList, applyPeerReport, createMembershipState, viewAt } from './membership-state.js'
+import { applyHostList, applyPeerReport, createMembershipState, isDraining, viewAt } from './membership-state.js'
 import { RunnerHealth } from './runner-health.js'
 import { DEFAULT_MEMBERSHIP_TIMES as times, type PeerReport } from './types.js'
 
@@ -158,6 +158,23 @@
   t.end()
 })
 
+t.test('an older word on a drain changes nothing, and of two at once every host takes the same', (t) => {
+  const drains = [
+    { runner: 'r1', draining: true, version: 1, by: 'h2' },
+    { runner: 'r1', draining: false, version: 2, by: 'h2' },
+    { runner: 'r1', draining: true, version: 2, by: 'h3' }
+  ]
+  for (const order of [[0, 1], [1, 0], [1, 0, 1]]) {
+    const state = createMembershipState(reportOf('h1'))
+    for (const n of order) applyPeerReport(state, reportOf('h2', { drains: drains.slice(n, n + 1) }), 0, times)
+    t.equal(isDraining(state, 'r1'), false)
+    applyPeerReport(state, reportOf('h3', { drains: drains.slice(2) }), 0, times)
+    applyPeerReport(state, reportOf('h2', { drains: drains.slice(1, 2) }), 0, times)
+    t.equal(isDraining(state, 'r1'), true)
+  }
+  t.end()
+})
+
 t.test('a long host list is read less often', async (t) => {
   const { clock, hostList } = setUp(['h1'])
   hostList.hosts = Array.from({ length: 1200 }, (_, n) => listedOf(`h${n + 1}`))
