--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,2 @@
 /** Benchmarks that print JSON and write docs/MEASUREMENTS.md. */
-export { runClaims } from './claims/app.js'
+export {}
--- a/packages/control/src/config/config-follower.ts
+++ b/packages/control/src/config/config-follower.ts
@@ -2,7 +2,7 @@
 import { createFailure, ResultCode, Task, type Clock, type Logger, type TaskFault } from '@figloom/runtime'
 import type { LogClient, LogRecord } from '@figloom/platform'
 import { StreamFollower, type StreamEvent } from '../streams/stream-follower.js'
-import { SnapshotSchedule, type SnapshotScheduleOptions } from './snapshot-schedule.js'
+import { SnapshotSchedule, type SnapshotScheduleOptions } from '../streams/snapshot-schedule.js'
 import { findStart } from './start.js'
 import {
   ConfigVerdict, FollowerStatus,
--- a/packages/control/src/membership/assignment.ts
+++ b/packages/control/src/membership/assignment.ts
@@ -25,6 +25,12 @@
   return cells.filter((cell) => assignHosts(cell, hosts).some((assigned) => assigned.host === host))
 }
 
+/** Other hosts that share a cell with a host: those it exchanges heartbeats with. */
+export function neighborsOf (host: string, cells: readonly string[], hosts: readonly AssignableHost[]): string[] {
+  const sharing = cells.flatMap((cell) => assignHosts(cell, hosts).map((assigned) => assigned.host))
+  return [...new Set(sharing)].filter((neighbor) => neighbor !== host)
+}
+
 /** Reorders so that each round takes one host of every availability zone, in the order given. */
 export function spreadOverZones<Host extends AssignableHost> (ranked: readonly Host[]): Host[] {
   const rounds = new Map<string, number>()
--- a/packages/control/src/membership/membership.test.ts
+++ b/packages/control/src/membership/membership.test.ts
@@ -3,7 +3,7 @@
 import { ManualClock, silentLogger } from '@figloom/runtime'
 import { HostListClient, type ListedHost } from '@figloom/platform'
 import { allowedWork } from './allowed-work.js'
-import { assignHosts, cellsOfHost } from './assignment.js'
+import { assignHosts, cellsOfHost, neighborsOf } from './assignment.js'
 import { lookupHosts } from './lookup.js'
 import { Membership, PeerExchange } from './membership.js'
 import { applyHostList, applyPeerReport, createMembershipState, isDraining, viewAt } from './membership-state.js'
@@ -28,7 +28,10 @@
   readonly members = new Map<string, Membership>()
   readonly cut = new Set<string>()
 
+  exchanges = 0
+
   override async exchange (innerUrl: string, report: PeerReport): Promise<PeerReport | undefined> {
+    this.exchanges += 1
     const host = innerUrl.replace('inner-', '')
     if (this.cut.has(host) || this.cut.has(report.host)) return undefined
     if (this.cut.has(`${host}-${report.host}`) || this.cut.has(`${report.host}-${host}`)) return undefined
@@ -76,6 +79,23 @@
   t.equal(livenessAt(first, 'h2'), 'live')
 })
 
+t.test('one exchange a heartbeat and pair of hosts', async (t) => {
+  const { clock, network } = setUp()
+  await clock.advance(2500)
+  const before = network.exchanges
+  await clock.advance(10 * times.heartbeatMs)
+  t.ok(network.exchanges - before <= 33, `${network.exchanges - before} exchanges of three pairs`)
+})
+
+t.test('neighbors are the hosts that share a cell', (t) => {
+  const hosts = Array.from({ length: 240 }, (_, n) => ({ host: `host-${n}`, availabilityZone: `zone-${n % 3}` }))
+  const [first] = assignHosts('cell-1', hosts)
+  const neighbors = neighborsOf(first?.host ?? '', ['cell-1', 'cell-2'], hosts)
+  t.equal(neighbors.length, 5)
+  t.notOk(neighbors.includes(first?.host ?? ''))
+  t.end()
+})
+
 t.test('a leaving host is out of lookups within 5 s although the list still says live', async (t) => {
   const { clock, first, second } = setUp()
   await clock.advance(3000)
--- a/packages/control/src/membership/membership.ts
+++ b/packages/control/src/membership/membership.ts
@@ -28,7 +28,9 @@
 }
 
 type Message =
-  | { kind: 'beat' | 'read-list' }
+  /** `urgent`: tell every neighbor, whether it was heard lately or not. */
+  | { kind: 'beat', urgent: boolean }
+  | { kind: 'read-list' }
   | { kind: 'list', list: ListedHost[] }
   | { kind: 'report', report: PeerReport }
   | { kind: 'missed', host: string }
@@ -59,7 +61,7 @@
 
   start (): void {
     this.post({ kind: 'read-list' })
-    this.post({ kind: 'beat' })
+    this.post({ kind: 'beat', urgent: true })
   }
 
   override stop (): void {
@@ -101,13 +103,13 @@
   /** Says that this host leaves, to all neighbors at once. */
   leave (): void {
     this.post({ kind: 'self', change: { leaving: true } })
-    this.post({ kind: 'beat' })
+    this.post({ kind: 'beat', urgent: true })
   }
 
   /** Drains a runner, or takes that back; told to all neighbors at once. */
   drainRunner (runner: string, draining = true): void {
     this.post({ kind: 'drain', runner, draining })
-    this.post({ kind: 'beat' })
+    this.post({ kind: 'beat', urgent: true })
   }
 
   /** Notes that the log answered, from any of its readers. */
@@ -124,7 +126,7 @@
   protected override handle (message: Message): void {
     const nowMs = this.options.clock.monotonicMs()
     switch (message.kind) {
-      case 'beat': return this.#beat()
+      case 'beat': return this.#beat(message.urgent)
       case 'read-list': this.#readList(); return
       case 'list': applyHostList(this.#state, message.list, nowMs); break
       case 'report': applyPeerReport(this.#state, message.report, nowMs, this.#times); break
@@ -142,15 +144,22 @@
     for (const runner of this.#state.loads.keys()) if (!runners.has(runner)) this.#state.loads.delete(runner)
   }
 
-  #beat (): void {
+  #beat (urgent: boolean): void {
+    const nowMs = this.options.clock.monotonicMs()
     this.#again('beat', this.#times.heartbeatMs)
-    forgetDead(this.#state, this.options.clock.monotonicMs(), this.#times)
+    forgetDead(this.#state, nowMs, this.#times)
     const view = this.view()
     const neighbors = this.options.neighbors?.(view) ?? view.hosts.filter(({ self }) => !self).map(({ host }) => host)
-    for (const host of neighbors) this.#exchangeWith(host)
+    for (const host of neighbors) if (urgent || !this.#heardLately(host, nowMs)) this.#exchangeWith(host)
     this.#notify()
   }
 
+  /** An exchange carries both reports, so one a heartbeat and pair is enough. */
+  #heardLately (host: string, nowMs: number): boolean {
+    const heardMs = this.#state.hosts.get(host)?.heardMs
+    return heardMs !== undefined && nowMs - heardMs < this.#times.heartbeatMs / 2
+  }
+
   async #exchangeWith (host: string): Promise<void> {
     const record = this.#state.hosts.get(host)
     if (record === undefined || this.#asked.has(host)) return
@@ -173,7 +182,8 @@
 
   #again (kind: 'beat' | 'read-list', delayMs: number): void {
     this.#timers.get(kind)?.cancel()
-    this.#timers.set(kind, this.options.clock.setTimer(delayMs, () => this.post({ kind })))
+    const message: Message = kind === 'beat' ? { kind, urgent: false } : { kind }
+    this.#timers.set(kind, this.options.clock.setTimer(delayMs, () => this.post(message)))
   }
 
   #notify (): void {
--- a/packages/control/src/config/snapshot-schedule.ts
+++ b/packages/control/src/streams/snapshot-schedule.ts
@@ -1,4 +1,4 @@
-/** Decides when a host re-appends the configuration snapshot: in the ordinary case one host does, the others see it. */
+/** Decides when a host re-appends the snapshot of a stream: in the ordinary case one host does, the others see it. */
 import type { Clock, Timer } from '@figloom/runtime'
 import { hash32 } from '../hashing/hash.js'
 
--- a/packages/control/src/streams/stream-follower.test.ts
+++ b/packages/control/src/streams/stream-follower.test.ts
@@ -25,7 +25,15 @@
   await clock.advance(5)
   follower.stop()
   t.same(offsets(), [1, 2, 3, 4])
-  t.end()
+})
+
+t.test('a log that does not hold polls is not asked without a pause', async (t) => {
+  const { clock, log, events, follower } = setUp()
+  log.read = () => okAsync({ firstOffset: 1, nextOffset: 1, records: [] })
+  follower.follow(1)
+  await clock.advance(1000)
+  follower.stop()
+  t.ok(events.length <= 51, `${events.length} polls`)
 })
 
 t.test('backs off while the log fails and sees at once that it is back', async (t) => {
--- a/packages/control/src/streams/stream-follower.ts
+++ b/packages/control/src/streams/stream-follower.ts
@@ -29,6 +29,9 @@
 
 const MAX_PAUSE_FACTOR = 8
 
+/** Pause after an empty answer, in case the log does not hold polls. */
+const EMPTY_PAUSE_MS = 20
+
 /** Polls a stream from an offset; `follow` starts again at another one. */
 export class StreamFollower {
   #abort = new AbortController()
@@ -65,6 +68,7 @@
       if (event.kind === 'truncated') return
       failures = event.kind === 'failed' ? failures + 1 : 0
       if (failures > 0) await this.options.clock.sleep(this.#pauseMs(failures), signal)
+      if (isEmpty(event)) await this.options.clock.sleep(EMPTY_PAUSE_MS, signal)
     }
   }
 
@@ -104,6 +108,10 @@
   return { kind: 'records', from, records, nextOffset: page.nextOffset, firstOffset: page.firstOffset }
 }
 
+function isEmpty (event: StreamEvent): boolean {
+  return event.kind === 'records' && event.records.length === 0
+}
+
 function contiguousPart (from: number, records: LogRecord[]): LogRecord[] {
   const end = records.findIndex((record, index) => record.offset !== from + index)
   return end === -1 ? records : records.slice(0, end)
