Ask gateways that did not answer last, and give each stream task its own record ids

A stream task that was started again in one process counted its records from 1 and reused record ids; a log or a reader that drops repeats by id would have lost claims.

--- a/packages/control/src/claims/claim-stream-types.ts
+++ b/packages/control/src/claims/claim-stream-types.ts
@@ -13,6 +13,8 @@
   index: number
   host: string
   incarnation: string
+  /** Number of this stream task within the process, so that its record ids are its own. */
+  instance: number
   isLive: IsLive
   /** Hosts that take turns in writing snapshots. */
   gateways: () => string[]
--- a/packages/control/src/claims/claim-stream.ts
+++ b/packages/control/src/claims/claim-stream.ts
@@ -41,7 +41,7 @@
       log,
       stream,
       clock,
-      recordIdPrefix: `${options.host}-${options.incarnation}-${options.index}`,
+      recordIdPrefix: `${options.host}-${options.incarnation}-${options.instance}-${options.index}`,
       windowMs: limits.windowMs,
       lazyWindowMs: limits.lazyWindowMs,
       timeoutMs: limits.appendTimeoutMs,
--- a/packages/control/src/claims/claim-streams.ts
+++ b/packages/control/src/claims/claim-streams.ts
@@ -2,7 +2,7 @@
 import { ClaimStream } from './claim-stream.js'
 import type { ClaimStreamOptions } from './claim-stream-types.js'
 
-export type ClaimStreamsOptions = Omit<ClaimStreamOptions, 'index' | 'gateways'> & {
+export type ClaimStreamsOptions = Omit<ClaimStreamOptions, 'index' | 'gateways' | 'instance'> & {
   /** Gateways of a stream at present, the first in turn first. */
   gatewaysOf: (index: number) => string[]
 }
@@ -11,6 +11,7 @@
 
 /** Starts streams when they are needed and stops those that are not. */
 export class ClaimStreams {
+  #starts = 0
   readonly #running = new Map<number, { stream: ClaimStream, usedMs: number }>()
 
   private constructor (private readonly options: ClaimStreamsOptions) {}
@@ -28,7 +29,8 @@
       return running.stream
     }
     const { gatewaysOf, ...options } = this.options
-    const stream = ClaimStream.create({ ...options, index, gateways: () => gatewaysOf(index) })
+    this.#starts += 1
+    const stream = ClaimStream.create({ ...options, index, instance: this.#starts, gateways: () => gatewaysOf(index) })
     this.#running.set(index, { stream, usedMs })
     return stream
   }
--- a/packages/control/src/claims/gateways.test.ts
+++ b/packages/control/src/claims/gateways.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap'
-import { rankGateways, streamsOfGateway, type GatewayCandidate } from './gateways.js'
+import { claimOrder, rankGateways, streamsOfGateway, type GatewayCandidate } from './gateways.js'
 import { CLAIM_STREAM_COUNT } from './types.js'
 
 const STREAMS = Array.from({ length: CLAIM_STREAM_COUNT }, (_, index) => index)
@@ -29,6 +29,18 @@
   t.end()
 })
 
+t.test('after the gateways come hosts of the own region, the same for all of its hosts', (t) => {
+  const hosts = Array.from({ length: 60 }, (_, n) => ({ host: `host-${n}`, availabilityZone: `zone-${n % 15}` }))
+  const zones = new Set(['zone-0', 'zone-1', 'zone-2'])
+  for (const index of STREAMS) {
+    const order = claimOrder(index, hosts, zones)
+    const last = hosts.find(({ host }) => host === order.at(-1))
+    t.same(order.slice(0, 2), rankGateways(index, hosts))
+    t.ok(zones.has(last?.availabilityZone ?? ''))
+  }
+  t.end()
+})
+
 t.test('few hosts of many are gateways, and one host alone is all', (t) => {
   const hosts = hostsOf(1200)
   const gateways = new Set(STREAMS.flatMap((index) => rankGateways(index, hosts)))
--- a/packages/control/src/claims/gateways.ts
+++ b/packages/control/src/claims/gateways.ts
@@ -18,6 +18,15 @@
   return second === undefined ? [first.host] : [first.host, second.host]
 }
 
+/**
+ * Hosts to ask for a claim, in order: the gateways, then one of the caller's own region, so that a region that is cut off
+ * from the gateways shares a reader of the stream in place of one for each host.
+ */
+export function claimOrder (index: number, candidates: readonly GatewayCandidate[], ownRegionZones: ReadonlySet<string>): string[] {
+  const near = candidates.filter(({ availabilityZone }) => ownRegionZones.has(availabilityZone))
+  return [...new Set([...rankGateways(index, candidates), ...rankGateways(index, near)])]
+}
+
 /** Streams that a host follows as a gateway. */
 export function streamsOfGateway (host: string, candidates: readonly GatewayCandidate[]): number[] {
   return Array.from({ length: CLAIM_STREAM_COUNT }, (_, index) => index)
--- a/packages/control/src/claims/key-claims.test.ts
+++ b/packages/control/src/claims/key-claims.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import { rankGateways } from './gateways.js'
 import { claimStreamName, hashKey, streamIndexOf } from './keys.js'
 import { ClaimCluster, settled, type KillPoint } from '../testing/claim-cluster.js'
 
@@ -154,6 +155,37 @@
   t.equal(cluster.runs.get('k1'), 1)
 })
 
+t.test('a gateway that did not answer is not waited for again', async (t) => {
+  const cluster = new ClaimCluster({ hosts: ['a', 'b', 'c', 'd'] })
+  await cluster.warm()
+  const [gateway = '', second = ''] = rankGateways(streamIndexOf(hashKey('booking', 'k1')), cluster.candidates())
+  const entry = ['a', 'b', 'c', 'd'].find((host) => host !== gateway && host !== second) ?? ''
+  cluster.host(gateway).gate.freeze()
+  const first = settled(cluster.call(entry, 'k1', { timeoutMs: 1000 }))
+  await cluster.clock.advance(450)
+  t.equal(first.end.kind, 'lost')
+  await cluster.clock.advance(550)
+  const repeat = settled(cluster.call(entry, 'k1', { timeoutMs: 1000 }))
+  await cluster.clock.advance(400)
+  t.same([first.end.kind, repeat.end.kind], ['ran', 'replay'])
+})
+
+t.test('a stream task that is started again in the same process uses no record id twice', async (t) => {
+  const cluster = new ClaimCluster({ hosts: ['a'] })
+  const stream = claimStreamName(streamIndexOf(hashKey('booking', 'k1')))
+  cluster.call('a', 'k1')
+  await cluster.clock.advance(1000)
+  cluster.host('a').streams.stop()
+  const repeat = settled(cluster.call('a', 'k1', { body: 'other' }))
+  cluster.call('a', 'k1-other')
+  for (let n = 0; n < 20; n++) cluster.call('a', `k-${n}`)
+  await cluster.clock.advance(1000)
+  const { records } = (await cluster.log.read(stream, { from: 1 }))._unsafeUnwrap()
+  t.equal(repeat.end.code, 4002)
+  t.equal(new Set(records.map(({ recordId }) => recordId)).size, records.length)
+  t.ok(records.length > 2)
+})
+
 t.test('in an outage calls are refused at once and not run; after it the same key runs', async (t) => {
   const cluster = new ClaimCluster()
   await cluster.warm()
--- a/packages/control/src/claims/key-claims.ts
+++ b/packages/control/src/claims/key-claims.ts
@@ -3,6 +3,7 @@
 import { Attempt } from './attempt.js'
 import type { ClaimStreams } from './claim-streams.js'
 import { hashKey, shortenFingerprint, streamIndexOf } from './keys.js'
+import { UnreachableGateways } from './unreachable-gateways.js'
 import { TakenReason, type AttemptEnd, type ClaimAnswer, type ClaimPeers, type ClaimRequest, type KeptAnswer } from './types.js'
 
 /** A non-idempotent call. */
@@ -31,7 +32,7 @@
   ids: IdSource
   peers: ClaimPeers
   streams: ClaimStreams
-  /** Live gateways of a stream, the first in turn first. */
+  /** Hosts to ask for a stream's claims, in order; see `claimOrder`. */
   gatewaysOf: (index: number) => string[]
 }
 
@@ -45,6 +46,7 @@
 /** Entry point for the daemon; holds no state beyond the attempts under way. */
 export class KeyClaims {
   readonly #abort = new AbortController()
+  readonly #unreachable = UnreachableGateways.create()
 
   private constructor (private readonly options: KeyClaimsOptions) {}
 
@@ -85,6 +87,7 @@
       if (answer.kind !== 'unavailable') return { answer, mayBeAppended }
       mayBeAppended ||= answer.mayBeAppended
       if (answer.byGateway === true) refusals += 1
+      else this.#unreachable.add(gateway, this.options.clock.monotonicMs())
     }
     return { answer: { kind: 'unavailable', mayBeAppended }, mayBeAppended }
   }
@@ -104,7 +107,8 @@
 
   #gateways (key: string): string[] {
     const { host, gatewaysOf } = this.options
-    return [...new Set([...gatewaysOf(streamIndexOf(key)), host])]
+    const order = [...new Set([...gatewaysOf(streamIndexOf(key)), host])]
+    return this.#unreachable.moveToEnd(order, host, this.options.clock.monotonicMs())
   }
 
   async #deliver (end: AttemptEnd): Promise<void> {
