--- a/packages/control/src/streams/stream-follower.ts
+++ b/packages/control/src/streams/stream-follower.ts
@@ -29,6 +29,9 @@
 
 const MAX_PAUSE_FACTOR = 8
 
+/** Pause after an empty answer, in case the log does not hold polls. */
+const EMPTY_PAUSE_MS = 20
+
 /** Polls a stream from an offset; `follow` starts again at another one. */
 export class StreamFollower {
   #abort = new AbortController()
@@ -65,6 +68,7 @@
       if (event.kind === 'truncated') return
       failures = event.kind === 'failed' ? failures + 1 : 0
       if (failures > 0) await this.options.clock.sleep(this.#pauseMs(failures), signal)
+      if (isEmpty(event)) await this.options.clock.sleep(EMPTY_PAUSE_MS, signal)
     }
   }
 
@@ -82,7 +86,7 @@
     timer.cancel()
     signal.removeEventListener('abort', cancel)
     if (result.isErr()) return toFailedEvent(from, result.error)
-    return toRecordsEvent(from, result.value, expiry.signal.aborted)
+    return toRecordsEvent(from, result.value)
   }
 }
 
@@ -96,14 +100,18 @@
   return { kind: 'failed', from, failure }
 }
 
-function toRecordsEvent (from: number, page: LogPage, expired: boolean): StreamEvent {
+function toRecordsEvent (from: number, page: LogPage): StreamEvent {
   const records = contiguousPart(from, page.records)
-  if (records.length === 0 && (page.records.length > 0 || expired)) {
+  if (records.length === 0 && page.records.length > 0) {
     return { kind: 'failed', from, failure: createFailure(ResultCode.LogUnavailable, `no answer that starts at offset ${from}`) }
   }
   return { kind: 'records', from, records, nextOffset: page.nextOffset, firstOffset: page.firstOffset }
 }
 
+function isEmpty (event: StreamEvent): boolean {
+  return event.kind === 'records' && event.records.length === 0
+}
+
 function contiguousPart (from: number, records: LogRecord[]): LogRecord[] {
   const end = records.findIndex((record, index) => record.offset !== from + index)
   return end === -1 ? records : records.slice(0, end)
