--- a/packages/control/src/cell/memory-promise.test.ts
+++ b/packages/control/src/cell/memory-promise.test.ts
@@ -296,3 +296,17 @@
   t.equal(new Set(sent).size, sent.length)
   await bench.stop()
 })
+
+t.test('former holder gives its word on an answered order', async (t) => {
+  const bench = createBench({ runners: [{ name: 'r1', checksFencing: false, loadMs: 6_000 }] })
+  await bench.advance(2_000)
+  const former = bench.holder()
+  bench.planner.steps = [stepOf(OrderAction.Load, 'r1', 'm')]
+  await bench.advance(1_000)
+  bench.planner.steps = []
+  for (const { holder } of bench.hosts) holder.post({ type: 'suspect', host: former.name, suspected: true })
+  await bench.advance(2 * SETTLED_MS)
+  t.not(bench.holder(), former)
+  t.equal(bookedIntents(bench), 0)
+  await bench.stop()
+})
