Limit requests for each copy and plan for its places

Now a late first token lowers the copy's limit, slow tokens the runner's; the planner weighs places of copies too, and levelling two overfull runners gains.

--- a/packages/bench/src/decisions/costs.ts
+++ b/packages/bench/src/decisions/costs.ts
@@ -48,6 +48,8 @@
     draining: false,
     load: Math.floor(random() * 40),
     limit: 64,
+    copyLoad: 10,
+    copyLimit: 32,
     pendingTokens: random() * 3000,
     prefillMsPerToken: 0.05,
     stepMs: 10 + random() * 10,
--- a/packages/bench/src/decisions/replay.ts
+++ b/packages/bench/src/decisions/replay.ts
@@ -135,7 +135,7 @@
   for (const sample of hosts.flatMap((host) => host.takeDemand())) {
     const known = merged.get(sample.model)
     if (known === undefined) merged.set(sample.model, { ...sample })
-    else merged.set(sample.model, { ...known, requests: known.requests + sample.requests, runnerMsPerRequest: Math.max(known.runnerMsPerRequest, sample.runnerMsPerRequest) })
+    else merged.set(sample.model, { ...known, requests: known.requests + sample.requests, runnerMsPerRequest: Math.max(known.runnerMsPerRequest, sample.runnerMsPerRequest), copyMsPerRequest: Math.max(known.copyMsPerRequest, sample.copyMsPerRequest) })
   }
   return [...merged.values()]
 }
--- a/packages/placement/src/forecast/demand-forecast.ts
+++ b/packages/placement/src/forecast/demand-forecast.ts
@@ -2,7 +2,7 @@
 import type { ModelKey } from '@figloom/tables'
 import type { ModelDemand } from '../types.js'
 
-type History = ModelKey & { fastPerS: number, slowPerS: number, peakPerS: number, runnerMsPerRequest: number }
+type History = ModelKey & { fastPerS: number, slowPerS: number, peakPerS: number, runnerMsPerRequest: number, copyMsPerRequest: number }
 
 const FAST_S = 10
 const SLOW_S = 60
@@ -13,8 +13,8 @@
 const MAX_GROWTH = 3
 const WORK_WEIGHT = 0.2
 
-/** Requests of one model since the last observation; `runnerMsPerRequest` is 0 where nothing was answered. */
-export type DemandSample = ModelKey & { requests: number, runnerMsPerRequest: number }
+/** Requests of one model since the last observation; the shares are 0 where nothing was answered. */
+export type DemandSample = ModelKey & { requests: number, runnerMsPerRequest: number, copyMsPerRequest?: number }
 
 export class DemandForecast {
   readonly #histories = new Map<string, History>()
@@ -45,13 +45,14 @@
       requestsPerS: history.fastPerS,
       forecastPerS: forecast(history),
       recentPeakPerS: history.peakPerS,
-      runnerMsPerRequest: history.runnerMsPerRequest
+      runnerMsPerRequest: history.runnerMsPerRequest,
+      copyMsPerRequest: history.copyMsPerRequest
     }))
   }
 }
 
-function newHistory ({ model, version, runnerMsPerRequest }: DemandSample): History {
-  return { model, version, fastPerS: 0, slowPerS: 0, peakPerS: 0, runnerMsPerRequest }
+function newHistory ({ model, version, runnerMsPerRequest, copyMsPerRequest = 0 }: DemandSample): History {
+  return { model, version, fastPerS: 0, slowPerS: 0, peakPerS: 0, runnerMsPerRequest, copyMsPerRequest }
 }
 
 function advance (history: History, sample: DemandSample | undefined, elapsedS: number): void {
@@ -62,6 +63,7 @@
   if (sample === undefined || sample.runnerMsPerRequest <= 0) return
   if (history.runnerMsPerRequest <= 0) history.runnerMsPerRequest = sample.runnerMsPerRequest
   history.runnerMsPerRequest += WORK_WEIGHT * (sample.runnerMsPerRequest - history.runnerMsPerRequest)
+  history.copyMsPerRequest += WORK_WEIGHT * ((sample.copyMsPerRequest ?? 0) - history.copyMsPerRequest)
 }
 
 /** The slow average trails the fast one by about the difference of their time constants. */
--- a/packages/placement/src/plan/demand.ts
+++ b/packages/placement/src/plan/demand.ts
@@ -22,14 +22,22 @@
   return new Map(demand.map((row) => [keyOf(row), Math.max(row.forecastPerS, row.recentPeakPerS) * row.runnerMsPerRequest / MS_PER_S]))
 }
 
-/** Adds copies of the models that load the fullest runners, best gain first. */
+/** Work of each model in copies, from its forecast rate: above 1 for each copy, requests wait for a place. */
+function placesByModel (demand: readonly ModelDemand[]): Map<string, number> {
+  return new Map(demand.map((row) => [keyOf(row), row.forecastPerS * (row.copyMsPerRequest ?? 0) / MS_PER_S]))
+}
+
+/** What a plan weighs moves by. */
+type Weighing = { draft: Draft, utilization: Utilization, work: ReadonlyMap<string, number>, peaks: ReadonlyMap<string, number>, places: ReadonlyMap<string, number> }
+
+/** Adds copies of the models that load the fullest runners or fill their copies, best gain first. */
 export function followDemand (draft: Draft, work: ReadonlyMap<string, number>): void {
-  const utilization = Utilization.create(draft, work)
-  const peaks = peakWorkByModel(draft.input.demand)
+  const { demand } = draft.input
+  const weighing = { draft, utilization: Utilization.create(draft, work), work, peaks: peakWorkByModel(demand), places: placesByModel(demand) }
   for (let moves = 0; moves < draft.options.maxDemandMoves && draft.loadsLeft > 0; moves++) {
-    const move = bestMove(draft, utilization, peaks)
+    const move = bestMove(weighing)
     if (move === undefined) return
-    carryOut(draft, utilization, move)
+    carryOut(draft, weighing.utilization, move)
   }
 }
 
@@ -43,19 +51,25 @@
   utilization.respread(move.model.key)
 }
 
-function bestMove (draft: Draft, utilization: Utilization, peaks: ReadonlyMap<string, number>): Move | undefined {
+function bestMove (weighing: Weighing): Move | undefined {
+  const { draft, utilization } = weighing
+  const copies = [...hottest(draft, utilization).flatMap((hot) => busiest(hot, utilization)), ...fullest(weighing)]
   let best: Move | undefined
-  for (const hot of hottest(draft, utilization)) {
-    for (const copy of busiest(hot, utilization)) {
-      const model = draft.routed(copy.key)
-      if (model === undefined) continue
-      const move = bestTarget(draft, utilization, peaks, copy, model)
-      if (move !== undefined && move.gainS > (best?.gainS ?? 0)) best = move
-    }
+  for (const copy of copies) {
+    const model = draft.routed(copy.key)
+    if (model === undefined) continue
+    const move = bestTarget(weighing, copy, model)
+    if (move !== undefined && move.gainS > (best?.gainS ?? 0)) best = move
   }
   return best
 }
 
+/** The busiest copy of each model whose copies have too few places for its requests. */
+function fullest ({ draft, utilization, places }: Weighing): DraftCopy[] {
+  const full = draft.models.filter(({ key }) => missedWork((places.get(key) ?? 0) / Math.max(1, draft.copiesOf(key).length)) > 0)
+  return full.flatMap(({ key }) => [...draft.copiesOf(key)].sort((a, b) => utilization.of(b.runner) - utilization.of(a.runner)).slice(0, 1))
+}
+
 function hottest (draft: Draft, utilization: Utilization): DraftRunner[] {
   const open = draft.runners.filter((runner) => runner.open && missedWork(utilization.of(runner)) > 0)
   open.sort((a, b) => utilization.of(b) - utilization.of(a) || compareText(a.view.name, b.view.name))
@@ -68,11 +82,13 @@
   return copies.slice(0, HOT_MODELS)
 }
 
-function bestTarget (draft: Draft, utilization: Utilization, peaks: ReadonlyMap<string, number>, copy: DraftCopy, model: RoutedModel): Move | undefined {
+function bestTarget (weighing: Weighing, copy: DraftCopy, model: RoutedModel): Move | undefined {
+  const { draft, utilization, peaks } = weighing
+  const placesS = reliefOfPlaces(weighing, model.key) * draft.options.horizonS
   let best: Move | undefined
   for (const runner of draft.runners) {
     if (!runner.open || runner.copies.has(model.key)) continue
-    const reliefS = reliefOf(utilization, copy, runner) * draft.options.horizonS
+    const reliefS = placesS * Math.max(0, 1 - utilization.of(runner)) + reliefOf(utilization, copy, runner) * draft.options.horizonS
     if (reliefS <= (best?.gainS ?? 0)) continue
     const victims = victimsFor(draft, runner, model, peaks, utilization)
     if (victims === undefined) continue
@@ -82,6 +98,15 @@
   return best
 }
 
+/** Missed work that is saved when a model gets places of one more copy, in runners. */
+function reliefOfPlaces ({ draft, work, places }: Weighing, key: string): number {
+  const copies = draft.copiesOf(key).length
+  const needed = places.get(key) ?? 0
+  if (needed <= 0 || copies === 0) return 0
+  const missedCopies = copies * missedWork(needed / copies) - (copies + 1) * missedWork(needed / (copies + 1))
+  return Math.max(0, missedCopies) * (work.get(key) ?? 0) / needed
+}
+
 /** Missed work that is saved when a hot runner shares a model's work with another one, in runners. */
 function reliefOf (utilization: Utilization, copy: DraftCopy, to: DraftRunner): number {
   const from = utilization.of(copy.runner)
--- a/packages/placement/src/plan/utilization.ts
+++ b/packages/placement/src/plan/utilization.ts
@@ -61,11 +61,14 @@
 }
 
 const COMFORT = 0.7
+/** Growth of the missed work beyond a full runner, so that levelling two overfull runners still gains. */
+const OVERLOAD_GROWTH = 0.1
 
 /** Work that misses its targets at a utilization, in runners: none below the comfortable level, all of what exceeds 1. */
 export function missedWork (utilization: number): number {
   if (utilization <= COMFORT) return 0
-  if (utilization >= 1) return (1 - COMFORT) / 2 + utilization - 1
+  const excess = utilization - 1
+  if (excess >= 0) return (1 - COMFORT) / 2 + excess + OVERLOAD_GROWTH * excess ** 2
   return (utilization - COMFORT) ** 2 / (2 * (1 - COMFORT))
 }
 
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -11,6 +11,8 @@
   recentPeakPerS: number
   /** Share of one runner that one request takes, in milliseconds of the whole runner. */
   runnerMsPerRequest: number
+  /** Share of one copy's places that one request takes, in milliseconds of the whole copy. */
+  copyMsPerRequest?: number
 }
 
 /** Orders that may start now. */
--- a/packages/routing/src/choose/choose-runner.ts
+++ b/packages/routing/src/choose/choose-runner.ts
@@ -14,6 +14,9 @@
   load: number
   /** Requests at the runner that the limit allows. */
   limit: number
+  /** Requests at the runner for the same model, and their limit. */
+  copyLoad: number
+  copyLimit: number
   /** Prompt tokens at the runner that wait for their first token. */
   pendingTokens: number
   /** Processing time of one prompt token. */
@@ -47,6 +50,11 @@
   return candidate.resident && candidate.healthy && !candidate.draining
 }
 
+/** Whether the limits of the runner and of its copy allow one more request. */
+export function hasRoom (candidate: Candidate): boolean {
+  return candidate.load < candidate.limit && candidate.copyLoad < candidate.copyLimit
+}
+
 /** Chooses a runner; undefined if none is eligible and under its limit. */
 export abstract class RunnerChooser {
   abstract choose (candidates: readonly Candidate[], request: RouteRequest, random: RandomSource): Choice | undefined
@@ -75,7 +83,7 @@
 }
 
 function scoreOf (candidate: Candidate, request: RouteRequest): number {
-  if (!isEligible(candidate) || candidate.load >= candidate.limit) return Infinity
+  if (!isEligible(candidate) || !hasRoom(candidate)) return Infinity
   return expectFirstTokenMs(candidate, request) + STEP_WEIGHT_TOKENS * candidate.stepMs
 }
 
--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -60,7 +60,7 @@
     for (const name of this.#runners.keys()) if (!names.has(name)) this.#forget(name)
     for (const info of infos) {
       const known = this.#runners.get(info.name)
-      if (known === undefined) this.#runners.set(info.name, RunnerState.create(info, this.options.createLimit()))
+      if (known === undefined) this.#runners.set(info.name, RunnerState.create(info, this.options.createLimit))
       else known.update(info)
     }
   }
@@ -107,6 +107,7 @@
       tokensAhead: state.load.pendingTokens(nowMs) + ownTokens,
       ownTokens,
       loadWhenSent: state.load.total(nowMs) + 1,
+      copyLoadWhenSent: state.load.totalOf(targetKey(request.target), nowMs) + 1,
       expectedFirstTokenMs: decision.expectedFirstTokenMs,
       lastProgressMs: nowMs,
       tokens: 0
@@ -143,13 +144,15 @@
     if (attempt === undefined || state === undefined) return
     state.health.onSuccess()
     const firstMs = attempt.firstTokenMs ?? nowMs
-    const runnerMs = attempt.ownTokens * state.latency.prefillMsPerToken + (nowMs - firstMs) / state.limit.value
-    this.#statsOf(attempt.request).onDone(nowMs - attempt.sentMs, runnerMs)
-    const stepMs = tokens > 1 ? (nowMs - firstMs) / (tokens - 1) : undefined
+    const copyLimit = state.copyLimit(targetKey(attempt.request.target))
     const load = Math.max(attempt.loadWhenSent, state.load.total(nowMs) + 1)
+    const stepMs = tokens > 1 ? (nowMs - firstMs) / (tokens - 1) : undefined
+    const runnerMs = attempt.ownTokens * state.latency.prefillMsPerToken + (nowMs - firstMs) / state.limit.value
+    const durationMs = nowMs - attempt.sentMs
+    this.#statsOf(attempt.request).onDone(durationMs, runnerMs, durationMs / copyLimit.value)
     if (stepMs !== undefined) state.latency.onStep(stepMs, load)
-    const late = firstMs > attempt.request.deadlineMs || (stepMs ?? 0) > attempt.request.betweenTokensTargetMs
-    state.limit.onSample(!late, load, nowMs)
+    state.limit.onSample((stepMs ?? 0) <= attempt.request.betweenTokensTargetMs, load, nowMs)
+    copyLimit.onSample(firstMs <= attempt.request.deadlineMs, attempt.copyLoadWhenSent, nowMs)
   }
 
   /** The caller gave up an attempt, or it was the slower one of two. */
@@ -246,11 +249,12 @@
     }
     const healthy = holders.filter(isEligible)
     const candidates = healthy.length > 0 ? healthy : holders.map((candidate) => ({ ...candidate, healthy: true }))
-    return { candidates, slots: candidates.reduce((sum, { limit }) => sum + limit, 0) }
+    return { candidates, slots: candidates.reduce((sum, { limit, copyLimit }) => sum + Math.min(limit, copyLimit), 0) }
   }
 
   #candidate (state: RunnerState, request: RouteRequest, keys: readonly string[], nowMs: number): Candidate {
     const load = state.load.total(nowMs)
+    const key = targetKey(request.target)
     const share = request.priority === Priority.Batch ? this.options.batchShare : 1
     return {
       runner: state.info.name,
@@ -260,6 +264,8 @@
       draining: state.info.draining,
       load,
       limit: Math.floor(state.limit.value * share),
+      copyLoad: state.load.totalOf(key, nowMs),
+      copyLimit: Math.floor(state.copyLimit(key).value * share),
       pendingTokens: state.load.pendingTokens(nowMs),
       prefillMsPerToken: state.latency.prefillMsPerToken,
       stepMs: state.latency.stepMs(load + 1),
--- a/packages/routing/src/decider/runner-state.ts
+++ b/packages/routing/src/decider/runner-state.ts
@@ -12,19 +12,33 @@
   readonly load = RunnerLoad.create()
   readonly health = RunnerHealth.create()
   readonly latency = LatencyModel.create()
+  readonly #copyLimits = new Map<string, ConcurrencyLimit>()
   #adapters = new Map<string, ReadonlySet<string>>()
 
-  private constructor (public info: RunnerInfo, readonly limit: ConcurrencyLimit) {
+  readonly limit: ConcurrencyLimit
+
+  private constructor (public info: RunnerInfo, private readonly createLimit: () => ConcurrencyLimit) {
+    this.limit = createLimit()
     this.update(info)
   }
 
-  static create (info: RunnerInfo, limit: ConcurrencyLimit): RunnerState {
-    return new RunnerState(info, limit)
+  static create (info: RunnerInfo, createLimit: () => ConcurrencyLimit): RunnerState {
+    return new RunnerState(info, createLimit)
   }
 
   update (info: RunnerInfo): void {
     this.info = info
     this.#adapters = new Map(info.copies.map((copy) => [targetKey(copy), new Set(copy.adapters)]))
+    for (const key of this.#copyLimits.keys()) if (!this.#adapters.has(key)) this.#copyLimits.delete(key)
+  }
+
+  /** Limit of the requests for one model; kept while the copy stays. */
+  copyLimit (key: string): ConcurrencyLimit {
+    const existing = this.#copyLimits.get(key)
+    if (existing !== undefined) return existing
+    const limit = this.createLimit()
+    this.#copyLimits.set(key, limit)
+    return limit
   }
 
   /** Whether the target's model and adapter are resident. */
--- a/packages/routing/src/decider/target-stats.ts
+++ b/packages/routing/src/decider/target-stats.ts
@@ -11,12 +11,15 @@
   requests: number
   /** Mean share of one runner that a request took, in milliseconds; 0 before the first answer. */
   runnerMsPerRequest: number
+  /** Mean share of one copy's places that a request took, in milliseconds; 0 before the first answer. */
+  copyMsPerRequest: number
 }
 
 export class TargetStats {
   #durationMs = DEFAULT_DURATION_MS
   #requests = 0
   #runnerMs = 0
+  #copyMs = 0
 
   private constructor (readonly target: Target) {}
 
@@ -28,10 +31,12 @@
     this.#requests += 1
   }
 
-  onDone (durationMs: number, runnerMs: number): void {
+  onDone (durationMs: number, runnerMs: number, copyMs: number): void {
     this.#durationMs += DURATION_WEIGHT * (durationMs - this.#durationMs)
     if (this.#runnerMs === 0) this.#runnerMs = runnerMs
+    if (this.#copyMs === 0) this.#copyMs = copyMs
     this.#runnerMs += DURATION_WEIGHT * (runnerMs - this.#runnerMs)
+    this.#copyMs += DURATION_WEIGHT * (copyMs - this.#copyMs)
   }
 
   /** Expected wait behind `ahead` requests for `slots` places at the runners. */
@@ -42,7 +47,7 @@
   /** Demand since the last call. */
   take (): TargetDemand {
     const { model, version } = this.target
-    const demand = { model, version, requests: this.#requests, runnerMsPerRequest: this.#runnerMs }
+    const demand = { model, version, requests: this.#requests, runnerMsPerRequest: this.#runnerMs, copyMsPerRequest: this.#copyMs }
     this.#requests = 0
     return demand
   }
--- a/packages/routing/src/load/runner-load.ts
+++ b/packages/routing/src/load/runner-load.ts
@@ -1,5 +1,5 @@
 /** Requests at one runner: this host's own exactly, those of others from reports and neighbours. */
-import type { LoadReport, NeighbourLoad, RouteRequest } from '../types.js'
+import { targetKey, type LoadReport, type NeighbourLoad, type RouteRequest } from '../types.js'
 
 /** An attempt that this host has sent and that has not ended. */
 export type Attempt = {
@@ -11,6 +11,7 @@
   /** Own prompt tokens that the prefix cache does not save. */
   ownTokens: number
   loadWhenSent: number
+  copyLoadWhenSent: number
   expectedFirstTokenMs: number
   firstTokenMs?: number
   lastProgressMs: number
@@ -28,6 +29,7 @@
   readonly attempts = new Map<string, Attempt>()
   readonly #neighbours = new Map<string, { load: NeighbourLoad, atMs: number }>()
   #samples: CountSample[] = []
+  readonly #byModel = new Map<string, number>()
   #reportedOthers = 0
   #pendingTokens = 0
 
@@ -47,6 +49,7 @@
   add (attempt: Attempt, nowMs: number): void {
     this.attempts.set(attempt.request.id, attempt)
     this.#pendingTokens += attempt.ownTokens
+    this.#countModel(attempt, 1)
     this.#sample(nowMs)
   }
 
@@ -60,6 +63,7 @@
   remove (attempt: Attempt, nowMs: number): void {
     if (!this.attempts.delete(attempt.request.id)) return
     if (attempt.firstTokenMs === undefined) this.#pendingTokens -= attempt.ownTokens
+    this.#countModel(attempt, -1)
     this.#sample(nowMs)
   }
 
@@ -82,6 +86,12 @@
     return this.inFlight + (neighbours ?? this.#reportedOthers)
   }
 
+  /** Requests at the runner for one model, if the others' requests are spread over models like this host's. */
+  totalOf (key: string, nowMs: number): number {
+    const own = this.#byModel.get(key) ?? 0
+    return own === 0 ? 0 : own * this.total(nowMs) / this.inFlight
+  }
+
   /** Prompt tokens at the runner that wait for their first token. */
   pendingTokens (nowMs: number): number {
     return this.#pendingTokens + (this.#sumNeighbours(nowMs, (load) => load.pendingTokens) ?? 0)
@@ -95,6 +105,13 @@
     return sum
   }
 
+  #countModel (attempt: Attempt, change: number): void {
+    const key = targetKey(attempt.request.target)
+    const count = (this.#byModel.get(key) ?? 0) + change
+    if (count > 0) this.#byModel.set(key, count)
+    else this.#byModel.delete(key)
+  }
+
   #sample (atMs: number): void {
     this.#samples.push({ atMs, inFlight: this.inFlight })
     if (this.#samples.length > 2 * MAX_SAMPLES) this.#samples = this.#samples.slice(-MAX_SAMPLES)
