Leave batch requests out of the wait of interactive ones

An interactive request was refused as overloaded because queued batch jobs, and requests for other models, counted as ahead of it. The new test was seen failing with the guard taken out.

--- a/packages/routing/src/admission/fair-queue.test.ts
+++ b/packages/routing/src/admission/fair-queue.test.ts
@@ -42,3 +42,11 @@
   t.notOk(queue.remove('a'))
   t.equal(queue.size, 0)
 })
+
+t.test('batch is not ahead of interactive, nor is another model', async (t) => {
+  const queue = FairQueue.create()
+  const other = { ...requestOf('other', 'r', 1), target: { model: 'n', version: '1' } }
+  for (const request of [requestOf('batch', 'menus', 1, Priority.Batch), requestOf('a', 'r', 1), other]) queue.push(request)
+  t.equal(queue.aheadOf(requestOf('new', 'r', 1)), 1)
+  t.equal(queue.aheadOf(requestOf('new', 'r', 1, Priority.Batch)), 2)
+})
--- a/packages/routing/src/admission/fair-queue.ts
+++ b/packages/routing/src/admission/fair-queue.ts
@@ -1,6 +1,6 @@
 /** Queue of requests that wait for a runner: by priority, fair between routes, by deadline within a route. */
 import { Priority } from '@figloom/tables'
-import type { RouteRequest } from '../types.js'
+import { targetKey, type RouteRequest } from '../types.js'
 
 type RouteQueue = { route: string, priority: Priority, virtualTime: number, requests: RouteRequest[] }
 
@@ -25,6 +25,17 @@
     return count
   }
 
+  /** Number of waiting requests for the same target that go before a new one: batch goes after interactive. */
+  aheadOf (request: RouteRequest): number {
+    const key = targetKey(request.target)
+    let count = 0
+    for (const queue of this.#queues.values()) {
+      if (request.priority === Priority.Interactive && queue.priority === Priority.Batch) continue
+      for (const other of queue.requests) if (targetKey(other.target) === key) count += 1
+    }
+    return count
+  }
+
   push (request: RouteRequest): void {
     const queue = this.#queueOf(request)
     const at = queue.requests.findLastIndex((other) => other.deadlineMs <= request.deadlineMs)
--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -313,7 +313,7 @@
       const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.#statsOf(request).expectedWaitMs(ahead, room.slots))
       return refuse(createFailure(ResultCode.RateLimited, `route ${request.route} has its share of waiting requests`, { retryAfterMs }))
     }
-    const expectedWaitMs = this.#statsOf(request).expectedWaitMs(this.#queue.size, room.slots)
+    const expectedWaitMs = this.#statsOf(request).expectedWaitMs(this.#queue.aheadOf(request), room.slots)
     const least = leastFirstTokenMs(room, request)
     if (nowMs + expectedWaitMs + least > request.deadlineMs) return overloaded(expectedWaitMs)
     this.#queue.push(request)
@@ -327,7 +327,7 @@
     const choice = this.#choose(request, room, nowMs)
     if (choice !== undefined) return this.#sendTo(choice, request)
     const late = nowMs + leastFirstTokenMs(room, request) > request.deadlineMs
-    return late ? overloaded(this.#statsOf(request).expectedWaitMs(this.#queue.size, room.slots)) : undefined
+    return late ? overloaded(this.#statsOf(request).expectedWaitMs(this.#queue.aheadOf(request), room.slots)) : undefined
   }
 
   #statsOf (request: RouteRequest): TargetStats {
