--- a/packages/placement/src/plan/utilization.ts
+++ b/packages/placement/src/plan/utilization.ts
@@ -60,7 +60,7 @@
   return 0
 }
 
-const COMFORT = 0.7
+const COMFORT = 0.35
 /** Growth of the missed work beyond a full runner, so that levelling two overfull runners still gains. */
 const OVERLOAD_GROWTH = 0.1
 
