--- a/packages/control/src/claims/claim-streams.ts
+++ b/packages/control/src/claims/claim-streams.ts
@@ -14,6 +14,8 @@
   #starts = 0
   readonly #running = new Map<number, { stream: ClaimStream, usedMs: number }>()
 
+  #stopped = false
+
   private constructor (private readonly options: ClaimStreamsOptions) {}
 
   static create (options: ClaimStreamsOptions): ClaimStreams {
@@ -31,7 +33,8 @@
     const { gatewaysOf, ...options } = this.options
     this.#starts += 1
     const stream = ClaimStream.create({ ...options, index, instance: this.#starts, gateways: () => gatewaysOf(index) })
-    this.#running.set(index, { stream, usedMs })
+    if (this.#stopped) stream.stop()
+    else this.#running.set(index, { stream, usedMs })
     return stream
   }
 
@@ -46,7 +49,9 @@
     }
   }
 
+  /** Stops all streams; those asked for later answer that they are unavailable. */
   stop (): void {
+    this.#stopped = true
     for (const { stream } of this.#running.values()) stream.stop()
     this.#running.clear()
   }
--- a/packages/control/src/claims/key-claims.ts
+++ b/packages/control/src/claims/key-claims.ts
@@ -46,6 +46,7 @@
 /** Entry point for the daemon; holds no state beyond the attempts under way. */
 export class KeyClaims {
   readonly #abort = new AbortController()
+  readonly #deliveries = new Set<Promise<void>>()
   readonly #unreachable = UnreachableGateways.create()
 
   private constructor (private readonly options: KeyClaimsOptions) {}
@@ -54,6 +55,11 @@
     return new KeyClaims(options)
   }
 
+  /** Resolves when the gateways have taken on how every attempt of this host ended. */
+  async delivered (): Promise<void> {
+    await Promise.all(this.#deliveries)
+  }
+
   /** Ends repeated deliveries. */
   stop (): void {
     this.#abort.abort()
@@ -67,7 +73,7 @@
     const attemptId = ids.next()
     const request = { key, fingerprint: shortenFingerprint(call.fingerprint), attemptId, host, incarnation, timeoutMs: call.timeoutMs }
     const { answer, mayBeAppended } = await this.#ask(request, deadlineMs)
-    const attempt = Attempt.create({ key, attemptId, clock, deadlineMs, deliver: (end) => { this.#deliver(end) } })
+    const attempt = Attempt.create({ key, attemptId, clock, deadlineMs, deliver: (end) => this.#startDelivery(end) })
     if (answer.kind === 'won' && clock.monotonicMs() < deadlineMs) return { kind: 'won', attempt }
     if (answer.kind === 'won' || mayBeAppended) attempt.abandon()
     if (answer.kind === 'replay') return answer
@@ -111,6 +117,11 @@
     return this.#unreachable.moveToEnd(order, host, this.options.clock.monotonicMs())
   }
 
+  #startDelivery (end: AttemptEnd): void {
+    const delivery = this.#deliver(end).finally(() => this.#deliveries.delete(delivery))
+    this.#deliveries.add(delivery)
+  }
+
   async #deliver (end: AttemptEnd): Promise<void> {
     for (let tries = 0; tries < DELIVERY_TRIES && !this.#abort.signal.aborted; tries++) {
       for (const gateway of this.#gateways(end.key)) {
--- a/packages/daemon/src/app.ts
+++ b/packages/daemon/src/app.ts
@@ -45,6 +45,8 @@
 const HEAD_TIMEOUT_MS = 10_000
 /** Limit for the log to take this host's last word on its leases, in milliseconds. */
 const RETIRE_TIMEOUT_MS = 3000
+/** Limit for claim gateways to take on the answers of this host's last calls, in milliseconds. */
+const DELIVERY_TIMEOUT_MS = 2000
 /** Time beyond a lookup's time to live in which callers may still come, in milliseconds. */
 const LOOKUP_MARGIN_MS = 250
 
@@ -110,14 +112,15 @@
     await this.#announce(parts, 'leaving')
     await Promise.all([clock.sleep(settings.lookup.ttlMs + LOOKUP_MARGIN_MS), parts.cells.retire(RETIRE_TIMEOUT_MS)])
     this.#isClosed = true
-    await this.#waitIdle(parts.requests, settings.shutdown.graceMs)
+    await this.#atMost(parts.requests.idle(), settings.shutdown.graceMs)
+    await this.#atMost(parts.claims.keys.delivered(), DELIVERY_TIMEOUT_MS)
     logger.info('stopped', { inFlight: parts.requests.inFlight })
     await this.stop()
   }
 
-  async #waitIdle (requests: RequestService, graceMs: number): Promise<void> {
+  async #atMost (work: Promise<void>, limitMs: number): Promise<void> {
     const waited = new AbortController()
-    await Promise.race([requests.idle(), this.options.clock.sleep(graceMs, waited.signal)])
+    await Promise.race([work, this.options.clock.sleep(limitMs, waited.signal)])
     waited.abort()
   }
 
