--- a/scripts/first-run/cluster.mjs
+++ b/scripts/first-run/cluster.mjs
@@ -13,8 +13,12 @@
   cli: join(packages, 'cli/dist/main.js')
 }
 
-/** Starts stand-ins and entry hosts, publishes the tables and waits until every host is ready. */
-export async function startCluster ({ log } = {}) {
+/**
+ * Starts stand-ins and entry hosts, publishes the tables and waits until every host is ready.
+ * `hostCount` up to three; `engineFields` and `sections` are lines for the engines' and the hosts' settings.
+ */
+export async function startCluster ({ log, hostCount = ZONES.length, engineCount = 2, engineFields = '', sections = '' } = {}) {
+  const zones = ZONES.slice(0, hostCount)
   const directory = await mkdtemp(join(tmpdir(), 'figloom-'))
   const write = async (name, text) => {
     const path = join(directory, name)
@@ -28,13 +32,13 @@
     await rm(directory, { recursive: true })
   }
   try {
-    const standins = await startProgram(STANDINS, programs.standin, ['--settings', await write('standins.toml', standinSettings())], { log })
+    const standins = await startProgram(STANDINS, programs.standin, ['--settings', await write('standins.toml', standinSettings(engineCount, engineFields))], { log })
     running.push(standins)
     const urls = Object.fromEntries(standins.ready.listening.map(({ name, url }) => [name, url]))
-    const settingsFiles = await Promise.all(ZONES.map((zone, index) => write(`host-${index + 1}.toml`, daemonSettings(`host-${index + 1}`, zone, urls))))
+    const settingsFiles = await Promise.all(zones.map((zone, index) => write(`host-${index + 1}.toml`, daemonSettings(`host-${index + 1}`, zone, urls, sections))))
     const daemons = await Promise.all(settingsFiles.map((file, index) => startProgram(`host-${index + 1}`, programs.daemon, ['--settings', file], { log })))
     running.push(...daemons)
-    const tables = [await write('routes.toml', routesTable()), await write('pools.toml', poolsTable(urls))]
+    const tables = [await write('routes.toml', routesTable()), await write('pools.toml', poolsTable(urls, engineCount))]
     const hosts = daemons.map(({ ready }) => ready.listening)
     const cliFile = await write('figloom.toml', cliSettings(urls, hosts[0].operatorUrl))
     await runCli(['publish', ...tables, '--settings', cliFile])
--- a/scripts/first-run/settings.mjs
+++ b/scripts/first-run/settings.mjs
@@ -1,14 +1,19 @@
 /** Availability zones of the three entry hosts. */
 export const ZONES = ['porto-a', 'porto-b', 'braga-c']
 
-const ENGINES = ['drafting-01', 'drafting-02']
+/** Names of the engines of a cluster. */
+function engineNames (count) {
+  return Array.from({ length: count }, (_, index) => `drafting-${String(index + 1).padStart(2, '0')}`)
+}
 
-export function standinSettings () {
-  const engines = ENGINES.map((name) => `
+/** `engineFields` are further lines of each engine's settings. */
+export function standinSettings (engineCount, engineFields = '') {
+  const engines = engineNames(engineCount).map((name) => `
 [[standin]]
 kind = "engine"
 name = "${name}"
 memoryMiB = 65536
+${engineFields}
 `).join('')
   return `
 [[standin]]
@@ -25,7 +30,8 @@
 ${engines}`
 }
 
-export function daemonSettings (name, zone, urls) {
+/** `sections` are further sections of the host's settings. */
+export function daemonSettings (name, zone, urls, sections = '') {
   return `
 [host]
 name = "${name}"
@@ -45,7 +51,7 @@
 
 [traces]
 exporter = "none"
-`
+${sections}`
 }
 
 export function routesTable () {
@@ -69,8 +75,8 @@
 `
 }
 
-export function poolsTable (urls) {
-  const runners = ENGINES.map((name, index) => runner(name, ZONES[index], urls[name], 65536)).join('')
+export function poolsTable (urls, engineCount) {
+  const runners = engineNames(engineCount).map((name, index) => runner(name, ZONES[index % ZONES.length], urls[name], 65536)).join('')
   return `
 [[pool]]
 name = "drafting"
