List only removed pools and runners as retiring, and measure the rule

Guards, each taken out and its test seen failing: the offset of a clear, the return of a row ('removed runners and pools retire until they are cleared or return').

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,8 +1,9 @@
 #!/usr/bin/env node
 /** Runs one benchmark: `npm run bench -- NAME`. */
+import { runAcceptance } from './acceptance/app.js'
 import { runDecisions } from './decisions/app.js'
 
-const BENCHMARKS: Record<string, () => Promise<void>> = { decisions: runDecisions }
+const BENCHMARKS: Record<string, () => Promise<void>> = { acceptance: runAcceptance, decisions: runDecisions }
 
 const name = process.argv[2] ?? ''
 const run = BENCHMARKS[name]
--- a/packages/tables/src/acceptance/rule.ts
+++ b/packages/tables/src/acceptance/rule.ts
@@ -3,7 +3,7 @@
 import { planPeak } from '../check/peak.js'
 import { rowKey, type RowChange } from '../rows/rows.js'
 import type { EditRecord, RetiredClearRecord } from './records.js'
-import { findRetirement } from './retire.js'
+import { findRetired } from './retire.js'
 import { getShard, liveRows, shardOf, tablesOf, type ConfigState, type KnownEdit, type RetiringRow, type RowEntry, type Shard } from './state.js'
 import { isForgotten } from './state-json.js'
 import { invalid, invalidEnvelope, type RowConflict, type Verdict } from './verdicts.js'
@@ -97,9 +97,9 @@
 }
 
 function retireRow (retiring: Map<string, RetiringRow>, old: RowChange | undefined, change: RowChange, offset: number): void {
-  const { retired, returned } = findRetirement(old, change, offset)
-  for (const row of returned) retiring.delete(row)
-  for (const entry of retired) retiring.set(entry.row, entry)
+  const retired = findRetired(old, change, offset)
+  if (retired !== undefined) retiring.set(retired.row, retired)
+  if (change.value !== null) retiring.delete(rowKey(change))
 }
 
 /** Faults of the changed tables, looked for only where the change reaches. */
--- a/packages/tables/src/acceptance/state-json.ts
+++ b/packages/tables/src/acceptance/state-json.ts
@@ -1,6 +1,6 @@
 /** JSON form of a state, the content of snapshots. */
 import { z } from 'zod'
-import { adapterSchema, poolHeadSchema, poolModelSchema, rowChangeSchema, runnerSchema } from '../schema/rows.js'
+import { poolHeadSchema, rowChangeSchema, runnerSchema } from '../schema/rows.js'
 import { compareText, rowKey, type RowChange } from '../rows/rows.js'
 import { shardOf, type ConfigState, type KnownEdit, type RetiringRow, type RowEntry, type Shard } from './state.js'
 
@@ -30,9 +30,7 @@
 
 const retiringSchema = z.discriminatedUnion('kind', [
   z.strictObject({ ...retired, kind: z.literal('pool'), value: poolHeadSchema }),
-  z.strictObject({ ...retired, kind: z.literal('runner'), value: runnerSchema }),
-  z.strictObject({ ...retired, kind: z.literal('model'), value: poolModelSchema }),
-  z.strictObject({ ...retired, kind: z.literal('adapter'), model: text, version: text, value: adapterSchema })
+  z.strictObject({ ...retired, kind: z.literal('runner'), value: runnerSchema })
 ])
 
 export const stateJsonSchema = z.strictObject({
--- a/packages/tables/src/acceptance/state.ts
+++ b/packages/tables/src/acceptance/state.ts
@@ -1,5 +1,5 @@
 /** What a reader of the configuration stream knows after a record. */
-import type { Adapter, PoolModel, Runner, Tables, Pool, Route } from '../types.js'
+import type { Pool, Route, Runner, Tables } from '../types.js'
 import { compareText, poolFromRows, type PoolHead, type Row, type RowChange, type RowKey } from '../rows/rows.js'
 import type { Verdict } from './verdicts.js'
 
@@ -12,12 +12,10 @@
 /** An edit that was seen, with its verdict. */
 export type KnownEdit = { editId: string, offset: number, verdict: Verdict }
 
-/** Something removed whose memory or requests may not have ended yet. */
+/** A removed pool or runner whose memory or requests may not have ended yet. */
 export type RetiringRow = { row: RowKey, pool: string, retiredAt: number } & (
   | { kind: 'pool', value: PoolHead }
   | { kind: 'runner', value: Runner }
-  | { kind: 'model', value: PoolModel }
-  | { kind: 'adapter', model: string, version: string, value: Adapter }
 )
 
 /** State after the record at `offset`. Never changed in place. */
