--- a/packages/control/src/membership/membership.test.ts
+++ b/packages/control/src/membership/membership.test.ts
@@ -3,10 +3,10 @@
 import { ManualClock, silentLogger } from '@figloom/runtime'
 import { HostListClient, type ListedHost } from '@figloom/platform'
 import { allowedWork } from './allowed-work.js'
-import { assignHosts, cellsOfHost } from './assignment.js'
+import { assignHosts, cellsOfHost, neighborsOf } from './assignment.js'
 import { lookupHosts } from './lookup.js'
 import { Membership, PeerExchange } from './membership.js'
-import { applyHostList, applyPeerReport, createMembershipState, viewAt } from './membership-state.js'
+import { applyHostList, applyPeerReport, createMembershipState, isDraining, viewAt } from './membership-state.js'
 import { RunnerHealth } from './runner-health.js'
 import { DEFAULT_MEMBERSHIP_TIMES as times, type PeerReport } from './types.js'
 
@@ -28,7 +28,10 @@
   readonly members = new Map<string, Membership>()
   readonly cut = new Set<string>()
 
+  exchanges = 0
+
   override async exchange (innerUrl: string, report: PeerReport): Promise<PeerReport | undefined> {
+    this.exchanges += 1
     const host = innerUrl.replace('inner-', '')
     if (this.cut.has(host) || this.cut.has(report.host)) return undefined
     if (this.cut.has(`${host}-${report.host}`) || this.cut.has(`${report.host}-${host}`)) return undefined
@@ -76,6 +79,23 @@
   t.equal(livenessAt(first, 'h2'), 'live')
 })
 
+t.test('one exchange a heartbeat and pair of hosts', async (t) => {
+  const { clock, network } = setUp()
+  await clock.advance(2500)
+  const before = network.exchanges
+  await clock.advance(10 * times.heartbeatMs)
+  t.ok(network.exchanges - before <= 33, `${network.exchanges - before} exchanges of three pairs`)
+})
+
+t.test('neighbors are the hosts that share a cell', (t) => {
+  const hosts = Array.from({ length: 240 }, (_, n) => ({ host: `host-${n}`, availabilityZone: `zone-${n % 3}` }))
+  const [first] = assignHosts('cell-1', hosts)
+  const neighbors = neighborsOf(first?.host ?? '', ['cell-1', 'cell-2'], hosts)
+  t.equal(neighbors.length, 5)
+  t.notOk(neighbors.includes(first?.host ?? ''))
+  t.end()
+})
+
 t.test('a leaving host is out of lookups within 5 s although the list still says live', async (t) => {
   const { clock, first, second } = setUp()
   await clock.advance(3000)
@@ -158,6 +178,23 @@
   t.end()
 })
 
+t.test('an older word on a drain changes nothing, and of two at once every host takes the same', (t) => {
+  const drains = [
+    { runner: 'r1', draining: true, version: 1, by: 'h2' },
+    { runner: 'r1', draining: false, version: 2, by: 'h2' },
+    { runner: 'r1', draining: true, version: 2, by: 'h3' }
+  ]
+  for (const order of [[0, 1], [1, 0], [1, 0, 1]]) {
+    const state = createMembershipState(reportOf('h1'))
+    for (const n of order) applyPeerReport(state, reportOf('h2', { drains: drains.slice(n, n + 1) }), 0, times)
+    t.equal(isDraining(state, 'r1'), false)
+    applyPeerReport(state, reportOf('h3', { drains: drains.slice(2) }), 0, times)
+    applyPeerReport(state, reportOf('h2', { drains: drains.slice(1, 2) }), 0, times)
+    t.equal(isDraining(state, 'r1'), true)
+  }
+  t.end()
+})
+
 t.test('a long host list is read less often', async (t) => {
   const { clock, hostList } = setUp(['h1'])
   hostList.hosts = Array.from({ length: 1200 }, (_, n) => listedOf(`h${n + 1}`))
