--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,9 +1,10 @@
 #!/usr/bin/env node
 /** Runs one benchmark: `npm run bench -- NAME`. */
+import { runAcceptance } from './acceptance/app.js'
 import { runClaims } from './claims/app.js'
 import { runDecisions } from './decisions/app.js'
 
-const BENCHMARKS: Record<string, () => Promise<void>> = { decisions: runDecisions, claims: runClaims }
+const BENCHMARKS: Record<string, () => Promise<void>> = { decisions: runDecisions, claims: runClaims, acceptance: runAcceptance }
 
 const name = process.argv[2] ?? ''
 const run = BENCHMARKS[name]
