--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -60,7 +60,7 @@
     for (const name of this.#runners.keys()) if (!names.has(name)) this.#forget(name)
     for (const info of infos) {
       const known = this.#runners.get(info.name)
-      if (known === undefined) this.#runners.set(info.name, RunnerState.create(info, this.options.createLimit()))
+      if (known === undefined) this.#runners.set(info.name, RunnerState.create(info, this.options.createLimit))
       else known.update(info)
     }
   }
@@ -107,6 +107,7 @@
       tokensAhead: state.load.pendingTokens(nowMs) + ownTokens,
       ownTokens,
       loadWhenSent: state.load.total(nowMs) + 1,
+      copyLoadWhenSent: state.load.totalOf(targetKey(request.target), nowMs) + 1,
       expectedFirstTokenMs: decision.expectedFirstTokenMs,
       lastProgressMs: nowMs,
       tokens: 0
@@ -143,13 +144,15 @@
     if (attempt === undefined || state === undefined) return
     state.health.onSuccess()
     const firstMs = attempt.firstTokenMs ?? nowMs
-    const runnerMs = attempt.ownTokens * state.latency.prefillMsPerToken + (nowMs - firstMs) / state.limit.value
-    this.#statsOf(attempt.request).onDone(nowMs - attempt.sentMs, runnerMs)
-    const stepMs = tokens > 1 ? (nowMs - firstMs) / (tokens - 1) : undefined
+    const copyLimit = state.copyLimit(targetKey(attempt.request.target))
     const load = Math.max(attempt.loadWhenSent, state.load.total(nowMs) + 1)
+    const stepMs = tokens > 1 ? (nowMs - firstMs) / (tokens - 1) : undefined
+    const runnerMs = attempt.ownTokens * state.latency.prefillMsPerToken + (nowMs - firstMs) / state.limit.value
+    const durationMs = nowMs - attempt.sentMs
+    this.#statsOf(attempt.request).onDone(durationMs, runnerMs, durationMs / copyLimit.value)
     if (stepMs !== undefined) state.latency.onStep(stepMs, load)
-    const late = firstMs > attempt.request.deadlineMs || (stepMs ?? 0) > attempt.request.betweenTokensTargetMs
-    state.limit.onSample(!late, load, nowMs)
+    state.limit.onSample((stepMs ?? 0) <= attempt.request.betweenTokensTargetMs, load, nowMs)
+    copyLimit.onSample(firstMs <= attempt.request.deadlineMs, attempt.copyLoadWhenSent, nowMs)
   }
 
   /** The caller gave up an attempt, or it was the slower one of two. */
@@ -166,7 +169,9 @@
     const action = decideRetry(attempt.request, failure, { attempts, tokens: attempt.tokens })
     if (action === RetryAction.GiveUp || !this.#budget.take(nowMs)) return { kind: 'give-up', failure }
     const request = action === RetryAction.Resume ? { ...attempt.request, deadlineMs: Infinity } : attempt.request
-    const choice = this.#choose(request, this.#roomFor(request, nowMs, attempt.runner), nowMs)
+    // The runner that failed is better than none: a single broken connection need not be its end.
+    const choice = this.#choose(request, this.#roomFor(request, nowMs, attempt.runner), nowMs) ??
+      this.#choose(request, this.#roomFor(request, nowMs), nowMs)
     if (choice === undefined) return { kind: 'give-up', failure }
     return { kind: action, send: this.#sendTo(choice, request) }
   }
@@ -246,11 +251,12 @@
     }
     const healthy = holders.filter(isEligible)
     const candidates = healthy.length > 0 ? healthy : holders.map((candidate) => ({ ...candidate, healthy: true }))
-    return { candidates, slots: candidates.reduce((sum, { limit }) => sum + limit, 0) }
+    return { candidates, slots: candidates.reduce((sum, { limit, copyLimit }) => sum + Math.min(limit, copyLimit), 0) }
   }
 
   #candidate (state: RunnerState, request: RouteRequest, keys: readonly string[], nowMs: number): Candidate {
     const load = state.load.total(nowMs)
+    const key = targetKey(request.target)
     const share = request.priority === Priority.Batch ? this.options.batchShare : 1
     return {
       runner: state.info.name,
@@ -260,6 +266,8 @@
       draining: state.info.draining,
       load,
       limit: Math.floor(state.limit.value * share),
+      copyLoad: state.load.totalOf(key, nowMs),
+      copyLimit: Math.floor(state.copyLimit(key).value * share),
       pendingTokens: state.load.pendingTokens(nowMs),
       prefillMsPerToken: state.latency.prefillMsPerToken,
       stepMs: state.latency.stepMs(load + 1),
@@ -307,7 +315,7 @@
       const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.#statsOf(request).expectedWaitMs(ahead, room.slots))
       return refuse(createFailure(ResultCode.RateLimited, `route ${request.route} has its share of waiting requests`, { retryAfterMs }))
     }
-    const expectedWaitMs = this.#statsOf(request).expectedWaitMs(this.#queue.size, room.slots)
+    const expectedWaitMs = this.#statsOf(request).expectedWaitMs(this.#queue.aheadOf(request), room.slots)
     const least = leastFirstTokenMs(room, request)
     if (nowMs + expectedWaitMs + least > request.deadlineMs) return overloaded(expectedWaitMs)
     this.#queue.push(request)
@@ -321,7 +329,7 @@
     const choice = this.#choose(request, room, nowMs)
     if (choice !== undefined) return this.#sendTo(choice, request)
     const late = nowMs + leastFirstTokenMs(room, request) > request.deadlineMs
-    return late ? overloaded(this.#statsOf(request).expectedWaitMs(this.#queue.size, room.slots)) : undefined
+    return late ? overloaded(this.#statsOf(request).expectedWaitMs(this.#queue.aheadOf(request), room.slots)) : undefined
   }
 
   #statsOf (request: RouteRequest): TargetStats {
