--- a/packages/bench/src/decisions/hosts.ts
+++ b/packages/bench/src/decisions/hosts.ts
@@ -155,7 +155,7 @@
     this.#submit(call, request, decision)
   }
 
-  #submit (call: Call, request: RouteRequest, { runner, hedgeAfterMs }: SendDecision): void {
+  #submit (call: Call, request: RouteRequest, { runner }: SendDecision): void {
     this.#calls.set(request.id, call)
     call.live.set(request.id, runner)
     const { timeline, engines } = this.cell
@@ -175,13 +175,11 @@
         onFailed: () => back(() => this.#onFailed(call, request))
       })
     })
-    if (hedgeAfterMs !== undefined) timeline.after(hedgeAfterMs, () => this.#hedge(call, request))
   }
 
   #onFirst (call: Call, request: RouteRequest): void {
     this.decider.onFirstToken(request.id, this.#nowMs)
     call.firstMs = Math.min(call.firstMs, this.#nowMs)
-    for (const id of [...call.live.keys()]) if (id !== request.id) this.#cancel(call, id)
   }
 
   #onDone (call: Call, request: RouteRequest): void {
@@ -207,19 +205,6 @@
     this.outcomes.onFailed(call.arrival)
   }
 
-  #hedge (call: Call, request: RouteRequest): void {
-    if (call.ended || call.firstMs < Infinity || !call.live.has(request.id) || call.live.size > 1) return
-    const decision = this.decider.hedge(request.id, this.#nowMs)
-    if (decision !== undefined) this.#send(call, this.#requestOf(call), { ...decision, hedgeAfterMs: undefined } as SendDecision)
-  }
-
-  #cancel (call: Call, id: string): void {
-    this.decider.onCanceled(id, this.#nowMs)
-    const runner = call.live.get(id)
-    this.#forget(call, id)
-    if (runner !== undefined) this.cell.engines.get(runner)?.cancel(id)
-  }
-
   #forget (call: Call, id: string): void {
     call.live.delete(id)
     this.#calls.delete(id)
--- a/packages/bench/src/decisions/versions.ts
+++ b/packages/bench/src/decisions/versions.ts
@@ -64,7 +64,6 @@
   deciding('power of two choices', { chooser: new PowerOfTwoChooser() }),
   deciding('affinity first', { chooser: new AffinityFirstChooser() }),
   deciding('fixed limit of 64', { createLimit: FixedLimit.create }),
-  deciding('no hedging', { hedgeFactor: Infinity }),
   deciding('batch unbounded', { batchShare: 1 }),
   deciding('no demand copies', {}, { followDemand: false }),
   deciding('no least residence', {}, { minResidenceMs: 0 }),
--- a/packages/routing/src/decider/options.ts
+++ b/packages/routing/src/decider/options.ts
@@ -15,8 +15,6 @@
   batchShare: number
   /** Queued requests of one route that this host keeps. */
   maxWaitingPerRoute: number
-  /** An attempt without a first token is hedged after this many times the expected wait. */
-  hedgeFactor: number
 }
 
 export const DEFAULT_DECIDER_OPTIONS: DeciderOptions = {
@@ -26,6 +24,5 @@
   sameZoneRoundTripMs: 0.2,
   otherZoneRoundTripMs: 3,
   batchShare: 0.5,
-  maxWaitingPerRoute: 256,
-  hedgeFactor: 4
+  maxWaitingPerRoute: 256
 }
--- a/packages/routing/src/decider/route-decider.test.ts
+++ b/packages/routing/src/decider/route-decider.test.ts
@@ -169,15 +169,3 @@
   const used = [0, 1, 2].map((n) => send(decider, requestOf(`new-${n}`), 1_100) as SendDecision)
   t.same(used.map(({ runner }) => runner), ['a', 'a', 'a'])
 })
-
-t.test('only idempotent requests without a first token are hedged, elsewhere', async (t) => {
-  const decider = createDecider()
-  const sent = send(decider, requestOf('slow')) as SendDecision
-  t.ok((sent.hedgeAfterMs ?? 0) > 0)
-  t.not(decider.hedge('slow', 500)?.runner, sent.runner)
-  const once = send(decider, requestOf('once', { idempotent: false })) as SendDecision
-  t.equal(once.hedgeAfterMs, undefined)
-  t.equal(decider.hedge('once', 500), undefined)
-  decider.onFirstToken('slow', 600)
-  t.equal(decider.hedge('slow', 600), undefined)
-})
--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -72,7 +72,7 @@
     const early = this.#refuseEarly(request, room, nowMs)
     if (early !== undefined) return early
     const choice = this.#mayPass(request) ? this.#choose(request, room, nowMs) : undefined
-    if (choice !== undefined) return this.#sendTo(choice, request)
+    if (choice !== undefined) return this.#sendTo(choice)
     return this.#enqueue(request, room, nowMs)
   }
 
@@ -171,16 +171,7 @@
     const request = action === RetryAction.Resume ? { ...attempt.request, deadlineMs: Infinity } : attempt.request
     const choice = this.#choose(request, this.#roomFor(request, nowMs, attempt.runner), nowMs)
     if (choice === undefined) return { kind: 'give-up', failure }
-    return { kind: action, send: this.#sendTo(choice, request) }
-  }
-
-  /** Runner for a second attempt of a request whose first token is overdue; undefined where none pays. */
-  hedge (requestId: string, nowMs: number): SendDecision | undefined {
-    const attempt = this.#attempts.get(requestId)
-    if (attempt === undefined || attempt.firstTokenMs !== undefined || !attempt.request.idempotent) return undefined
-    const choice = this.#choose(attempt.request, this.#roomFor(attempt.request, nowMs, attempt.runner), nowMs)
-    if (choice === undefined || !this.#budget.take(nowMs)) return undefined
-    return this.#sendTo(choice, attempt.request)
+    return { kind: action, send: this.#sendTo(choice) }
   }
 
   onReport (runner: string, report: LoadReport, nowMs: number): void {
@@ -301,10 +292,8 @@
     return nowMs + choice.expectedFirstTokenMs <= request.deadlineMs ? choice : undefined
   }
 
-  #sendTo (choice: Choice, request: RouteRequest): SendDecision {
-    const send = { kind: 'send' as const, runner: choice.candidate.runner, expectedFirstTokenMs: choice.expectedFirstTokenMs }
-    if (!request.idempotent || request.priority === Priority.Batch) return send
-    return { ...send, hedgeAfterMs: choice.expectedFirstTokenMs * this.options.hedgeFactor }
+  #sendTo (choice: Choice): SendDecision {
+    return { kind: 'send', runner: choice.candidate.runner, expectedFirstTokenMs: choice.expectedFirstTokenMs }
   }
 
   #enqueue (request: RouteRequest, room: Room, nowMs: number): Decision {
@@ -325,7 +314,7 @@
     const early = this.#refuseEarly(request, room, nowMs)
     if (early !== undefined) return early
     const choice = this.#choose(request, room, nowMs)
-    if (choice !== undefined) return this.#sendTo(choice, request)
+    if (choice !== undefined) return this.#sendTo(choice)
     const late = nowMs + leastFirstTokenMs(room, request) > request.deadlineMs
     return late ? overloaded(this.#statsOf(request).expectedWaitMs(this.#queue.aheadOf(request), room.slots)) : undefined
   }
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -47,8 +47,6 @@
   kind: 'send'
   runner: string
   expectedFirstTokenMs: number
-  /** Delay after which a second attempt pays; absent where the request may not be hedged. */
-  hedgeAfterMs?: number
 }
 
 /** The request is queued in the decider; `release` returns it later. */
