--- a/packages/control/src/membership/membership.ts
+++ b/packages/control/src/membership/membership.ts
@@ -39,6 +39,9 @@
   | { kind: 'runners', runners: ReadonlySet<string> }
   | { kind: 'log-answered', atMs: number }
 
+/** Age up to which a view is given again, in milliseconds: every lookup asks for one. */
+const VIEW_AGE_MS = 50
+
 export type MembershipListener = (view: MembershipView) => void
 
 /** Owns the membership state; others see views of it. */
@@ -48,6 +51,7 @@
   readonly #listeners = new Set<MembershipListener>()
   readonly #timers = new Map<string, Timer>()
   readonly #asked = new Set<string>()
+  #view: MembershipView | undefined
 
   private constructor (private readonly options: MembershipOptions) {
     super((error) => options.logger.error('membership failed', { error: String(error) }))
@@ -71,7 +75,9 @@
 
   /** What is known now. */
   view (): MembershipView {
-    return viewAt(this.#state, this.options.clock.monotonicMs(), this.#times)
+    const nowMs = this.options.clock.monotonicMs()
+    if (this.#view === undefined || nowMs - this.#view.atMs >= VIEW_AGE_MS) this.#view = viewAt(this.#state, nowMs, this.#times)
+    return this.#view
   }
 
   /** State for `RunnerHealth.barOf`. */
@@ -124,6 +130,7 @@
   }
 
   protected override handle (message: Message): void {
+    this.#view = undefined
     const nowMs = this.options.clock.monotonicMs()
     switch (message.kind) {
       case 'beat': return this.#beat(message.urgent)
--- a/scripts/first-run/cluster.mjs
+++ b/scripts/first-run/cluster.mjs
@@ -17,7 +17,7 @@
  * Starts stand-ins and entry hosts, publishes the tables and waits until every host is ready.
  * `hostCount` up to three; `engineFields` and `sections` are lines for the engines' and the hosts' settings.
  */
-export async function startCluster ({ log, hostCount = ZONES.length, engineCount = 2, engineFields = '', sections = '' } = {}) {
+export async function startCluster ({ log, hostCount = ZONES.length, engineCount = 2, engineFields = '', sections = '', betweenTokensTargetMs } = {}) {
   const zones = ZONES.slice(0, hostCount)
   const directory = await mkdtemp(join(tmpdir(), 'figloom-'))
   const write = async (name, text) => {
@@ -38,7 +38,7 @@
     const settingsFiles = await Promise.all(zones.map((zone, index) => write(`host-${index + 1}.toml`, daemonSettings(`host-${index + 1}`, zone, urls, sections))))
     const daemons = await Promise.all(settingsFiles.map((file, index) => startProgram(`host-${index + 1}`, programs.daemon, ['--settings', file], { log })))
     running.push(...daemons)
-    const tables = [await write('routes.toml', routesTable()), await write('pools.toml', poolsTable(urls, engineCount))]
+    const tables = [await write('routes.toml', routesTable(betweenTokensTargetMs)), await write('pools.toml', poolsTable(urls, engineCount))]
     const hosts = daemons.map(({ ready }) => ready.listening)
     const cliFile = await write('figloom.toml', cliSettings(urls, hosts[0].operatorUrl))
     await runCli(['publish', ...tables, '--settings', cliFile])
--- a/scripts/first-run/settings.mjs
+++ b/scripts/first-run/settings.mjs
@@ -54,7 +54,7 @@
 ${sections}`
 }
 
-export function routesTable () {
+export function routesTable (betweenTokensTargetMs = 43) {
   return `
 [[route]]
 name = "tasting-notes"
@@ -63,7 +63,7 @@
 version = "3"
 pool = "drafting"
 firstTokenTargetMs = 380
-betweenTokensTargetMs = 43
+betweenTokensTargetMs = ${betweenTokensTargetMs}
 priority = "interactive"
 
 [[route]]
