Shorten the long lines of the tables and the command line

Reports of success, the question for the status and the test for a full copy stood several times; each is a function now.

--- a/packages/cli/src/app.ts
+++ b/packages/cli/src/app.ts
@@ -21,7 +21,7 @@
 const FILES: Operands = { min: 1, max: Infinity }
 
 const COMMANDS: Readonly<Record<string, Command>> = {
-  publish: { operands: FILES, run: (environment, settings, { operands: paths, baseOffset, editId, wait }) => publish(environment, settings, { paths, baseOffset, editId, wait }) },
+  publish: { operands: FILES, run: (environment, settings, line) => publish(environment, settings, { ...line, paths: line.operands }) },
   diff: { operands: FILES, run: (environment, settings, { operands }) => diff(environment, settings, operands) },
   status: { operands: NONE, run: (environment, settings) => status(environment, settings) },
   explain: { operands: ONE, run: (environment, settings, { operands }) => explain(environment, settings, operands[0] ?? '') },
--- a/packages/cli/src/arguments.ts
+++ b/packages/cli/src/arguments.ts
@@ -22,6 +22,9 @@
     0 done, 1 invalid input, 2 usage, 3 conflict, 4 platform unreachable, 5 not yet in force everywhere
 `
 
+/** Digits of an offset, few enough for an exact number. */
+const OFFSET = /^\d{1,15}$/
+
 /** A parsed command line. */
 export type CommandLine = {
   command: string
@@ -44,8 +47,8 @@
   const { input, flags, help } = read.value
   const unknown = Object.keys(flags).find((flag) => !KNOWN_FLAGS.includes(flag))
   if (unknown !== undefined) return err(`unknown option ${unknown}`)
+  if (flags.base !== undefined && !OFFSET.test(flags.base)) return err('--base must be an offset')
   const baseOffset = flags.base === undefined ? undefined : Number(flags.base)
-  if (baseOffset !== undefined && (flags.base === '' || !Number.isSafeInteger(baseOffset) || baseOffset < 0)) return err('--base must be an offset')
   if (flags.editId === '') return err('--edit-id must not be empty')
   const [command = '', ...operands] = input
   return ok({
--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -1,6 +1,5 @@
 import { checkTables, type ParsedTables } from '@figloom/tables'
-import { ExitCode } from '../exit-codes.js'
-import { reportIssues, type Report } from '../output/report.js'
+import { reportDone, reportIssues, type Report } from '../output/report.js'
 import { holdsBothTables, readTables } from './tables-files.js'
 
 /** `figloom check FILE…`: parses and checks files without touching the log. */
@@ -14,5 +13,5 @@
   if (issues.length > 0) return reportIssues(issues)
   const counts = { routes: tables.routes.length, pools: tables.pools.length, joined }
   const note = joined ? '' : '; only one of the tables was given, so the joined check was not made'
-  return { exitCode: ExitCode.Done, json: { outcome: 'ok', ...counts }, lines: [`ok: ${counts.routes} routes, ${counts.pools} pools${note}`] }
+  return reportDone({ outcome: 'ok', ...counts }, [`ok: ${counts.routes} routes, ${counts.pools} pools${note}`])
 }
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -1,8 +1,7 @@
 import { diffTables, planPeak, tablesOf, type RowChange, type Tables } from '@figloom/tables'
 import type { ClientSettings } from '@figloom/settings'
 import type { Environment } from '../environment.js'
-import { ExitCode } from '../exit-codes.js'
-import { reportFailure, reportIssues, type Report } from '../output/report.js'
+import { reportDone, reportFailure, reportIssues, type Report } from '../output/report.js'
 import { formatChange } from '../output/rows.js'
 import { readConfig } from '../platform/config-reader.js'
 import { completeTables, readTables } from './tables-files.js'
@@ -27,5 +26,5 @@
 
 function reportChanges (version: number, baseOffset: number, changes: readonly RowChange[], peak: string): Report {
   const head = `${changes.length} rows differ from version ${version} (offset ${baseOffset}); memory at the peak: ${peak}`
-  return { exitCode: ExitCode.Done, json: { outcome: 'ok', version, baseOffset, peak, changes }, lines: [head, ...changes.map(formatChange)] }
+  return reportDone({ outcome: 'ok', version, baseOffset, peak, changes }, [head, ...changes.map(formatChange)])
 }
--- a/packages/cli/src/commands/drain.ts
+++ b/packages/cli/src/commands/drain.ts
@@ -7,7 +7,8 @@
 
 /** `figloom drain HOST|RUNNER`: stops new work there. Repeats change nothing. */
 export async function drain (environment: Environment, settings: ClientSettings, target: string): Promise<Report> {
-  const answer = await askDaemon(environment, settings.daemon, (daemon, options) => daemon.drain({ protocolVersion: PROTOCOL_VERSION, target }, options))
+  const request = { protocolVersion: PROTOCOL_VERSION, target }
+  const answer = await askDaemon(environment, settings.daemon, (daemon, options) => daemon.drain(request, options))
   return answer.match((response) => reportDrain(target, response), (failure) => reportFailure(failure))
 }
 
--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -2,10 +2,13 @@
 import { appendUntilKnown, SeededRandomSource, type LogClient } from '@figloom/platform'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import type { ClientSettings } from '@figloom/settings'
-import { diffTables, foldRecord, RULE_VERSION, tablesOf, type ConfigState, type EditRecord, type ParsedTables, type Verdict } from '@figloom/tables'
+import {
+  diffTables, foldRecord, RULE_VERSION, tablesOf,
+  type ConfigState, type EditRecord, type ParsedTables, type Verdict
+} from '@figloom/tables'
 import type { Environment } from '../environment.js'
 import { ExitCode } from '../exit-codes.js'
-import { reportFailure, reportIssues, reportUsage, type Report } from '../output/report.js'
+import { reportDone, reportFailure, reportIssues, reportUsage, type Report } from '../output/report.js'
 import { readConfig, readOn, type ConfigView } from '../platform/config-reader.js'
 import { completeTables, readTables } from './tables-files.js'
 import { reportVerdict } from './verdict-report.js'
@@ -39,7 +42,7 @@
   const { state } = view.value
   const known = state.edits.get(editId)
   if (known !== undefined) return publication.finish(editId, known.verdict, options.wait)
-  const edit = createEdit(settings, options, editId, parsed.value, view.value)
+  const edit = createEdit(settings.operator.name, options, editId, parsed.value, view.value)
   if ('exitCode' in edit) return edit
   const expected = judge(state, edit)
   if (expected.kind !== 'accepted') return reportVerdict(edit.editId, expected, parsed.value)
@@ -47,17 +50,18 @@
 }
 
 /** The edit that turns the tables at the base into those of the files; a report if there is nothing to publish. */
-function createEdit (settings: ClientSettings, { baseOffset }: PublishOptions, editId: string, { tables }: ParsedTables, { state, atBase }: ConfigView): EditRecord | Report {
-  if (baseOffset !== undefined && baseOffset > state.offset) return reportUsage(`--base ${baseOffset} is after the end of the configuration (${state.offset})`)
+function createEdit (author: string, { baseOffset }: PublishOptions, editId: string, { tables }: ParsedTables, view: ConfigView): EditRecord | Report {
+  const { state, atBase } = view
+  if (baseOffset !== undefined && baseOffset > state.offset) return reportUsage(`--base ${baseOffset} is after the last offset, ${state.offset}`)
   if (baseOffset !== undefined && atBase === undefined) return reportForgottenBase(baseOffset, state)
   const base = tablesOf(atBase ?? state)
   const changes = diffTables(base, completeTables(tables, base))
   if (changes.length === 0) return reportUnchanged(state)
-  return { kind: 'edit', ruleVersion: RULE_VERSION, editId, author: settings.operator.name, baseOffset: baseOffset ?? state.offset, changes }
+  return { kind: 'edit', ruleVersion: RULE_VERSION, editId, author, baseOffset: baseOffset ?? state.offset, changes }
 }
 
 function reportUnchanged ({ version }: ConfigState): Report {
-  return { exitCode: ExitCode.Done, json: { outcome: 'unchanged', version }, lines: [`nothing to publish: the files equal version ${version}`] }
+  return reportDone({ outcome: 'unchanged', version }, [`nothing to publish: the files equal version ${version}`])
 }
 
 function reportForgottenBase (baseOffset: number, { version, offset }: ConfigState): Report {
@@ -94,7 +98,8 @@
     const appended = await appendUntilKnown(this.log, clock, stream, edit.editId, edit, { deadlineMs, backoff, signal })
     const verdict = await this.#readBack(state, edit.editId, appended.isOk() ? deadlineMs : clock.monotonicMs())
     if (verdict !== undefined) return this.finish(edit.editId, verdict, wait)
-    return reportUnpublished(edit, appended.isErr() ? appended.error : createFailure(ResultCode.LogUnavailable, 'the edit was appended, but its verdict could not be read back'))
+    const unread = createFailure(ResultCode.LogUnavailable, 'the edit was appended, but its verdict could not be read back')
+    return reportUnpublished(edit, appended.isErr() ? appended.error : unread)
   }
 
   /** Reports a verdict; an accepted edit may be waited for. */
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,24 +1,23 @@
 import { toJson } from '@bufbuild/protobuf'
-import { PROTOCOL_VERSION, StatusResponseSchema, type CellStatus, type StatusResponse } from '@figloom/protocol'
+import { StatusResponseSchema, type CellStatus, type PeerStatus, type StatusResponse } from '@figloom/protocol'
 import type { ClientSettings } from '@figloom/settings'
 import type { Environment } from '../environment.js'
-import { ExitCode } from '../exit-codes.js'
-import { reportFailure, type Report } from '../output/report.js'
-import { askDaemon } from '../platform/daemons.js'
+import { reportDone, reportFailure, type Report } from '../output/report.js'
+import { askStatus } from '../platform/daemons.js'
 
 /** `figloom status`: hosts with their versions, and cells with their runners, as one daemon sees them. */
 export async function status (environment: Environment, settings: ClientSettings): Promise<Report> {
-  const answer = await askDaemon(environment, settings.daemon, (daemon, options) => daemon.getStatus({ protocolVersion: PROTOCOL_VERSION }, options))
+  const answer = await askStatus(environment, settings.daemon)
   return answer.match(reportStatus, (failure) => reportFailure(failure))
 }
 
 function reportStatus (answer: StatusResponse): Report {
   const lines = [
     `${answer.host} (${answer.availabilityZone}) version ${answer.configVersion} ${stateOf(answer)}, release ${answer.release}`,
-    ...answer.peers.map((peer) => `${peer.host} (${peer.availabilityZone}) version ${peer.configVersion} ${peer.leaving ? 'leaving' : peer.live ? 'live' : 'silent'}, release ${peer.release}`),
+    ...answer.peers.map(formatPeer),
     ...answer.cells.flatMap(formatCell)
   ]
-  return { exitCode: ExitCode.Done, json: toJson(StatusResponseSchema, answer, { alwaysEmitImplicit: true }), lines }
+  return reportDone(toJson(StatusResponseSchema, answer, { alwaysEmitImplicit: true }), lines)
 }
 
 function stateOf ({ ready, leaving }: StatusResponse): string {
@@ -26,10 +25,16 @@
   return ready ? 'ready' : 'not ready'
 }
 
+function formatPeer ({ host, availabilityZone, configVersion, live, leaving, release }: PeerStatus): string {
+  const state = leaving ? 'leaving' : live ? 'live' : 'silent'
+  return `${host} (${availabilityZone}) version ${configVersion} ${state}, release ${release}`
+}
+
 function formatCell ({ cell, holder, runners }: CellStatus): string[] {
   const lines = runners.map((runner) => {
     const state = runner.draining ? 'draining' : runner.healthy ? 'healthy' : 'unhealthy'
-    return `  ${runner.runner} ${state}, ${runner.reservedMib} of ${runner.memoryMib} MiB, ${runner.unsettledOrders} orders open: ${runner.resident.join(' ')}`
+    const memory = `${runner.reservedMib} of ${runner.memoryMib} MiB`
+    return `  ${runner.runner} ${state}, ${memory}, ${runner.unsettledOrders} orders open: ${runner.resident.join(' ')}`
   })
   return [`cell ${cell}, lease held by ${holder === '' ? 'nobody' : holder}`, ...lines]
 }
--- a/packages/cli/src/commands/verdict-report.ts
+++ b/packages/cli/src/commands/verdict-report.ts
@@ -1,7 +1,7 @@
 import type { ConfigIssue } from '@figloom/settings'
 import type { ParsedTables, Verdict } from '@figloom/tables'
 import { ExitCode } from '../exit-codes.js'
-import { reportIssues, type Report } from '../output/report.js'
+import { reportDone, reportIssues, type Report } from '../output/report.js'
 
 /** Report of the verdict on an edit; faults are put at their places in the files. */
 export function reportVerdict (editId: string, verdict: Verdict, files: ParsedTables): Report {
@@ -13,7 +13,7 @@
 }
 
 function reportAccepted (editId: string, version: number): Report {
-  return { exitCode: ExitCode.Done, json: { outcome: 'accepted', editId, version }, lines: [`accepted as version ${version} (edit ${editId})`] }
+  return reportDone({ outcome: 'accepted', editId, version }, [`accepted as version ${version} (edit ${editId})`])
 }
 
 function reportConflict (editId: string, { rows, oldestBase }: Extract<Verdict, { kind: 'conflicting' }>): Report {
--- a/packages/cli/src/commands/wait-in-force.ts
+++ b/packages/cli/src/commands/wait-in-force.ts
@@ -1,23 +1,30 @@
 import type { StatusResponse } from '@figloom/protocol'
-import { PROTOCOL_VERSION } from '@figloom/protocol'
 import type { ClientSettings } from '@figloom/settings'
 import type { Environment } from '../environment.js'
 import { ExitCode } from '../exit-codes.js'
 import type { Report } from '../output/report.js'
-import { askDaemon } from '../platform/daemons.js'
+import { askStatus } from '../platform/daemons.js'
 
 /** Waits until every live host has a version in force; `accepted` is the report until then. */
-export async function waitInForce (environment: Environment, settings: ClientSettings['daemon'], version: number, accepted: Report): Promise<Report> {
+export async function waitInForce (
+  environment: Environment,
+  settings: ClientSettings['daemon'],
+  version: number,
+  accepted: Report
+): Promise<Report> {
   const { clock, signal } = environment
   const startedMs = clock.monotonicMs()
   for (;;) {
-    const status = await askDaemon(environment, settings, (daemon, options) => daemon.getStatus({ protocolVersion: PROTOCOL_VERSION }, options))
+    const status = await askStatus(environment, settings)
     const behind = status.isOk() ? hostsBehind(status.value, version) : undefined
     const elapsedMs = Math.round(clock.monotonicMs() - startedMs)
-    if (behind?.length === 0) return extend(accepted, ExitCode.Done, { inForce: true, elapsedMs }, `in force on every host after ${elapsedMs} ms`)
+    if (behind?.length === 0) {
+      return extend(accepted, ExitCode.Done, { inForce: true, elapsedMs }, `in force on every host after ${elapsedMs} ms`)
+    }
     if (signal.aborted || elapsedMs + settings.pollMs > settings.inForceTimeoutMs) {
       const missing = behind === undefined ? 'no daemon answered' : `missing on ${behind.join(', ')}`
-      return extend(accepted, ExitCode.NotInForce, { inForce: false, elapsedMs, hostsBehind: behind ?? [] }, `not yet in force everywhere: ${missing}`)
+      const json = { inForce: false, elapsedMs, hostsBehind: behind ?? [] }
+      return extend(accepted, ExitCode.NotInForce, json, `not yet in force everywhere: ${missing}`)
     }
     await clock.sleep(settings.pollMs, signal)
   }
--- a/packages/cli/src/output/report.ts
+++ b/packages/cli/src/output/report.ts
@@ -26,6 +26,11 @@
   }
 }
 
+/** Report of a command that did what it was asked. */
+export function reportDone (json: unknown, lines: string[]): Report {
+  return { exitCode: ExitCode.Done, json, lines }
+}
+
 /** Report of faults in files. */
 export function reportIssues (issues: readonly ConfigIssue[]): Report {
   return { exitCode: ExitCode.Invalid, json: { outcome: 'invalid', issues }, lines: issues.map(formatIssue) }
@@ -34,7 +39,9 @@
 /** Report of a failure of the platform or a daemon. */
 export function reportFailure (failure: Failure, hint?: string): Report {
   const line = `${failure.message} (code ${failure.code.code} ${failure.code.type})`
-  return { exitCode: ExitCode.Unreachable, json: { outcome: 'unreachable', ...toFailureBody(failure), ...(hint === undefined ? {} : { hint }) }, lines: hint === undefined ? [line] : [line, hint] }
+  const json = { outcome: 'unreachable', ...toFailureBody(failure) }
+  if (hint === undefined) return { exitCode: ExitCode.Unreachable, json, lines: [line] }
+  return { exitCode: ExitCode.Unreachable, json: { ...json, hint }, lines: [line, hint] }
 }
 
 /** Report of a wrong command line. */
--- a/packages/cli/src/platform/config-reader.ts
+++ b/packages/cli/src/platform/config-reader.ts
@@ -2,7 +2,10 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import type { LogClient, LogRecord } from '@figloom/platform'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
-import { adoptSnapshot, chooseSnapshot, createConfigState, foldRecord, snapshotIn, type ConfigState, type SnapshotRecord } from '@figloom/tables'
+import {
+  adoptSnapshot, chooseSnapshot, createConfigState, foldRecord, snapshotIn,
+  type ConfigState, type FoldOutcome, type SnapshotRecord
+} from '@figloom/tables'
 
 /** The state at the end of the stream, and at an earlier offset if that was asked for and is still known. */
 export type ConfigView = { state: ConfigState, atBase: ConfigState | undefined }
@@ -29,7 +32,7 @@
   const records = await readRecords(log, stream, firstOffset, nextOffset)
   if (records.isErr()) return err(records.error)
   const start = findStart(records.value, firstOffset, baseOffset)
-  if (start === undefined) return err(createFailure(ResultCode.LogTruncated, `the log keeps nothing before offset ${firstOffset} and no snapshot to start from`))
+  if (start === undefined) return err(createFailure(ResultCode.LogTruncated, `the log keeps no snapshot to start from at offset ${firstOffset}`))
   return foldRecords(start, records.value, baseOffset)
 }
 
@@ -60,10 +63,14 @@
   for (const record of records) {
     const outcome = foldRecord(state, record)
     if (outcome.kind === 'behind') continue
-    if (outcome.kind === 'unknown-rule') return err(createFailure(ResultCode.PeerVersion, `the record at offset ${record.offset} needs a newer release of figloom`))
-    if (outcome.kind === 'gap') return err(createFailure(ResultCode.LogTruncated, `the log has no record at offset ${outcome.expectedOffset}`))
+    if (outcome.kind !== 'applied') return err(describeStop(outcome, record.offset))
     state = outcome.state
     if (state.offset === baseOffset) atBase = state
   }
   return ok({ state, atBase })
 }
+
+function describeStop (outcome: Exclude<FoldOutcome, { kind: 'applied' | 'behind' }>, offset: number): Failure {
+  if (outcome.kind === 'gap') return createFailure(ResultCode.LogTruncated, `the log has no record at offset ${outcome.expectedOffset}`)
+  return createFailure(ResultCode.PeerVersion, `the record at offset ${offset} needs a newer release of figloom`)
+}
--- a/packages/cli/src/platform/daemons.ts
+++ b/packages/cli/src/platform/daemons.ts
@@ -1,6 +1,7 @@
 /** Calls of daemons over the inner protocol. */
 import { Code, ConnectError } from '@connectrpc/connect'
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
+import { PROTOCOL_VERSION, type StatusResponse } from '@figloom/protocol'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import type { ClientSettings } from '@figloom/settings'
 import type { DaemonClient, Environment } from '../environment.js'
@@ -16,6 +17,12 @@
   return new ResultAsync(askInTurn(environment, settings, call))
 }
 
+/** Asks for the status as one daemon sees it. */
+export function askStatus (environment: Environment, settings: ClientSettings['daemon']): ResultAsync<StatusResponse, Failure> {
+  const request = { protocolVersion: PROTOCOL_VERSION }
+  return askDaemon(environment, settings, (daemon, options) => daemon.getStatus(request, options))
+}
+
 async function askInTurn<T> (
   environment: Environment,
   { operatorUrls, timeoutMs }: ClientSettings['daemon'],
@@ -23,7 +30,8 @@
 ): Promise<Result<T, Failure>> {
   const reasons: string[] = []
   for (const url of operatorUrls) {
-    const answer = await ResultAsync.fromPromise(call(environment.createDaemon(url), { timeoutMs, signal: environment.signal }), ConnectError.from)
+    const called = call(environment.createDaemon(url), { timeoutMs, signal: environment.signal })
+    const answer = await ResultAsync.fromPromise(called, ConnectError.from)
     if (answer.isOk()) return ok(answer.value)
     reasons.push(`${url}: ${answer.error.message}`)
     if (isFinal(answer.error)) break
--- a/packages/tables/src/acceptance/fold.ts
+++ b/packages/tables/src/acceptance/fold.ts
@@ -1,7 +1,10 @@
 /** Reading of the configuration stream, record by record. */
 import type { Tables } from '../types.js'
 import { ok, type Result } from 'neverthrow'
-import { parseConfigRecord, readEnvelope, RecordKind, RULE_VERSION, type ConfigRecord, type RecordFault, type SnapshotRecord } from './records.js'
+import {
+  parseConfigRecord, readEnvelope, RecordKind, RULE_VERSION,
+  type ConfigRecord, type RecordFault, type SnapshotRecord
+} from './records.js'
 import { applyEdit, applyRetiredClear, refuseMalformed, RULE_LIMITS, type RuleLimits } from './rule.js'
 import { tablesOf, type ConfigState } from './state.js'
 import { fromStateJson, toStateJson } from './state-json.js'
--- a/packages/tables/src/acceptance/records.ts
+++ b/packages/tables/src/acceptance/records.ts
@@ -56,7 +56,14 @@
 const text = z.string()
 
 const recordSchema = z.discriminatedUnion('kind', [
-  z.strictObject({ kind: z.literal('edit'), ruleVersion: z.literal(1), editId, author, baseOffset: offset, changes: z.array(rowChangeSchema).min(1) }),
+  z.strictObject({
+    kind: z.literal('edit'),
+    ruleVersion: z.literal(1),
+    editId,
+    author,
+    baseOffset: offset,
+    changes: z.array(rowChangeSchema).min(1)
+  }),
   z.strictObject({
     kind: z.literal('retired-clear'),
     ruleVersion: z.literal(1),
--- a/packages/tables/src/acceptance/rule.ts
+++ b/packages/tables/src/acceptance/rule.ts
@@ -4,7 +4,10 @@
 import { rowKey, type RowChange } from '../rows/rows.js'
 import type { EditRecord, RetiredClearRecord } from './records.js'
 import { findRetired } from './retire.js'
-import { getShard, liveRows, shardOf, tablesOf, type ConfigState, type KnownEdit, type RetiringRow, type RowEntry, type Shard } from './state.js'
+import {
+  getShard, liveRows, shardOf, tablesOf,
+  type ConfigState, type KnownEdit, type RetiringRow, type RowEntry, type Shard
+} from './state.js'
 import { isForgotten } from './state-json.js'
 import { invalid, invalidEnvelope, type RowConflict, type Verdict } from './verdicts.js'
 
--- a/packages/tables/src/check/check.ts
+++ b/packages/tables/src/check/check.ts
@@ -24,7 +24,7 @@
   return [
     ...routes.flatMap((route) => checkRoute(route, pools.get(route.pool))),
     ...(scope === undefined || scope.runners ? checkRunners(tables.pools) : []),
-    ...tables.pools.filter(({ name }) => inScope(name)).flatMap((pool) => [...checkAdapters(pool), ...checkMemory(pool, routesByPool.get(pool.name) ?? [])])
+    ...tables.pools.filter(({ name }) => inScope(name)).flatMap((pool) => checkPool(pool, routesByPool.get(pool.name) ?? []))
   ]
 }
 
@@ -38,7 +38,9 @@
   const versions = pool.models.filter(({ name }) => name === route.model)
   const held = versions.find(({ version }) => version === route.version)
   if (versions.length === 0) return [issue('model', `pool ${pool.name} does not hold model ${route.model}`)]
-  if (held === undefined) return [issue('version', `pool ${pool.name} holds ${route.model} in ${listVersions(versions)}, not in version ${route.version}`)]
+  if (held === undefined) {
+    return [issue('version', `pool ${pool.name} holds ${route.model} in ${listVersions(versions)}, not in version ${route.version}`)]
+  }
   if (route.adapter === undefined || held.adapters.some(({ name }) => name === route.adapter)) return []
   return [issue('adapter', `${route.model} version ${route.version} in pool ${pool.name} has no adapter ${route.adapter}`)]
 }
@@ -87,10 +89,15 @@
   return URL.canParse(url) ? new URL(url).href.replace(/\/+$/, '') : url
 }
 
+function checkPool (pool: Pool, routes: readonly Route[]): TableIssue[] {
+  return [...checkAdapters(pool), ...checkMemory(pool, routes)]
+}
+
 function checkAdapters (pool: Pool): TableIssue[] {
   return pool.models
     .filter(({ adapters }) => new Set(adapters.map(({ name }) => name)).size < adapters.length)
-    .map(({ name, version }) => ({ row: rowKey({ row: 'model', pool: pool.name, name, version }), field: 'adapters', message: 'an adapter is named twice' }))
+    .map(({ name, version }) => rowKey({ row: 'model', pool: pool.name, name, version }))
+    .map((row) => ({ row, field: 'adapters', message: 'an adapter is named twice' }))
 }
 
 function checkMemory (pool: Pool, routes: readonly Route[]): TableIssue[] {
@@ -105,7 +112,8 @@
 
 function describeTooLarge (pool: Pool, { model, version, sizeMiB }: CopyNeed): TableIssue {
   const largestMiB = Math.max(...pool.runners.map(({ memoryMiB }) => memoryMiB))
-  const message = `one copy with its KV reserve and adapters takes ${sizeMiB} MiB, but the largest runner of pool ${pool.name} has ${largestMiB} MiB`
+  const message = `one copy with its KV reserve and adapters takes ${sizeMiB} MiB, ` +
+    `but the largest runner of pool ${pool.name} has ${largestMiB} MiB`
   return { row: rowKey({ row: 'model', pool: pool.name, name: model, version }), field: 'weightsMiB', message }
 }
 
--- a/packages/tables/src/check/stepwise.ts
+++ b/packages/tables/src/check/stepwise.ts
@@ -77,7 +77,7 @@
   }
 
   #isServed (copy: CopyNeed): boolean {
-    return this.#residents.some(({ key, sizeMiB, bin }) => key === copy.key && sizeMiB >= copy.sizeMiB && bin.stays)
+    return this.#residents.some((resident) => resident.key === copy.key && isFull(resident, copy))
   }
 
   #unloadReplaced (): void {
@@ -91,8 +91,7 @@
     const wanted = this.#wanted.get(resident.key)
     const successorsReady = [...this.successors.get(resident.key) ?? []].every((key) => this.#isReady(key))
     if (wanted === undefined) return successorsReady
-    const isBetter = (other: Resident): boolean => other !== resident && other.key === resident.key && other.bin.stays && other.sizeMiB >= wanted.sizeMiB
-    return this.#residents.some(isBetter)
+    return this.#residents.some((other) => other !== resident && other.key === resident.key && isFull(other, wanted))
   }
 
   /** Copies of pools outside this plan fit side by side, so that nothing here waits for them. */
@@ -164,3 +163,8 @@
     return { action, pool, runner, model, version, sizeMiB }
   }
 }
+
+/** Whether a copy is resident at its full size on a runner that stays. */
+function isFull ({ sizeMiB, bin }: Resident, wanted: CopyNeed): boolean {
+  return sizeMiB >= wanted.sizeMiB && bin.stays
+}
--- a/packages/tables/src/parse/duplicates.ts
+++ b/packages/tables/src/parse/duplicates.ts
@@ -15,7 +15,8 @@
     ...repeated(sound(names(listAt(file.route, ['route']), 'route'))),
     ...repeated(sound(names(pools, 'pool'))),
     ...repeated(sound(names(runners, 'runner'))),
-    ...repeated(sound(runners.map(({ item, path }) => ({ key: normalizeUrl(String(item.url)), path: [...path, 'url'], label: 'address' })))),
+    ...repeated(sound(runners.map(({ item, path }) =>
+      ({ key: normalizeUrl(String(item.url)), path: [...path, 'url'], label: 'address' })))),
     ...models.flatMap((list) => repeated(sound(list.map(({ item, path }) =>
       ({ key: `${item.name} version ${item.version}`, path: [...path, 'name'], label: 'model' }))))),
     ...models.flat().flatMap(({ item, path }) => repeated(sound(names(listAt(item.adapters, [...path, 'adapters']), 'adapter'))))
