Count an empty answer that comes after its time as failed again

Taking it as fresh let a thawed former holder of a cell append one more renewal before it read its successor's claim (golden session of a cell), and dated the log's last answer wrongly. The test of an outage's onset now calls at a host that is no gateway; it fails when a third gateway is asked.

--- a/packages/control/src/claims/key-claims.test.ts
+++ b/packages/control/src/claims/key-claims.test.ts
@@ -192,9 +192,9 @@
   const before = settled(cluster.call('a', 'k0'))
   await cluster.clock.advance(1000)
   cluster.log.faults.down = true
-  const onset = settled(cluster.call('a', 'k1', { timeoutMs: 30_000 }))
+  const onset = ['a', 'b', 'c'].map((host) => settled(cluster.call(host, 'k1', { timeoutMs: 30_000 })))
   await cluster.clock.advance(700)
-  t.match(onset.end, { kind: 'refused', code: 4004, ran: 'no' })
+  for (const { end } of onset) t.match(end, { kind: 'refused', code: 4004, ran: 'no' })
   const during = settled(cluster.call('a', 'k1', { timeoutMs: 30_000 }))
   const known = settled(cluster.call('a', 'k0'))
   await cluster.clock.advance(20)
--- a/packages/control/src/streams/stream-follower.test.ts
+++ b/packages/control/src/streams/stream-follower.test.ts
@@ -2,7 +2,7 @@
 import { ManualClock } from '@figloom/runtime'
 import type { LogRecord } from '@figloom/platform'
 import { MemoryLog } from '@figloom/standin'
-import { okAsync } from 'neverthrow'
+import { ok, okAsync, ResultAsync } from 'neverthrow'
 import { StreamFollower, type StreamEvent } from './stream-follower.js'
 
 function setUp () {
@@ -60,3 +60,13 @@
   t.equal(events[0]?.kind, 'failed')
   follower.stop()
 })
+
+t.test('an empty answer that comes after its time counts as failed', async (t) => {
+  const { clock, log, events, follower } = setUp()
+  const page = { firstOffset: 1, nextOffset: 1, records: [] }
+  log.read = () => new ResultAsync(clock.sleep(20_000).then(() => ok(page)))
+  follower.follow(1)
+  await clock.advance(20_000)
+  follower.stop()
+  t.same(events.map(({ kind }) => kind), ['failed'])
+})
--- a/packages/control/src/streams/stream-follower.ts
+++ b/packages/control/src/streams/stream-follower.ts
@@ -86,7 +86,7 @@
     timer.cancel()
     signal.removeEventListener('abort', cancel)
     if (result.isErr()) return toFailedEvent(from, result.error)
-    return toRecordsEvent(from, result.value)
+    return toRecordsEvent(from, result.value, expiry.signal.aborted)
   }
 }
 
@@ -100,9 +100,10 @@
   return { kind: 'failed', from, failure }
 }
 
-function toRecordsEvent (from: number, page: LogPage): StreamEvent {
+/** An empty answer that came after its time says nothing of the log's present end. */
+function toRecordsEvent (from: number, page: LogPage, expired: boolean): StreamEvent {
   const records = contiguousPart(from, page.records)
-  if (records.length === 0 && page.records.length > 0) {
+  if (records.length === 0 && (page.records.length > 0 || expired)) {
     return { kind: 'failed', from, failure: createFailure(ResultCode.LogUnavailable, `no answer that starts at offset ${from}`) }
   }
   return { kind: 'records', from, records, nextOffset: page.nextOffset, firstOffset: page.firstOffset }
