--- a/packages/control/src/claims/claim-stream.ts
+++ b/packages/control/src/claims/claim-stream.ts
@@ -4,10 +4,11 @@
  */
 import { Task, type Timer } from '@figloom/runtime'
 import type { LogRecord } from '@figloom/platform'
-import { StreamFollower, type StreamEvent } from '../streams/stream-follower.js'
+import type { StreamEvent, StreamFollower } from '../streams/stream-follower.js'
 import { AbandonedAttempts } from './abandoned-attempts.js'
-import { AppendQueue } from './append-queue.js'
+import type { AppendQueue } from './append-queue.js'
 import { applyClaimRecord, ClaimState, type ClaimStep } from './claim-state.js'
+import { createAppendQueue, createFollower } from './claim-stream-parts.js'
 import { ClaimUpkeep } from './claim-upkeep.js'
 import { judgeRequest } from './judge.js'
 import { Trust, type ClaimStreamMessage, type ClaimStreamOptions } from './claim-stream-types.js'
@@ -34,29 +35,9 @@
 
   private constructor (private readonly options: ClaimStreamOptions) {
     super((error) => options.logger.error('claim stream failed', { stream: options.index, error: String(error) }))
-    const { log, clock, limits } = options
-    const stream = claimStreamName(options.index)
-    this.#pending = PendingClaims.create(clock, (attemptId) => this.post({ kind: 'expired', attemptId }))
-    this.#queue = AppendQueue.create({
-      log,
-      stream,
-      clock,
-      recordIdPrefix: `${options.host}-${options.incarnation}-${options.instance}-${options.index}`,
-      windowMs: limits.windowMs,
-      lazyWindowMs: limits.lazyWindowMs,
-      timeoutMs: limits.appendTimeoutMs,
-      retryMs: limits.retryMs,
-      onFailed: () => this.post({ kind: 'append-failed' })
-    })
-    this.#follower = StreamFollower.create({
-      log,
-      stream,
-      clock,
-      waitMs: limits.pollMs,
-      retryMs: limits.retryMs,
-      timeoutMs: limits.appendTimeoutMs,
-      onEvent: (event) => this.post({ kind: 'event', event })
-    })
+    this.#pending = PendingClaims.create(options.clock, (attemptId) => this.post({ kind: 'expired', attemptId }))
+    this.#queue = createAppendQueue(options, () => this.post({ kind: 'append-failed' }))
+    this.#follower = createFollower(options, (event) => this.post({ kind: 'event', event }))
     const onTick = () => this.post({ kind: 'tick' })
     const onSnapshotDue = () => this.post({ kind: 'snapshot' })
     this.#upkeep = ClaimUpkeep.create({ ...options, onTick, onSnapshotDue })
