--- a/packages/control/src/claims/claim-streams.ts
+++ b/packages/control/src/claims/claim-streams.ts
@@ -2,7 +2,7 @@
 import { ClaimStream } from './claim-stream.js'
 import type { ClaimStreamOptions } from './claim-stream-types.js'
 
-export type ClaimStreamsOptions = Omit<ClaimStreamOptions, 'index' | 'gateways'> & {
+export type ClaimStreamsOptions = Omit<ClaimStreamOptions, 'index' | 'gateways' | 'instance'> & {
   /** Gateways of a stream at present, the first in turn first. */
   gatewaysOf: (index: number) => string[]
 }
@@ -11,8 +11,11 @@
 
 /** Starts streams when they are needed and stops those that are not. */
 export class ClaimStreams {
+  #starts = 0
   readonly #running = new Map<number, { stream: ClaimStream, usedMs: number }>()
 
+  #stopped = false
+
   private constructor (private readonly options: ClaimStreamsOptions) {}
 
   static create (options: ClaimStreamsOptions): ClaimStreams {
@@ -28,8 +31,10 @@
       return running.stream
     }
     const { gatewaysOf, ...options } = this.options
-    const stream = ClaimStream.create({ ...options, index, gateways: () => gatewaysOf(index) })
-    this.#running.set(index, { stream, usedMs })
+    this.#starts += 1
+    const stream = ClaimStream.create({ ...options, index, instance: this.#starts, gateways: () => gatewaysOf(index) })
+    if (this.#stopped) stream.stop()
+    else this.#running.set(index, { stream, usedMs })
     return stream
   }
 
@@ -44,7 +49,9 @@
     }
   }
 
+  /** Stops all streams; those asked for later answer that they are unavailable. */
   stop (): void {
+    this.#stopped = true
     for (const { stream } of this.#running.values()) stream.stop()
     this.#running.clear()
   }
--- a/packages/control/src/claims/key-claims.ts
+++ b/packages/control/src/claims/key-claims.ts
@@ -3,6 +3,7 @@
 import { Attempt } from './attempt.js'
 import type { ClaimStreams } from './claim-streams.js'
 import { hashKey, shortenFingerprint, streamIndexOf } from './keys.js'
+import { UnreachableGateways } from './unreachable-gateways.js'
 import { TakenReason, type AttemptEnd, type ClaimAnswer, type ClaimPeers, type ClaimRequest, type KeptAnswer } from './types.js'
 
 /** A non-idempotent call. */
@@ -31,10 +32,12 @@
   ids: IdSource
   peers: ClaimPeers
   streams: ClaimStreams
-  /** Live gateways of a stream, the first in turn first. */
+  /** Hosts to ask for a stream's claims, in order; see `claimOrder`. */
   gatewaysOf: (index: number) => string[]
 }
 
+/** Gateways that may say that the log does not answer before the call is refused. */
+const MAX_REFUSALS = 2
 const UNAVAILABLE_RETRY_MS = 1000
 const IN_PROGRESS_RETRY_MS = 500
 const DELIVERY_RETRY_MS = 1000
@@ -43,6 +46,8 @@
 /** Entry point for the daemon; holds no state beyond the attempts under way. */
 export class KeyClaims {
   readonly #abort = new AbortController()
+  readonly #deliveries = new Set<Promise<void>>()
+  readonly #unreachable = UnreachableGateways.create()
 
   private constructor (private readonly options: KeyClaimsOptions) {}
 
@@ -50,6 +55,11 @@
     return new KeyClaims(options)
   }
 
+  /** Resolves when the gateways have taken on how every attempt of this host ended. */
+  async delivered (): Promise<void> {
+    await Promise.all(this.#deliveries)
+  }
+
   /** Ends repeated deliveries. */
   stop (): void {
     this.#abort.abort()
@@ -63,7 +73,7 @@
     const attemptId = ids.next()
     const request = { key, fingerprint: shortenFingerprint(call.fingerprint), attemptId, host, incarnation, timeoutMs: call.timeoutMs }
     const { answer, mayBeAppended } = await this.#ask(request, deadlineMs)
-    const attempt = Attempt.create({ key, attemptId, clock, deadlineMs, deliver: (end) => { this.#deliver(end) } })
+    const attempt = Attempt.create({ key, attemptId, clock, deadlineMs, deliver: (end) => this.#startDelivery(end) })
     if (answer.kind === 'won' && clock.monotonicMs() < deadlineMs) return { kind: 'won', attempt }
     if (answer.kind === 'won' || mayBeAppended) attempt.abandon()
     if (answer.kind === 'replay') return answer
@@ -74,24 +84,27 @@
   async #ask (request: ClaimRequest, deadlineMs: number): Promise<{ answer: ClaimAnswer, mayBeAppended: boolean }> {
     const order = this.#gateways(request.key)
     let mayBeAppended = false
+    let refusals = 0
     for (const [turn, gateway] of order.entries()) {
       const leftMs = deadlineMs - this.options.clock.monotonicMs()
-      if (leftMs <= 0) break
+      if (leftMs <= 0 || refusals === MAX_REFUSALS) break
       const timeoutMs = leftMs / Math.min(order.length - turn, 2)
       const answer = await this.#askOne(gateway, { ...request, timeoutMs })
       if (answer.kind !== 'unavailable') return { answer, mayBeAppended }
       mayBeAppended ||= answer.mayBeAppended
+      if (answer.byGateway === true) refusals += 1
+      else this.#unreachable.add(gateway, this.options.clock.monotonicMs())
     }
     return { answer: { kind: 'unavailable', mayBeAppended }, mayBeAppended }
   }
 
   async #askOne (gateway: string, request: ClaimRequest): Promise<ClaimAnswer> {
-    if (gateway === this.options.host) return this.options.streams.get(streamIndexOf(request.key)).claim(request)
+    if (gateway === this.options.host) return asGateway(await this.options.streams.get(streamIndexOf(request.key)).claim(request))
     const silence = new AbortController()
     const timeout = this.options.clock.sleep(request.timeoutMs, silence.signal)
       .then((): ClaimAnswer => ({ kind: 'unavailable', mayBeAppended: true }))
     const answer = this.options.peers.claim(gateway, request)
-      .then((value): ClaimAnswer => 'kind' in value ? value : { kind: 'unavailable', mayBeAppended: value.ran !== 'no' })
+      .then((value): ClaimAnswer => 'kind' in value ? asGateway(value) : { kind: 'unavailable', mayBeAppended: value.ran !== 'no' })
       .catch((): ClaimAnswer => ({ kind: 'unavailable', mayBeAppended: true }))
     const first = await Promise.race([answer, timeout])
     silence.abort()
@@ -100,7 +113,13 @@
 
   #gateways (key: string): string[] {
     const { host, gatewaysOf } = this.options
-    return [...new Set([...gatewaysOf(streamIndexOf(key)), host])]
+    const order = [...new Set([...gatewaysOf(streamIndexOf(key)), host])]
+    return this.#unreachable.moveToEnd(order, host, this.options.clock.monotonicMs())
+  }
+
+  #startDelivery (end: AttemptEnd): void {
+    const delivery = this.#deliver(end).finally(() => this.#deliveries.delete(delivery))
+    this.#deliveries.add(delivery)
   }
 
   async #deliver (end: AttemptEnd): Promise<void> {
@@ -118,6 +137,11 @@
   }
 }
 
+/** Marks a refusal as the gateway's own word, in contrast to one for want of a connection. */
+function asGateway (answer: ClaimAnswer): ClaimAnswer {
+  return answer.kind === 'unavailable' ? { ...answer, byGateway: true } : answer
+}
+
 function toFailure (answer: ClaimAnswer): Failure {
   if (answer.kind !== 'taken') {
     return createFailure(ResultCode.ClaimUnavailable, 'the key could not be claimed in time', { retryAfterMs: UNAVAILABLE_RETRY_MS })
--- a/packages/control/src/claims/types.ts
+++ b/packages/control/src/claims/types.ts
@@ -2,7 +2,7 @@
 import type { Failure } from '@figloom/runtime'
 
 /** Number of claim streams. A key's stream must never change, so this is constant. */
-export const CLAIM_STREAM_COUNT = 16
+export const CLAIM_STREAM_COUNT = 8
 
 /** Rule version of claim records that this release writes and reads. */
 export const CLAIM_RULE = 1
@@ -83,7 +83,7 @@
   | { kind: 'replay', answer: KeptAnswer }
   | { kind: 'taken', reason: TakenReason }
   /** Not claimed as far as the gateway knows; `mayBeAppended` says whether the log may hold the claim nevertheless. */
-  | { kind: 'unavailable', mayBeAppended: boolean }
+  | { kind: 'unavailable', mayBeAppended: boolean, byGateway?: boolean }
 
 /** What an entry host tells a gateway about an attempt of its own. */
 export type AttemptEnd = VoidEntry | OutcomeEntry
--- a/packages/control/src/streams/stream-follower.ts
+++ b/packages/control/src/streams/stream-follower.ts
@@ -16,7 +16,7 @@
   clock: Clock
   /** Longest wait of one poll. */
   waitMs: number
-  /** Pause after a failed poll. */
+  /** Pause after a failed poll; doubles with each further one up to eight times as long. */
   retryMs: number
   /** Time after which a poll counts as failed, on top of `waitMs`. */
   timeoutMs: number
@@ -27,6 +27,11 @@
 /** Offsets between which the log keeps a stream: `firstOffset` is the oldest, `nextOffset` the next to be given. */
 export type StreamBounds = { firstOffset: number, nextOffset: number }
 
+const MAX_PAUSE_FACTOR = 8
+
+/** Pause after an empty answer, in case the log does not hold polls. */
+const EMPTY_PAUSE_MS = 20
+
 /** Polls a stream from an offset; `follow` starts again at another one. */
 export class StreamFollower {
   #abort = new AbortController()
@@ -52,6 +57,7 @@
   async #run (start: number, signal: AbortSignal): Promise<void> {
     let from = start
     let waitMs = this.options.waitMs
+    let failures = 0
     while (!signal.aborted) {
       const event = await this.#poll(from, waitMs, signal)
       if (signal.aborted) return
@@ -60,10 +66,16 @@
       waitMs = event.kind === 'failed' ? 0 : this.options.waitMs
       this.options.onEvent(event)
       if (event.kind === 'truncated') return
-      if (event.kind === 'failed') await this.options.clock.sleep(this.options.retryMs, signal)
+      failures = event.kind === 'failed' ? failures + 1 : 0
+      if (failures > 0) await this.options.clock.sleep(this.#pauseMs(failures), signal)
+      if (isEmpty(event)) await this.options.clock.sleep(EMPTY_PAUSE_MS, signal)
     }
   }
 
+  #pauseMs (failures: number): number {
+    return this.options.retryMs * Math.min(2 ** (failures - 1), MAX_PAUSE_FACTOR)
+  }
+
   async #poll (from: number, waitMs: number, signal: AbortSignal): Promise<StreamEvent> {
     const { log, stream, clock, timeoutMs } = this.options
     const expiry = new AbortController()
@@ -74,7 +86,7 @@
     timer.cancel()
     signal.removeEventListener('abort', cancel)
     if (result.isErr()) return toFailedEvent(from, result.error)
-    return toRecordsEvent(from, result.value, expiry.signal.aborted)
+    return toRecordsEvent(from, result.value)
   }
 }
 
@@ -88,14 +100,18 @@
   return { kind: 'failed', from, failure }
 }
 
-function toRecordsEvent (from: number, page: LogPage, expired: boolean): StreamEvent {
+function toRecordsEvent (from: number, page: LogPage): StreamEvent {
   const records = contiguousPart(from, page.records)
-  if (records.length === 0 && (page.records.length > 0 || expired)) {
+  if (records.length === 0 && page.records.length > 0) {
     return { kind: 'failed', from, failure: createFailure(ResultCode.LogUnavailable, `no answer that starts at offset ${from}`) }
   }
   return { kind: 'records', from, records, nextOffset: page.nextOffset, firstOffset: page.firstOffset }
 }
 
+function isEmpty (event: StreamEvent): boolean {
+  return event.kind === 'records' && event.records.length === 0
+}
+
 function contiguousPart (from: number, records: LogRecord[]): LogRecord[] {
   const end = records.findIndex((record, index) => record.offset !== from + index)
   return end === -1 ? records : records.slice(0, end)
--- a/packages/daemon/src/cells/cell-set.ts
+++ b/packages/daemon/src/cells/cell-set.ts
@@ -42,6 +42,7 @@
   readonly #incarnations = new Map<string, { incarnation: string, innerUrl: string }>()
   #tables: Tables = { routes: [], pools: [] }
   #view: MembershipView | undefined
+  #toldCells = ''
   #leavingBackends: ReadonlySet<string> = new Set()
 
   private constructor (private readonly options: CellSetOptions) {}
@@ -106,7 +107,9 @@
   async retire (timeoutMs: number): Promise<void> {
     const holders = this.all.flatMap(({ holder }) => holder ?? [])
     const retired = holders.map((holder) => new Promise<void>((resolve) => holder.post({ type: 'retire', onRetired: resolve })))
-    await Promise.race([Promise.all(retired), this.options.clock.sleep(timeoutMs)])
+    const waited = new AbortController()
+    await Promise.race([Promise.all(retired), this.options.clock.sleep(timeoutMs, waited.signal)])
+    waited.abort()
   }
 
   stop (): void {
@@ -133,10 +136,18 @@
     let changed = false
     for (const pool of wanted) changed = this.#upsert(pool) || changed
     this.options.watch.setRunners(wanted.flatMap((pool) => this.#watched(pool)))
-    this.options.onCells([...names])
+    this.#tellCells([...names])
     if (changed) this.refreshBars()
   }
 
+  /** Only on a change: membership tells its listeners of every update. */
+  #tellCells (names: string[]): void {
+    const joined = names.join('\n')
+    if (joined === this.#toldCells) return
+    this.#toldCells = joined
+    this.options.onCells(names)
+  }
+
   #servesHere (pool: Pool): boolean {
     if (this.#view === undefined) return true
     return this.hostsOf(pool).some(({ self }) => self)
--- a/packages/routing/src/decider/options.ts
+++ b/packages/routing/src/decider/options.ts
@@ -1,8 +1,11 @@
 /** Settings of the decisions that depend on the deployment. */
+import { AdaptiveLimit, type ConcurrencyLimit } from '../admission/concurrency-limit.js'
 import { LeastExpectedChooser, type RunnerChooser } from '../choose/choose-runner.js'
 
 export type DeciderOptions = {
   chooser: RunnerChooser
+  /** Makes the limit of a new runner. */
+  createLimit: () => ConcurrencyLimit
   /** Availability zone of this host. */
   availabilityZone: string
   /** Network time to a runner of the own and of another availability zone, and back. */
@@ -12,16 +15,14 @@
   batchShare: number
   /** Queued requests of one route that this host keeps. */
   maxWaitingPerRoute: number
-  /** An attempt without a first token is hedged after this many times the expected wait. */
-  hedgeFactor: number
 }
 
 export const DEFAULT_DECIDER_OPTIONS: DeciderOptions = {
   chooser: LeastExpectedChooser.create(),
+  createLimit: AdaptiveLimit.create,
   availabilityZone: '',
   sameZoneRoundTripMs: 0.2,
   otherZoneRoundTripMs: 3,
   batchShare: 0.5,
-  maxWaitingPerRoute: 256,
-  hedgeFactor: 4
+  maxWaitingPerRoute: 256
 }
--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -3,7 +3,7 @@
 import { Priority } from '@figloom/tables'
 import { isEligible, type Candidate, type Choice } from '../choose/choose-runner.js'
 import { FairQueue } from '../admission/fair-queue.js'
-import { PrefixIndex, type PrefixEvent } from '../prefix-index/prefix-index.js'
+import { PrefixIndex, prefixKeys, type PrefixEvent } from '../prefix-index/prefix-index.js'
 import { RetryBudget } from '../retry/retry-budget.js'
 import { decideRetry, RetryAction } from '../retry/retry-rules.js'
 import type { Attempt } from '../load/runner-load.js'
@@ -12,7 +12,7 @@
   type Released, type RouteRequest, type RunnerInfo, type SendDecision
 } from '../types.js'
 import { DEFAULT_DECIDER_OPTIONS, type DeciderOptions } from './options.js'
-import { RunnerState } from './runner-state.js'
+import { RunnerState, type RunnerStatus } from './runner-state.js'
 import { TargetStats, type TargetDemand } from './target-stats.js'
 
 /** What to do with an attempt that failed. */
@@ -20,8 +20,8 @@
   { kind: 'repeat' | 'resume', send: SendDecision } |
   { kind: 'give-up', failure: Failure }
 
-/** How many requests fit at a target's runners: whether any runner holds it, and the places within limits. */
-type Room = { candidates: Candidate[], slots: number, holders: number }
+/** Runners that may take a request and the places within their limits. Ejected ones only where no other holds the model. */
+type Room = { candidates: Candidate[], slots: number }
 
 const MIN_RETRY_AFTER_MS = 50
 const NO_RUNNER_RETRY_MS = 1_000
@@ -60,7 +60,7 @@
     for (const name of this.#runners.keys()) if (!names.has(name)) this.#forget(name)
     for (const info of infos) {
       const known = this.#runners.get(info.name)
-      if (known === undefined) this.#runners.set(info.name, RunnerState.create(info))
+      if (known === undefined) this.#runners.set(info.name, RunnerState.create(info, this.options.createLimit))
       else known.update(info)
     }
   }
@@ -72,7 +72,7 @@
     const early = this.#refuseEarly(request, room, nowMs)
     if (early !== undefined) return early
     const choice = this.#mayPass(request) ? this.#choose(request, room, nowMs) : undefined
-    if (choice !== undefined) return this.#sendTo(choice, request)
+    if (choice !== undefined) return this.#sendTo(choice)
     return this.#enqueue(request, room, nowMs)
   }
 
@@ -98,7 +98,8 @@
   onSent (request: RouteRequest, decision: SendDecision, nowMs: number): void {
     const state = this.#runners.get(decision.runner)
     if (state === undefined) return
-    const ownTokens = request.promptTokens - this.#cachedTokens(state, request)
+    const keys = prefixKeysOf(request)
+    const ownTokens = request.promptTokens - this.#cachedTokens(state, request, keys)
     const attempt = {
       request,
       runner: decision.runner,
@@ -106,6 +107,7 @@
       tokensAhead: state.load.pendingTokens(nowMs) + ownTokens,
       ownTokens,
       loadWhenSent: state.load.total(nowMs) + 1,
+      copyLoadWhenSent: state.load.totalOf(targetKey(request.target), nowMs) + 1,
       expectedFirstTokenMs: decision.expectedFirstTokenMs,
       lastProgressMs: nowMs,
       tokens: 0
@@ -115,7 +117,7 @@
     state.health.onSent(request.id)
     this.#budget.onFirstAttempt()
     this.#queue.charge(request, request.promptTokens + 1)
-    this.#prefixes.onSent(decision.runner, targetKey(request.target), request.prefixHashes)
+    this.#prefixes.onSent(decision.runner, keys)
   }
 
   onFirstToken (requestId: string, nowMs: number): void {
@@ -123,7 +125,8 @@
     const state = attempt && this.#runners.get(attempt.runner)
     if (attempt === undefined || state === undefined || attempt.firstTokenMs !== undefined) return
     state.load.onFirstToken(attempt, nowMs)
-    state.latency.onFirstToken(nowMs - attempt.sentMs - this.#roundTripMs(state), attempt.tokensAhead)
+    const waitedMs = nowMs - attempt.sentMs - this.#roundTripMs(state) - state.latency.stepMs(attempt.loadWhenSent)
+    state.latency.onFirstToken(waitedMs, attempt.tokensAhead)
   }
 
   /** Notes progress of a stream: tokens delivered so far. */
@@ -141,13 +144,15 @@
     if (attempt === undefined || state === undefined) return
     state.health.onSuccess()
     const firstMs = attempt.firstTokenMs ?? nowMs
-    const runnerMs = attempt.ownTokens * state.latency.prefillMsPerToken + (nowMs - firstMs) / state.limit.value
-    this.#statsOf(attempt.request).onDone(nowMs - attempt.sentMs, runnerMs)
-    const stepMs = tokens > 1 ? (nowMs - firstMs) / (tokens - 1) : undefined
+    const copyLimit = state.copyLimit(targetKey(attempt.request.target))
     const load = Math.max(attempt.loadWhenSent, state.load.total(nowMs) + 1)
+    const stepMs = tokens > 1 ? (nowMs - firstMs) / (tokens - 1) : undefined
+    const runnerMs = attempt.ownTokens * state.latency.prefillMsPerToken + (nowMs - firstMs) / state.limit.value
+    const durationMs = nowMs - attempt.sentMs
+    this.#statsOf(attempt.request).onDone(durationMs, runnerMs, durationMs / copyLimit.value)
     if (stepMs !== undefined) state.latency.onStep(stepMs, load)
-    const late = firstMs > attempt.request.deadlineMs || (stepMs ?? 0) > attempt.request.betweenTokensTargetMs
-    state.limit.onSample(!late, load, nowMs)
+    state.limit.onSample((stepMs ?? 0) <= attempt.request.betweenTokensTargetMs, load, nowMs)
+    copyLimit.onSample(firstMs <= attempt.request.deadlineMs, attempt.copyLoadWhenSent, nowMs)
   }
 
   /** The caller gave up an attempt, or it was the slower one of two. */
@@ -156,26 +161,19 @@
     if (attempt !== undefined) this.#runners.get(attempt.runner)?.health.onNeutral(requestId)
   }
 
-  /** An attempt failed: repeat, resume or give up, at once. */
+  /** An attempt failed: repeat, resume or give up, at once. A resumed stream has met its deadline already. */
   onFailed (requestId: string, failure: Failure, attempts: number, nowMs: number): FailureDecision {
     const attempt = this.#end(requestId, nowMs)
     if (attempt === undefined) return { kind: 'give-up', failure }
     this.#runners.get(attempt.runner)?.health.onFailure(requestId, nowMs)
     const action = decideRetry(attempt.request, failure, { attempts, tokens: attempt.tokens })
     if (action === RetryAction.GiveUp || !this.#budget.take(nowMs)) return { kind: 'give-up', failure }
-    const room = this.#roomFor(attempt.request, nowMs, attempt.runner)
-    const choice = this.#choose(attempt.request, room, nowMs)
+    const request = action === RetryAction.Resume ? { ...attempt.request, deadlineMs: Infinity } : attempt.request
+    // The runner that failed is better than none: a single broken connection need not be its end.
+    const choice = this.#choose(request, this.#roomFor(request, nowMs, attempt.runner), nowMs) ??
+      this.#choose(request, this.#roomFor(request, nowMs), nowMs)
     if (choice === undefined) return { kind: 'give-up', failure }
-    return { kind: action, send: this.#sendTo(choice, attempt.request) }
-  }
-
-  /** Runner for a second attempt of a request whose first token is overdue; undefined where none pays. */
-  hedge (requestId: string, nowMs: number): SendDecision | undefined {
-    const attempt = this.#attempts.get(requestId)
-    if (attempt === undefined || attempt.firstTokenMs !== undefined || !attempt.request.idempotent) return undefined
-    const choice = this.#choose(attempt.request, this.#roomFor(attempt.request, nowMs, attempt.runner), nowMs)
-    if (choice === undefined || !this.#budget.take(nowMs)) return undefined
-    return this.#sendTo(choice, attempt.request)
+    return { kind: action, send: this.#sendTo(choice) }
   }
 
   onReport (runner: string, report: LoadReport, nowMs: number): void {
@@ -201,6 +199,11 @@
       { host, runner: info.name, inFlight: load.inFlight, pendingTokens: load.ownPendingTokens }))
   }
 
+  /** Figures of every runner, for metrics and status. */
+  runnerStatus (nowMs: number): RunnerStatus[] {
+    return [...this.#runners.values()].map((state) => state.status(nowMs))
+  }
+
   /** Requests since the last call, by model version; refused ones count. */
   takeDemand (): TargetDemand[] {
     return [...this.#stats.values()].map((stats) => stats.take())
@@ -231,22 +234,20 @@
   }
 
   #roomFor (request: RouteRequest, nowMs: number, except?: string): Room {
-    const candidates: Candidate[] = []
-    let holders = 0
-    let slots = 0
+    const holders: Candidate[] = []
+    const keys = prefixKeysOf(request)
     for (const [name, state] of this.#runners) {
-      if (!state.holds(request.target)) continue
-      const candidate = this.#candidate(state, request, nowMs)
-      if (!candidate.draining) holders += 1
-      if (name === except || !isEligible(candidate)) continue
-      slots += candidate.limit
-      candidates.push(candidate)
+      if (name === except || state.info.draining || !state.holds(request.target)) continue
+      holders.push(this.#candidate(state, request, keys, nowMs))
     }
-    return { candidates, slots, holders }
+    const healthy = holders.filter(isEligible)
+    const candidates = healthy.length > 0 ? healthy : holders.map((candidate) => ({ ...candidate, healthy: true }))
+    return { candidates, slots: candidates.reduce((sum, { limit, copyLimit }) => sum + Math.min(limit, copyLimit), 0) }
   }
 
-  #candidate (state: RunnerState, request: RouteRequest, nowMs: number): Candidate {
+  #candidate (state: RunnerState, request: RouteRequest, keys: readonly string[], nowMs: number): Candidate {
     const load = state.load.total(nowMs)
+    const key = targetKey(request.target)
     const share = request.priority === Priority.Batch ? this.options.batchShare : 1
     return {
       runner: state.info.name,
@@ -256,11 +257,13 @@
       draining: state.info.draining,
       load,
       limit: Math.floor(state.limit.value * share),
+      copyLoad: state.load.totalOf(key, nowMs),
+      copyLimit: Math.floor(state.copyLimit(key).value * share),
       pendingTokens: state.load.pendingTokens(nowMs),
       prefillMsPerToken: state.latency.prefillMsPerToken,
       stepMs: state.latency.stepMs(load + 1),
       roundTripMs: this.#roundTripMs(state),
-      cachedTokens: this.#cachedTokens(state, request)
+      cachedTokens: this.#cachedTokens(state, request, keys)
     }
   }
 
@@ -269,14 +272,13 @@
     return same ? this.options.sameZoneRoundTripMs : this.options.otherZoneRoundTripMs
   }
 
-  #cachedTokens (state: RunnerState, request: RouteRequest): number {
-    if (request.prefixHashes.length === 0) return 0
-    return request.promptTokens * this.#prefixes.expectedShare(state.info.name, targetKey(request.target), request.prefixHashes)
+  #cachedTokens (state: RunnerState, request: RouteRequest, keys: readonly string[]): number {
+    return request.promptTokens * this.#prefixes.expectedShare(state.info.name, keys)
   }
 
   #refuseEarly (request: RouteRequest, room: Room, nowMs: number): RefuseDecision | undefined {
     if (nowMs >= request.deadlineMs) return refuse(createFailure(ResultCode.DeadlinePassed, 'deadline passed before the request was sent'))
-    if (room.holders > 0 && room.candidates.length > 0) return undefined
+    if (room.candidates.length > 0) return undefined
     const message = `no runner serves ${targetKey(request.target)} now`
     return refuse(createFailure(ResultCode.NoRunner, message, { retryAfterMs: NO_RUNNER_RETRY_MS }))
   }
@@ -292,10 +294,8 @@
     return nowMs + choice.expectedFirstTokenMs <= request.deadlineMs ? choice : undefined
   }
 
-  #sendTo (choice: Choice, request: RouteRequest): SendDecision {
-    const send = { kind: 'send' as const, runner: choice.candidate.runner, expectedFirstTokenMs: choice.expectedFirstTokenMs }
-    if (!request.idempotent || request.priority === Priority.Batch) return send
-    return { ...send, hedgeAfterMs: choice.expectedFirstTokenMs * this.options.hedgeFactor }
+  #sendTo (choice: Choice): SendDecision {
+    return { kind: 'send', runner: choice.candidate.runner, expectedFirstTokenMs: choice.expectedFirstTokenMs }
   }
 
   #enqueue (request: RouteRequest, room: Room, nowMs: number): Decision {
@@ -304,7 +304,7 @@
       const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.#statsOf(request).expectedWaitMs(ahead, room.slots))
       return refuse(createFailure(ResultCode.RateLimited, `route ${request.route} has its share of waiting requests`, { retryAfterMs }))
     }
-    const expectedWaitMs = this.#statsOf(request).expectedWaitMs(this.#queue.size, room.slots)
+    const expectedWaitMs = this.#statsOf(request).expectedWaitMs(this.#queue.aheadOf(request), room.slots)
     const least = leastFirstTokenMs(room, request)
     if (nowMs + expectedWaitMs + least > request.deadlineMs) return overloaded(expectedWaitMs)
     this.#queue.push(request)
@@ -316,9 +316,9 @@
     const early = this.#refuseEarly(request, room, nowMs)
     if (early !== undefined) return early
     const choice = this.#choose(request, room, nowMs)
-    if (choice !== undefined) return this.#sendTo(choice, request)
+    if (choice !== undefined) return this.#sendTo(choice)
     const late = nowMs + leastFirstTokenMs(room, request) > request.deadlineMs
-    return late ? overloaded(this.#statsOf(request).expectedWaitMs(this.#queue.size, room.slots)) : undefined
+    return late ? overloaded(this.#statsOf(request).expectedWaitMs(this.#queue.aheadOf(request), room.slots)) : undefined
   }
 
   #statsOf (request: RouteRequest): TargetStats {
@@ -331,6 +331,10 @@
   }
 }
 
+function prefixKeysOf (request: RouteRequest): string[] {
+  return request.prefixHashes.length === 0 ? [] : prefixKeys(targetKey(request.target), request.prefixHashes)
+}
+
 function refuse (failure: Failure): RefuseDecision {
   return { kind: 'refuse', failure }
 }
--- a/packages/routing/src/decider/runner-state.ts
+++ b/packages/routing/src/decider/runner-state.ts
@@ -1,28 +1,44 @@
 /** All that a host knows of one runner; bounded. */
-import { ConcurrencyLimit } from '../admission/concurrency-limit.js'
-import { RunnerHealth } from '../health/runner-health.js'
+import type { ConcurrencyLimit } from '../admission/concurrency-limit.js'
+import { RunnerHealth, type HealthState } from '../health/runner-health.js'
 import { LatencyModel } from '../load/latency-model.js'
 import { RunnerLoad } from '../load/runner-load.js'
 import { targetKey, type RunnerInfo, type Target } from '../types.js'
 
+/** What a host believes of one runner. */
+export type RunnerStatus = { runner: string, health: HealthState, load: number, limit: number, stepMs: number, prefillMsPerToken: number }
+
 export class RunnerState {
   readonly load = RunnerLoad.create()
   readonly health = RunnerHealth.create()
   readonly latency = LatencyModel.create()
-  readonly limit = ConcurrencyLimit.create()
+  readonly #copyLimits = new Map<string, ConcurrencyLimit>()
   #adapters = new Map<string, ReadonlySet<string>>()
 
-  private constructor (public info: RunnerInfo) {
+  readonly limit: ConcurrencyLimit
+
+  private constructor (public info: RunnerInfo, private readonly createLimit: () => ConcurrencyLimit) {
+    this.limit = createLimit()
     this.update(info)
   }
 
-  static create (info: RunnerInfo): RunnerState {
-    return new RunnerState(info)
+  static create (info: RunnerInfo, createLimit: () => ConcurrencyLimit): RunnerState {
+    return new RunnerState(info, createLimit)
   }
 
   update (info: RunnerInfo): void {
     this.info = info
     this.#adapters = new Map(info.copies.map((copy) => [targetKey(copy), new Set(copy.adapters)]))
+    for (const key of this.#copyLimits.keys()) if (!this.#adapters.has(key)) this.#copyLimits.delete(key)
+  }
+
+  /** Limit of the requests for one model; kept while the copy stays. */
+  copyLimit (key: string): ConcurrencyLimit {
+    const existing = this.#copyLimits.get(key)
+    if (existing !== undefined) return existing
+    const limit = this.createLimit()
+    this.#copyLimits.set(key, limit)
+    return limit
   }
 
   /** Whether the target's model and adapter are resident. */
@@ -30,4 +46,10 @@
     const adapters = this.#adapters.get(targetKey(target))
     return adapters !== undefined && (target.adapter === undefined || adapters.has(target.adapter))
   }
+
+  status (nowMs: number): RunnerStatus {
+    const load = this.load.total(nowMs)
+    const { prefillMsPerToken } = this.latency
+    return { runner: this.info.name, health: this.health.state(nowMs), load, limit: this.limit.value, stepMs: this.latency.stepMs(load), prefillMsPerToken }
+  }
 }
--- a/packages/tables/src/check/peak.ts
+++ b/packages/tables/src/check/peak.ts
@@ -2,7 +2,7 @@
 import type { Pool, Tables } from '../types.js'
 import { rowKey } from '../rows/rows.js'
 import type { TableIssue } from './check.js'
-import { indexPools, isModelRoute, neededCopies, routeCopyKey, type CopyNeed } from './copies.js'
+import { groupRoutes, indexPools, isModelRoute, neededCopies, routeCopyKey, type CopyNeed } from './copies.js'
 import { packItems } from './packing.js'
 import { StepwisePlanner, type PeakStep } from './stepwise.js'
 
@@ -24,7 +24,7 @@
  * since the tables do not say what is resident where.
  */
 export function planPeak (before: Tables, after: Tables, pools: ReadonlySet<string>): PeakPlan {
-  const changes = [...pools].sort().map((name) => readChange(name, before, after))
+  const changes = readChanges([...pools].sort(), before, after)
   const tight = changes.filter((change) => !fitsSideBySide(change))
   if (tight.length === 0) return { mode: PeakMode.SideBySide, steps: [], issues: [] }
   const planner = StepwisePlanner.create(tight, successorsOf(before, after))
@@ -41,15 +41,24 @@
   newCopies: CopyNeed[]
 }
 
-function readChange (name: string, before: Tables, after: Tables): PoolChange {
-  const oldPool = indexPools(before).get(name)
-  const newPool = indexPools(after).get(name)
-  return {
-    name,
-    before: oldPool,
-    after: newPool,
-    oldCopies: oldPool === undefined ? [] : neededCopies(oldPool, before.routes),
-    newCopies: newPool === undefined ? [] : neededCopies(newPool, after.routes)
+function readChanges (names: readonly string[], before: Tables, after: Tables): PoolChange[] {
+  const readOld = readSide(before)
+  const readNew = readSide(after)
+  return names.map((name) => {
+    const { pool: oldPool, copies: oldCopies } = readOld(name)
+    const { pool: newPool, copies: newCopies } = readNew(name)
+    return { name, before: oldPool, after: newPool, oldCopies, newCopies }
+  })
+}
+
+type Side = { pool: Pool | undefined, copies: CopyNeed[] }
+
+function readSide (tables: Tables): (name: string) => Side {
+  const pools = indexPools(tables)
+  const routes = groupRoutes(tables.routes)
+  return (name) => {
+    const pool = pools.get(name)
+    return { pool, copies: pool === undefined ? [] : neededCopies(pool, routes.get(name) ?? []) }
   }
 }
 
