Test every guard of routing and placement

Each guard was taken out and its test seen failing: least residence, recent peak, places of copies, copy limit by late first tokens, room of a copy, ejected runner as a last resort, age of a report. The earlier test of a report's age passed with the guard out, since equal loads were drawn alike; it is replaced by one that reads the corrected load. That one found a fault: a report from before the first request counted that request as in flight then.

--- a/packages/placement/src/plan/plan-cell.test.ts
+++ b/packages/placement/src/plan/plan-cell.test.ts
@@ -157,3 +157,22 @@
   t.match(planCell(inputOf(cellOf(0))), [{ action: OrderAction.Load, model: 'hot', runner: 'r2' }])
   t.same(planCell(inputOf(cellOf(1))), [])
 })
+
+t.test('a spare copy makes room unless it is new or was needed of late', async (t) => {
+  const [hot, cold] = [modelOf('hot', 4), modelOf('cold', 4)]
+  const runners = ['x', 'y', 'z'].map((zone, index) => runnerOf(`r${index}`, index < 2 ? 10 : 5, zone, index < 2 ? [copyOf(hot), copyOf(cold)] : [copyOf(cold)]))
+  const input = inputOf({ models: [hot, cold], runners, rates: [115, 1], moveWeight: 0 })
+  const unloads = (changed: PlanInput) => planCell(changed).filter(({ action }) => action === OrderAction.Unload).map(({ runner }) => runner)
+  t.same(unloads(input), ['r2'])
+  t.same(unloads({ ...input, recentChanges: [{ runner: 'r2', model: 'cold', version: '1', atMs: 0 }], nowMs: 10_000 }), [])
+  t.same(unloads({ ...input, demand: input.demand.map((row) => row.model === 'cold' ? { ...row, recentPeakPerS: 100 } : row) }), [])
+})
+
+t.test('a model whose copies have no place left gets another one', async (t) => {
+  const model = modelOf('a', 4)
+  const runners = ['x', 'y', 'z'].map((zone, index) => runnerOf(`r${index}`, 10, zone, index < 2 ? [copyOf(model)] : []))
+  const input = inputOf({ models: [model], runners, rates: [60], moveWeight: 0 })
+  t.same(planCell(input), [])
+  const full = input.demand.map((row) => ({ ...row, copyMsPerRequest: 40 }))
+  t.match(planCell({ ...input, demand: full }), [{ action: OrderAction.Load, runner: 'r2' }])
+})
--- a/packages/routing/src/decider/route-decider.test.ts
+++ b/packages/routing/src/decider/route-decider.test.ts
@@ -162,10 +162,27 @@
 })
 
 t.test('a report that is older than what was sent is corrected', async (t) => {
-  const decider = createDecider()
+  const decider = createDecider(RUNNERS.slice(0, 1))
   for (let count = 0; count < 8; count++) send(decider, requestOf(`own-${count}`), 1_000)
-  decider.onReport('a', { running: 0, queued: 0, kvUsedMiB: 0, ageMs: 900 }, 1_100)
-  decider.onReport('b', { running: 3, queued: 0, kvUsedMiB: 0, ageMs: 900 }, 1_100)
-  const used = [0, 1, 2].map((n) => send(decider, requestOf(`new-${n}`), 1_100) as SendDecision)
-  t.same(used.map(({ runner }) => runner), ['a', 'a', 'a'])
+  decider.onReport('a', { running: 3, queued: 0, kvUsedMiB: 0, ageMs: 900 }, 1_100)
+  t.equal(decider.runnerStatus(1_100)[0]?.load, 11)
+})
+
+t.test('an ejected runner still serves a model that no other holds', async (t) => {
+  const decider = createDecider(RUNNERS.slice(0, 1))
+  send(decider, requestOf('stuck'))
+  t.same(decider.checkStalls(3_500), ['a'])
+  t.equal(send(decider, requestOf('next', { deadlineMs: 90_000 }), 3_600).kind, 'send')
+})
+
+t.test('late first tokens lower the limit of their model alone', async (t) => {
+  const [a] = RUNNERS as [RunnerInfo]
+  const decider = createDecider([{ ...a, copies: [...a.copies, { model: 'n', version: '1', adapters: [] }] }])
+  const late = requestOf('late', { deadlineMs: 300 })
+  send(decider, late)
+  decider.onFirstToken('late', 400)
+  decider.onDone('late', 1, 400)
+  const countOf = (model: string) => fill(decider, { target: { model, version: '1' }, route: model }).length
+  t.equal(countOf('m'), 28)
+  t.equal(decider.runnerStatus(0)[0]?.limit, 32)
 })
--- a/packages/routing/src/load/runner-load.ts
+++ b/packages/routing/src/load/runner-load.ts
@@ -28,7 +28,7 @@
 export class RunnerLoad {
   readonly attempts = new Map<string, Attempt>()
   readonly #neighbours = new Map<string, { load: NeighbourLoad, atMs: number }>()
-  #samples: CountSample[] = []
+  #samples: CountSample[] = [{ atMs: -Infinity, inFlight: 0 }]
   readonly #byModel = new Map<string, number>()
   #reportedOthers = 0
   #pendingTokens = 0
