--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -1,9 +1,9 @@
 /** The decisions of one host for the runners of one cell. Pure: state and clock readings in, decisions out. */
-import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
-import { Priority } from '@figloom/tables'
-import { isEligible, type Candidate, type Choice } from '../choose/choose-runner.js'
+import type { Failure } from '@figloom/runtime'
+import type { Choice } from '../choose/choose-runner.js'
+import { leastFirstTokenMs, overloaded, overShare, refuseEarly } from '../admission/refusals.js'
 import { FairQueue } from '../admission/fair-queue.js'
-import { PrefixIndex, prefixKeys, type PrefixEvent } from '../prefix-index/prefix-index.js'
+import type { PrefixEvent } from '../prefix-index/prefix-index.js'
 import { RetryBudget } from '../retry/retry-budget.js'
 import { decideRetry, RetryAction } from '../retry/retry-rules.js'
 import type { Attempt } from '../load/runner-load.js'
@@ -12,7 +12,8 @@
   type Released, type RouteRequest, type RunnerInfo, type SendDecision
 } from '../types.js'
 import { DEFAULT_DECIDER_OPTIONS, type DeciderOptions } from './options.js'
-import { RunnerState, type RunnerStatus } from './runner-state.js'
+import type { RunnerStatus } from './runner-state.js'
+import { RunnerTable, type Room } from './runner-table.js'
 import { TargetStats, type TargetDemand } from './target-stats.js'
 
 /** What to do with an attempt that failed. */
@@ -20,21 +21,15 @@
   { kind: 'repeat' | 'resume', send: SendDecision } |
   { kind: 'give-up', failure: Failure }
 
-/** Runners that may take a request and the places within their limits. Ejected ones only where no other holds the model. */
-type Room = { candidates: Candidate[], slots: number }
-
-const MIN_RETRY_AFTER_MS = 50
-const NO_RUNNER_RETRY_MS = 1_000
 /** An attempt without progress for this long, and for this many times what was expected, marks a stalled runner. */
 const STALL_MS = 3_000
 const STALL_FACTOR = 10
 
 export class RouteDecider {
-  readonly #runners = new Map<string, RunnerState>()
+  readonly #runners: RunnerTable
   readonly #attempts = new Map<string, Attempt>()
   readonly #stats = new Map<string, TargetStats>()
   readonly #queue = FairQueue.create()
-  readonly #prefixes = PrefixIndex.create()
   readonly #budget: RetryBudget
 
   private constructor (
@@ -42,6 +37,7 @@
     private readonly random: RandomSource,
     nowMs: number
   ) {
+    this.#runners = RunnerTable.create(options)
     this.#budget = RetryBudget.create(nowMs)
   }
 
@@ -56,20 +52,14 @@
 
   /** Replaces what is known of the cell's runners and their copies. State of runners that stay is kept. */
   setRunners (infos: readonly RunnerInfo[]): void {
-    const names = new Set(infos.map((info) => info.name))
-    for (const name of this.#runners.keys()) if (!names.has(name)) this.#forget(name)
-    for (const info of infos) {
-      const known = this.#runners.get(info.name)
-      if (known === undefined) this.#runners.set(info.name, RunnerState.create(info, this.options.createLimit))
-      else known.update(info)
-    }
+    this.#runners.setRunners(infos)
   }
 
   /** Decides on a new request. One that waits is queued here until `release`, `cancel` or its deadline. */
   decide (request: RouteRequest, nowMs: number): Decision {
     this.#statsOf(request).onRequest()
-    const room = this.#roomFor(request, nowMs)
-    const early = this.#refuseEarly(request, room, nowMs)
+    const room = this.#runners.roomFor(request, nowMs)
+    const early = refuseEarly(request, room, nowMs)
     if (early !== undefined) return early
     const choice = this.#mayPass(request) ? this.#choose(request, room, nowMs) : undefined
     if (choice !== undefined) return this.#sendTo(choice)
@@ -98,8 +88,7 @@
   onSent (request: RouteRequest, decision: SendDecision, nowMs: number): void {
     const state = this.#runners.get(decision.runner)
     if (state === undefined) return
-    const keys = prefixKeysOf(request)
-    const ownTokens = request.promptTokens - this.#cachedTokens(state, request, keys)
+    const ownTokens = this.#runners.ownTokens(state, request)
     const attempt = {
       request,
       runner: decision.runner,
@@ -117,7 +106,7 @@
     state.health.onSent(request.id)
     this.#budget.onFirstAttempt()
     this.#queue.charge(request, request.promptTokens + 1)
-    this.#prefixes.onSent(decision.runner, keys)
+    this.#runners.onSent(decision.runner, request)
   }
 
   onFirstToken (requestId: string, nowMs: number): void {
@@ -125,7 +114,7 @@
     const state = attempt && this.#runners.get(attempt.runner)
     if (attempt === undefined || state === undefined || attempt.firstTokenMs !== undefined) return
     state.load.onFirstToken(attempt, nowMs)
-    const waitedMs = nowMs - attempt.sentMs - this.#roundTripMs(state) - state.latency.stepMs(attempt.loadWhenSent)
+    const waitedMs = nowMs - attempt.sentMs - this.#runners.roundTripMs(state) - state.latency.stepMs(attempt.loadWhenSent)
     state.latency.onFirstToken(waitedMs, attempt.tokensAhead)
   }
 
@@ -169,7 +158,7 @@
     const action = decideRetry(attempt.request, failure, { attempts, tokens: attempt.tokens })
     if (action === RetryAction.GiveUp || !this.#budget.take(nowMs)) return { kind: 'give-up', failure }
     const request = action === RetryAction.Resume ? { ...attempt.request, deadlineMs: Infinity } : attempt.request
-    const choice = this.#choose(request, this.#roomFor(request, nowMs, attempt.runner), nowMs)
+    const choice = this.#choose(request, this.#runners.roomFor(request, nowMs, attempt.runner), nowMs)
     if (choice === undefined) return { kind: 'give-up', failure }
     return { kind: action, send: this.#sendTo(choice) }
   }
@@ -183,23 +172,22 @@
   }
 
   onCacheEvents (runner: string, events: readonly PrefixEvent[]): void {
-    this.#prefixes.onEvents(runner, events)
+    this.#runners.onCacheEvents(runner, events)
   }
 
   /** The engine's process was replaced. */
   onReplaced (runner: string): void {
-    this.#prefixes.reset(runner)
+    this.#runners.onReplaced(runner)
   }
 
   /** What this host tells its neighbours. */
   ownLoads (host: string): NeighbourLoad[] {
-    return [...this.#runners.values()].map(({ info, load }) => (
-      { host, runner: info.name, inFlight: load.inFlight, pendingTokens: load.ownPendingTokens }))
+    return this.#runners.ownLoads(host)
   }
 
   /** Figures of every runner, for metrics and status. */
   runnerStatus (nowMs: number): RunnerStatus[] {
-    return [...this.#runners.values()].map((state) => state.status(nowMs))
+    return this.#runners.status(nowMs)
   }
 
   /** Requests since the last call, by model version; refused ones count. */
@@ -218,11 +206,6 @@
     return [...stalled]
   }
 
-  #forget (name: string): void {
-    this.#runners.delete(name)
-    this.#prefixes.reset(name)
-  }
-
   #end (requestId: string, nowMs: number): Attempt | undefined {
     const attempt = this.#attempts.get(requestId)
     if (attempt === undefined) return undefined
@@ -231,56 +214,6 @@
     return attempt
   }
 
-  #roomFor (request: RouteRequest, nowMs: number, except?: string): Room {
-    const holders: Candidate[] = []
-    const keys = prefixKeysOf(request)
-    for (const [name, state] of this.#runners) {
-      if (name === except || state.info.draining || !state.holds(request.target)) continue
-      holders.push(this.#candidate(state, request, keys, nowMs))
-    }
-    const healthy = holders.filter(isEligible)
-    const candidates = healthy.length > 0 ? healthy : holders.map((candidate) => ({ ...candidate, healthy: true }))
-    return { candidates, slots: candidates.reduce((sum, { limit, copyLimit }) => sum + Math.min(limit, copyLimit), 0) }
-  }
-
-  #candidate (state: RunnerState, request: RouteRequest, keys: readonly string[], nowMs: number): Candidate {
-    const load = state.load.total(nowMs)
-    const key = targetKey(request.target)
-    const share = request.priority === Priority.Batch ? this.options.batchShare : 1
-    return {
-      runner: state.info.name,
-      availabilityZone: state.info.availabilityZone,
-      resident: true,
-      healthy: state.health.accepts(nowMs),
-      draining: state.info.draining,
-      load,
-      limit: Math.floor(state.limit.value * share),
-      copyLoad: state.load.totalOf(key, nowMs),
-      copyLimit: Math.floor(state.copyLimit(key).value * share),
-      pendingTokens: state.load.pendingTokens(nowMs),
-      prefillMsPerToken: state.latency.prefillMsPerToken,
-      stepMs: state.latency.stepMs(load + 1),
-      roundTripMs: this.#roundTripMs(state),
-      cachedTokens: this.#cachedTokens(state, request, keys)
-    }
-  }
-
-  #roundTripMs (state: RunnerState): number {
-    const same = state.info.availabilityZone === this.options.availabilityZone
-    return same ? this.options.sameZoneRoundTripMs : this.options.otherZoneRoundTripMs
-  }
-
-  #cachedTokens (state: RunnerState, request: RouteRequest, keys: readonly string[]): number {
-    return request.promptTokens * this.#prefixes.expectedShare(state.info.name, keys)
-  }
-
-  #refuseEarly (request: RouteRequest, room: Room, nowMs: number): RefuseDecision | undefined {
-    if (nowMs >= request.deadlineMs) return refuse(createFailure(ResultCode.DeadlinePassed, 'deadline passed before the request was sent'))
-    if (room.candidates.length > 0) return undefined
-    const message = `no runner serves ${targetKey(request.target)} now`
-    return refuse(createFailure(ResultCode.NoRunner, message, { retryAfterMs: NO_RUNNER_RETRY_MS }))
-  }
-
   /** A new request does not overtake those of its own priority, or above, that wait for the same runners. */
   #mayPass (request: RouteRequest): boolean {
     return this.#queue.waitingOf(request.route) === 0
@@ -299,8 +232,7 @@
   #enqueue (request: RouteRequest, room: Room, nowMs: number): Decision {
     const ahead = this.#queue.waitingOf(request.route)
     if (ahead >= this.options.maxWaitingPerRoute) {
-      const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.#statsOf(request).expectedWaitMs(ahead, room.slots))
-      return refuse(createFailure(ResultCode.RateLimited, `route ${request.route} has its share of waiting requests`, { retryAfterMs }))
+      return overShare(request, this.#statsOf(request).expectedWaitMs(ahead, room.slots))
     }
     const expectedWaitMs = this.#statsOf(request).expectedWaitMs(this.#queue.aheadOf(request), room.slots)
     const least = leastFirstTokenMs(room, request)
@@ -310,8 +242,8 @@
   }
 
   #decideWaiting (request: RouteRequest, nowMs: number): SendDecision | RefuseDecision | undefined {
-    const room = this.#roomFor(request, nowMs)
-    const early = this.#refuseEarly(request, room, nowMs)
+    const room = this.#runners.roomFor(request, nowMs)
+    const early = refuseEarly(request, room, nowMs)
     if (early !== undefined) return early
     const choice = this.#choose(request, room, nowMs)
     if (choice !== undefined) return this.#sendTo(choice)
@@ -328,26 +260,3 @@
     return stats
   }
 }
-
-function prefixKeysOf (request: RouteRequest): string[] {
-  return request.prefixHashes.length === 0 ? [] : prefixKeys(targetKey(request.target), request.prefixHashes)
-}
-
-function refuse (failure: Failure): RefuseDecision {
-  return { kind: 'refuse', failure }
-}
-
-function overloaded (expectedWaitMs: number): RefuseDecision {
-  const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, expectedWaitMs)
-  return refuse(createFailure(ResultCode.Overloaded, 'the deadline cannot be met at the present load', { retryAfterMs }))
-}
-
-/** Least time to a first token if a place were free at once. */
-function leastFirstTokenMs (room: Room, request: RouteRequest): number {
-  let least = Infinity
-  for (const candidate of room.candidates) {
-    const ownTokens = Math.max(0, request.promptTokens - candidate.cachedTokens)
-    least = Math.min(least, candidate.roundTripMs + candidate.stepMs + ownTokens * candidate.prefillMsPerToken)
-  }
-  return least
-}
