Tell stopping claim streams from closing them for good

Cause of the failure: the streams' stop had become final, and the test of record ids starts a stopped one again. The daemon closes them; stop is as before.

--- a/packages/control/src/claims/claim-streams.ts
+++ b/packages/control/src/claims/claim-streams.ts
@@ -14,7 +14,7 @@
   #starts = 0
   readonly #running = new Map<number, { stream: ClaimStream, usedMs: number }>()
 
-  #stopped = false
+  #closed = false
 
   private constructor (private readonly options: ClaimStreamsOptions) {}
 
@@ -33,7 +33,7 @@
     const { gatewaysOf, ...options } = this.options
     this.#starts += 1
     const stream = ClaimStream.create({ ...options, index, instance: this.#starts, gateways: () => gatewaysOf(index) })
-    if (this.#stopped) stream.stop()
+    if (this.#closed) stream.stop()
     else this.#running.set(index, { stream, usedMs })
     return stream
   }
@@ -49,9 +49,14 @@
     }
   }
 
-  /** Stops all streams; those asked for later answer that they are unavailable. */
+  /** Stops all streams for good; those asked for later answer that they are unavailable. */
+  close (): void {
+    this.#closed = true
+    this.stop()
+  }
+
+  /** Stops all streams; one that is asked for later starts anew. */
   stop (): void {
-    this.#stopped = true
     for (const { stream } of this.#running.values()) stream.stop()
     this.#running.clear()
   }
--- a/packages/daemon/src/app.ts
+++ b/packages/daemon/src/app.ts
@@ -130,7 +130,8 @@
     this.#logTimer?.cancel()
     const parts = this.#parts
     if (parts !== undefined) {
-      for (const part of [parts.watch, parts.membership, parts.follower, parts.claims.keys, parts.claims.streams, parts.cells]) part.stop()
+      for (const part of [parts.watch, parts.membership, parts.follower, parts.claims.keys, parts.cells]) part.stop()
+      parts.claims.streams.close()
     }
     this.#listeners?.callers.destroy()
     this.#listeners?.operators.destroy()
