--- a/packages/bench/src/decisions/cell.ts
+++ b/packages/bench/src/decisions/cell.ts
@@ -15,6 +15,8 @@
 /** Work of a request for reference weights when nothing has been answered yet. */
 const FIRST_RUNNER_MS = 30
 const WARM_ROUNDS = 200
+/** Length of the ordinary day before the replay. */
+const HISTORY_MS = 3_600_000
 
 export class Cell {
   readonly engines = new Map<string, Engine>()
@@ -27,7 +29,7 @@
   readonly #diedMs = new Map<string, number>()
   readonly #lastCopies = new Map<string, RunnerInfo['copies']>()
   #changes: CopyChange[] = []
-  readonly #forecast = DemandForecast.create(0)
+  readonly #forecast = DemandForecast.create(-HISTORY_MS)
 
   private constructor (
     readonly deployment: Deployment,
@@ -58,6 +60,7 @@
   /** Places copies by plan for a known demand, without counting moves: the state after an ordinary day. */
   placeByPlan (demand: readonly { model: string, perS: number }[]): void {
     const planned = demand.map(({ model, perS }) => this.#demandOf(model, perS))
+    this.#forecast.observe(planned.map((row) => ({ ...row, requests: row.requestsPerS * HISTORY_MS / 1000 })), 0)
     for (let round = 0; round < WARM_ROUNDS; round++) {
       const steps = planCell({ ...this.#planInput(round * 100_000), demand: planned, budgets: { loads: 10, adapterLoads: 1000 } }, this.options)
       if (steps.length === 0) return
@@ -108,7 +111,7 @@
 
   #demandOf (model: string, perS: number) {
     const weightsMiB = this.#specOf(model).weightsMiB
-    return { model, version: '1', requestsPerS: perS, forecastPerS: perS, recentPeakPerS: perS, runnerMsPerRequest: FIRST_RUNNER_MS * weightsMiB / 16384 }
+    return { model, version: '1', requestsPerS: perS, forecastPerS: perS, recentPeakPerS: perS, usualPerS: perS, runnerMsPerRequest: FIRST_RUNNER_MS * weightsMiB / 16384 }
   }
 
   #planInput (nowMs: number): PlanInput {
--- a/packages/bench/src/decisions/versions.ts
+++ b/packages/bench/src/decisions/versions.ts
@@ -66,6 +66,7 @@
   deciding('fixed limit of 64', { createLimit: FixedLimit.create }),
   deciding('batch unbounded', { batchShare: 1 }),
   deciding('no demand copies', {}, { followDemand: false }),
+  deciding('no copies against a loss', {}, { maxWorkAfterLoss: Infinity }),
   deciding('no least residence', {}, { minResidenceMs: 0 }),
   { ...deciding('even static placement'), plan: undefined }
 ]
--- a/packages/placement/src/forecast/demand-forecast.ts
+++ b/packages/placement/src/forecast/demand-forecast.ts
@@ -2,10 +2,11 @@
 import type { ModelKey } from '@figloom/tables'
 import type { ModelDemand } from '../types.js'
 
-type History = ModelKey & { fastPerS: number, slowPerS: number, peakPerS: number, runnerMsPerRequest: number, copyMsPerRequest: number }
+type History = ModelKey & { fastPerS: number, slowPerS: number, usualPerS: number, peakPerS: number, runnerMsPerRequest: number, copyMsPerRequest: number }
 
 const FAST_S = 10
 const SLOW_S = 60
+const USUAL_S = 600
 const PEAK_DECAY_S = 600
 /** Time ahead for which demand is forecast: about one load. */
 const LEAD_S = 20
@@ -45,6 +46,7 @@
       requestsPerS: history.fastPerS,
       forecastPerS: forecast(history),
       recentPeakPerS: history.peakPerS,
+      usualPerS: history.usualPerS,
       runnerMsPerRequest: history.runnerMsPerRequest,
       copyMsPerRequest: history.copyMsPerRequest
     }))
@@ -52,13 +54,14 @@
 }
 
 function newHistory ({ model, version, runnerMsPerRequest, copyMsPerRequest = 0 }: DemandSample): History {
-  return { model, version, fastPerS: 0, slowPerS: 0, peakPerS: 0, runnerMsPerRequest, copyMsPerRequest }
+  return { model, version, fastPerS: 0, slowPerS: 0, usualPerS: 0, peakPerS: 0, runnerMsPerRequest, copyMsPerRequest }
 }
 
 function advance (history: History, sample: DemandSample | undefined, elapsedS: number): void {
   const rate = (sample?.requests ?? 0) / elapsedS
   history.fastPerS += (1 - Math.exp(-elapsedS / FAST_S)) * (rate - history.fastPerS)
   history.slowPerS += (1 - Math.exp(-elapsedS / SLOW_S)) * (rate - history.slowPerS)
+  history.usualPerS += (1 - Math.exp(-elapsedS / USUAL_S)) * (rate - history.usualPerS)
   history.peakPerS = Math.max(history.fastPerS, history.peakPerS * Math.exp(-elapsedS / PEAK_DECAY_S))
   if (sample === undefined || sample.runnerMsPerRequest <= 0) return
   if (history.runnerMsPerRequest <= 0) history.runnerMsPerRequest = sample.runnerMsPerRequest
--- a/packages/placement/src/plan/plan-cell.test.ts
+++ b/packages/placement/src/plan/plan-cell.test.ts
@@ -176,3 +176,16 @@
   const full = input.demand.map((row) => ({ ...row, copyMsPerRequest: 40 }))
   t.match(planCell({ ...input, demand: full }), [{ action: OrderAction.Load, runner: 'r2' }])
 })
+
+t.test('a busy model gets a copy against a loss, from free memory only', async (t) => {
+  const model = modelOf('a', 4)
+  const zones = ['x', 'y', 'z']
+  const inputWith = (memoryMiB: number) => {
+    const runners = zones.map((zone, index) => runnerOf(`r${index}`, index < 2 ? 10 : memoryMiB, zone, index < 2 ? [copyOf(model)] : []))
+    return inputOf({ models: [model], runners, rates: [1], moveWeight: 1 })
+  }
+  const withUsual = (input: PlanInput, usualPerS: number) => ({ ...input, demand: input.demand.map((row) => ({ ...row, usualPerS })) })
+  t.match(planCell(withUsual(inputWith(10), 70)), [{ action: OrderAction.Load, runner: 'r2' }])
+  t.same(planCell(withUsual(inputWith(10), 50)), [])
+  t.same(planCell(withUsual(inputWith(4), 70)), [])
+})
--- a/packages/placement/src/plan/plan-cell.ts
+++ b/packages/placement/src/plan/plan-cell.ts
@@ -4,6 +4,7 @@
 import { planAdapters, repairRoles } from './adapters.js'
 import { coverEveryModel, coverTwoZones, retireUnrouted } from './coverage.js'
 import { followDemand, workByModel } from './demand.js'
+import { coverOneLoss } from './loss.js'
 import { Draft } from './draft.js'
 
 /**
@@ -19,7 +20,10 @@
   coverEveryModel(draft, work)
   retireUnrouted(draft)
   coverTwoZones(draft, work)
-  if (draft.options.followDemand && isCovered(draft)) followDemand(draft, work)
+  if (draft.options.followDemand && isCovered(draft)) {
+    followDemand(draft, work)
+    coverOneLoss(draft)
+  }
   return draft.steps
 }
 
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -9,6 +9,8 @@
   forecastPerS: number
   /** Highest rate of late, decaying slowly; decides when a copy is no longer needed. */
   recentPeakPerS: number
+  /** Mean rate over some ten minutes: what a model has to carry whatever fails. */
+  usualPerS?: number
   /** Share of one runner that one request takes, in milliseconds of the whole runner. */
   runnerMsPerRequest: number
   /** Share of one copy's places that one request takes, in milliseconds of the whole copy. */
@@ -45,6 +47,8 @@
   minResidenceMs: number
   /** Whether copies follow demand at all. */
   followDemand: boolean
+  /** Work of a copy after the loss of another, in runners, from which free memory takes one more copy. */
+  maxWorkAfterLoss: number
   /** Moves for demand in one plan. */
   maxDemandMoves: number
 }
@@ -55,5 +59,6 @@
   minMoveCostS: 1,
   minResidenceMs: 60_000,
   followDemand: true,
+  maxWorkAfterLoss: 0.6,
   maxDemandMoves: 4
 }
