Share demand and loads between the hosts of a cell; use one rule for the tables

Demand reached only the holder's own host before; peers now tell theirs, and runners' reports are read by one host in turn. Defaults of leases, claims and polls follow the measurements of control.

--- a/packages/control/src/config/config-follower.ts
+++ b/packages/control/src/config/config-follower.ts
@@ -14,6 +14,8 @@
 
 export type ConfigFollowerOptions<State> = {
   log: LogClient
+  /** Stream to follow; `CONFIG_STREAM` by default. */
+  stream?: string
   clock: Clock
   logger: Logger
   rule: ConfigRule<State>
@@ -50,7 +52,7 @@
     super(options.onFault ?? ((error) => options.logger.error('config follower failed', { error: String(error) })))
     this.#follower = StreamFollower.create({
       log: options.log,
-      stream: CONFIG_STREAM,
+      stream: this.#stream,
       clock: options.clock,
       waitMs: options.waitMs ?? DEFAULT_WAIT_MS,
       retryMs: options.retryMs ?? DEFAULT_RETRY_MS,
@@ -60,6 +62,10 @@
     this.#schedule = SnapshotSchedule.create(options.clock, options.snapshots, () => this.post({ kind: 'snapshot' }))
   }
 
+  get #stream (): string {
+    return this.options.stream ?? CONFIG_STREAM
+  }
+
   static create<State> (options: ConfigFollowerOptions<State>): ConfigFollower<State> {
     return new ConfigFollower(options)
   }
@@ -127,7 +133,7 @@
 
   async #begin (): Promise<void> {
     const { log, rule, peers, clock, logger } = this.options
-    const start = await findStart({ log, stream: CONFIG_STREAM, rule, peers, offset: this.#offset(), onPeerState: (state) => this.#adoptOfPeer(state) })
+    const start = await findStart({ log, stream: this.#stream, rule, peers, offset: this.#offset(), onPeerState: (state) => this.#adoptOfPeer(state) })
     if (this.stopped) return
     if (start.state !== undefined) this.#adopt(start.state)
     if (start.logAnswered) this.#logAnsweredMs = clock.monotonicMs()
@@ -208,7 +214,7 @@
     const { log, rule } = this.options
     this.#schedule.restart()
     if (!this.#serving || this.#state === undefined || this.#offset() === 0 || this.#status !== FollowerStatus.Following) return
-    const result = await log.append(CONFIG_STREAM, `snapshot-${this.#offset()}`, rule.snapshotRecord(this.#state))
+    const result = await log.append(this.#stream, `snapshot-${this.#offset()}`, rule.snapshotRecord(this.#state))
     if (result.isErr()) this.options.logger.warn('configuration snapshot was not written', { reason: result.error.message })
   }
 
--- a/packages/control/src/config/tables-rule.ts
+++ b/packages/control/src/config/tables-rule.ts
@@ -3,7 +3,7 @@
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import type { LogRecord } from '@figloom/platform'
 import {
-  adoptSnapshot, createConfigState, createSnapshot, foldRecord, parseConfigRecord, RecordKind,
+  adoptSnapshot, createConfigState, createSnapshot, foldRecord, parseConfigRecord, RecordKind, snapshotIn,
   type ConfigState
 } from '@figloom/tables'
 import { ConfigRule, ConfigVerdict, type ConfigStep, type JudgedEdit } from './types.js'
@@ -26,7 +26,7 @@
     const outcome = foldRecord(state, record)
     if (outcome.kind === 'unknown-rule') return { state, verdict: ConfigVerdict.UnknownRule }
     if (outcome.kind !== 'applied') return { state, verdict: ConfigVerdict.Snapshot }
-    if (outcome.edit === undefined) return { state: outcome.state, verdict: ConfigVerdict.Snapshot }
+    if (outcome.edit === undefined) return { state: outcome.state, verdict: verdictWithoutEdit(outcome.recordKind) }
     const { editId, verdict } = outcome.edit
     return { state: outcome.state, verdict: state.edits.has(editId) ? ConfigVerdict.Repeated : verdict.kind, detail: outcome.edit }
   }
@@ -58,10 +58,16 @@
   }
 
   override stateInRecord (record: LogRecord): ConfigState | undefined {
-    return toState(record.body)
+    const snapshot = snapshotIn(record)
+    return snapshot === undefined ? undefined : adoptSnapshot(createConfigState(), snapshot)
   }
 }
 
+/** Only a snapshot puts off the next one. */
+function verdictWithoutEdit (kind: RecordKind | undefined): ConfigVerdict {
+  return kind === RecordKind.Snapshot ? ConfigVerdict.Snapshot : ConfigVerdict.Noted
+}
+
 function toState (body: unknown): ConfigState | undefined {
   const parsed = parseConfigRecord(body)
   if (parsed.isErr() || parsed.value.kind !== RecordKind.Snapshot) return undefined
--- a/packages/control/src/config/types.ts
+++ b/packages/control/src/config/types.ts
@@ -12,6 +12,8 @@
   Repeated: 'repeated',
   /** A snapshot, or another record without a verdict. */
   Snapshot: 'snapshot',
+  /** Read in order, but no edit: rows cleared, or a record that nobody can read. */
+  Noted: 'noted',
   /** The record needs a rule version that this release does not have. */
   UnknownRule: 'unknown-rule'
 } as const
--- a/packages/daemon/src/app.ts
+++ b/packages/daemon/src/app.ts
@@ -15,6 +15,7 @@
 import { createCallersHandler } from './callers/app.js'
 import type { CellSet } from './cells/cell-set.js'
 import { ObservedHostList } from './cells/observed-host-list.js'
+import { DemandMeter } from './cells/demand-meter.js'
 import type { RunnerWatch } from './cells/runner-watch.js'
 import { HostDirectory, HostLookup } from './config/host-directory.js'
 import { HttpListener, type ListenerHandler } from './listener/http-listener.js'
@@ -32,6 +33,7 @@
   frame: DaemonFrame
   hostList: HostListClient
   membership: Membership
+  demand: DemandMeter
   cells: CellSet
   watch: RunnerWatch
   claims: Claims
@@ -52,7 +54,7 @@
 
 /** Age of the log's last answer to the configuration follower below which the log counts as answering, in milliseconds. */
 const LOG_FRESH_MS = 12_000
-const LOG_CHECK_MS = 1000
+const TICK_MS = 1000
 
 /** One entry host. */
 export class Daemon {
@@ -61,7 +63,7 @@
   readonly #clients: Clients
   #parts: Parts | undefined
   #listeners: Listeners | undefined
-  #logTimer: Timer | undefined
+  #timer: Timer | undefined
   #isLeaving = false
   #isClosed = false
 
@@ -127,7 +129,7 @@
   /** Stops at once; requests in flight are cut. */
   async stop (): Promise<void> {
     this.#isClosed = true
-    this.#logTimer?.cancel()
+    this.#timer?.cancel()
     const parts = this.#parts
     if (parts !== undefined) {
       for (const part of [parts.watch, parts.membership, parts.follower, parts.claims.keys, parts.cells]) part.stop()
@@ -142,13 +144,14 @@
     const { settings, clients } = frame
     const metrics = createRequestMetrics(this.registry)
     const hostList = ObservedHostList.create(clients.hostList, (names) => this.#parts?.cells.setLeavingBackends(names))
-    const membership = createMembership(frame, hostList)
-    const { cells, watch } = createCells(frame, membership)
-    const claims = createClaims(frame, membership)
+    const demand = DemandMeter.create(frame.clock)
+    const membership = createMembership(frame, hostList, demand, () => this.#parts?.cells.neighbors() ?? [])
+    const { cells, watch } = createCells(frame, membership, demand)
+    const claims = createClaims(frame, membership, () => this.#parts?.directory.zonesOf(settings.host.region) ?? new Set())
     const follower = createFollower(frame, membership, hostList)
     const directory = HostDirectory.create({ cells, membership: () => membership.view(), lookupTtlMs: settings.lookup.ttlMs })
     const requests = await createRequests(frame, { directory, keys: claims.keys, metrics, isClosed: () => this.#isClosed })
-    const parts = { frame, hostList, membership, cells, watch, claims, follower, directory, requests }
+    const parts = { frame, hostList, membership, demand, cells, watch, claims, follower, directory, requests }
     this.#parts = parts
     return parts
   }
@@ -157,6 +160,7 @@
     membership.subscribe((view) => {
       cells.setMembership(view)
       watch.takePeerLoads((runner) => membership.loadsOf(runner))
+      cells.takePeerLoads((runner) => membership.loadsOf(runner))
       claims.followGateways()
     })
     follower.subscribe((state, version) => {
@@ -165,18 +169,19 @@
       cells.setTables(tables)
       membership.update({ configVersion: version })
     })
-    this.#watchLog()
+    this.#tick()
     this.#registerGauges()
     membership.start()
     follower.start()
     watch.start()
   }
 
-  /** Tells membership while the follower's reads of the log are answered. */
-  #watchLog (): void {
-    this.#logTimer = this.options.clock.setTimer(LOG_CHECK_MS, () => this.#watchLog())
+  /** Once a second: tells membership while the follower's reads of the log are answered, and reads the demand. */
+  #tick (): void {
+    this.#timer = this.options.clock.setTimer(TICK_MS, () => this.#tick())
     const { logAgeMs = Infinity } = this.#parts?.follower.report() ?? {}
     if (logAgeMs < LOG_FRESH_MS) this.#parts?.membership.logAnswered()
+    this.#parts?.cells.readDemand()
   }
 
   #registerGauges (): void {
@@ -200,7 +205,7 @@
 
   #createOperators (parts: Parts): ListenerHandler {
     const { settings, clock } = this.options
-    const { membership, requests, claims, follower, cells, directory } = parts
+    const { membership, requests, claims, demand, follower, cells, directory } = parts
     const isReady = () => follower.report().ready && directory.configVersion > 0 && !this.#isLeaving
     const operators = HostOperatorView.create({
       cells,
@@ -217,7 +222,7 @@
       registry: this.registry,
       isReady,
       registerInner: (router) => registerInnerService(router, {
-        clock, requests, membership, claims: claims.streams, operators, snapshot: (newerThan) => follower.snapshot(newerThan)
+        clock, requests, membership, claims: claims.streams, demand, operators, snapshot: (newerThan) => follower.snapshot(newerThan)
       })
     })
   }
--- a/packages/daemon/src/assembly/cells.ts
+++ b/packages/daemon/src/assembly/cells.ts
@@ -1,5 +1,6 @@
 import { DEFAULT_LEASE_SETTINGS, type Membership } from '@figloom/control'
 import { CellSet } from '../cells/cell-set.js'
+import type { DemandMeter } from '../cells/demand-meter.js'
 import { probeService } from '../cells/probe-service.js'
 import { RunnerWatch } from '../cells/runner-watch.js'
 import type { DaemonFrame } from './types.js'
@@ -8,7 +9,7 @@
 const RUNNER_SILENT_MS = 4500
 
 /** Creates this host's cells and the watch over their runners. */
-export function createCells (frame: DaemonFrame, membership: Membership): { cells: CellSet, watch: RunnerWatch } {
+export function createCells (frame: DaemonFrame, membership: Membership, demand: DemandMeter): { cells: CellSet, watch: RunnerWatch } {
   const { settings, clients, clock } = frame
   const watch: RunnerWatch = RunnerWatch.create({
     clock,
@@ -24,11 +25,11 @@
       membership.update({ runners: watch.loads((runner) => cells.inFlightOf(runner)) })
     }
   })
-  const cells = createCellSet(frame, membership, watch)
+  const cells = createCellSet(frame, membership, watch, demand)
   return { cells, watch }
 }
 
-function createCellSet (frame: DaemonFrame, membership: Membership, watch: RunnerWatch): CellSet {
+function createCellSet (frame: DaemonFrame, membership: Membership, watch: RunnerWatch, demand: DemandMeter): CellSet {
   const { settings, clients, self, clock, ids, logger, random } = frame
   const { placement, lease, host } = settings
   return CellSet.create({
@@ -52,6 +53,7 @@
     horizonMs: placement.horizonMs,
     isControlEnabled: settings.control.enabled,
     watch,
+    demand,
     membership: () => membership.state(),
     onCells: (cells) => membership.update({ cells })
   })
--- a/packages/daemon/src/assembly/claims.ts
+++ b/packages/daemon/src/assembly/claims.ts
@@ -1,5 +1,5 @@
 import {
-  ClaimStreams, DEFAULT_CLAIM_LIMITS, KeyClaims, Liveness, rankGateways, streamsOfGateway,
+  claimOrder, ClaimStreams, DEFAULT_CLAIM_LIMITS, KeyClaims, Liveness, rankGateways, streamsOfGateway,
   type GatewayCandidate, type Membership
 } from '@figloom/control'
 import { InnerClaimPeers } from '../peers/peer-calls.js'
@@ -13,10 +13,14 @@
   followGateways: () => void
 }
 
-/** Creates the claim streams and the entry point for keyed calls. */
-export function createClaims (frame: DaemonFrame, membership: Membership): Claims {
+/**
+ * Creates the claim streams and the entry point for keyed calls.
+ * `ownRegionZones` gives the availability zones of this host's region.
+ */
+export function createClaims (frame: DaemonFrame, membership: Membership, ownRegionZones: () => ReadonlySet<string>): Claims {
   const { settings, clients, self, clock, ids, logger } = frame
   const gatewaysOf = (index: number) => rankGateways(index, candidates(membership))
+  const claimOrderOf = (index: number) => claimOrder(index, candidates(membership), ownRegionZones())
   const streams = ClaimStreams.create({
     log: clients.log,
     clock,
@@ -27,12 +31,13 @@
     gatewaysOf
   })
   const peers = InnerClaimPeers.create(clients.inner, (host) => membership.state().hosts.get(host)?.innerUrl)
-  const keys = KeyClaims.create({ ...self, clock, ids, peers, streams, gatewaysOf })
+  const keys = KeyClaims.create({ ...self, clock, ids, peers, streams, gatewaysOf: claimOrderOf })
   return { streams, keys, followGateways: () => streams.keepOnly(streamsOfGateway(self.host, candidates(membership))) }
 }
 
+/** Hosts of other cells are known from the list alone; every host has to choose among the same ones. */
 function candidates (membership: Membership): GatewayCandidate[] {
-  return membership.view().hosts.filter(({ liveness, leaving }) => liveness === Liveness.Live && !leaving)
+  return membership.view().hosts.filter(({ liveness, leaving }) => !leaving && (liveness === Liveness.Live || liveness === Liveness.Listed))
 }
 
 function isLive (membership: Membership, self: DaemonFrame['self'], host: string, incarnation: string): boolean {
--- a/packages/daemon/src/assembly/follower.ts
+++ b/packages/daemon/src/assembly/follower.ts
@@ -1,7 +1,6 @@
-import { ConfigFollower, type Membership } from '@figloom/control'
+import { ConfigFollower, TablesRule, type Membership } from '@figloom/control'
 import type { HostListClient } from '@figloom/platform'
 import type { ConfigState } from '@figloom/tables'
-import { TablesRule } from '../config/tables-rule.js'
 import { InnerSnapshotSource } from '../peers/peer-calls.js'
 import { PEER_TIMEOUT_MS } from './membership.js'
 import type { DaemonFrame } from './types.js'
@@ -13,6 +12,7 @@
   const { clients, clock, logger, self } = frame
   return ConfigFollower.create({
     log: clients.log,
+    stream: frame.settings.platform.configStream,
     clock,
     logger,
     rule: TablesRule.create(),
--- a/packages/daemon/src/assembly/membership.ts
+++ b/packages/daemon/src/assembly/membership.ts
@@ -1,5 +1,6 @@
 import { DEFAULT_MEMBERSHIP_TIMES, Membership, type PeerReport } from '@figloom/control'
 import type { HostListClient } from '@figloom/platform'
+import type { DemandMeter } from '../cells/demand-meter.js'
 import { InnerPeerExchange } from '../peers/peer-calls.js'
 import { RELEASE } from '../program.js'
 import type { DaemonFrame } from './types.js'
@@ -8,14 +9,15 @@
 export const PEER_TIMEOUT_MS = 1500
 
 /** Creates the task that keeps this host's view of its peers. */
-export function createMembership (frame: DaemonFrame, hostList: HostListClient): Membership {
+export function createMembership (frame: DaemonFrame, hostList: HostListClient, demand: DemandMeter, neighbors: () => string[]): Membership {
   const { settings, clock, logger, clients } = frame
   return Membership.create({
     clock,
     logger,
     hostList,
-    exchange: InnerPeerExchange.create(clients.inner, PEER_TIMEOUT_MS),
+    exchange: InnerPeerExchange.create(clients.inner, demand, PEER_TIMEOUT_MS),
     self: createOwnReport(frame),
+    neighbors,
     times: {
       ...DEFAULT_MEMBERSHIP_TIMES,
       heartbeatMs: settings.health.peerExchangeMs,
--- a/packages/daemon/src/cells/cell-set.ts
+++ b/packages/daemon/src/cells/cell-set.ts
@@ -1,7 +1,7 @@
 /** The cells of this host: started and stopped as tables and hosts change. */
 import {
   assignHosts, cellConfigOf, CellHolder, GoneEvidence, Liveness,
-  type HostView, type LeaseSettings, type MembershipState, type MembershipView, type Sender, type StoreLimits
+  type HostView, type LeaseSettings, type MembershipState, type MembershipView, type RunnerLoadRecord, type Sender, type StoreLimits
 } from '@figloom/control'
 import type { EngineClient, EngineReport, LogClient } from '@figloom/platform'
 import type { Clock, IdSource, Logger } from '@figloom/runtime'
@@ -10,6 +10,7 @@
 import { Cell, type RunnerBars } from './cell.js'
 import { CellPlanner } from './cell-planner.js'
 import { CellRouter } from './cell-router.js'
+import type { DemandMeter } from './demand-meter.js'
 import type { RunnerWatch, WatchedRunner } from './runner-watch.js'
 
 export type CellSetOptions = {
@@ -30,6 +31,7 @@
   /** Whether this host takes part in control. */
   isControlEnabled: boolean
   watch: RunnerWatch
+  demand: DemandMeter
   /** State of membership, for drains. */
   membership: () => Readonly<MembershipState>
   /** Called with the names of the cells that this host serves. */
@@ -43,6 +45,7 @@
   #tables: Tables = { routes: [], pools: [] }
   #view: MembershipView | undefined
   #toldCells = ''
+  readonly #loadsHeard = new Map<string, number>()
   #leavingBackends: ReadonlySet<string> = new Set()
 
   private constructor (private readonly options: CellSetOptions) {}
@@ -94,6 +97,26 @@
     }
   }
 
+  /** Takes in what peers told of the runners that they read and of what they have in flight there. */
+  takePeerLoads (loadsOf: (runner: string) => RunnerLoadRecord[]): void {
+    for (const { pool, router } of this.#cells.values()) {
+      for (const { name } of pool.runners) {
+        for (const load of loadsOf(name)) this.#takePeerLoad(router, load)
+      }
+    }
+  }
+
+  /** Reads this host's own demand. */
+  readDemand (): void {
+    this.options.demand.read(this.all.map(({ pool, router }) => ({ pool: pool.name, demand: router.takeDemand() })))
+  }
+
+  /** Hosts that share a cell with this one. */
+  neighbors (): string[] {
+    const hosts = this.all.flatMap(({ pool }) => this.hostsOf(pool))
+    return [...new Set(hosts.filter(({ self }) => !self).map(({ host }) => host))]
+  }
+
   /** Requests of this host in flight at a runner. */
   inFlightOf (runner: string): number {
     for (const cell of this.#cells.values()) {
@@ -124,6 +147,15 @@
     return assignHosts(pool.name, inRegion)
   }
 
+  #takePeerLoad (router: CellRouter, load: RunnerLoadRecord): void {
+    const { runner, from, heardMs, inFlightFromSender, reportAgeMs, running, queued, kvUsedMib } = load
+    const key = `${from}/${runner}`
+    if (this.#loadsHeard.get(key) === heardMs) return
+    this.#loadsHeard.set(key, heardMs)
+    router.onNeighbour({ host: from, runner, inFlight: inFlightFromSender, pendingTokens: 0 })
+    if (reportAgeMs !== undefined) router.onReport(runner, { running, queued, kvUsedMiB: kvUsedMib, ageMs: reportAgeMs })
+  }
+
   #usableHosts (): HostView[] {
     return (this.#view?.hosts ?? [])
       .filter(({ self, leaving, liveness }) => self || (!leaving && (liveness === Liveness.Live || liveness === Liveness.Listed)))
@@ -168,20 +200,20 @@
     const { clock, random, availabilityZone, isControlEnabled } = this.options
     const router = CellRouter.create({ clock, random, availabilityZone })
     const routes = this.#tables.routes.filter((route) => route.pool === pool.name)
-    const holder = pool.models.length > 0 && isControlEnabled ? this.#createHolder(pool.name, router) : undefined
+    const holder = pool.models.length > 0 && isControlEnabled ? this.#createHolder(pool.name) : undefined
     const cell = Cell.create({ pool, routes, router, holder })
     cell.refresh()
     holder?.start()
     return cell
   }
 
-  #createHolder (name: string, router: CellRouter): CellHolder {
-    const { clock, ids, logger, log, engines, self, lease, planEveryMs, horizonMs } = this.options
+  #createHolder (name: string): CellHolder {
+    const { clock, ids, logger, log, engines, self, lease, planEveryMs, horizonMs, demand } = this.options
     const planner = CellPlanner.create({
       clock,
       planEveryMs,
       horizonMs,
-      takeDemand: () => router.takeDemand(),
+      takeDemand: () => demand.takeSamples(name),
       tables: () => {
         const cell = this.#cells.get(name)
         return cell === undefined ? undefined : { pool: cell.pool, routes: cell.routes, config: this.#configOf(name) }
--- a/packages/daemon/src/cells/runner-watch.ts
+++ b/packages/daemon/src/cells/runner-watch.ts
@@ -68,13 +68,6 @@
     }
   }
 
-  /** Notes that a connection to a runner failed, or an attempt there was answered. */
-  noteAttempt (runner: string, answered: boolean): void {
-    const nowMs = this.options.clock.monotonicMs()
-    if (answered) this.#health.answered(runner, nowMs)
-    else this.#health.failed(runner, nowMs)
-  }
-
   /** Why a runner gets no new work from this host; undefined if it may. */
   barOf (runner: string, state: Readonly<MembershipState>): string | undefined {
     return this.#health.barOf(runner, state, this.options.clock.monotonicMs())
--- a/packages/daemon/src/peers/inner-service.ts
+++ b/packages/daemon/src/peers/inner-service.ts
@@ -6,17 +6,19 @@
 } from '@figloom/protocol'
 import { ResultCode, SpanKind, startHopSpan, type Clock } from '@figloom/runtime'
 import { streamIndexOf, type ClaimStreams, type Membership } from '@figloom/control'
+import type { DemandMeter } from '../cells/demand-meter.js'
 import type { OperatorView } from '../operators/operator-view.js'
 import type { RequestService } from '../requests/serve.js'
 import type { CallerRequest } from '../requests/types.js'
 import { AnswerStream } from './answer-stream.js'
-import { toAttemptEnd, toClaimRequest, toClaimResponse, toPeerReport, toPeerState } from './messages.js'
+import { toAttemptEnd, toClaimRequest, toClaimResponse, toDemandRates, toPeerReport, toPeerState } from './messages.js'
 
 export type InnerServiceOptions = {
   clock: Clock
   requests: RequestService
   membership: Membership
   claims: ClaimStreams
+  demand: DemandMeter
   operators: OperatorView
   /** Canonical configuration snapshot, when it is newer. */
   snapshot: (newerThanOffset: number) => { offset: number, snapshot: unknown } | undefined
@@ -24,12 +26,13 @@
 
 /** Registers the service on a connect router. */
 export function registerInnerService (router: ConnectRouter, options: InnerServiceOptions): void {
-  const { membership, claims, operators } = options
+  const { membership, claims, operators, demand } = options
   router.service(InnerService, {
     forward: (request, context) => forward(options, request, context),
     exchangeState: (request) => {
       requireVersion(request.protocolVersion)
-      return toPeerState(membership.onExchange(toPeerReport(request)))
+      demand.takePeer(request.host, toDemandRates(request))
+      return toPeerState(membership.onExchange(toPeerReport(request)), demand.own)
     },
     getSnapshot: (request) => getSnapshot(options, request),
     claimKey: async (request) => {
--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -5,9 +5,10 @@
   type ClaimKeyRequest, type ClaimKeyResponse, type EndAttemptRequest, type KeptAnswer as KeptAnswerMessage, type PeerState
 } from '@figloom/protocol'
 import { TakenReason, type AttemptEnd, type ClaimAnswer, type ClaimRequest, type KeptAnswer, type PeerReport } from '@figloom/control'
+import type { DemandRate } from '../cells/demand-meter.js'
 
 /** Converts this host's report to the message that peers exchange. */
-export function toPeerState (report: PeerReport): PeerState {
+export function toPeerState (report: PeerReport, demand: readonly DemandRate[]): PeerState {
   return create(PeerStateSchema, {
     protocolVersion: PROTOCOL_VERSION,
     host: report.host,
@@ -20,12 +21,19 @@
     cells: report.cells,
     release: report.release,
     drains: report.drains,
+    demand: [...demand],
     runners: report.runners.map(({ reportAgeMs, ...load }) => ({
       ...load, ...(reportAgeMs === undefined ? {} : { reportAgeMs: Math.round(reportAgeMs) })
     }))
   })
 }
 
+/** Demand that a peer has seen. */
+export function toDemandRates ({ demand }: PeerState): DemandRate[] {
+  return demand.map(({ pool, model, version, requestsPerS, runnerMsPerRequest, copyMsPerRequest }) => (
+    { pool, model, version, requestsPerS, runnerMsPerRequest, copyMsPerRequest }))
+}
+
 /** Converts a peer's message to its report. */
 export function toPeerReport (state: PeerState): PeerReport {
   const { host, availabilityZone, url, innerUrl, incarnation, leaving, cells, release } = state
@@ -46,15 +54,18 @@
   }
 }
 
+/** Converts a claim to the message that a gateway gets. */
 export function toClaimMessage (request: ClaimRequest): ClaimKeyRequest {
   return create(ClaimKeyRequestSchema, { protocolVersion: PROTOCOL_VERSION, ...request, timeoutMs: Math.max(0, Math.floor(request.timeoutMs)) })
 }
 
+/** Converts a gateway's message to the claim. */
 export function toClaimRequest (message: ClaimKeyRequest): ClaimRequest {
   const { key, fingerprint, attemptId, host, incarnation, timeoutMs } = message
   return { key, fingerprint, attemptId, host, incarnation, timeoutMs }
 }
 
+/** Converts a gateway's answer to its message. */
 export function toClaimResponse (answer: ClaimAnswer): ClaimKeyResponse {
   switch (answer.kind) {
     case 'won': return create(ClaimKeyResponseSchema, { answer: { case: 'won', value: {} } })
@@ -75,6 +86,7 @@
   }
 }
 
+/** Converts the end of an attempt to the message that a gateway gets. */
 export function toEndMessage (end: AttemptEnd): EndAttemptRequest {
   const answer = end.kind === 'outcome' ? end.answer : undefined
   return create(EndAttemptRequestSchema, {
@@ -86,6 +98,7 @@
   })
 }
 
+/** Converts a gateway's message to the end of an attempt. */
 export function toAttemptEnd ({ key, attemptId, sent, answer }: EndAttemptRequest): AttemptEnd {
   if (!sent) return { kind: 'void', key, attemptId }
   return answer === undefined ? { kind: 'outcome', key, attemptId } : { kind: 'outcome', key, attemptId, answer: toKeptAnswer(answer) }
--- a/packages/daemon/src/peers/peer-calls.ts
+++ b/packages/daemon/src/peers/peer-calls.ts
@@ -1,24 +1,27 @@
 /** Calls to peers that control makes: state exchange, snapshots and claims. */
 import { ClaimPeers, PeerExchange, SnapshotSource, type AttemptEnd, type ClaimAnswer, type ClaimRequest, type PeerReport } from '@figloom/control'
 import { PROTOCOL_VERSION } from '@figloom/protocol'
+import type { DemandMeter } from '../cells/demand-meter.js'
 import type { InnerClients } from './inner-clients.js'
-import { toClaimAnswer, toClaimMessage, toEndMessage, toPeerReport, toPeerState } from './messages.js'
+import { toClaimAnswer, toClaimMessage, toDemandRates, toEndMessage, toPeerReport, toPeerState } from './messages.js'
 
 const SNAPSHOT_PEERS = 3
 
 /** Exchanges state over the inner protocol. */
 export class InnerPeerExchange extends PeerExchange {
-  private constructor (private readonly clients: InnerClients, private readonly timeoutMs: number) {
+  private constructor (private readonly clients: InnerClients, private readonly demand: DemandMeter, private readonly timeoutMs: number) {
     super()
   }
 
-  static create (clients: InnerClients, timeoutMs: number): InnerPeerExchange {
-    return new InnerPeerExchange(clients, timeoutMs)
+  static create (clients: InnerClients, demand: DemandMeter, timeoutMs: number): InnerPeerExchange {
+    return new InnerPeerExchange(clients, demand, timeoutMs)
   }
 
   override async exchange (innerUrl: string, report: PeerReport): Promise<PeerReport | undefined> {
     try {
-      return toPeerReport(await this.clients.get(innerUrl).exchangeState(toPeerState(report), { timeoutMs: this.timeoutMs }))
+      const state = await this.clients.get(innerUrl).exchangeState(toPeerState(report, this.demand.own), { timeoutMs: this.timeoutMs })
+      this.demand.takePeer(state.host, toDemandRates(state))
+      return toPeerReport(state)
     } catch {
       return undefined
     }
--- a/packages/settings/src/daemon/schema.ts
+++ b/packages/settings/src/daemon/schema.ts
@@ -57,17 +57,17 @@
 })
 
 const health = z.strictObject({
-  reportPollMs: milliseconds(500, 'Time between two reads of a runner\'s load report.'),
+  reportPollMs: milliseconds(2000, 'Time between two reads of a runner\'s load report.'),
   reportTimeoutMs: milliseconds(1000, 'Timeout of one read of a load report.'),
-  unhealthyAfterMs: milliseconds(2000, 'A runner that gave no report for this long receives no new work.'),
+  unhealthyAfterMs: milliseconds(4500, 'A runner that gave no report for this long receives no new work.'),
   peerExchangeMs: milliseconds(1000, 'Time between two exchanges of state with a peer of the same cell.'),
   peerTimeoutMs: milliseconds(3500, 'A peer that was silent for this long counts as gone.'),
   connectTimeoutMs: milliseconds(1000, 'Timeout for opening a connection to a backend server or peer.')
 })
 
 const lease = z.strictObject({
-  durationMs: milliseconds(6000, 'Time for which a claim of a cell\'s lease holds.'),
-  renewEveryMs: milliseconds(2000, 'Time between two renewals by the holder.'),
+  durationMs: milliseconds(15_000, 'Time for which a claim of a cell\'s lease holds.'),
+  renewEveryMs: milliseconds(8000, 'Time between two renewals by the holder.'),
   marginMs: milliseconds(500, 'Time that others wait beyond the lease\'s end, for drift of clocks.')
 })
 
@@ -81,9 +81,9 @@
 })
 
 const claims = z.strictObject({
-  batchWindowMs: milliseconds(5, 'Time for which claims of idempotency keys are gathered into one append.', { min: 0 }),
+  batchWindowMs: milliseconds(25, 'Time for which claims of idempotency keys are gathered into one append.', { min: 0 }),
   maxBatch: integer(256, 'Claims in one append.'),
-  keepAnswersMs: milliseconds(3_600_000, 'Time for which the answer to a keyed call is kept for repeats.'),
+  keepAnswersMs: milliseconds(1_800_000, 'Time for which the answer to a keyed call is kept for repeats.'),
   maxKeptAnswers: integer(20_000, 'Answers kept at once.'),
   maxKeptAnswerBytes: integer(64 * 1024, 'Largest answer that is kept; a repeat of a larger one is told that it ran.')
 })
