Follow the new defaults in the test of rules between settings

The rule on health.unhealthyAfterMs is broken in the test by a poll as long as the new default of 4500 ms; before by one as long as the former 2000 ms.

--- a/packages/settings/src/daemon/settings.test.ts
+++ b/packages/settings/src/daemon/settings.test.ts
@@ -33,7 +33,7 @@
 [lease]
 durationMs = 2500
 [health]
-reportPollMs = 2000
+reportPollMs = 4500
 peerExchangeMs = 3500
 [retry]
 backoffMs = 5000
