Let a holder whose lease lapsed read before it renews

A holder that woke up after a takeover, or came back from an outage, appended a renewal that was void. With the guard out lease.test.js fails; golden.test.js does not, as there the order of the retried append and the read decides.

--- a/packages/control/src/cell/lease-watch.ts
+++ b/packages/control/src/cell/lease-watch.ts
@@ -12,6 +12,7 @@
   #sentMs = -Infinity
   #readsSinceMs: number | undefined
   #failedSinceMs: number | undefined
+  #lapseNoticedMs: number | undefined
   #hosts: string[] = []
   readonly #suspectedMs = new Map<string, number>()
 
@@ -61,6 +62,8 @@
   }
 
   decide (claim: Claim | undefined): LeaseAction {
+    const hasLapsed = claim?.sender.incarnation === this.options.self.incarnation && !this.isHolder(claim)
+    this.#lapseNoticedMs = hasLapsed ? this.#lapseNoticedMs ?? this.options.clock.monotonicMs() : undefined
     return decideLease(this.#input(claim), this.options.settings)
   }
 
@@ -74,6 +77,7 @@
       sentMs: this.#sentMs,
       readsSinceMs: this.#readsSinceMs,
       suspectedSinceMs: claim === undefined ? undefined : this.#suspectedMs.get(claim.sender.host),
+      lapseNoticedMs: this.#lapseNoticedMs,
       rank: this.#rankAfter(claim)
     }
   }
--- a/packages/control/src/cell/lease.test.ts
+++ b/packages/control/src/cell/lease.test.ts
@@ -26,6 +26,14 @@
   t.equal(decideLease({ ...own, nowMs: settings.renewEveryMs }, settings), LeaseAction.Renew)
 })
 
+t.test('holder paused past its lease reads before it renews', async (t) => {
+  const nowMs = settings.leaseMs + 1
+  const own = { ...input, self: hostA, nowMs, lapseNoticedMs: nowMs }
+  t.equal(decideLease(own, settings), LeaseAction.None)
+  t.equal(decideLease({ ...own, nowMs: nowMs + settings.staggerMs }, settings), LeaseAction.Renew)
+  t.equal(decideLease({ ...own, nowMs: nowMs + settings.staggerMs, readsSinceMs: undefined }, settings), LeaseAction.None)
+})
+
 t.test('candidates claim one after another', async (t) => {
   const expiresMs = expiresForOthersMs(0, claim, settings)
   t.equal(decideLease({ ...input, rank: 2, nowMs: expiresMs + settings.staggerMs }, settings), LeaseAction.None)
--- a/packages/control/src/cell/lease.ts
+++ b/packages/control/src/cell/lease.ts
@@ -41,6 +41,8 @@
   readsSinceMs: number | undefined
   /** Direct evidence, since when, that the holder does not answer. */
   suspectedSinceMs: number | undefined
+  /** When this host, as the holder, noticed that its lease had lapsed; undefined while it runs. */
+  lapseNoticedMs?: number | undefined
   /** Place of this host among the candidates, 0 first. */
   rank: number
 }
@@ -63,7 +65,7 @@
 export function decideLease (input: LeaseInput, settings: LeaseSettings): LeaseAction {
   const { claim, nowMs } = input
   if (claim !== undefined && claim.sender.incarnation === input.self.incarnation && !claim.released) {
-    return nowMs >= input.sentMs + settings.renewEveryMs ? LeaseAction.Renew : LeaseAction.None
+    return nowMs >= renewDueMs(input, settings) ? LeaseAction.Renew : LeaseAction.None
   }
   if (input.readsSinceMs === undefined) return LeaseAction.None
   const readyMs = input.readsSinceMs + (claim === undefined || claim.released ? 0 : settings.settledReadsMs)
@@ -76,6 +78,14 @@
   return rankByRendezvous(cell, [...new Set(hosts)], (host) => host)
 }
 
+/** A holder whose lease lapsed, in a pause or an outage, gives itself time to read its successor's claim. */
+function renewDueMs (input: LeaseInput, settings: LeaseSettings): number {
+  const dueMs = input.sentMs + settings.renewEveryMs
+  if (input.lapseNoticedMs === undefined) return dueMs
+  const readingMs = Math.max(input.lapseNoticedMs, input.readsSinceMs ?? Infinity)
+  return Math.max(dueMs, readingMs + settings.staggerMs)
+}
+
 function vacantMs (input: LeaseInput, settings: LeaseSettings): number {
   if (input.claim === undefined) return 0
   if (input.claim.released) return input.heardMs
