Control a pool that left the tables until its memory is free

Cause: a cell was given up as soon as its pool left the tables, so that nothing unloaded what it held. Seen failing before: the test waits for the engines to be empty and ends with 'not in time: memory free'. The holder now gets a configuration without runners and retires when its view is empty; a pool that comes back meanwhile takes the same holder over.

--- a/packages/daemon/src/cells/cell-set.ts
+++ b/packages/daemon/src/cells/cell-set.ts
@@ -1,7 +1,7 @@
 /** The cells of this host: started and stopped as tables and hosts change. */
 import {
   assignHosts, cellConfigOf, CellHolder, GoneEvidence, Liveness,
-  type HostView, type LeaseSettings, type MembershipState, type MembershipView, type RunnerLoadRecord, type Sender, type StoreLimits
+  type CellView, type HostView, type LeaseSettings, type MembershipState, type MembershipView, type RunnerLoadRecord, type Sender, type StoreLimits
 } from '@figloom/control'
 import type { EngineClient, EngineReport, LogClient } from '@figloom/platform'
 import type { Clock, IdSource, Logger } from '@figloom/runtime'
@@ -41,6 +41,8 @@
 /** Owns this host's cells. */
 export class CellSet {
   readonly #cells = new Map<string, Cell>()
+  /** Holders of pools that left the tables, until their memory is free. */
+  readonly #emptying = new Map<string, CellHolder>()
   readonly #incarnations = new Map<string, { incarnation: string, innerUrl: string }>()
   #tables: Tables = { routes: [], pools: [] }
   #view: MembershipView | undefined
@@ -128,7 +130,7 @@
 
   /** Gives up all leases; resolves when the log has this host's word, or after `timeoutMs`. */
   async retire (timeoutMs: number): Promise<void> {
-    const holders = this.all.flatMap(({ holder }) => holder ?? [])
+    const holders = [...this.all.flatMap(({ holder }) => holder ?? []), ...this.#emptying.values()]
     const retired = holders.map((holder) => new Promise<void>((resolve) => holder.post({ type: 'retire', onRetired: resolve })))
     const waited = new AbortController()
     await Promise.race([Promise.all(retired), this.options.clock.sleep(timeoutMs, waited.signal)])
@@ -137,7 +139,9 @@
 
   stop (): void {
     for (const cell of this.#cells.values()) cell.stop()
+    for (const holder of this.#emptying.values()) holder.stop()
     this.#cells.clear()
+    this.#emptying.clear()
   }
 
   /** Hosts of the pool's cell that may serve it, the best first. */
@@ -200,10 +204,12 @@
     const { clock, random, availabilityZone, isControlEnabled } = this.options
     const router = CellRouter.create({ clock, random, availabilityZone })
     const routes = this.#tables.routes.filter((route) => route.pool === pool.name)
-    const holder = pool.models.length > 0 && isControlEnabled ? this.#createHolder(pool.name) : undefined
+    const emptying = this.#emptying.get(pool.name)
+    this.#emptying.delete(pool.name)
+    const holder = emptying ?? (pool.models.length > 0 && isControlEnabled ? this.#createHolder(pool.name) : undefined)
     const cell = Cell.create({ pool, routes, router, holder })
     cell.refresh()
-    holder?.start()
+    if (emptying === undefined) holder?.start()
     return cell
   }
 
@@ -220,7 +226,7 @@
       }
     })
     return CellHolder.create({
-      cell: name, self, log, engines, clock, ids, logger, planner, lease, onView: (view) => this.#cells.get(name)?.setView(view)
+      cell: name, self, log, engines, clock, ids, logger, planner, lease, onView: (view) => this.#onView(name, view)
     })
   }
 
@@ -276,12 +282,28 @@
   #drop (name: string, cell: Cell): void {
     this.#cells.delete(name)
     const { holder } = cell
-    if (holder === undefined) return cell.stop()
     cell.router.stop()
-    holder.post({ type: 'retire', onRetired: () => cell.stop() })
+    if (holder === undefined) return
+    if (this.#tables.pools.some((pool) => pool.name === name)) return retireHolder(holder)
+    this.#emptying.set(name, holder)
+    holder.post({ type: 'config', config: this.#configOf(name) })
+  }
+
+  /** A pool that left the tables is controlled until its memory is confirmed free. */
+  #onView (name: string, view: CellView): void {
+    this.#cells.get(name)?.setView(view)
+    const emptying = this.#emptying.get(name)
+    if (emptying === undefined || view.runners.length > 0 || view.retiring.length > 0 || view.unsettled.length > 0) return
+    this.#emptying.delete(name)
+    retireHolder(emptying)
   }
 }
 
+/** Gives up the lease, then stops once the log has this host's word. */
+function retireHolder (holder: CellHolder): void {
+  holder.post({ type: 'retire', onRetired: () => holder.stop() })
+}
+
 /** Availability zones in which a region has runners. */
 export function zonesOfRegion (tables: Tables, region: string): Set<string> {
   const pools = tables.pools.filter((pool) => pool.region === region)
