--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,2 +1,6 @@
 /** Cells: leases, intents, memory ledger, claims, membership. */
-export {}
+export * from './cell/app.js'
+export * from './config/app.js'
+export * from './claims/app.js'
+export * from './membership/app.js'
+export { hash32, rankByRendezvous } from './hashing/hash.js'
