Add a run of real processes under load and faults

Stand-ins and hosts are killed, frozen and cut from a seed while callers check every answer; each broken promise is counted and printed. The log stand-in counts the bytes appended.

--- a/packages/standin/src/log/log-app.ts
+++ b/packages/standin/src/log/log-app.ts
@@ -19,7 +19,7 @@
   router.post('/streams/:stream/records', eventHandler((event) => append(log, event)))
   router.get('/streams/:stream/records', eventHandler((event) => read(log, event)))
   router.post('/faults', createFaultsHandler(log.faults))
-  router.get('/stats', eventHandler((event) => sendJson(event, 200, { appendCount: log.appendCount })))
+  router.get('/stats', eventHandler((event) => sendJson(event, 200, { appendCount: log.appendCount, appendedBytes: log.appendedBytes })))
   return createApp().use(router)
 }
 
--- a/packages/standin/src/log/memory-log.test.ts
+++ b/packages/standin/src/log/memory-log.test.ts
@@ -13,6 +13,7 @@
   }
   t.same(codes, ['ok', 'ok', `${ResultCode.LogRejected.type} 500`])
   t.equal(log.appendCount, 2)
+  t.equal(log.appendedBytes, 2 * '{"recordId":"r0","body":{}}'.length)
   await clock.advance(500)
   t.ok((await log.append('s', 'r3', {})).isOk())
 })
--- a/packages/standin/src/log/memory-log.ts
+++ b/packages/standin/src/log/memory-log.ts
@@ -30,6 +30,8 @@
   readonly #waiters = new Set<Waiter>()
   /** Appends that took effect, for measurements. */
   appendCount = 0
+  /** Bytes of record ids and bodies, as JSON, of the appends that took effect. */
+  appendedBytes = 0
   /** Appends allowed now by the rate limit, and when that was worked out. */
   #allowance = { appends: 0, atMs: -Infinity }
 
@@ -93,6 +95,7 @@
     this.#streams.set(stream, records)
     this.#nextOffsets.set(stream, offset + 1)
     this.appendCount += 1
+    this.appendedBytes += Buffer.byteLength(JSON.stringify({ recordId, body }))
     for (const waiter of [...this.#waiters]) if (waiter.stream === stream) waiter.wake()
     return offset
   }
--- /dev/null
+++ b/scripts/fault-run.mjs
@@ -0,0 +1,22 @@
+/**
+ * Runs hosts and stand-ins as processes under load, kills, freezes and cuts them, and counts every promise broken.
+ * `node scripts/fault-run.mjs [--seconds 120] [--seed 1] [--out FILE]`; prints the report as JSON; exit code 1 if
+ * a promise was broken.
+ */
+import { appendFile } from 'node:fs/promises'
+import { parseArgs } from 'node:util'
+import { runFaults } from './fault-run/app.mjs'
+
+const { values } = parseArgs({
+  options: {
+    seconds: { type: 'string', default: '120' },
+    seed: { type: 'string', default: '1' },
+    out: { type: 'string' },
+    verbose: { type: 'boolean', default: false }
+  }
+})
+
+const report = await runFaults({ seed: Number(values.seed), seconds: Number(values.seconds), log: values.verbose ? 'inherit' : 'ignore' })
+console.log(JSON.stringify(report, null, 2))
+if (values.out !== undefined) await appendFile(values.out, JSON.stringify(report) + '\n')
+process.exitCode = report.brokenTotal === 0 ? 0 : 1
--- a/scripts/first-run/cluster.mjs
+++ b/scripts/first-run/cluster.mjs
@@ -7,7 +7,8 @@
 import { cliSettings, daemonSettings, poolsTable, routesTable, standinSettings, ZONES } from './settings.mjs'
 
 const packages = fileURLToPath(new URL('../../packages/', import.meta.url))
-const programs = {
+/** Main modules of the programs. */
+export const programs = {
   daemon: join(packages, 'daemon/dist/main.js'),
   standin: join(packages, 'standin/dist/main.js'),
   cli: join(packages, 'cli/dist/main.js')
@@ -62,7 +63,8 @@
 const READY_POLL_MS = 100
 const READY_TRIES = 300
 
-async function waitReady (operatorUrl) {
+/** Waits until a host has configuration in force. */
+export async function waitReady (operatorUrl) {
   for (let tries = 0; tries < READY_TRIES; tries++) {
     const answer = await fetch(`${operatorUrl}/readyz`).catch(() => undefined)
     if (answer?.ok) return
--- a/scripts/first-run/settings.mjs
+++ b/scripts/first-run/settings.mjs
@@ -2,19 +2,24 @@
 export const ZONES = ['porto-a', 'porto-b', 'braga-c']
 
 /** Names of the engines of a cluster. */
-function engineNames (count) {
+export function engineNames (count) {
   return Array.from({ length: count }, (_, index) => `drafting-${String(index + 1).padStart(2, '0')}`)
 }
 
-/** `engineFields` are further lines of each engine's settings. */
-export function standinSettings (engineCount, engineFields = '') {
-  const engines = engineNames(engineCount).map((name) => `
+/** `fields` are further lines of the engine's settings. */
+export function engineSettings (name, fields = '') {
+  return `
 [[standin]]
 kind = "engine"
 name = "${name}"
 memoryMiB = 65536
-${engineFields}
-`).join('')
+${fields}
+`
+}
+
+/** `engineFields` are further lines of each engine's settings. */
+export function standinSettings (engineCount, engineFields = '') {
+  const engines = engineNames(engineCount).map((name) => engineSettings(name, engineFields)).join('')
   return `
 [[standin]]
 kind = "log"
