--- a/scripts/fault-run/faults.mjs
+++ b/scripts/fault-run/faults.mjs
@@ -152,7 +152,7 @@
       const answer = await this.cluster.publish(this.edit)
       this.record.count('publications', answer.outcome)
       this.record.event(`publish ${answer.outcome}`, String(answer.version ?? ''))
-      if (answer.outcome === 'accepted') this.watch.accepted(answer.version)
+      if (answer.outcome === 'accepted') this.watch.accepted(answer.version, this.edit)
       if (answer.outcome === 'invalid') console.error(JSON.stringify(answer))
     }
   }
--- a/scripts/fault-run/record.mjs
+++ b/scripts/fault-run/record.mjs
@@ -12,6 +12,9 @@
   8: 'configuration never goes back and is in force within 11 s'
 }
 
+/** An ordinary answer to the second of two calls with one key. */
+const KEY_IN_PROGRESS = 4005
+
 export class RunRecord {
   broken = Object.fromEntries(Object.keys(PROMISES).map((number) => [number, 0]))
   requests = {}
@@ -51,6 +54,7 @@
 
   /** Notes in which second a host answered with which code, and prints the first of each second. */
   noteError ({ host, code, ran, message }, query) {
+    if (code === KEY_IN_PROGRESS) return
     const name = `${Math.floor(this.nowMs / 1000)} s: ${code} ran ${ran} at ${host} for ${query}`
     if (!this.errorSeconds.has(name)) console.error(`        error ${name}${message === undefined ? '' : `: ${message}`}`)
     this.errorSeconds.add(name)
--- a/scripts/fault-run/tables.mjs
+++ b/scripts/fault-run/tables.mjs
@@ -6,7 +6,8 @@
 /** Names of the routed models. */
 export const ROUTED_MODELS = MODELS.map(([, model]) => model)
 
-function versionOf (model, edit) {
+/** Version of a model that an edit routes to. */
+export function versionOf (model, edit) {
   return model === 'mesa-8b' ? String(1 + Math.floor(edit / 3)) : '3'
 }
 
--- a/scripts/fault-run/watch.mjs
+++ b/scripts/fault-run/watch.mjs
@@ -1,6 +1,6 @@
 /** Reads engines, hosts and stand-ins during a run and counts what breaks a promise. */
 import { getJson, getStatus, sleep } from './http.mjs'
-import { ROUTED_MODELS } from './tables.mjs'
+import { ROUTED_MODELS, versionOf } from './tables.mjs'
 
 const ENGINE_POLL_MS = 250
 const STATUS_POLL_MS = 150
@@ -18,6 +18,8 @@
   #overcommits = new Map()
   #lastResidentMs = new Map()
   #startedWhenLeft
+  #editInForce = 1
+  #routedVersions = new Map()
   #versions = new Map()
   #accepted = []
   #stopped = false
@@ -68,14 +70,19 @@
   #checkResident (reports) {
     const nowMs = performance.now()
     for (const model of ROUTED_MODELS) {
-      const resident = reports.some(({ copies }) => copies.some((copy) => copy.model === model && copy.state === 'resident'))
+      const version = versionOf(model, this.#editInForce)
+      if (this.#routedVersions.get(model) !== version) {
+        this.#routedVersions.set(model, version)
+        this.#lastResidentMs.set(model, { atMs: nowMs, isNew: true })
+      }
+      const resident = reports.some(({ copies }) => copies.some((copy) => copy.model === model && copy.version === version && copy.state === 'resident'))
       const last = this.#lastResidentMs.get(model)
       if (resident) {
         if (last?.broken) this.record.unreachableMs[model] = Math.max(this.record.unreachableMs[model] ?? 0, Math.round(nowMs - last.atMs))
         this.#lastResidentMs.set(model, { atMs: nowMs })
       } else if (last !== undefined && !last.broken && nowMs - last.atMs > SAMPLE_GAP_MS) {
         last.broken = true
-        this.record.break(2, { model, copies: reports.map(({ runner, copies }) => [runner, ...copies.map((copy) => `${copy.model}@${copy.version} ${copy.state}`)]) })
+        this.record.break(2, { model, version, afterVersionChange: last.isNew === true, copies: reports.map(({ runner, copies }) => [runner, ...copies.map((copy) => `${copy.model}@${copy.version} ${copy.state}`)]) })
       }
     }
   }
@@ -94,8 +101,8 @@
   }
 
   /** Notes an accepted version, to be in force everywhere within 11 s. */
-  accepted (version) {
-    this.#accepted.push({ version, atMs: performance.now(), seen: new Set(), late: new Set() })
+  accepted (version, edit) {
+    this.#accepted.push({ version, edit, atMs: performance.now(), seen: new Set(), late: new Set() })
   }
 
   async #readHost (host) {
@@ -121,6 +128,7 @@
       const waitedMs = nowMs - Math.max(accepted.atMs, host.sinceMs)
       if (version >= accepted.version) {
         accepted.seen.add(host.name)
+        this.#editInForce = Math.max(this.#editInForce, accepted.edit)
         const times = this.record.inForceMs[host.name] ??= []
         if (host.sinceMs < accepted.atMs) times.push(waitedMs)
       } else if (waitedMs > IN_FORCE_MS && host.up && !host.frozen) {
