Serve by the former row until the new version is resident

Cause: a published change of a route's version replaced the row at once, while the new version was still loading, so that requests were refused with 2003 (no_runner). The planner already kept the old copies until the new ones serve. Ruled out: lost copies; the engines held the old version throughout.

The directory keeps the replaced row until a runner of the cell holds the new target. A host that started after the change does not know the former row.

--- a/packages/daemon/src/cells/cell-router.ts
+++ b/packages/daemon/src/cells/cell-router.ts
@@ -2,7 +2,7 @@
 import { createFailure, ResultCode, type Clock, type Failure, type Timer } from '@figloom/runtime'
 import {
   RouteDecider, type FailureDecision, type LoadReport, type NeighbourLoad, type PrefixEvent, type RandomSource,
-  type RefuseDecision, type RouteRequest, type RunnerInfo, type SendDecision, type TargetDemand
+  type RefuseDecision, type RouteRequest, type RunnerInfo, type SendDecision, type Target, type TargetDemand
 } from '@figloom/routing'
 
 export type CellRouterOptions = {
@@ -45,6 +45,11 @@
     return this.#urls.get(runner)
   }
 
+  /** Whether some runner of the cell that takes new work holds the target. */
+  serves (target: Target): boolean {
+    return this.#decider.serves(target)
+  }
+
   /** Resolves once the request may go to a runner, or is refused; a request that is sent counts from then on. */
   acquire (request: RouteRequest, signal: AbortSignal): Promise<SendDecision | RefuseDecision> {
     const nowMs = this.options.clock.monotonicMs()
--- a/packages/daemon/src/config/host-directory.ts
+++ b/packages/daemon/src/config/host-directory.ts
@@ -6,6 +6,7 @@
 import type { CellRouter } from '../cells/cell-router.js'
 import { LookupService, type LookupAnswer, type LookupRequest } from '../callers/lookup.js'
 import { Directory, type CellPeer } from '../requests/directory.js'
+import { toTarget } from '../requests/generation.js'
 
 export type HostDirectoryOptions = {
   cells: CellSet
@@ -18,6 +19,8 @@
   #tables: Tables = { routes: [], pools: [] }
   #version = 0
   #models = new Map<string, ModelRoute>()
+  /** Rows that a change replaced while no runner served the new target yet, the latest first. */
+  readonly #former = new Map<string, ModelRoute[]>()
   #services = new Map<string, ServiceRoute>()
 
   private constructor (private readonly options: HostDirectoryOptions) {
@@ -29,16 +32,40 @@
   }
 
   setTables (tables: Tables, version: number): void {
+    const before = this.#models
     this.#tables = tables
     this.#version = version
     this.#models = new Map(tables.routes.flatMap((route) => route.kind === 'model' ? [[route.name, route]] : []))
     this.#services = new Map(tables.routes.flatMap((route) => route.kind === 'service' ? [[route.name, route]] : []))
+    this.#keepFormer(before)
   }
 
   override get configVersion (): number {
     return this.#version
   }
 
+  override servingModel (name: string): ModelRoute | undefined {
+    const route = this.#models.get(name)
+    const former = this.#former.get(name)
+    if (route === undefined || former === undefined) return route
+    if (!this.#serves(route)) return former.find((row) => this.#serves(row)) ?? route
+    this.#former.delete(name)
+    return route
+  }
+
+  /** Keeps the rows whose target a change replaced, until the new target serves. */
+  #keepFormer (before: ReadonlyMap<string, ModelRoute>): void {
+    for (const [name, row] of before) {
+      const route = this.#models.get(name)
+      if (route === undefined) this.#former.delete(name)
+      else if (!sameTarget(route, row)) this.#former.set(name, [row, ...this.#former.get(name) ?? []].slice(0, KEPT_FORMER_ROWS))
+    }
+  }
+
+  #serves (route: ModelRoute): boolean {
+    return this.routerOf(route.pool)?.serves(toTarget(route)) ?? false
+  }
+
   override get routes (): readonly Route[] {
     return this.#tables.routes
   }
@@ -111,3 +138,10 @@
 }
 
 const NOT_READY_RETRY_MS = 1000
+
+/** Rows kept for a route whose target changes faster than it can be loaded. */
+const KEPT_FORMER_ROWS = 4
+
+function sameTarget (a: ModelRoute, b: ModelRoute): boolean {
+  return a.model === b.model && a.version === b.version && a.adapter === b.adapter && a.pool === b.pool
+}
--- a/packages/daemon/src/requests/directory.ts
+++ b/packages/daemon/src/requests/directory.ts
@@ -13,6 +13,12 @@
 
   abstract findModel (name: string): ModelRoute | undefined
 
+  /**
+   * The row by which requests to a model are served at present: the one in force, or the one that it replaced as long
+   * as no runner of this host's cell serves the new target.
+   */
+  abstract servingModel (name: string): ModelRoute | undefined
+
   /** Finds a plain service by the name of its route. */
   abstract findService (name: string): ServiceRoute | undefined
 
--- a/packages/daemon/src/requests/generation.ts
+++ b/packages/daemon/src/requests/generation.ts
@@ -2,7 +2,7 @@
 import { errAsync, ok, err, type Result, ResultAsync } from 'neverthrow'
 import { createFailure, ResultCode, SpanKind, startChildSpan, traceHeaders } from '@figloom/runtime'
 import type { ModelRoute } from '@figloom/tables'
-import type { PrefixHasher, RouteRequest } from '@figloom/routing'
+import type { PrefixHasher, RouteRequest, Target } from '@figloom/routing'
 import type { BackendAnswer, BackendClient, BackendFailure } from '../backends/backend-client.js'
 import { TokenStream } from '../backends/token-stream.js'
 import type { CellRouter } from '../cells/cell-router.js'
@@ -219,12 +219,17 @@
   }
 }
 
+/** What a runner has to hold to serve a route. */
+export function toTarget (route: ModelRoute): Target {
+  return { model: route.model, version: route.version, ...(route.adapter === undefined ? {} : { adapter: route.adapter }) }
+}
+
 function toRouteRequest (options: GenerationOptions, request: CallerRequest, route: ModelRoute, body: ChatBody): RouteRequest {
   const prompt = promptText(body)
   return {
     id: request.id,
     route: route.name,
-    target: { model: route.model, version: route.version, ...(route.adapter === undefined ? {} : { adapter: route.adapter }) },
+    target: toTarget(route),
     priority: request.priority ?? route.priority,
     deadlineMs: request.deadlineMs ?? request.receivedMs + route.firstTokenTargetMs,
     betweenTokensTargetMs: route.betweenTokensTargetMs,
--- a/packages/daemon/src/requests/serve.ts
+++ b/packages/daemon/src/requests/serve.ts
@@ -94,7 +94,7 @@
 
   async #serveModel (request: CallerRequest, body: ChatBody, sink: AnswerSink): Promise<void> {
     const { directory, forwarder, generation } = this.options
-    const route = directory.findModel(body.model)
+    const route = directory.servingModel(body.model)
     if (route === undefined) return this.#fail(sink, createFailure(ResultCode.NoSuchRoute, `no route is named ${body.model}`))
     const router = directory.routerOf(route.pool)
     if (router !== undefined) return Generation.create(generation, router, request, route, body, sink).run()
--- a/packages/routing/src/decider/route-decider.ts
+++ b/packages/routing/src/decider/route-decider.ts
@@ -9,7 +9,7 @@
 import type { Attempt } from '../load/runner-load.js'
 import {
   targetKey, type Decision, type LoadReport, type NeighbourLoad, type RandomSource, type RefuseDecision,
-  type Released, type RouteRequest, type RunnerInfo, type SendDecision
+  type Released, type RouteRequest, type RunnerInfo, type SendDecision, type Target
 } from '../types.js'
 import { DEFAULT_DECIDER_OPTIONS, type DeciderOptions } from './options.js'
 import type { RunnerStatus } from './runner-state.js'
@@ -55,6 +55,11 @@
     this.#runners.setRunners(infos)
   }
 
+  /** Whether some runner that takes new work holds the target. */
+  serves (target: Target): boolean {
+    return this.#runners.serves(target)
+  }
+
   /** Decides on a new request. One that waits is queued here until `release`, `cancel` or its deadline. */
   decide (request: RouteRequest, nowMs: number): Decision {
     this.#statsOf(request).onRequest()
--- a/packages/routing/src/decider/runner-table.ts
+++ b/packages/routing/src/decider/runner-table.ts
@@ -2,7 +2,7 @@
 import { Priority } from '@figloom/tables'
 import { isEligible, type Candidate } from '../choose/choose-runner.js'
 import { PrefixIndex, prefixKeys, type PrefixEvent } from '../prefix-index/prefix-index.js'
-import { targetKey, type NeighbourLoad, type RouteRequest, type RunnerInfo } from '../types.js'
+import { targetKey, type NeighbourLoad, type RouteRequest, type RunnerInfo, type Target } from '../types.js'
 import type { DeciderOptions } from './options.js'
 import { RunnerState, type RunnerStatus } from './runner-state.js'
 
@@ -34,6 +34,11 @@
     }
   }
 
+  /** Whether some runner that takes new work holds the target. */
+  serves (target: Target): boolean {
+    return [...this.#runners.values()].some((state) => !state.info.draining && state.holds(target))
+  }
+
   /** Candidates for a request, without the runner `except`. */
   roomFor (request: RouteRequest, nowMs: number, except?: string): Room {
     const holders: Candidate[] = []
--- a/scripts/fault-run.mjs
+++ b/scripts/fault-run.mjs
@@ -1,17 +1,19 @@
 /**
  * Runs hosts and stand-ins as processes under load, kills, freezes and cuts them, and counts every promise broken.
- * `node scripts/fault-run.mjs [--seconds 120] [--seed 1] [--out FILE]`; prints the report as JSON; exit code 1 if
- * a promise was broken.
+ * `node scripts/fault-run.mjs [--seconds 120] [--seed 1] [--out FILE [--page]]`; prints the report as JSON; exit code 1 if
+ * a promise was broken. `--out` adds the report to a file, `--page` writes all reports of that file to docs/MEASUREMENTS.md.
  */
-import { appendFile } from 'node:fs/promises'
+import { appendFile, readFile } from 'node:fs/promises'
 import { parseArgs } from 'node:util'
 import { runFaults } from './fault-run/app.mjs'
+import { faultSection, writeSection } from './fault-run/page.mjs'
 
 const { values } = parseArgs({
   options: {
     seconds: { type: 'string', default: '120' },
     seed: { type: 'string', default: '1' },
     out: { type: 'string' },
+    page: { type: 'boolean', default: false },
     verbose: { type: 'boolean', default: false }
   }
 })
@@ -19,4 +21,8 @@
 const report = await runFaults({ seed: Number(values.seed), seconds: Number(values.seconds), log: values.verbose ? 'inherit' : 'ignore' })
 console.log(JSON.stringify(report, null, 2))
 if (values.out !== undefined) await appendFile(values.out, JSON.stringify(report) + '\n')
+if (values.out !== undefined && values.page) {
+  const lines = (await readFile(values.out, 'utf8')).trim().split('\n')
+  await writeSection('faults', faultSection(lines.map((line) => JSON.parse(line))))
+}
 process.exitCode = report.brokenTotal === 0 ? 0 : 1
--- a/scripts/fault-run/callers.mjs
+++ b/scripts/fault-run/callers.mjs
@@ -6,6 +6,8 @@
 const ANSWER_TIMEOUT_MS = 12_000
 const CALL_MS = 15_000
 const MAX_TOKENS = 24
+const NO_RUNNER = 2003
+const UNSERVED_MS = 1000
 
 export class Callers {
   /** Requests that were told `ran: no`, by request id, and keys with what each of their sends was told. */
@@ -14,6 +16,7 @@
   inFlight = 0
   #lookups = new Map()
   #number = 0
+  #unserved = new Map()
 
   constructor (cluster, record, random) {
     Object.assign(this, { cluster, record, random })
@@ -64,6 +67,8 @@
       this.record.count('requests', kind)
       const outcome = host === undefined ? { ran: 'no', code: 'no host' } : await send(host, path, { headers, body }, read)
       told.push(outcome.text === undefined ? outcome.ran : 'answered')
+      if (outcome.text !== undefined) this.#unserved.delete(query)
+      else if (outcome.code === NO_RUNNER) this.#noteUnserved(query, outcome)
       if (outcome.text !== undefined) return outcome
       this.record.count('errors', `${outcome.code} ran ${outcome.ran}`)
       this.record.noteError(outcome, query)
@@ -75,6 +80,18 @@
     }
   }
 
+  /** Counts a route for which callers hear that no runner serves it, and nothing else, for longer than a second. */
+  #noteUnserved (query, { host, message }) {
+    const nowMs = performance.now()
+    const span = this.#unserved.get(query) ?? { fromMs: nowMs, broken: false }
+    this.#unserved.set(query, span)
+    const lastedMs = Math.round(nowMs - span.fromMs)
+    if (lastedMs <= UNSERVED_MS) return
+    this.record.unreachableMs[query] = Math.max(this.record.unreachableMs[query] ?? 0, lastedMs)
+    if (!span.broken) this.record.break(2, { query, host, message })
+    span.broken = true
+  }
+
   /** A host of a kept lookup; asks any live host for a new one when it is too old. */
   async #hostFor (query, rank) {
     const kept = this.#lookups.get(query)
--- a/scripts/fault-run/watch.mjs
+++ b/scripts/fault-run/watch.mjs
@@ -20,6 +20,7 @@
   #startedWhenLeft
   #editInForce = 1
   #routedVersions = new Map()
+  #formerVersions = new Map()
   #versions = new Map()
   #accepted = []
   #stopped = false
@@ -72,17 +73,19 @@
     for (const model of ROUTED_MODELS) {
       const version = versionOf(model, this.#editInForce)
       if (this.#routedVersions.get(model) !== version) {
+        this.#formerVersions.set(model, this.#routedVersions.get(model))
         this.#routedVersions.set(model, version)
-        this.#lastResidentMs.set(model, { atMs: nowMs, isNew: true })
       }
-      const resident = reports.some(({ copies }) => copies.some((copy) => copy.model === model && copy.version === version && copy.state === 'resident'))
+      // The version routed before may serve until the new one does.
+      const versions = [version, this.#formerVersions.get(model)]
+      const resident = reports.some(({ copies }) => copies.some((copy) => copy.model === model && versions.includes(copy.version) && copy.state === 'resident'))
       const last = this.#lastResidentMs.get(model)
       if (resident) {
         if (last?.broken) this.record.unreachableMs[model] = Math.max(this.record.unreachableMs[model] ?? 0, Math.round(nowMs - last.atMs))
         this.#lastResidentMs.set(model, { atMs: nowMs })
       } else if (last !== undefined && !last.broken && nowMs - last.atMs > SAMPLE_GAP_MS) {
         last.broken = true
-        this.record.break(2, { model, version, afterVersionChange: last.isNew === true, copies: reports.map(({ runner, copies }) => [runner, ...copies.map((copy) => `${copy.model}@${copy.version} ${copy.state}`)]) })
+        this.record.break(2, { model, version, copies: reports.map(({ runner, copies }) => [runner, ...copies.map((copy) => `${copy.model}@${copy.version} ${copy.state}`)]) })
       }
     }
   }
