--- a/packages/bench/src/claims/app.ts
+++ b/packages/bench/src/claims/app.ts
@@ -34,7 +34,8 @@
 }
 
 /** One stream at a rate of calls; each call ends with an outcome whose answer is kept. */
-async function measureBatching (claimsPerSecond: number, windowMs: number): Promise<BatchingResult> {
+/** One stream at a rate of calls, on a manual clock. */
+export async function measureBatching (claimsPerSecond: number, windowMs: number): Promise<BatchingResult> {
   const clock = ManualClock.create()
   const log = MemoryLog.create({ clock })
   log.faults.delayMs = LOG_DELAY_MS
@@ -80,7 +81,8 @@
 }
 
 /** Memory and time of the fold for settled keys without kept answers. */
-async function measureKeys (): Promise<{ keys: number, tableBytesPerKey: number, heapBytesPerKey: number, foldMicrosecondsPerCall: number }> {
+/** Memory and fold time of many settled keys. */
+export async function measureKeys (): Promise<{ keys: number, tableBytesPerKey: number, heapBytesPerKey: number, foldMicrosecondsPerCall: number }> {
   setFlagsFromString('--expose-gc')
   const collect = runInNewContext('gc') as () => void
   const state = ClaimState.create()
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,10 +1,11 @@
 #!/usr/bin/env node
 /** Runs one benchmark: `npm run bench -- NAME`. */
 import { runAcceptance } from './acceptance/app.js'
+import { runCapacity } from './capacity/app.js'
 import { runClaims } from './claims/app.js'
 import { runDecisions } from './decisions/app.js'
 
-const BENCHMARKS: Record<string, () => Promise<void>> = { decisions: runDecisions, claims: runClaims, acceptance: runAcceptance }
+const BENCHMARKS: Record<string, () => Promise<void>> = { decisions: runDecisions, capacity: runCapacity, claims: runClaims, acceptance: runAcceptance }
 
 const name = process.argv[2] ?? ''
 const run = BENCHMARKS[name]
