Wait at a shutdown until answers are taken, and drop settings that did nothing

Cause: a request counted as ended when its last bytes were handed to the connection; the shutdown then cut connections whose reader was slow. The listeners now close each connection when it is idle.

--- a/packages/daemon/src/app.ts
+++ b/packages/daemon/src/app.ts
@@ -116,10 +116,16 @@
     this.#isClosed = true
     await this.#atMost(parts.requests.idle(), settings.shutdown.graceMs)
     await this.#atMost(parts.claims.keys.delivered(), DELIVERY_TIMEOUT_MS)
+    await this.#atMost(this.#closeListeners(), settings.shutdown.graceMs)
     logger.info('stopped', { inFlight: parts.requests.inFlight })
     await this.stop()
   }
 
+  /** Resolves when every answer has been taken by its reader. */
+  async #closeListeners (): Promise<void> {
+    await Promise.all([this.#listeners?.callers.close(), this.#listeners?.operators.close()])
+  }
+
   async #atMost (work: Promise<void>, limitMs: number): Promise<void> {
     const waited = new AbortController()
     await Promise.race([work, this.options.clock.sleep(limitMs, waited.signal)])
--- a/packages/daemon/src/assembly/cells.ts
+++ b/packages/daemon/src/assembly/cells.ts
@@ -42,6 +42,7 @@
     self,
     region: host.region,
     availabilityZone: host.availabilityZone,
+    batchShare: settings.admission.batchShareRatio,
     lease: { ...DEFAULT_LEASE_SETTINGS, leaseMs: lease.durationMs, renewEveryMs: lease.renewEveryMs, marginMs: lease.marginMs },
     limits: {
       loadStartsPerSecond: placement.storeLoadsPerSecond,
--- a/packages/daemon/src/cells/cell-router.ts
+++ b/packages/daemon/src/cells/cell-router.ts
@@ -9,6 +9,8 @@
   clock: Clock
   random: RandomSource
   availabilityZone: string
+  /** Part of a runner's limit that batch requests may use. */
+  batchShare: number
 }
 
 type Waiter = { resolve: (decision: SendDecision | RefuseDecision) => void }
@@ -24,8 +26,8 @@
   #stallTimer: Timer | undefined
 
   private constructor (private readonly options: CellRouterOptions) {
-    const { clock, random, availabilityZone } = options
-    this.#decider = RouteDecider.create({ options: { availabilityZone }, random, nowMs: clock.monotonicMs() })
+    const { clock, random, availabilityZone, batchShare } = options
+    this.#decider = RouteDecider.create({ options: { availabilityZone, batchShare }, random, nowMs: clock.monotonicMs() })
     this.#scheduleStallCheck()
   }
 
--- a/packages/daemon/src/cells/cell-set.ts
+++ b/packages/daemon/src/cells/cell-set.ts
@@ -24,6 +24,8 @@
   self: Sender
   region: string
   availabilityZone: string
+  /** Part of a runner's limit that batch requests may use. */
+  batchShare: number
   lease: LeaseSettings
   limits: StoreLimits
   transitReserveMiB: number
@@ -198,8 +200,8 @@
   }
 
   #createCell (pool: Pool): Cell {
-    const { clock, random, availabilityZone, isControlEnabled } = this.options
-    const router = CellRouter.create({ clock, random, availabilityZone })
+    const { clock, random, availabilityZone, batchShare, isControlEnabled } = this.options
+    const router = CellRouter.create({ clock, random, availabilityZone, batchShare })
     const routes = this.#tables.routes.filter((route) => route.pool === pool.name)
     const emptying = this.#emptying.get(pool.name)
     this.#emptying.delete(pool.name)
--- a/packages/daemon/src/listener/http-listener.ts
+++ b/packages/daemon/src/listener/http-listener.ts
@@ -20,6 +20,7 @@
 
 export type ListenerHandler = (request: ListenerRequest, response: ListenerResponse) => void
 
+const IDLE_SWEEP_MS = 50
 const HTTP2_PREFACE = Buffer.from('PRI * HTTP/2.0')
 
 /** Listens on one TCP port for HTTP/1.1 and cleartext HTTP/2 with prior knowledge. */
@@ -64,13 +65,15 @@
     return this.#sockets.size
   }
 
-  /** Takes no new connections, lets requests in flight end, and resolves when all connections are closed. */
+  /** Takes no new connections, lets answers under way reach their readers, and resolves when all connections are closed. */
   async close (): Promise<void> {
     const closed = new Promise<void>((resolve) => { this.#tcp.close(() => resolve()) })
     for (const session of this.#sessions) session.close()
+    // A connection becomes idle only once its answer has been taken, so that idle ones are closed again and again.
+    const sweep = setInterval(() => this.#http1.closeIdleConnections(), IDLE_SWEEP_MS)
     this.#http1.closeIdleConnections()
-    this.#http1.close()
     await closed
+    clearInterval(sweep)
   }
 
   /** Cuts all connections. */
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -37,7 +37,7 @@
 async function run (settings: DaemonSettings): Promise<void> {
   const { host, traces, logs } = settings
   const clock = SystemClock.create()
-  const logger = createLogger({ program: PROGRAM, host: host.name, availabilityZone: host.availabilityZone }, clock, { verbose: logs.level === 'debug' })
+  const logger = createLogger({ program: PROGRAM, host: host.name, availabilityZone: host.availabilityZone }, clock, { level: logs.level })
   const endTraces = startTraces({ service: PROGRAM, host: host.name, exporter: traces.exporter, sampleRatio: traces.sampleRatio, ...(traces.otlpUrl === undefined ? {} : { otlpUrl: traces.otlpUrl }) })
   const daemon = Daemon.create({ settings, clock, ids: RandomIdSource.create(), logger, random: Math.random })
   const shutDown = async () => {
--- a/packages/daemon/src/requests/service-call.ts
+++ b/packages/daemon/src/requests/service-call.ts
@@ -70,7 +70,7 @@
 
   async #runRepeatable (): Promise<void> {
     const result = await this.#callRunners()
-    result.match((answer) => this.#pass(answer), (failure) => this.#giveUp(failure))
+    await result.match((answer) => this.#pass(answer), async (failure) => this.#giveUp(failure))
   }
 
   async #runOnce (): Promise<void> {
@@ -151,13 +151,14 @@
     return bytes.map((whole) => ({ status, headers: Object.entries(keepHeaders(headers, NOT_PASSED_TO_CALLER)), body: whole }))
   }
 
-  #pass ({ status, headers, body }: ServiceAnswer, extra: HeaderFields = {}): void {
+  async #pass ({ status, headers, body }: ServiceAnswer, extra: HeaderFields = {}): Promise<void> {
     this.sink.head(status, { ...Object.fromEntries(headers), 'content-length': String(body.length), ...extra })
-    this.sink.write(body).then(() => this.sink.end())
+    await this.sink.write(body)
+    this.sink.end()
   }
 
-  #replay ({ status, headers, bodyBase64 }: KeptAnswer): void {
-    this.#pass({ status, headers, body: Buffer.from(bodyBase64, 'base64') }, { 'figloom-replayed': 'true' })
+  #replay ({ status, headers, bodyBase64 }: KeptAnswer): Promise<void> {
+    return this.#pass({ status, headers, body: Buffer.from(bodyBase64, 'base64') }, { 'figloom-replayed': 'true' })
   }
 
   #giveUp (failure: Failure): void {
--- a/packages/daemon/src/shutdown.test.ts
+++ b/packages/daemon/src/shutdown.test.ts
@@ -1,4 +1,5 @@
 /** Leaving backend servers and the graceful shutdown of hosts. */
+import { request, type IncomingMessage } from 'node:http'
 import { answerText, toPrompt } from '@figloom/standin'
 import t from 'tap'
 import { chat, runningAt, startCluster, until } from './testing/cluster.js'
@@ -30,6 +31,21 @@
   await t.rejects(fetch(`${leaving?.callerUrl}/v1/models`))
 })
 
+t.test('an answer that its caller reads slowly is not cut by the shutdown', async (t) => {
+  const { hosts } = await startCluster(t)
+  const [host] = hosts
+  const body = JSON.stringify({ text: 'x'.repeat(8 * 1024 * 1024) })
+  const answer = await new Promise<IncomingMessage>((resolve, reject) => {
+    request(`${host?.callerUrl}/v1/services/bookings/x`, { method: 'POST', headers: { 'idempotency-key': 'slow' } }, resolve).once('error', reject).end(body)
+  })
+  const stopped = host?.daemon.shutDown()
+  await new Promise((resolve) => setTimeout(resolve, 1000))
+  let bytes = 0
+  for await (const chunk of answer) bytes += chunk.length
+  t.equal(bytes, Number(answer.headers['content-length']))
+  await stopped
+})
+
 t.test('a listed leaving backend server gets nothing new', async (t) => {
   const { hosts, engines, standins, tables } = await startCluster(t)
   const [runner] = tables.pools[0]?.runners ?? []
--- a/packages/daemon/src/testing/cluster.ts
+++ b/packages/daemon/src/testing/cluster.ts
@@ -48,7 +48,7 @@
   await publish(log, { routes: [], pools: [] }, tables, 0)
   const startHost = async (name: string, zone: string) => {
     const settings = createSettings(name, zone, standins, options.settings ?? {})
-    const logger = options.verbose === true ? createLogger({ program: 'figloomd', host: name }, clock, { verbose: true }) : silentLogger
+    const logger = options.verbose === true ? createLogger({ program: 'figloomd', host: name }, clock, { level: 'debug' }) : silentLogger
     const daemon = Daemon.create({ settings, clock, ids: RandomIdSource.create(), logger, random: Math.random })
     const addresses = await daemon.start()
     t.teardown(() => daemon.stop())
--- a/packages/runtime/src/logs/logs.ts
+++ b/packages/runtime/src/logs/logs.ts
@@ -15,18 +15,20 @@
   error: (message: string, fields?: LogFields) => void
 }
 
-const VERBOSE_LEVEL = 4
-const INFO_LEVEL = 3
+/** Lowest level of lines that are written, as the library numbers them. */
+const LEVELS = { error: 0, warn: 1, info: 3, debug: 4 } as const
+
+export type LogLevel = keyof typeof LEVELS
 
 /** Creates a logger on standard error; `write` replaces the output in tests. */
 export function createLogger (
   context: LogContext,
   clock: Clock,
-  options: { verbose?: boolean, write?: (line: string) => void } = {}
+  options: { level?: LogLevel, write?: (line: string) => void } = {}
 ): Logger {
   const write = options.write ?? ((line: string) => { process.stderr.write(line) })
   const consola = createConsola({
-    level: options.verbose === true ? VERBOSE_LEVEL : INFO_LEVEL,
+    level: LEVELS[options.level ?? 'info'],
     reporters: [{
       log: ({ type, args }) => {
         const [message, fields] = args as [string, LogFields | undefined]
--- a/packages/settings/src/daemon/rules.ts
+++ b/packages/settings/src/daemon/rules.ts
@@ -51,12 +51,6 @@
     message: 'must exceed health.peerExchangeMs',
     isBroken: ({ health }) => health.peerTimeoutMs <= health.peerExchangeMs
   },
-  {
-    at: ['retry', 'maxBackoffMs'],
-    reads: [['retry', 'backoffMs']],
-    message: 'must be at least retry.backoffMs',
-    isBroken: ({ retry }) => retry.maxBackoffMs < retry.backoffMs
-  },
   {
     at: ['traces', 'otlpUrl'],
     reads: [['traces', 'exporter']],
--- a/packages/settings/src/daemon/schema.ts
+++ b/packages/settings/src/daemon/schema.ts
@@ -38,22 +38,12 @@
   maxHeaderBytes: integer(16 * 1024, 'Largest sum of a request\'s headers.', { min: 1024 }),
   maxConnections: integer(10_000, 'Connections of callers open at once.'),
   maxStreamsPerConnection: integer(256, 'HTTP/2 streams open at once on one connection.'),
-  maxInFlight: integer(4000, 'Requests in flight at once on this host.'),
-  callerBufferBytes: integer(256 * 1024, 'Bytes of an answer held for a caller that reads slowly, before the backend server is paused.')
+  maxInFlight: integer(4000, 'Requests in flight at once on this host.')
 })
 
 const admission = z.strictObject({
-  maxQueueMs: milliseconds(2000, 'Longest expected wait for a runner at which a request without a deadline is still taken.'),
   defaultDeadlineMs: milliseconds(60_000, 'Time for the whole answer when the request names no deadline.'),
-  batchShareRatio: ratio(0.5, 'Largest share of a runner\'s slots that batch requests may take while interactive ones wait.'),
-  runnerSlots: integer(64, 'Requests that one runner takes at once; more wait at the entry host.')
-})
-
-const retry = z.strictObject({
-  maxAttempts: integer(3, 'Attempts for one idempotent request, the first included.'),
-  budgetRatio: ratio(0.1, 'Retries allowed as a share of requests.'),
-  backoffMs: milliseconds(20, 'Delay before the first retry; it doubles with each further one.'),
-  maxBackoffMs: milliseconds(1000, 'Longest delay before a retry.')
+  batchShareRatio: ratio(0.5, 'Largest share of a runner\'s slots that batch requests may take while interactive ones wait.')
 })
 
 const health = z.strictObject({
@@ -82,10 +72,7 @@
 
 const claims = z.strictObject({
   batchWindowMs: milliseconds(25, 'Time for which claims of idempotency keys are gathered into one append.', { min: 0 }),
-  maxBatch: integer(256, 'Claims in one append.'),
-  keepAnswersMs: milliseconds(1_800_000, 'Time for which the answer to a keyed call is kept for repeats.'),
-  maxKeptAnswers: integer(20_000, 'Answers kept at once.'),
-  maxKeptAnswerBytes: integer(64 * 1024, 'Largest answer that is kept; a repeat of a larger one is told that it ran.')
+  keepAnswersMs: milliseconds(1_800_000, 'Time for which the answer to a keyed call is kept for repeats.')
 })
 
 const shutdown = z.strictObject({
@@ -103,8 +90,7 @@
 })
 
 const control = z.strictObject({
-  enabled: flag(true, 'Whether this host takes part in control; false is for measuring what control costs.'),
-  snapshotEveryRecords: integer(2000, 'Configuration records after which a snapshot is appended.')
+  enabled: flag(true, 'Whether this host takes part in control; false is for measuring what control costs.')
 })
 
 /** Schema of figloomd's settings file. */
@@ -114,7 +100,6 @@
   lookup: lookup.prefault({}).describe('Answers to lookups.'),
   limits: limits.prefault({}).describe('Limits on callers.'),
   admission: admission.prefault({}).describe('Which requests are taken.'),
-  retry: retry.prefault({}).describe('Repeats of idempotent requests.'),
   health: health.prefault({}).describe('Health of runners and peers.'),
   lease: lease.prefault({}).describe('Leases of cells.'),
   placement: placement.prefault({}).describe('Moves of models and adapters.'),
