--- a/packages/bench/src/capacity/page.ts
+++ b/packages/bench/src/capacity/page.ts
@@ -28,7 +28,7 @@
     '',
     '### Request path of one host (not control)', '',
     '| requests/s | tokens/s | streams in flight | core, % | memory of streams, MiB |', '| --- | --- | --- | --- | --- |',
-    `| ${digits(path.requestsPerSecond)} | ${digits(path.tokensPerSecond)} | ${digits(path.streams)} | ${digits(path.corePercent)} | ${digits(path.memoryMiB)} |`
+    `| ${digits(path.requestsPerSecond)} | ${digits(path.tokensPerSecond)} | ${digits(path.streams)} | ${digits(path.corePercent)} | ${path.memoryMiB > 0 ? digits(path.memoryMiB) : 'within the noise'} |`
   ].join('\n')
 }
 
