--- a/packages/settings/src/daemon/schema.ts
+++ b/packages/settings/src/daemon/schema.ts
@@ -80,7 +80,7 @@
 })
 
 const traces = z.strictObject({
-  exporter: z.enum(Object.values(TraceExporter)).default(TraceExporter.Json).describe('Where spans go: nowhere, to standard error as JSON lines, or to an OTLP collector.'),
+  exporter: z.enum(Object.values(TraceExporter)).default(TraceExporter.Json).describe('Where spans go: nowhere, to standard output as JSON lines, or to an OTLP collector.'),
   otlpUrl: httpUrl('URL of the OTLP collector; needed by the exporter otlp.').optional(),
   sampleRatio: ratio(0.01, 'Share of requests that are traced, unless traceparent says so.')
 })
