--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -3,7 +3,7 @@
 import type { Environment } from '../environment.js'
 import { reportDone, reportFailure, reportIssues, type Report } from '../output/report.js'
 import { formatChange } from '../output/rows.js'
-import { readConfig } from '../platform/config-reader.js'
+import { readConfig } from '../remote/config-reader.js'
 import { completeTables, readTables } from './tables-files.js'
 
 /** `figloom diff FILE…`: rows in which files differ from the configuration in force. */
--- a/packages/cli/src/commands/drain.ts
+++ b/packages/cli/src/commands/drain.ts
@@ -3,7 +3,7 @@
 import type { Environment } from '../environment.js'
 import { ExitCode } from '../exit-codes.js'
 import { reportFailure, type Report } from '../output/report.js'
-import { askDaemon } from '../platform/daemons.js'
+import { askDaemon } from '../remote/daemons.js'
 
 /** `figloom drain HOST|RUNNER`: stops new work there. Repeats change nothing. */
 export async function drain (environment: Environment, settings: ClientSettings, target: string): Promise<Report> {
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -3,7 +3,7 @@
 import type { Environment } from '../environment.js'
 import { ExitCode } from '../exit-codes.js'
 import { reportDone, reportFailure, type Report } from '../output/report.js'
-import { askDaemon } from '../platform/daemons.js'
+import { askDaemon } from '../remote/daemons.js'
 
 /** `figloom explain ROUTE`: how a route is served at present. */
 export async function explain (environment: Environment, settings: ClientSettings, route: string): Promise<Report> {
--- a/packages/cli/src/commands/publish.ts
+++ b/packages/cli/src/commands/publish.ts
@@ -1,5 +1,5 @@
 /** `figloom publish FILE…`: appends an edit and reports its verdict, read back from the log. */
-import { appendUntilKnown, SeededRandomSource, type LogClient } from '@figloom/platform'
+import { appendUntilKnown, SeededRandomSource, type LogClient } from '@figloom/clients'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import type { ClientSettings } from '@figloom/settings'
 import {
@@ -9,7 +9,7 @@
 import type { Environment } from '../environment.js'
 import { ExitCode } from '../exit-codes.js'
 import { reportDone, reportFailure, reportIssues, reportUsage, type Report } from '../output/report.js'
-import { readConfig, readOn, type ConfigView } from '../platform/config-reader.js'
+import { readConfig, readOn, type ConfigView } from '../remote/config-reader.js'
 import { completeTables, readTables } from './tables-files.js'
 import { reportVerdict } from './verdict-report.js'
 import { waitInForce } from './wait-in-force.js'
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -3,7 +3,7 @@
 import type { ClientSettings } from '@figloom/settings'
 import type { Environment } from '../environment.js'
 import { reportDone, reportFailure, type Report } from '../output/report.js'
-import { askStatus } from '../platform/daemons.js'
+import { askStatus } from '../remote/daemons.js'
 
 /** `figloom status`: hosts with their versions, and cells with their runners, as one daemon sees them. */
 export async function status (environment: Environment, settings: ClientSettings): Promise<Report> {
--- a/packages/cli/src/commands/wait-in-force.ts
+++ b/packages/cli/src/commands/wait-in-force.ts
@@ -3,7 +3,7 @@
 import type { Environment } from '../environment.js'
 import { ExitCode } from '../exit-codes.js'
 import type { Report } from '../output/report.js'
-import { askStatus } from '../platform/daemons.js'
+import { askStatus } from '../remote/daemons.js'
 
 /** Waits until every live host has a version in force; `accepted` is the report until then. */
 export async function waitInForce (
--- a/packages/cli/src/environment.ts
+++ b/packages/cli/src/environment.ts
@@ -1,5 +1,5 @@
 import type { Client } from '@connectrpc/connect'
-import type { LogClient } from '@figloom/platform'
+import type { LogClient } from '@figloom/clients'
 import type { InnerService } from '@figloom/protocol'
 import type { Clock, IdSource } from '@figloom/runtime'
 import type { ClientSettings } from '@figloom/settings'
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,7 +2,7 @@
 /** `figloom`: the program. */
 import { createClient } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
-import { HttpLogClient } from '@figloom/platform'
+import { HttpLogClient } from '@figloom/clients'
 import { InnerService } from '@figloom/protocol'
 import { RandomIdSource, SystemClock } from '@figloom/runtime'
 import { runFigloom } from './app.js'
--- a/packages/cli/src/platform/config-reader.ts
+++ b/packages/cli/src/remote/config-reader.ts
@@ -1,6 +1,6 @@
 /** Reads the configuration from the log, as a host does that starts empty. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
-import type { LogClient, LogRecord } from '@figloom/platform'
+import type { LogClient, LogRecord } from '@figloom/clients'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import {
   adoptSnapshot, chooseSnapshot, createConfigState, foldRecord, snapshotIn,
--- a/packages/control/src/cell/admission.test.ts
+++ b/packages/control/src/cell/admission.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap'
-import type { EngineReport } from '@figloom/platform'
+import type { EngineReport } from '@figloom/clients'
 import { OrderAction, RunnerRole, type Adapter } from '@figloom/tables'
 import { isAdmitted, keepsReachable, toOrder, type AdmissionContext, type OrderableRunner } from './admission.js'
 import type { CellOrder } from './records.js'
--- a/packages/control/src/cell/cell-fixtures.ts
+++ b/packages/control/src/cell/cell-fixtures.ts
@@ -1,5 +1,5 @@
 /** Builders of records, orders and reports for the tests of cells. */
-import type { EngineReport, LogRecord, ReportedCopy } from '@figloom/platform'
+import type { EngineReport, LogRecord, ReportedCopy } from '@figloom/clients'
 import { OrderAction } from '@figloom/tables'
 import type { CellOrder, CellRecordBody, ObservedRunner, Sender } from './records.js'
 import { applyCellRecord, createCellState, type CellState, type Intent } from './state.js'
--- a/packages/control/src/cell/cell-parts.ts
+++ b/packages/control/src/cell/cell-parts.ts
@@ -1,5 +1,5 @@
 /** Builds the parts of a cell's task and joins them. */
-import type { EngineReport } from '@figloom/platform'
+import type { EngineReport } from '@figloom/clients'
 import type { StreamEvent } from '../streams/stream-follower.js'
 import { HolderDuties } from './holder-duties.js'
 import { cellStreamOf, DEFAULT_STANDBY_LIMIT, type CellHolderOptions, type CellTimes } from './holder-options.js'
--- a/packages/control/src/cell/cell-view.ts
+++ b/packages/control/src/cell/cell-view.ts
@@ -1,5 +1,5 @@
 /** The view of a cell that routing and planning read. */
-import type { EngineReport, ReportedCopy } from '@figloom/platform'
+import type { EngineReport, ReportedCopy } from '@figloom/clients'
 import { CopyState, OrderAction, RunnerRole, type ModelCopy, type RunnerView } from '@figloom/tables'
 import { freeMemoryMiB, isOpenIn, modelKeyOf } from './ledger.js'
 import type { RunnerSpec } from './runner-books.js'
--- a/packages/control/src/cell/holder-options.ts
+++ b/packages/control/src/cell/holder-options.ts
@@ -1,5 +1,5 @@
 /** Options of the task of a cell. */
-import type { EngineClient, LogClient } from '@figloom/platform'
+import type { EngineClient, LogClient } from '@figloom/clients'
 import type { Clock, IdSource, Logger, TaskFault } from '@figloom/runtime'
 import type { LeaseSettings } from './lease.js'
 import type { Sender } from './records.js'
--- a/packages/control/src/cell/holder.ts
+++ b/packages/control/src/cell/holder.ts
@@ -2,7 +2,7 @@
  * The task of one cell on one host. It follows the cell's stream, claims the lease when its turn comes, and as the
  * holder writes intents, reads them back, sends the orders and settles them. Every host of the cell runs one.
  */
-import type { LogRecord } from '@figloom/platform'
+import type { LogRecord } from '@figloom/clients'
 import { Task, type Timer } from '@figloom/runtime'
 import type { StreamEvent } from '../streams/stream-follower.js'
 import { createCellParts } from './cell-parts.js'
--- a/packages/control/src/cell/journal.ts
+++ b/packages/control/src/cell/journal.ts
@@ -1,5 +1,5 @@
 /** Appends to a cell's stream: one at a time, in order, each repeated under its own id until the log answers. */
-import type { LogClient } from '@figloom/platform'
+import type { LogClient } from '@figloom/clients'
 import type { Clock, IdSource } from '@figloom/runtime'
 import type { CellRecordBody } from './records.js'
 
--- a/packages/control/src/cell/ledger.ts
+++ b/packages/control/src/cell/ledger.ts
@@ -3,7 +3,7 @@
  * reserve for transit never exceed its capacity, neither in the engine's present process nor in a
  * later one, which starts empty and knows no fence.
  */
-import type { EngineReport, ReportedCopy } from '@figloom/platform'
+import type { EngineReport, ReportedCopy } from '@figloom/clients'
 import { CopyState, OrderAction, type ModelKey } from '@figloom/tables'
 import type { Intent } from './state.js'
 import type { CellOrder } from './records.js'
--- a/packages/control/src/cell/naive.test.ts
+++ b/packages/control/src/cell/naive.test.ts
@@ -1,7 +1,7 @@
 /** Differential tests of the fold, the ledger and the lease against naive versions. */
 import t from 'tap'
 import fc from 'fast-check'
-import type { LogRecord } from '@figloom/platform'
+import type { LogRecord } from '@figloom/clients'
 import { fitsMemory } from './ledger.js'
 import { DEFAULT_LEASE_SETTINGS, expiresForOthersMs, considersSelfHolder } from './lease.js'
 import { parseCellRecord, type CellOrder } from './records.js'
--- a/packages/control/src/cell/order-sender.ts
+++ b/packages/control/src/cell/order-sender.ts
@@ -1,5 +1,5 @@
 /** Sends the orders of intents: at most one copy of each, to one runner in the order of their offsets. */
-import type { EngineClient, EngineOrder } from '@figloom/platform'
+import type { EngineClient, EngineOrder } from '@figloom/clients'
 import { Ran, type Clock } from '@figloom/runtime'
 import type { CopyAnswer } from './settlement.js'
 import type { Intent } from './state.js'
--- a/packages/control/src/cell/report-poller.ts
+++ b/packages/control/src/cell/report-poller.ts
@@ -1,5 +1,5 @@
 /** Asks the engines of a cell's runners for reports, one question at a time to each. */
-import type { EngineClient, EngineReport } from '@figloom/platform'
+import type { EngineClient, EngineReport } from '@figloom/clients'
 import type { Clock } from '@figloom/runtime'
 
 export type ReportPollerOptions = {
--- a/packages/control/src/cell/runner-books.ts
+++ b/packages/control/src/cell/runner-books.ts
@@ -1,5 +1,5 @@
 /** What this process itself learned of a cell's runners and orders: reports, answers and confirmed fences. */
-import type { EngineReport } from '@figloom/platform'
+import type { EngineReport } from '@figloom/clients'
 import type { Runner } from '@figloom/tables'
 import type { ObservedRunner, SettledOutcome } from './records.js'
 import { settlementOf, type ConfirmedFence, type CopyAnswer, type TakenReport } from './settlement.js'
--- a/packages/control/src/cell/settlement.ts
+++ b/packages/control/src/cell/settlement.ts
@@ -1,5 +1,5 @@
 /** When an order counts as settled: rules for engines that check fences and for engines that ignore them. */
-import type { EngineReport, OrderOutcome } from '@figloom/platform'
+import type { EngineReport, OrderOutcome } from '@figloom/clients'
 import { CopyState, OrderAction } from '@figloom/tables'
 import { SettledOutcome, Word, type CellOrder } from './records.js'
 import type { Intent } from './state.js'
--- a/packages/control/src/cell/snapshots.ts
+++ b/packages/control/src/cell/snapshots.ts
@@ -1,6 +1,6 @@
 /** Snapshots of a cell: the fold up to an offset, true whoever appended it. */
 import { z } from 'zod'
-import type { LogRecord } from '@figloom/platform'
+import type { LogRecord } from '@figloom/clients'
 import { parseCellRecord } from './records.js'
 import { applyCellRecord, createCellState, type CellState } from './state.js'
 
--- a/packages/control/src/cell/state.ts
+++ b/packages/control/src/cell/state.ts
@@ -1,5 +1,5 @@
 /** The state of a cell as a pure fold of its stream; every host reaches the same one from the same records. */
-import type { LogRecord } from '@figloom/platform'
+import type { LogRecord } from '@figloom/clients'
 import {
   GoneEvidence, parseCellRecord, SettledOutcome, Word,
   type CellOrder, type CellRecordBody, type ObservedRunner, type Sender
--- a/packages/control/src/cell/stream-reader.ts
+++ b/packages/control/src/cell/stream-reader.ts
@@ -1,5 +1,5 @@
 /** Reads a cell's stream into its state, from the start, from a snapshot, or from what a peer gave. */
-import type { LogClient, LogRecord } from '@figloom/platform'
+import type { LogClient, LogRecord } from '@figloom/clients'
 import type { Clock } from '@figloom/runtime'
 import { StreamFollower, readBounds, type StreamEvent } from '../streams/stream-follower.js'
 import { applyCellRecord, type CellState } from './state.js'
--- a/packages/control/src/cell/testing/cell-faults.ts
+++ b/packages/control/src/cell/testing/cell-faults.ts
@@ -1,7 +1,7 @@
 /** Generated faults of a cell and the checks that hold whatever they are. */
 import fc from 'fast-check'
 import { OrderAction } from '@figloom/tables'
-import type { EngineOrder } from '@figloom/platform'
+import type { EngineOrder } from '@figloom/clients'
 import type { LeaseSettings } from '../lease.js'
 import { createCellBench, modelOf, stepOf, type CellBench } from './cell-bench.js'
 import type { FakeEngine, FakeEngineOptions, OrderFault } from './fake-engines.js'
--- a/packages/control/src/cell/testing/fake-engines.ts
+++ b/packages/control/src/cell/testing/fake-engines.ts
@@ -1,7 +1,7 @@
 /** Engines in memory for the tests of cells: their own accounting is the truth that the ledger is checked against. */
 import { errAsync, ResultAsync, err, ok, type Result } from 'neverthrow'
 import { createFailure, ResultCode, type Clock, type Failure } from '@figloom/runtime'
-import { EngineClient, type CacheEventPage, type EngineOrder, type EngineReport, type OrderOutcome, type ReportedCopy } from '@figloom/platform'
+import { EngineClient, type CacheEventPage, type EngineOrder, type EngineReport, type OrderOutcome, type ReportedCopy } from '@figloom/clients'
 
 /** What happens to a copy of an order on its way. */
 export type OrderFault =
--- a/packages/control/src/cell/testing/gated-host.ts
+++ b/packages/control/src/cell/testing/gated-host.ts
@@ -1,7 +1,7 @@
 /** A host's process that a test can freeze and kill: while it is frozen no code of it runs, but time goes on. */
 import { ResultAsync, type Result } from 'neverthrow'
 import { Clock, type Timer } from '@figloom/runtime'
-import { EngineClient, LogClient, type EngineOrder, type ReadOptions } from '@figloom/platform'
+import { EngineClient, LogClient, type EngineOrder, type ReadOptions } from '@figloom/clients'
 
 /** Holds back what wakes a process up. */
 export class Gate {
--- a/packages/control/src/cell/types.ts
+++ b/packages/control/src/cell/types.ts
@@ -1,5 +1,5 @@
 /** What a cell's task is given, what it is told and what it shows. */
-import type { EngineReport } from '@figloom/platform'
+import type { EngineReport } from '@figloom/clients'
 import type { CellStep, ModelKey, PoolModel, Runner, RunnerView } from '@figloom/tables'
 import type { CellState } from './state.js'
 import type { CellOrder, GoneEvidence, Sender } from './records.js'
--- a/packages/control/src/claims/append-queue.ts
+++ b/packages/control/src/claims/append-queue.ts
@@ -1,6 +1,6 @@
 /** Gathers entries of a stream into one record for a short window, and appends one record at a time until it is taken. */
 import type { Clock, Timer } from '@figloom/runtime'
-import type { LogClient } from '@figloom/platform'
+import type { LogClient } from '@figloom/clients'
 import { CLAIM_RULE, type ClaimLogEntry } from './types.js'
 
 export type AppendQueueOptions = {
--- a/packages/control/src/claims/claim-state.ts
+++ b/packages/control/src/claims/claim-state.ts
@@ -2,7 +2,7 @@
  * The fold over a claim stream. It depends on the records alone, in their order, so that every host reaches the same
  * holder of each key: no clock, no host's own view.
  */
-import type { LogRecord } from '@figloom/platform'
+import type { LogRecord } from '@figloom/clients'
 import { hashAttempt } from './keys.js'
 import { KeyState, KeyTable } from './key-table.js'
 import { parseClaimBody } from './records.js'
--- a/packages/control/src/claims/claim-stream-types.ts
+++ b/packages/control/src/claims/claim-stream-types.ts
@@ -1,6 +1,6 @@
 /** Options, states and messages of the task of a claim stream. */
 import type { Clock, Logger } from '@figloom/runtime'
-import type { LogClient } from '@figloom/platform'
+import type { LogClient } from '@figloom/clients'
 import type { StreamEvent } from '../streams/stream-follower.js'
 import type { ClaimLimits } from './limits.js'
 import type { ClaimStart } from './start.js'
--- a/packages/control/src/claims/claim-stream.ts
+++ b/packages/control/src/claims/claim-stream.ts
@@ -3,7 +3,7 @@
  * has read it back, without a gap, first in order.
  */
 import { Task, type Timer } from '@figloom/runtime'
-import type { LogRecord } from '@figloom/platform'
+import type { LogRecord } from '@figloom/clients'
 import type { StreamEvent, StreamFollower } from '../streams/stream-follower.js'
 import { AbandonedAttempts } from './abandoned-attempts.js'
 import type { AppendQueue } from './append-queue.js'
--- a/packages/control/src/claims/claim-upkeep.ts
+++ b/packages/control/src/claims/claim-upkeep.ts
@@ -1,6 +1,6 @@
 /** What keeps a claim stream small and readable: generations, snapshots, and the reset of a stream that was lost. */
 import type { Clock, Logger, Timer } from '@figloom/runtime'
-import type { LogClient } from '@figloom/platform'
+import type { LogClient } from '@figloom/clients'
 import { SnapshotSchedule } from '../streams/snapshot-schedule.js'
 import type { ClaimState } from './claim-state.js'
 import { claimStreamName } from './keys.js'
--- a/packages/control/src/claims/snapshot.ts
+++ b/packages/control/src/claims/snapshot.ts
@@ -1,5 +1,5 @@
 /** Snapshots of a claim stream: packed keys in parts, each a record, put together again by readers. */
-import type { LogRecord } from '@figloom/platform'
+import type { LogRecord } from '@figloom/clients'
 import { ClaimState } from './claim-state.js'
 import { PACKED_ENTRY_BYTES } from './key-table.js'
 import { parseClaimBody } from './records.js'
--- a/packages/control/src/claims/start.ts
+++ b/packages/control/src/claims/start.ts
@@ -1,5 +1,5 @@
 /** Finds an unbroken start of a claim stream: its first record or a whole snapshot that the log continues. */
-import type { LogClient } from '@figloom/platform'
+import type { LogClient } from '@figloom/clients'
 import { readBounds } from '../streams/stream-follower.js'
 import { ClaimState } from './claim-state.js'
 import { SnapshotCollector, type ClaimSnapshot } from './snapshot.js'
--- a/packages/control/src/config/config-follower.ts
+++ b/packages/control/src/config/config-follower.ts
@@ -1,6 +1,6 @@
 /** Follows the configuration stream, holds the state in force and never moves it to an older offset. */
 import { createFailure, ResultCode, Task, type Clock, type Logger, type TaskFault } from '@figloom/runtime'
-import type { LogClient, LogRecord } from '@figloom/platform'
+import type { LogClient, LogRecord } from '@figloom/clients'
 import { StreamFollower, type StreamEvent } from '../streams/stream-follower.js'
 import { SnapshotSchedule, type SnapshotScheduleOptions } from '../streams/snapshot-schedule.js'
 import { findStart } from './start.js'
--- a/packages/control/src/config/publish.ts
+++ b/packages/control/src/config/publish.ts
@@ -1,7 +1,7 @@
 /** Publishes one edit and waits for its verdict, which the follower reads back from the log. */
 import { errAsync, ResultAsync, err, ok, type Result } from 'neverthrow'
 import { createFailure, ResultCode, type Clock, type Failure } from '@figloom/runtime'
-import type { LogClient } from '@figloom/platform'
+import type { LogClient } from '@figloom/clients'
 import { CONFIG_STREAM, type ConfigFollower } from './config-follower.js'
 import type { JudgedEdit } from './types.js'
 
--- a/packages/control/src/config/start.ts
+++ b/packages/control/src/config/start.ts
@@ -1,6 +1,6 @@
 /** Finds the newest state to start from: a snapshot in the log or one of a peer. */
 import { ResultCode } from '@figloom/runtime'
-import type { LogClient } from '@figloom/platform'
+import type { LogClient } from '@figloom/clients'
 import { readBounds, type StreamBounds } from '../streams/stream-follower.js'
 import type { ConfigRule, SnapshotSource } from './types.js'
 
--- a/packages/control/src/config/tables-rule.ts
+++ b/packages/control/src/config/tables-rule.ts
@@ -1,7 +1,7 @@
 /** The acceptance rule of the tables, as the follower runs it. */
 import { err, ok, type Result } from 'neverthrow'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
-import type { LogRecord } from '@figloom/platform'
+import type { LogRecord } from '@figloom/clients'
 import {
   adoptSnapshot, createConfigState, createSnapshot, foldRecord, parseConfigRecord, RecordKind, snapshotIn,
   type ConfigState
--- a/packages/control/src/config/types.ts
+++ b/packages/control/src/config/types.ts
@@ -1,7 +1,7 @@
 /** Types of the configuration follower: the acceptance rule it runs and what it publishes. */
 import type { Result } from 'neverthrow'
 import type { Failure } from '@figloom/runtime'
-import type { LogRecord } from '@figloom/platform'
+import type { LogRecord } from '@figloom/clients'
 
 /** Verdict of the acceptance rule on one record. */
 export const ConfigVerdict = {
--- a/packages/control/src/membership/membership-state.ts
+++ b/packages/control/src/membership/membership-state.ts
@@ -1,5 +1,5 @@
 /** Changes of membership by list, messages and silence; no input or output of its own. */
-import type { ListedHost } from '@figloom/platform'
+import type { ListedHost } from '@figloom/clients'
 import {
   Liveness,
   type HostRecord, type HostView, type MembershipState, type MembershipTimes, type MembershipView, type PeerReport, type RunnerDrain
--- a/packages/control/src/membership/membership.test.ts
+++ b/packages/control/src/membership/membership.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap'
 import { okAsync } from 'neverthrow'
 import { ManualClock, silentLogger } from '@figloom/runtime'
-import { HostListClient, type ListedHost } from '@figloom/platform'
+import { HostListClient, type ListedHost } from '@figloom/clients'
 import { allowedWork } from './allowed-work.js'
 import { assignHosts, cellsOfHost, neighborsOf } from './assignment.js'
 import { lookupHosts } from './lookup.js'
--- a/packages/control/src/membership/membership.ts
+++ b/packages/control/src/membership/membership.ts
@@ -1,6 +1,6 @@
 /** Task that keeps a host's view of its peers: reads the host list, exchanges state with the hosts of its cells. */
 import { Task, type Clock, type Logger, type Timer } from '@figloom/runtime'
-import type { HostListClient, ListedHost } from '@figloom/platform'
+import type { HostListClient, ListedHost } from '@figloom/clients'
 import {
   applyHostList, applyMissed, applyPeerReport, createMembershipState, forgetDead, setDraining, viewAt
 } from './membership-state.js'
--- a/packages/control/src/streams/stream-follower.test.ts
+++ b/packages/control/src/streams/stream-follower.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap'
 import { ManualClock } from '@figloom/runtime'
-import type { LogRecord } from '@figloom/platform'
+import type { LogRecord } from '@figloom/clients'
 import { MemoryLog } from '@figloom/standin'
 import { ok, okAsync, ResultAsync } from 'neverthrow'
 import { StreamFollower, type StreamEvent } from './stream-follower.js'
--- a/packages/control/src/streams/stream-follower.ts
+++ b/packages/control/src/streams/stream-follower.ts
@@ -1,7 +1,7 @@
 /** Follows one stream of the log by long poll and hands its records on in order, without gaps. */
 import type { Clock, Failure } from '@figloom/runtime'
 import { createFailure, ResultCode } from '@figloom/runtime'
-import type { LogClient, LogPage, LogRecord } from '@figloom/platform'
+import type { LogClient, LogPage, LogRecord } from '@figloom/clients'
 
 /** What a follower reports; every event names the offset that was asked for. */
 export type StreamEvent =
--- a/packages/control/src/testing/claim-cluster.ts
+++ b/packages/control/src/testing/claim-cluster.ts
@@ -4,7 +4,7 @@
 import {
   Clock, createFailure, ManualClock, ResultCode, SequentialIdSource, silentLogger, type Failure, type Timer
 } from '@figloom/runtime'
-import { LogClient, type LogPage, type ReadOptions } from '@figloom/platform'
+import { LogClient, type LogPage, type ReadOptions } from '@figloom/clients'
 import { MemoryLog } from '@figloom/standin'
 import { ClaimStreams } from '../claims/claim-streams.js'
 import { rankGateways } from '../claims/gateways.js'
--- a/packages/control/src/testing/counting-rule.ts
+++ b/packages/control/src/testing/counting-rule.ts
@@ -1,7 +1,7 @@
 /** Small rule for tests: an edit names the version that its author saw; a different one conflicts. */
 import { err, ok, type Result } from 'neverthrow'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
-import type { LogRecord } from '@figloom/platform'
+import type { LogRecord } from '@figloom/clients'
 import { ConfigRule, ConfigVerdict, type ConfigStep, type JudgedEdit } from '../config/types.js'
 
 export type CountingState = { offset: number, version: number, value: string, edits: JudgedEdit[] }
--- a/packages/daemon/src/app.ts
+++ b/packages/daemon/src/app.ts
@@ -1,7 +1,7 @@
 /** figloomd: the listeners, the request path and the control tasks of an entry host, and its life from start to stop. */
 import { randomUUID } from 'node:crypto'
 import type { ConfigFollower, Membership, Sender } from '@figloom/control'
-import type { HostListClient } from '@figloom/platform'
+import type { HostListClient } from '@figloom/clients'
 import { createRegistry, Gauge, type Registry, type Timer } from '@figloom/runtime'
 import { parseAddress } from '@figloom/settings'
 import { tablesOf, type ConfigState } from '@figloom/tables'
--- a/packages/daemon/src/assembly/clients.ts
+++ b/packages/daemon/src/assembly/clients.ts
@@ -1,4 +1,4 @@
-import { HttpEngineClient, HttpHostListClient, HttpLogClient } from '@figloom/platform'
+import { HttpEngineClient, HttpHostListClient, HttpLogClient } from '@figloom/clients'
 import { BackendClient } from '../backends/backend-client.js'
 import { InnerClients } from '../peers/inner-clients.js'
 import type { Clients, DaemonOptions } from './types.js'
--- a/packages/daemon/src/assembly/follower.ts
+++ b/packages/daemon/src/assembly/follower.ts
@@ -1,5 +1,5 @@
 import { ConfigFollower, TablesRule, type Membership } from '@figloom/control'
-import type { HostListClient } from '@figloom/platform'
+import type { HostListClient } from '@figloom/clients'
 import type { ConfigState } from '@figloom/tables'
 import { InnerSnapshotSource } from '../peers/peer-calls.js'
 import { PEER_TIMEOUT_MS } from './membership.js'
--- a/packages/daemon/src/assembly/membership.ts
+++ b/packages/daemon/src/assembly/membership.ts
@@ -1,5 +1,5 @@
 import { DEFAULT_MEMBERSHIP_TIMES, Membership, type PeerReport } from '@figloom/control'
-import type { HostListClient } from '@figloom/platform'
+import type { HostListClient } from '@figloom/clients'
 import type { DemandMeter } from '../cells/demand-meter.js'
 import { InnerPeerExchange } from '../peers/peer-calls.js'
 import { RELEASE } from '../program.js'
--- a/packages/daemon/src/assembly/types.ts
+++ b/packages/daemon/src/assembly/types.ts
@@ -1,5 +1,5 @@
 import type { Sender } from '@figloom/control'
-import type { EngineClient, HostListClient, LogClient } from '@figloom/platform'
+import type { EngineClient, HostListClient, LogClient } from '@figloom/clients'
 import type { RandomSource } from '@figloom/routing'
 import type { Clock, IdSource, Logger } from '@figloom/runtime'
 import type { DaemonSettings } from '@figloom/settings'
--- a/packages/daemon/src/cells/cell-set.ts
+++ b/packages/daemon/src/cells/cell-set.ts
@@ -3,7 +3,7 @@
   cellConfigOf, CellHolder, GoneEvidence,
   type CellView, type HostView, type LeaseSettings, type MembershipState, type MembershipView, type RunnerLoadRecord, type Sender, type StoreLimits
 } from '@figloom/control'
-import type { EngineClient, EngineReport, LogClient } from '@figloom/platform'
+import type { EngineClient, EngineReport, LogClient } from '@figloom/clients'
 import type { Clock, IdSource, Logger } from '@figloom/runtime'
 import type { RandomSource } from '@figloom/routing'
 import type { Pool, Tables } from '@figloom/tables'
--- a/packages/daemon/src/cells/observed-host-list.ts
+++ b/packages/daemon/src/cells/observed-host-list.ts
@@ -1,6 +1,6 @@
 import type { ResultAsync } from 'neverthrow'
 import type { Failure } from '@figloom/runtime'
-import { HostListClient, type ListedHost } from '@figloom/platform'
+import { HostListClient, type ListedHost } from '@figloom/clients'
 
 /** Splits the platform's list: entry hosts go on to membership, leaving backend servers to their cells. */
 export class ObservedHostList extends HostListClient {
--- a/packages/daemon/src/cells/runner-watch.ts
+++ b/packages/daemon/src/cells/runner-watch.ts
@@ -1,6 +1,6 @@
 /** Reads the load reports of the runners of a host's cells, shared with the other hosts of each cell. */
 import { rankByRendezvous, RunnerHealth, type MembershipState, type PeerRunnerLoad, type RunnerLoadRecord } from '@figloom/control'
-import type { EngineClient, EngineReport } from '@figloom/platform'
+import type { EngineClient, EngineReport } from '@figloom/clients'
 import type { Clock, Timer } from '@figloom/runtime'
 import type { Runner } from '@figloom/tables'
 
--- /dev/null
+++ b/packages/gateway/src/choose/candidates.ts
@@ -0,0 +1,71 @@
+/** Which runners may take a request now, and why the others may not. */
+import type { Service } from '../config/types.js'
+import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
+import type { Candidate } from './choose-runner.js'
+
+/** What a request needs of its runner. */
+export type Need = {
+  service: Service
+  model?: string
+  adapter?: string
+  /** Runners that this request is not to be sent to again. */
+  excluded: ReadonlySet<string>
+  /** Hosts that share the runners' connections. */
+  hostCount: number
+}
+
+export type CandidateSet = {
+  /** Runners that may take the request. */
+  open: Candidate[]
+  /** Runners that hold what is needed but are full. */
+  fullCount: number
+  /** Runners that hold the model, but not the adapter. */
+  withoutAdapter: Candidate[]
+}
+
+/** Part of a runner's places that may be taken, queue included. */
+const ENGINE_OCCUPATION_LIMIT = 1.1
+/** Plain services have few places and queue briefly. */
+const PLAIN_OCCUPATION_LIMIT = 2
+/** Part of a runner's connections that the hosts use; the rest is left for connections that are closing. */
+const CONNECTION_SHARE = 0.85
+
+export function findCandidates (table: RunnerTable, need: Need, nowMs: number): CandidateSet {
+  const set: CandidateSet = { open: [], fullCount: 0, withoutAdapter: [] }
+  for (const state of table.usable(need.service.name)) {
+    if (need.excluded.has(state.entry.id) || !state.health.accepts(nowMs)) continue
+    if (need.model !== undefined && !table.holds(state, need.model, undefined, nowMs)) continue
+    const candidate = toCandidate(table, state)
+    if (isFull(candidate, state, need)) {
+      set.fullCount += 1
+      continue
+    }
+    const lacksAdapter = need.model !== undefined && need.adapter !== undefined &&
+      !table.holds(state, need.model, need.adapter, nowMs)
+    if (lacksAdapter) set.withoutAdapter.push(candidate)
+    else set.open.push(candidate)
+  }
+  return set
+}
+
+function toCandidate (table: RunnerTable, state: RunnerState): Candidate {
+  const { entry } = state
+  return {
+    id: entry.id,
+    slots: Math.max(1, entry.slots),
+    inFlight: table.totalInFlight(state),
+    availabilityZone: entry.availabilityZone,
+    slowness: 1
+  }
+}
+
+function isFull (candidate: Candidate, state: RunnerState, need: Need): boolean {
+  const limit = need.service.engine === undefined ? PLAIN_OCCUPATION_LIMIT : ENGINE_OCCUPATION_LIMIT
+  if (candidate.inFlight >= candidate.slots * limit) return true
+  return state.inFlight >= connectionShare(need.service, need.hostCount)
+}
+
+/** Connections that this host may open to one runner. */
+export function connectionShare (service: Service, hostCount: number): number {
+  return Math.max(1, Math.floor(service.maxConnections * CONNECTION_SHARE / Math.max(1, hostCount)))
+}
--- /dev/null
+++ b/packages/gateway/src/config/config-state.ts
@@ -0,0 +1,43 @@
+/** The configuration in force at this host; only ever moves to a higher version. */
+import { RouteTable } from './route-table.js'
+import type { CallerLimits, GatewayConfig, Route, Service } from './types.js'
+
+export class ConfigState {
+  #config: GatewayConfig | undefined
+  #routes = RouteTable.create([])
+
+  private constructor () {}
+
+  static create (): ConfigState {
+    return new ConfigState()
+  }
+
+  /** Puts a configuration into force; false if it isn't newer than the one in force. */
+  adopt (config: GatewayConfig): boolean {
+    if (this.#config !== undefined && config.version <= this.#config.version) return false
+    this.#config = config
+    this.#routes = RouteTable.create(config.routes)
+    return true
+  }
+
+  /** 0 while no configuration is known. */
+  get version (): number {
+    return this.#config?.version ?? 0
+  }
+
+  get known (): boolean {
+    return this.#config !== undefined
+  }
+
+  get limits (): CallerLimits | undefined {
+    return this.#config?.limits
+  }
+
+  get services (): ReadonlyMap<string, Service> {
+    return this.#config?.services ?? new Map()
+  }
+
+  findRoute (host: string, target: string): Route | undefined {
+    return this.#routes.find(host, target)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/forward/runner-connections.ts
@@ -0,0 +1,67 @@
+/** Connections to runners: one bounded pool for each runner, dropped when the runner is gone. */
+import { Pool, type Dispatcher } from 'undici'
+
+/** A runner that accepts no connection in this time is taken as unreachable. */
+const CONNECT_TIMEOUT_MS = 700
+/** Idle connections are closed after this time, unless the runner names a shorter one. */
+const IDLE_MS = 4_000
+/** Distance to the runner's own idle timeout, so that no request crosses its close. */
+const IDLE_MARGIN_MS = 1_000
+/** Answer heads of runners are small; a larger one is damaged. */
+const MAX_HEADER_BYTES = 16_384
+
+type RunnerPool = { pool: Pool, address: string }
+
+export class RunnerConnections {
+  readonly #pools = new Map<string, RunnerPool>()
+
+  private constructor () {}
+
+  static create (): RunnerConnections {
+    return new RunnerConnections()
+  }
+
+  /** Dispatcher for a runner; `maxConnections` holds from the pool's creation on. */
+  to (runnerId: string, address: string, maxConnections: number): Dispatcher {
+    const known = this.#pools.get(runnerId)
+    if (known?.address === address) return known.pool
+    if (known !== undefined) this.drop(runnerId)
+    const pool = new Pool(`http://${address}`, {
+      connections: Math.max(1, maxConnections),
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: IDLE_MS,
+      keepAliveMaxTimeout: IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      maxHeaderSize: MAX_HEADER_BYTES
+    })
+    // Errors of connections reach the requests on them; the pool repeats them for nobody.
+    pool.on('connectionError', () => {})
+    this.#pools.set(runnerId, { pool, address })
+    return pool
+  }
+
+  /** Lets requests under way end, then closes the connections of a runner that left the list. */
+  drop (runnerId: string): void {
+    const known = this.#pools.get(runnerId)
+    if (known === undefined) return
+    this.#pools.delete(runnerId)
+    known.pool.close().catch(() => known.pool.destroy())
+  }
+
+  /** Drops the connections of runners that are not among `ids`. */
+  retain (ids: ReadonlySet<string>): void {
+    for (const id of this.#pools.keys()) {
+      if (!ids.has(id)) this.drop(id)
+    }
+  }
+
+  /** Closes everything at once. */
+  async destroy (): Promise<void> {
+    const pools = [...this.#pools.values()]
+    this.#pools.clear()
+    await Promise.all(pools.map(({ pool }) => pool.destroy()))
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/forward/types.ts
@@ -0,0 +1,62 @@
+/** A request as callers send it and an answer as runners give it, apart from the names on the wire. */
+
+/** A part of a prompt that other requests may share, in order. */
+export type PromptPart = { id: string, tokens: number }
+
+/** What the headers of a caller's request say. */
+export type CallerFacts = {
+  requestId?: string
+  /** How long the caller waits, counted from its sending. */
+  deadlineMs?: number
+  model?: string
+  adapter?: string
+  promptTokens: number
+  maxOutputTokens: number
+  promptParts: PromptPart[]
+  /** Last event that the caller has of a stream that broke off. */
+  lastEventId?: number
+}
+
+/** What the gateway adds to a request that it passes on. */
+export type ForwardFields = {
+  /** Time left for the answer. */
+  deadlineMs: number
+  /** Runner that is meant; another one at the same address refuses. */
+  runnerId: string
+  lastEventId?: number
+  /** Weights that a resumed stream has to go on with. */
+  weightsVersion?: number
+}
+
+/** What the head of a runner's answer says. */
+export type AnswerFacts = {
+  status: number
+  requestId?: string
+  /** The runner vouches for this answer. */
+  signed: boolean
+  /** The runner states that it didn't run the request. */
+  notRun: boolean
+  /** The address belongs to another runner, or this one doesn't hold the model. */
+  misdirected: boolean
+  /** Id of the runner that says so. */
+  runnerId?: string
+  /** The body is encoded in a way that the caller didn't ask for. */
+  encoded: boolean
+  isEventStream: boolean
+  weightsVersion?: number
+  /** The runner closes the connection behind this answer. */
+  closes: boolean
+}
+
+/** Header names and values in turn, as Node's parsers give them. */
+export type RawHeaders = string[]
+
+/** Translates between the platform's headers and the gateway's types. */
+export abstract class RequestCodec {
+  abstract decodeRequest (headers: RawHeaders): CallerFacts
+  /** Headers for a runner: the caller's without those of the connection and those that are the system's to set. */
+  abstract encodeRequest (headers: RawHeaders, fields: ForwardFields): RawHeaders
+  abstract decodeAnswer (status: number, headers: RawHeaders): AnswerFacts
+  /** Headers of an answer for the caller, without those of the connection. */
+  abstract encodeAnswer (headers: RawHeaders): RawHeaders
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,289 @@
+/** A gateway host: its listeners and tasks, and its life from start to stop. */
+import { randomUUID } from 'node:crypto'
+import { createRegistry, Gauge, type Clock, type Logger, type Registry, type Timer } from '@figloom/runtime'
+import { ConfigState } from './config/config-state.js'
+import { RunnerConnections } from './forward/runner-connections.js'
+import { createCallerHandler, createPathHandler, createPeerHandler } from './front/handlers.js'
+import { HttpServer } from './front/http-server.js'
+import { InstantSource, systemBootClock } from './lease/instant.js'
+import { LeaseKeeper } from './lease/lease-keeper.js'
+import { lookupHosts } from './lookup/lookup.js'
+import { Exchanger } from './members/exchanger.js'
+import { MemberTable } from './members/member-table.js'
+import { ConnectPeerCalls, type PeerHandler } from './members/peer-service.js'
+import type { DemandRate, HostReport } from './members/types.js'
+import { AdapterRequests } from './orders/adapter-requests.js'
+import { OrderDesk } from './orders/order-desk.js'
+import { SharedBudget } from './retry/shared-budget.js'
+import { RunnerTable } from './runners/runner-table.js'
+import { DemandMeter } from './serve/demand-meter.js'
+import { createRequestMetrics } from './serve/metrics.js'
+import { serveRequest } from './serve/serve-request.js'
+import type { ServeContext } from './serve/types.js'
+import type { GatewaySettings, Platform } from './types.js'
+
+/** Callers keep a lookup's answer this long, some of them three times as long. */
+const LOOKUP_TTL_MS = 1_000
+/** Callers that keep answers longest. */
+const LOOKUP_KEPT_FACTOR = 3
+/** Time until peers leave this host out of their lookups. */
+const LEAVE_MARGIN_MS = 700
+/** Time before the end of the grace period by which the process is gone. */
+const EXIT_MARGIN_MS = 300
+const SWEEP_MS = 200
+
+export type GatewayParts = {
+  settings: GatewaySettings
+  platform: Platform
+  clock: Clock
+  log: Logger
+  random: () => number
+}
+
+export class Gateway {
+  readonly #registry: Registry
+  readonly #config = ConfigState.create()
+  readonly #runners = RunnerTable.create()
+  readonly #connections = RunnerConnections.create()
+  readonly #demand = DemandMeter.create()
+  readonly #peers = ConnectPeerCalls.create()
+  readonly #incarnation = randomUUID()
+  readonly #members: MemberTable
+  readonly #exchanger: Exchanger
+  readonly #lease: LeaseKeeper
+  readonly #desk: OrderDesk
+  readonly #context: ServeContext
+  readonly #front: HttpServer
+  readonly #others: HttpServer[] = []
+  #inFlight = 0
+  #leaving = false
+  #sweepTimer: Timer | undefined
+
+  private constructor (private readonly parts: GatewayParts) {
+    const { settings, clock, log } = parts
+    this.#registry = createRegistry({ host: settings.self.host, availabilityZone: settings.self.availabilityZone })
+    this.#members = MemberTable.create(settings.self.host)
+    this.#exchanger = this.#createExchanger()
+    this.#lease = this.#createLease()
+    this.#desk = OrderDesk.create({
+      clock,
+      log,
+      config: this.#config,
+      runners: this.#runners,
+      orders: parts.platform.orders,
+      host: settings.self.host,
+      orderToken: () => this.#lease.orderToken(),
+      demand: () => this.#allDemand()
+    })
+    this.#context = this.#createContext()
+    this.#front = HttpServer.create(createCallerHandler(async (request, response) => {
+      this.#inFlight += 1
+      await serveRequest(this.#context, request, response).finally(() => { this.#inFlight -= 1 })
+    }))
+    this.#createGauges()
+  }
+
+  static create (parts: GatewayParts): Gateway {
+    return new Gateway(parts)
+  }
+
+  /** Opens the listeners and starts the tasks. */
+  async start (): Promise<void> {
+    const { settings, platform, log } = this.parts
+    platform.watch.start({
+      onConfig: (config) => this.#onConfig(config),
+      onRunner: (entry) => this.#runners.upsert(entry),
+      onRunnerGone: (id, lapsed) => this.#runners.remove(id, this.#nowMs(), lapsed),
+      onRunnerList: (ids, lapsed) => this.#runners.retain(ids, this.#nowMs(), lapsed)
+    })
+    await this.#openListeners()
+    this.#exchanger.start()
+    this.#lease.start()
+    this.#desk.start()
+    this.#sweep()
+    log.info('gateway started', { callerListener: settings.callerListener, peerListener: settings.peerListener, incarnation: this.#incarnation })
+  }
+
+  /** Stops without cutting answers under way; resolves when the process may end. */
+  async stop (): Promise<void> {
+    if (this.#leaving) return
+    this.#leaving = true
+    const { clock, log, settings } = this.parts
+    const endMs = this.#nowMs() + settings.graceMs - EXIT_MARGIN_MS
+    log.info('gateway is leaving', { inFlight: this.#inFlight })
+    await Promise.allSettled([this.#exchanger.tellAll(), this.#lease.release()])
+    this.#desk.stop()
+    await clock.sleep(LOOKUP_TTL_MS * LOOKUP_KEPT_FACTOR + LEAVE_MARGIN_MS)
+    this.#front.stopAccepting()
+    while (this.#inFlight > 0 && this.#nowMs() < endMs) {
+      await clock.sleep(50)
+      this.#front.closeIdle()
+    }
+    log.info('gateway stopped', { inFlight: this.#inFlight })
+    await this.#destroy()
+  }
+
+  get ready (): boolean {
+    return this.#config.known && !this.#leaving && this.#runners.all().length > 0
+  }
+
+  #nowMs (): number {
+    return this.parts.clock.monotonicMs()
+  }
+
+  #onConfig (config: Parameters<ConfigState['adopt']>[0]): void {
+    const before = this.#config.version
+    if (!this.#config.adopt(config)) return
+    this.#front.setLimits(config.limits)
+    this.parts.log.info('configuration in force', { version: config.version, before, routes: config.routes.length })
+  }
+
+  async #openListeners (): Promise<void> {
+    const { settings, platform } = this.parts
+    const { lookupWire } = platform
+    await this.#listen(createPeerHandler(this.#peerHandler(), this.#registry), settings.peerListener)
+    const readiness = createPathHandler(lookupWire.readinessPath, () => textAnswer(this.ready))
+    if (settings.readinessListener !== undefined) await this.#listen(readiness, settings.readinessListener)
+    const lookup = createPathHandler(lookupWire.lookupPath, () => this.#answerLookup())
+    if (settings.lookupListener !== undefined) await this.#listen(lookup, settings.lookupListener)
+    await this.#front.listen(settings.callerListener)
+  }
+
+  async #listen (handler: Parameters<typeof HttpServer.create>[0], address: string): Promise<void> {
+    const server = HttpServer.create(handler)
+    this.#others.push(server)
+    await server.listen(address)
+  }
+
+  #answerLookup () {
+    const { settings, platform } = this.parts
+    const ownAddress = this.ready ? settings.self.callerAddress : undefined
+    const addresses = lookupHosts({ members: this.#members, ownAddress, nowMs: this.#nowMs() })
+    if (addresses.length === 0) return textAnswer(false)
+    const ttlMs = Math.min(LOOKUP_TTL_MS, settings.maxLookupTtlMs)
+    return { status: 200, body: platform.lookupWire.formatLookup(addresses, ttlMs), contentType: 'application/json' }
+  }
+
+  #peerHandler (): PeerHandler {
+    return {
+      onReport: (report) => this.#exchanger.onIncoming(report),
+      onAdapterRequest: (request) => this.#desk.ensureAdapter(request)
+    }
+  }
+
+  #createExchanger (): Exchanger {
+    const { settings, clock, log, platform } = this.parts
+    return Exchanger.create({
+      clock,
+      log,
+      members: this.#members,
+      calls: this.#peers,
+      registry: platform.registry,
+      self: settings.self,
+      seedPeerAddresses: settings.seedPeerAddresses,
+      report: () => this.#report(),
+      onReport: (report) => this.#runners.setPeerUse(report.address.host, report.runnerUses),
+      onForgotten: (host) => this.#runners.forgetPeer(host)
+    })
+  }
+
+  #createLease (): LeaseKeeper {
+    const { settings, clock, log, platform } = this.parts
+    return LeaseKeeper.create({
+      clock,
+      instants: InstantSource.create(clock, systemBootClock),
+      log,
+      leaseLog: platform.leaseLog,
+      host: settings.self.host,
+      incarnation: this.#incarnation,
+      orderGapMs: settings.orderGapMs,
+      holderIsLive: () => this.#holderReport() !== undefined,
+      mayHold: () => this.#config.known && !this.#leaving
+    })
+  }
+
+  #createContext (): ServeContext {
+    const { settings, clock, log, platform, random } = this.parts
+    return {
+      clock,
+      log,
+      metrics: createRequestMetrics(this.#registry),
+      codec: platform.codec,
+      config: this.#config,
+      runners: this.#runners,
+      connections: this.#connections,
+      budget: SharedBudget.create(settings.budget),
+      demand: this.#demand,
+      adapters: AdapterRequests.create({
+        clock,
+        log,
+        runners: this.#runners,
+        desk: this.#desk,
+        peers: this.#peers,
+        mayOrder: () => this.#lease.orderToken() !== undefined,
+        holderAddress: () => this.#holderReport()?.address.peerAddress
+      }),
+      host: {
+        availabilityZone: settings.self.availabilityZone,
+        hostCount: () => this.#members.sharingCount(this.#nowMs()),
+        isLeaving: () => this.#leaving
+      },
+      random
+    }
+  }
+
+  /** Last word of a live host that says it holds the lease on orders. */
+  #holderReport (): HostReport | undefined {
+    return this.#members.live(this.#nowMs()).find(({ report }) => report?.lease.heldBySender === true)?.report
+  }
+
+  #report (): HostReport {
+    const uses = this.#runners.all().filter(({ inFlight }) => inFlight > 0)
+    return {
+      address: this.parts.settings.self,
+      incarnation: this.#incarnation,
+      ready: this.ready,
+      leaving: this.#leaving,
+      configVersion: this.#config.version,
+      runnerUses: new Map(uses.map(({ entry, inFlight }) => [entry.id, inFlight])),
+      demand: this.#demand.rates(this.#nowMs()),
+      lease: { holder: this.#lease.holds ? this.parts.settings.self.host : '', fencingToken: this.#lease.fencingToken, heldBySender: this.#lease.holds },
+      knownHosts: this.#members.live(this.#nowMs()).map(({ address }) => address)
+    }
+  }
+
+  #allDemand (): DemandRate[] {
+    const nowMs = this.#nowMs()
+    const others = this.#members.live(nowMs).flatMap(({ report }) => report?.demand ?? [])
+    return [...this.#demand.rates(nowMs), ...others]
+  }
+
+  #sweep (): void {
+    for (const id of this.#runners.sweep(this.#nowMs())) this.parts.log.info('runner is gone', { runner: id })
+    this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
+    this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
+  }
+
+  #createGauges (): void {
+    const registers = [this.#registry]
+    const count = (name: string, help: string, read: () => number) => new Gauge({ name, help, registers, collect () { this.set(read()) } })
+    count('figloom_gateway_in_flight', 'Requests of callers under way at this host.', () => this.#inFlight)
+    count('figloom_gateway_config_version', 'Version of the configuration in force.', () => this.#config.version)
+    count('figloom_gateway_runners', 'Runners in the list.', () => this.#runners.all().length)
+    count('figloom_gateway_live_hosts', 'Other hosts heard of late.', () => this.#members.live(this.#nowMs()).length)
+    count('figloom_gateway_holds_lease', '1 while this host holds the lease on orders.', () => this.#lease.holds ? 1 : 0)
+  }
+
+  async #destroy (): Promise<void> {
+    this.#exchanger.stop()
+    this.#sweepTimer?.cancel()
+    this.parts.platform.watch.stop()
+    this.#front.destroy()
+    for (const server of this.#others) server.destroy()
+    await this.#connections.destroy()
+  }
+}
+
+function textAnswer (good: boolean) {
+  return { status: good ? 200 : 503, body: good ? 'ready\n' : 'not ready\n', contentType: 'text/plain' }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,10 @@
+/** Entry host in front of runners that a platform lists: routes, lookup, membership and model orders. */
+export * from './types.js'
+export * from './gateway.js'
+export * from './config/types.js'
+export * from './runners/types.js'
+export * from './forward/types.js'
+export * from './lease/types.js'
+export * from './members/types.js'
+export * from './orders/types.js'
+export type { BudgetLimits } from './retry/shared-budget.js'
--- /dev/null
+++ b/packages/gateway/src/lease/lease-keeper.ts
@@ -0,0 +1,178 @@
+/**
+ * Takes, keeps and gives up the lease on orders. Runners don't all check fencing tokens, so a successor waits until
+ * the lease of its predecessor has run out by any clock, and besides for the time that has to lie between orders of
+ * two holders.
+ */
+import type { Clock, Logger, Timer } from '@figloom/runtime'
+import type { Instant, InstantSource } from './instant.js'
+import { AppendOutcome, LeaseRecordKind, type LeaseLog, type LeaseTail } from './types.js'
+
+/** A lease ends this long after the sending of its last renewal. */
+export const LEASE_MS = 2_500
+/** Difference of the clocks' speeds and delays that a successor allows for. */
+const EXPIRY_MARGIN_MS = 300
+const RENEW_MS = 700
+const TICK_MS = 150
+/** While a live holder is in direct contact, the log isn't read. */
+const WATCH_MS = 400
+
+export type LeaseParts = {
+  clock: Clock
+  instants: InstantSource
+  log: Logger
+  leaseLog: LeaseLog
+  host: string
+  incarnation: string
+  /** Time that has to pass between orders of two holders. */
+  orderGapMs: number
+  /** Another host that says it holds the lease was heard of late. */
+  holderIsLive: () => boolean
+  /** Whether this host may take the lease now. */
+  mayHold: () => boolean
+}
+
+type Holding = { fencingToken: number, renewedAt: Instant, ordersFromMs: number }
+type Observation = { end: number, sinceMs: number }
+
+export class LeaseKeeper {
+  #holding: Holding | undefined
+  #end = 0
+  #observed: Observation | undefined
+  #nextMs = 0
+  #busy = false
+  #timer: Timer | undefined
+  #stopped = false
+
+  private constructor (private readonly parts: LeaseParts) {}
+
+  static create (parts: LeaseParts): LeaseKeeper {
+    return new LeaseKeeper(parts)
+  }
+
+  start (): void {
+    this.#schedule()
+  }
+
+  stop (): void {
+    this.#stopped = true
+    this.#timer?.cancel()
+  }
+
+  /** The token of this host's lease if it may give orders at this moment. */
+  orderToken (): number | undefined {
+    const holding = this.#holding
+    if (holding === undefined || this.#stopped) return undefined
+    if (this.parts.instants.elapsedMs(holding.renewedAt) >= LEASE_MS) return undefined
+    if (this.parts.clock.monotonicMs() < holding.ordersFromMs) return undefined
+    return holding.fencingToken
+  }
+
+  /** Whether this host holds the lease, also while it may not give orders yet. */
+  get holds (): boolean {
+    return this.#holding !== undefined && this.parts.instants.elapsedMs(this.#holding.renewedAt) < LEASE_MS
+  }
+
+  get fencingToken (): number {
+    return this.#holding?.fencingToken ?? 0
+  }
+
+  /** Gives no order any more and says so in the log, so that a successor needn't wait for the lease to run out. */
+  async release (): Promise<void> {
+    const held = this.#holding !== undefined
+    this.#holding = undefined
+    this.stop()
+    if (!held) return
+    const outcome = await this.parts.leaseLog.append(this.#end, this.#record(LeaseRecordKind.Release))
+    this.parts.log.info('order lease released', { outcome })
+  }
+
+  /** One step; also called by the timer. */
+  async step (): Promise<void> {
+    if (this.#busy || this.#stopped) return
+    this.#busy = true
+    try {
+      if (this.#holding !== undefined) await this.#keep(this.#holding)
+      else await this.#watch()
+    } catch (error) {
+      this.parts.log.warn('log of leases is out of reach', { reason: (error as Error).message })
+      this.#nextMs = this.parts.clock.monotonicMs() + WATCH_MS
+    }
+    this.#busy = false
+  }
+
+  #schedule (): void {
+    if (this.#stopped) return
+    this.#timer = this.parts.clock.setTimer(TICK_MS, () => {
+      this.step().finally(() => this.#schedule())
+    })
+  }
+
+  async #keep (holding: Holding): Promise<void> {
+    const { clock, instants, leaseLog } = this.parts
+    if (clock.monotonicMs() < this.#nextMs) return
+    const sentAt = instants.now()
+    const outcome = await leaseLog.append(this.#end, this.#record(LeaseRecordKind.Renewal))
+    if (this.#holding !== holding) return
+    if (outcome === AppendOutcome.Appended) {
+      this.#end += 1
+      holding.renewedAt = sentAt
+      this.#nextMs = clock.monotonicMs() + RENEW_MS
+      return
+    }
+    await this.#recheck(holding)
+  }
+
+  /** After a renewal that failed or went unanswered: the lease stands only if nobody else wrote since. */
+  async #recheck (holding: Holding): Promise<void> {
+    const tail = await this.parts.leaseLog.readTail()
+    if (this.#holding !== holding) return
+    this.#end = tail.end
+    if (tail.last?.incarnation === this.parts.incarnation && tail.last.kind !== LeaseRecordKind.Release) return
+    this.#holding = undefined
+    this.parts.log.warn('order lease lost', { holder: tail.last?.holder, end: tail.end })
+  }
+
+  async #watch (): Promise<void> {
+    const { clock, holderIsLive, mayHold, leaseLog } = this.parts
+    const nowMs = clock.monotonicMs()
+    if (nowMs < this.#nextMs) return
+    this.#nextMs = nowMs + WATCH_MS
+    if (holderIsLive() || !mayHold()) {
+      this.#observed = undefined
+      return
+    }
+    const tail = await leaseLog.readTail()
+    const waitMs = this.#waitBeforeClaim(tail)
+    if (waitMs === undefined) return
+    await this.#claim(tail, waitMs)
+  }
+
+  /** How long orders have to wait behind a claim made now; undefined: the lease may not be claimed yet. */
+  #waitBeforeClaim (tail: LeaseTail): number | undefined {
+    const { host, orderGapMs, clock } = this.parts
+    if (tail.end === 0) return 0
+    if (tail.last?.holder === host) return 0
+    if (tail.last?.kind === LeaseRecordKind.Release) return orderGapMs
+    const nowMs = clock.monotonicMs()
+    if (this.#observed?.end !== tail.end) this.#observed = { end: tail.end, sinceMs: nowMs }
+    const unchangedMs = nowMs - this.#observed.sinceMs
+    return unchangedMs > LEASE_MS + EXPIRY_MARGIN_MS ? orderGapMs : undefined
+  }
+
+  async #claim (tail: LeaseTail, waitMs: number): Promise<void> {
+    const { clock, instants, leaseLog, log } = this.parts
+    const sentAt = instants.now()
+    const outcome = await leaseLog.append(tail.end, this.#record(LeaseRecordKind.Claim))
+    this.#observed = undefined
+    if (outcome !== AppendOutcome.Appended || this.#stopped) return
+    this.#end = tail.end + 1
+    const nowMs = clock.monotonicMs()
+    this.#holding = { fencingToken: tail.end + 1, renewedAt: sentAt, ordersFromMs: nowMs + waitMs }
+    this.#nextMs = nowMs + RENEW_MS
+    log.info('order lease taken', { fencingToken: tail.end + 1, earlierHolder: tail.last?.holder, ordersInMs: waitMs })
+  }
+
+  #record (kind: LeaseRecordKind) {
+    return { kind, holder: this.parts.host, incarnation: this.parts.incarnation }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/members/peer-service.ts
@@ -0,0 +1,102 @@
+/** The hosts' protocol over connect-es: translation of reports, the client, and the service's routes. */
+import { create, type MessageInitShape } from '@bufbuild/protobuf'
+import { createClient, type Client, type ConnectRouter } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import {
+  GatewayReportSchema, GatewayService, type GatewayAddress, type GatewayReport
+} from '@figloom/protocol'
+import { Agent } from 'node:http'
+import { PeerCalls, type AdapterReply, type AdapterRequest, type HostAddress, type HostReport } from './types.js'
+
+const EXCHANGE_TIMEOUT_MS = 600
+const ENSURE_TIMEOUT_MS = 1_000
+/** Idle connections between hosts stay open over several exchanges. */
+const KEEP_ALIVE_MS = 5_000
+
+/** What a host does with the calls of others. */
+export abstract class PeerHandler {
+  abstract onReport (report: HostReport): HostReport
+  abstract onAdapterRequest (request: AdapterRequest): Promise<AdapterReply>
+}
+
+export function registerPeerService (router: ConnectRouter, handler: PeerHandler): void {
+  router.service(GatewayService, {
+    exchange: (message) => toMessage(handler.onReport(fromMessage(message))),
+    ensureAdapter: (message) => handler.onAdapterRequest(message)
+  })
+}
+
+export class ConnectPeerCalls extends PeerCalls {
+  readonly #clients = new Map<string, Client<typeof GatewayService>>()
+  readonly #agent = new Agent({ keepAlive: true, keepAliveMsecs: KEEP_ALIVE_MS, timeout: KEEP_ALIVE_MS })
+
+  static create (): ConnectPeerCalls {
+    return new ConnectPeerCalls()
+  }
+
+  override async exchange (peerAddress: string, report: HostReport): Promise<HostReport> {
+    const answer = await this.#client(peerAddress).exchange(toMessage(report), { timeoutMs: EXCHANGE_TIMEOUT_MS })
+    return fromMessage(answer)
+  }
+
+  override async ensureAdapter (peerAddress: string, request: AdapterRequest): Promise<AdapterReply> {
+    const answer = await this.#client(peerAddress).ensureAdapter(request, { timeoutMs: ENSURE_TIMEOUT_MS })
+    return { accepted: answer.accepted, readyInMs: answer.readyInMs }
+  }
+
+  #client (peerAddress: string): Client<typeof GatewayService> {
+    const known = this.#clients.get(peerAddress)
+    if (known !== undefined) return known
+    const transport = createConnectTransport({
+      baseUrl: `http://${peerAddress}`,
+      httpVersion: '1.1',
+      useBinaryFormat: true,
+      nodeOptions: { agent: this.#agent }
+    })
+    const client = createClient(GatewayService, transport)
+    this.#clients.set(peerAddress, client)
+    return client
+  }
+}
+
+function toMessage (report: HostReport): GatewayReport {
+  const init: MessageInitShape<typeof GatewayReportSchema> = {
+    address: report.address,
+    incarnation: report.incarnation,
+    ready: report.ready,
+    leaving: report.leaving,
+    configVersion: BigInt(report.configVersion),
+    runnerUses: [...report.runnerUses].map(([runnerId, inFlight]) => ({ runnerId, inFlight })),
+    demand: report.demand.map(({ service, model, adapter, requestsPerS }) => ({ service, model, adapter: adapter ?? '', requestsPerS })),
+    lease: { ...report.lease, fencingToken: BigInt(report.lease.fencingToken) },
+    knownHosts: report.knownHosts
+  }
+  return create(GatewayReportSchema, init)
+}
+
+function fromMessage (message: GatewayReport): HostReport {
+  return {
+    address: toAddress(message.address),
+    incarnation: message.incarnation,
+    ready: message.ready,
+    leaving: message.leaving,
+    configVersion: Number(message.configVersion),
+    runnerUses: new Map(message.runnerUses.map(({ runnerId, inFlight }) => [runnerId, inFlight])),
+    demand: message.demand.map(({ service, model, adapter, requestsPerS }) => ({ service, model, adapter: adapter === '' ? undefined : adapter, requestsPerS })),
+    lease: {
+      holder: message.lease?.holder ?? '',
+      fencingToken: Number(message.lease?.fencingToken ?? 0n),
+      heldBySender: message.lease?.heldBySender ?? false
+    },
+    knownHosts: message.knownHosts.map(toAddress)
+  }
+}
+
+function toAddress (message: GatewayAddress | undefined): HostAddress {
+  return {
+    host: message?.host ?? '',
+    availabilityZone: message?.availabilityZone ?? '',
+    callerAddress: message?.callerAddress ?? '',
+    peerAddress: message?.peerAddress ?? ''
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/members/types.ts
@@ -0,0 +1,48 @@
+/** Hosts of the gateway as they know each other by direct contact. Times are monotonic milliseconds. */
+
+/** Where a host can be reached; addresses are IP:PORT. */
+export type HostAddress = {
+  host: string
+  availabilityZone: string
+  callerAddress: string
+  peerAddress: string
+}
+
+/** Who may give orders to runners, as a host knows it. */
+export type LeaseView = { holder: string, fencingToken: number, heldBySender: boolean }
+
+/** Demand for a model or adapter at one host. */
+export type DemandRate = { service: string, model: string, adapter?: string, requestsPerS: number }
+
+/** What a host says of itself. */
+export type HostReport = {
+  address: HostAddress
+  /** New with every start of its process. */
+  incarnation: string
+  ready: boolean
+  leaving: boolean
+  configVersion: number
+  /** Requests in flight by runner id. */
+  runnerUses: Map<string, number>
+  demand: DemandRate[]
+  lease: LeaseView
+  knownHosts: HostAddress[]
+}
+
+/** Hands reports to other hosts and takes theirs. */
+export abstract class PeerCalls {
+  /** Sends a report to the host at `peerAddress` and returns its own. */
+  abstract exchange (peerAddress: string, report: HostReport): Promise<HostReport>
+  abstract ensureAdapter (peerAddress: string, request: AdapterRequest): Promise<AdapterReply>
+}
+
+/** Wish for an adapter on a runner, sent to whoever may order it. */
+export type AdapterRequest = { runnerId: string, model: string, adapter: string }
+
+export type AdapterReply = { accepted: boolean, readyInMs: number }
+
+/** Where hosts find each other that share no running neighbour. */
+export abstract class HostRegistry {
+  abstract announce (address: HostAddress): Promise<void>
+  abstract list (): Promise<HostAddress[]>
+}
--- /dev/null
+++ b/packages/gateway/src/orders/load-pace.ts
@@ -0,0 +1,30 @@
+/** Paces loads from the weight store over all runners. Times are monotonic milliseconds. */
+
+/** Part of the store's rate that is used; the rest is for loads that start late. */
+const USED_SHARE = 0.9
+const BURST = 2
+
+export class LoadPace {
+  #tokens = 1
+  #updatedMs: number
+
+  private constructor (nowMs: number) {
+    this.#updatedMs = nowMs
+  }
+
+  static create (nowMs: number): LoadPace {
+    return new LoadPace(nowMs)
+  }
+
+  /** Loads that may start now. */
+  available (loadsPerS: number, nowMs: number): number {
+    const elapsedS = Math.max(0, nowMs - this.#updatedMs) / 1000
+    this.#tokens = Math.min(BURST, this.#tokens + elapsedS * loadsPerS * USED_SHARE)
+    this.#updatedMs = nowMs
+    return Math.floor(this.#tokens)
+  }
+
+  onLoad (): void {
+    this.#tokens -= 1
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/orders/order-desk.ts
@@ -0,0 +1,238 @@
+/** Gives orders to runners while this host holds the lease: plans models, brings adapters, and keeps a book a runner. */
+import type { Clock, Logger, Timer } from '@figloom/runtime'
+import type { ConfigState } from '../config/config-state.js'
+import type { EngineSpec, Service } from '../config/types.js'
+import type { AdapterReply, AdapterRequest, DemandRate } from '../members/types.js'
+import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
+import { planModels, type PlannedOrder, type PlannedRunner } from './plan-models.js'
+import { LoadPace } from './load-pace.js'
+import { RunnerBook, type AdapterCopy } from './runner-book.js'
+import { OrderAnswer, OrderKind, type OrderTarget, type RunnerOrders } from './types.js'
+
+const TICK_MS = 250
+/** A report is read again no sooner than this: it lags behind the runner by some hundred milliseconds. */
+const REPORT_PAUSE_MS = 400
+/** Time that an adapter takes until it serves, from the weight store. */
+const ADAPTER_LOAD_MS = 60
+/** A model order that isn't seen done after this many times its usual length is looked up in a report. */
+const OVERDUE_FACTOR = 1.5
+const OVERDUE_MARGIN_MS = 1_500
+
+export type OrderDeskParts = {
+  clock: Clock
+  log: Logger
+  config: ConfigState
+  runners: RunnerTable
+  orders: RunnerOrders
+  host: string
+  /** Token of this host's lease while it may give orders. */
+  orderToken: () => number | undefined
+  /** Demand at all hosts. */
+  demand: () => DemandRate[]
+}
+
+type RunnerDesk = {
+  book: RunnerBook
+  startedUnixMs: number | undefined
+  /** Orders to one runner follow each other. */
+  tail: Promise<unknown>
+  reportedMs: number
+  reporting: boolean
+}
+
+export class OrderDesk {
+  readonly #desks = new Map<string, RunnerDesk>()
+  readonly #pace: LoadPace
+  #token: number | undefined
+  #timer: Timer | undefined
+  #stopped = false
+
+  private constructor (private readonly parts: OrderDeskParts) {
+    this.#pace = LoadPace.create(parts.clock.monotonicMs())
+  }
+
+  static create (parts: OrderDeskParts): OrderDesk {
+    return new OrderDesk(parts)
+  }
+
+  start (): void {
+    this.#tick()
+  }
+
+  stop (): void {
+    this.#stopped = true
+    this.#timer?.cancel()
+  }
+
+  /** Brings an adapter to a runner that holds its model. */
+  async ensureAdapter (request: AdapterRequest): Promise<AdapterReply> {
+    const refused = { accepted: false, readyInMs: 0 }
+    const state = this.parts.runners.get(request.runnerId)
+    const engine = state === undefined ? undefined : this.#engineOf(state)
+    if (state === undefined || engine === undefined || this.parts.orderToken() === undefined) return refused
+    const desk = this.#desk(state)
+    const result = desk.tail.then(() => this.#bringAdapter(state, engine, desk, request))
+    desk.tail = result.catch((error: Error) => {
+      this.parts.log.warn('adapter order failed', { ...request, reason: error.message })
+    })
+    return await result
+  }
+
+  #tick (): void {
+    if (this.#stopped) return
+    const token = this.parts.orderToken()
+    if (token !== this.#token) this.#onTokenChange(token)
+    if (token !== undefined) this.#work()
+    this.#timer = this.parts.clock.setTimer(TICK_MS, () => this.#tick())
+  }
+
+  /** Another host may have given orders meanwhile. */
+  #onTokenChange (token: number | undefined): void {
+    this.#token = token
+    this.#desks.clear()
+  }
+
+  #work (): void {
+    for (const [name, service] of this.parts.config.services) {
+      if (service.engine !== undefined) this.#workOn(name, service, service.engine)
+    }
+  }
+
+  #workOn (name: string, service: Service, engine: EngineSpec): void {
+    const states = this.parts.runners.usable(name)
+    for (const state of states) this.#refresh(state, engine)
+    const known = states.filter((state) => this.#desk(state).book.acceptedOrders !== undefined)
+    if (known.length < states.length / 2) return
+    const nowMs = this.parts.clock.monotonicMs()
+    const plan = planModels({
+      engine,
+      runners: known.map((state) => this.#planned(state, engine)),
+      ratePerS: this.#modelRates(service.name),
+      storeLoads: this.#pace.available(engine.loadsPerS, nowMs)
+    })
+    for (const order of plan) this.#giveModelOrder(order, engine)
+  }
+
+  #modelRates (service: string): Map<string, number> {
+    const rates = new Map<string, number>()
+    for (const demand of this.parts.demand()) {
+      if (demand.service !== service || demand.adapter !== undefined) continue
+      rates.set(demand.model, (rates.get(demand.model) ?? 0) + demand.requestsPerS)
+    }
+    return rates
+  }
+
+  #planned (state: RunnerState, engine: EngineSpec): PlannedRunner {
+    const { book } = this.#desk(state)
+    const { pending } = book
+    return {
+      id: state.entry.id,
+      models: book.models,
+      loading: pending?.kind === OrderKind.Load ? pending.model : undefined,
+      busy: pending !== undefined,
+      usedMb: book.usedMb(engine),
+      occupation: this.parts.runners.totalInFlight(state) / Math.max(1, state.entry.slots),
+      localWeights: state.entry.localWeights
+    }
+  }
+
+  /** Follows the runner's entry, and asks for a report where the book is uncertain or an order is overdue. */
+  #refresh (state: RunnerState, engine: EngineSpec): void {
+    const desk = this.#desk(state)
+    desk.book.applyEntry(state.entry)
+    const nowMs = this.parts.clock.monotonicMs()
+    const uncertain = desk.book.acceptedOrders === undefined || this.#isOverdue(desk.book, engine, nowMs)
+    if (!uncertain || desk.reporting || nowMs - desk.reportedMs < REPORT_PAUSE_MS) return
+    this.#readReport(state, desk).catch((error: Error) => {
+      this.parts.log.warn('runner gave no report', { runner: state.entry.id, reason: error.message })
+    })
+  }
+
+  #isOverdue (book: RunnerBook, engine: EngineSpec, nowMs: number): boolean {
+    const { pending } = book
+    if (pending === undefined) return false
+    const usualMs = pending.kind === OrderKind.Load ? engine.models.get(pending.model)?.loadMs ?? 0 : 0
+    return nowMs - pending.sinceMs > usualMs * OVERDUE_FACTOR + OVERDUE_MARGIN_MS
+  }
+
+  async #readReport (state: RunnerState, desk: RunnerDesk): Promise<void> {
+    desk.reporting = true
+    try {
+      const report = await this.parts.orders.report(state.entry)
+      desk.book.applyReport(report, this.parts.clock.monotonicMs())
+    } finally {
+      desk.reporting = false
+      desk.reportedMs = this.parts.clock.monotonicMs()
+    }
+  }
+
+  #giveModelOrder (order: PlannedOrder, engine: EngineSpec): void {
+    const state = this.parts.runners.get(order.runnerId)
+    if (state === undefined) return
+    const desk = this.#desk(state)
+    if (order.fromStore) this.#pace.onLoad()
+    desk.tail = desk.tail.then(() => this.#send(state, desk, order, 0)).catch((error: Error) => {
+      this.parts.log.warn('model order failed', { runner: order.runnerId, reason: error.message })
+    })
+    if (order.kind === OrderKind.Unload) this.parts.runners.markDenied(order.runnerId, order.model, undefined, this.parts.clock.monotonicMs())
+  }
+
+  async #bringAdapter (state: RunnerState, engine: EngineSpec, desk: RunnerDesk, request: AdapterRequest): Promise<AdapterReply> {
+    const { model, adapter } = request
+    const nowMs = this.parts.clock.monotonicMs()
+    const known = desk.book.adapter(model, adapter)
+    if (known !== undefined) {
+      desk.book.touchAdapter(model, adapter, nowMs)
+      return { accepted: true, readyInMs: Math.max(0, Math.ceil(known.residentFromMs - nowMs)) }
+    }
+    if (desk.book.acceptedOrders === undefined) await this.#readReport(state, desk)
+    if (!desk.book.models.includes(model)) return { accepted: false, readyInMs: 0 }
+    if (!await this.#makeAdapterRoom(state, engine, desk, model)) return { accepted: false, readyInMs: 0 }
+    const answer = await this.#send(state, desk, { kind: OrderKind.Load, model, adapter }, ADAPTER_LOAD_MS)
+    const accepted = answer === OrderAnswer.Accepted || answer === OrderAnswer.AlreadyHolds
+    return { accepted, readyInMs: accepted ? ADAPTER_LOAD_MS : 0 }
+  }
+
+  /** Unloads the adapter that was unused for longest if the runner has no place left. */
+  async #makeAdapterRoom (state: RunnerState, engine: EngineSpec, desk: RunnerDesk, model: string): Promise<boolean> {
+    const sizeMb = engine.models.get(model)?.adapterSizeMb ?? 0
+    if (desk.book.adapters.length < engine.adapterSlots && desk.book.usedMb(engine) + sizeMb <= engine.weightsMb) return true
+    const oldest = oldestAdapter(desk.book.adapters)
+    if (oldest === undefined) return false
+    const answer = await this.#send(state, desk, { kind: OrderKind.Unload, model: oldest.model, adapter: oldest.adapter }, 0)
+    if (answer !== OrderAnswer.Accepted && answer !== OrderAnswer.AlreadyHolds) return false
+    return desk.book.adapters.length < engine.adapterSlots && desk.book.usedMb(engine) + sizeMb <= engine.weightsMb
+  }
+
+  async #send (state: RunnerState, desk: RunnerDesk, target: OrderTarget, adapterLoadMs: number): Promise<OrderAnswer> {
+    const fencingToken = this.parts.orderToken()
+    const expectedOrders = desk.book.acceptedOrders
+    if (fencingToken === undefined || expectedOrders === undefined) return OrderAnswer.Conflict
+    const { kind, model, adapter } = target
+    const answer = await this.parts.orders.send(state.entry, { kind, model, adapter, expectedOrders, holder: this.parts.host, fencingToken })
+    const nowMs = this.parts.clock.monotonicMs()
+    this.parts.log.info('order given', { runner: state.entry.id, kind, model, adapter, expectedOrders, fencingToken, answer })
+    if (answer === OrderAnswer.Accepted || (answer === OrderAnswer.AlreadyHolds && adapter !== undefined && kind === OrderKind.Unload)) {
+      desk.book.applyAccepted(target, nowMs, adapterLoadMs)
+      if (kind === OrderKind.Unload && adapter !== undefined) this.parts.runners.markDenied(state.entry.id, model, adapter, nowMs)
+    } else desk.book.invalidate()
+    return answer
+  }
+
+  #desk (state: RunnerState): RunnerDesk {
+    const { id, startedUnixMs } = state.entry
+    const known = this.#desks.get(id)
+    if (known !== undefined && known.startedUnixMs === startedUnixMs) return known
+    const desk: RunnerDesk = { book: RunnerBook.create(id), startedUnixMs, tail: Promise.resolve(), reportedMs: -Infinity, reporting: false }
+    this.#desks.set(id, desk)
+    return desk
+  }
+
+  #engineOf (state: RunnerState): EngineSpec | undefined {
+    return this.parts.config.services.get(state.entry.service)?.engine
+  }
+}
+
+function oldestAdapter (copies: readonly AdapterCopy[]): AdapterCopy | undefined {
+  return copies.reduce<AdapterCopy | undefined>((oldest, copy) => oldest === undefined || copy.usedMs < oldest.usedMs ? copy : oldest, undefined)
+}
--- /dev/null
+++ b/packages/gateway/src/serve/answer-relay.ts
@@ -0,0 +1,107 @@
+/** Relays one caller's answer from the runners that produce it: whole bodies at once, streams event by event. */
+import type { ServerResponse } from 'node:http'
+import { EventSplitter } from '../forward/event-splitter.js'
+import type { RawHeaders, RequestCodec } from '../forward/types.js'
+
+/** The head that a runner gave. */
+export type AnswerHead = { status: number, headers: RawHeaders }
+
+/** What came of the bytes of one attempt at a stream. */
+export const StreamFault = {
+  /** The runner left an event or part of one out. */
+  Gap: 'gap',
+  /** It sent something that isn't an event behind the last one. */
+  Unfinished: 'unfinished'
+} as const
+export type StreamFault = (typeof StreamFault)[keyof typeof StreamFault]
+
+export class AnswerRelay {
+  readonly #splitter = EventSplitter.create()
+  #head: AnswerHead | undefined
+  #begun = false
+  #lastEventId: number | undefined
+
+  private constructor (
+    private readonly response: ServerResponse,
+    private readonly codec: RequestCodec,
+    private readonly closesConnection: () => boolean
+  ) {}
+
+  static create (response: ServerResponse, codec: RequestCodec, closesConnection: () => boolean): AnswerRelay {
+    return new AnswerRelay(response, codec, closesConnection)
+  }
+
+  /** Bytes of the answer have gone to the caller. */
+  get begun (): boolean {
+    return this.#begun
+  }
+
+  /** Id of the last event that went to the caller. */
+  get lastEventId (): number | undefined {
+    return this.#lastEventId
+  }
+
+  /** Sends an answer that is whole. */
+  sendWhole (head: AnswerHead, body: Buffer): void {
+    if (this.response.destroyed) return
+    const headers = this.#callerHeaders(head)
+    if (allowsBody(head.status)) headers.push('Content-Length', String(body.length))
+    this.response.writeHead(head.status, headers)
+    this.response.end(body)
+  }
+
+  /** Starts the part of a stream that one runner gives; only the first runner's head reaches the caller. */
+  openStream (head: AnswerHead): void {
+    this.#head ??= head
+    this.#splitter.reset()
+  }
+
+  /**
+   * Passes on the events that became whole.
+   * @returns a fault if an event is missing or comes twice; false if the caller reads more slowly than the runner sends
+   */
+  pushStream (chunk: Buffer): StreamFault | boolean {
+    let flows = true
+    for (const event of this.#splitter.push(chunk)) {
+      if (!this.#follows(event.id)) return StreamFault.Gap
+      if (event.id !== undefined) this.#lastEventId = event.id
+      this.#begin()
+      flows = this.response.write(event.bytes) && flows
+    }
+    return flows
+  }
+
+  /** Ends a stream that its runner completed. */
+  endStream (): StreamFault | undefined {
+    if (this.#splitter.rest.length > 0) return StreamFault.Unfinished
+    this.#begin()
+    this.response.end()
+    return undefined
+  }
+
+  /** Ends an answer that can't be completed, so that the caller can't take it for a whole one. */
+  breakOff (): void {
+    this.response.destroy()
+  }
+
+  /** A later event has to follow the last one without a gap. */
+  #follows (id: number | undefined): boolean {
+    return id === undefined || this.#lastEventId === undefined || id === this.#lastEventId + 1
+  }
+
+  #begin (): void {
+    if (this.#begun || this.#head === undefined || this.response.destroyed) return
+    this.#begun = true
+    this.response.writeHead(this.#head.status, this.#callerHeaders(this.#head))
+  }
+
+  #callerHeaders (head: AnswerHead): RawHeaders {
+    const headers = this.codec.encodeAnswer(head.headers)
+    if (this.closesConnection()) headers.push('Connection', 'close')
+    return headers
+  }
+}
+
+function allowsBody (status: number): boolean {
+  return status >= 200 && status !== 204 && status !== 304
+}
--- /dev/null
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -0,0 +1,126 @@
+/** Reads one attempt at a runner up to its outcome, and hands the bytes of good answers to the relay. */
+import { AttemptObserver, FailedAt } from '../forward/attempt.js'
+import type { AnswerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
+import { AnswerRelay, StreamFault, type AnswerHead } from './answer-relay.js'
+import { Outcome } from './outcome.js'
+
+/** How an attempt ended. */
+export type AttemptResult = {
+  outcome: Outcome
+  /** Ordinary words for the log. */
+  reason: string
+  facts?: AnswerFacts
+  /** A whole answer that hasn't gone to the caller yet. */
+  whole?: { head: AnswerHead, body: Buffer }
+}
+
+/** A whole answer larger than this is given up. */
+const MAX_WHOLE_BYTES = 8 * 1024 * 1024
+
+const Mode = { Waiting: 'waiting', Whole: 'whole', Stream: 'stream', Ignored: 'ignored' } as const
+type Mode = (typeof Mode)[keyof typeof Mode]
+
+export class ResultObserver extends AttemptObserver {
+  #mode: Mode = Mode.Waiting
+  #facts: AnswerFacts | undefined
+  #head: AnswerHead | undefined
+  #chunks: Buffer[] = []
+  #bytes = 0
+  #done = false
+
+  private constructor (
+    private readonly requestId: string,
+    private readonly codec: RequestCodec,
+    private readonly relay: AnswerRelay,
+    private readonly report: (result: AttemptResult) => void,
+    private readonly onFirstByte: () => void
+  ) {
+    super()
+  }
+
+  static create (
+    requestId: string, codec: RequestCodec, relay: AnswerRelay,
+    report: (result: AttemptResult) => void, onFirstByte: () => void
+  ): ResultObserver {
+    return new ResultObserver(requestId, codec, relay, report, onFirstByte)
+  }
+
+  override onHead (status: number, headers: RawHeaders): boolean {
+    const facts = this.codec.decodeAnswer(status, headers)
+    this.#facts = facts
+    this.#head = { status, headers }
+    if (facts.requestId !== this.requestId) return this.#reject('the answer belongs to another request')
+    if (facts.notRun || facts.misdirected) return this.#ignore(Outcome.NotRun, facts.misdirected ? 'misdirected' : 'refused by the runner')
+    if (facts.encoded) return this.#reject('the answer is encoded')
+    if (!facts.signed) return this.#reject('the answer is not signed')
+    if (facts.isEventStream && status === 200) {
+      this.#mode = Mode.Stream
+      this.relay.openStream(this.#head)
+      return true
+    }
+    this.#mode = Mode.Whole
+    return true
+  }
+
+  override onData (chunk: Buffer): boolean {
+    if (this.#mode === Mode.Stream) return this.#onStreamData(chunk)
+    if (this.#mode === Mode.Whole) this.#onWholeData(chunk)
+    return true
+  }
+
+  override onEnd (): void {
+    if (this.#mode === Mode.Stream) {
+      const fault = this.relay.endStream()
+      this.#finish(fault === undefined ? Outcome.Answered : Outcome.Unknown, fault === undefined ? 'stream complete' : 'the stream ended within an event')
+      return
+    }
+    if (this.#mode === Mode.Whole) this.#finishWhole()
+  }
+
+  override onFailure (at: FailedAt, error: Error): void {
+    const outcome = at === FailedAt.Connect ? Outcome.NotRun : Outcome.Unknown
+    this.#finish(outcome, `${at}: ${error.message}`)
+  }
+
+  #onStreamData (chunk: Buffer): boolean {
+    this.onFirstByte()
+    const flows = this.relay.pushStream(chunk)
+    if (flows !== StreamFault.Gap) return flows === true
+    this.#finish(Outcome.Unknown, 'an event is missing or came twice')
+    return true
+  }
+
+  #onWholeData (chunk: Buffer): void {
+    this.#chunks.push(chunk)
+    this.#bytes += chunk.length
+    if (this.#bytes > MAX_WHOLE_BYTES) this.#finish(Outcome.Unknown, 'the answer is too large')
+  }
+
+  #finishWhole (): void {
+    const head = this.#head
+    if (head === undefined) return
+    const whole = { head, body: Buffer.concat(this.#chunks) }
+    const outcome = head.status < 500 ? Outcome.Answered : Outcome.RunnerFailed
+    this.#finish(outcome, `status ${head.status}`, whole)
+  }
+
+  /** The connection can't be trusted any more. */
+  #reject (reason: string): boolean {
+    this.#finish(Outcome.Unknown, reason)
+    return false
+  }
+
+  /** Reads the rest, so that the connection stays in use, but acts at once. */
+  #ignore (outcome: Outcome, reason: string): boolean {
+    this.#mode = Mode.Ignored
+    this.#finish(outcome, reason)
+    return true
+  }
+
+  #finish (outcome: Outcome, reason: string, whole?: { head: AnswerHead, body: Buffer }): void {
+    if (this.#done) return
+    this.#done = true
+    this.#chunks = []
+    this.report({ outcome, reason, facts: this.#facts, whole })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/serve/metrics.ts
@@ -0,0 +1,21 @@
+/** Counters and histograms of requests. */
+import { Counter, Histogram, type Registry } from '@figloom/runtime'
+
+export type RequestMetrics = {
+  requests: Counter<'route' | 'result'>
+  repeats: Counter<'reason'>
+  firstByteSeconds: Histogram<'route'>
+  totalSeconds: Histogram<'route'>
+}
+
+const BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.5, 0.75, 1, 2, 4, 8, 16]
+
+export function createRequestMetrics (registry: Registry): RequestMetrics {
+  const registers = [registry]
+  return {
+    requests: new Counter({ name: 'figloom_gateway_requests_total', help: 'Requests that ended, by route and result type.', labelNames: ['route', 'result'], registers }),
+    repeats: new Counter({ name: 'figloom_gateway_repeats_total', help: 'Sendings of a request beyond its first, by outcome of the one before.', labelNames: ['reason'], registers }),
+    firstByteSeconds: new Histogram({ name: 'figloom_gateway_first_byte_seconds', help: 'Time from the request to the first byte of its answer.', labelNames: ['route'], buckets: BUCKETS_S, registers }),
+    totalSeconds: new Histogram({ name: 'figloom_gateway_total_seconds', help: 'Time from the request to the end of its answer.', labelNames: ['route'], buckets: BUCKETS_S, registers })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/serve/outcome.ts
@@ -0,0 +1,42 @@
+/** How an attempt at a runner ended, and what follows from it. Pure. */
+import { RouteKind, type Route } from '../config/types.js'
+
+export const Outcome = {
+  /** The whole answer has reached the caller's connection, or is ready for it. */
+  Answered: 'answered',
+  /** The runner certainly did not run the request. */
+  NotRun: 'not-run',
+  /** It may have run; no whole answer came. */
+  Unknown: 'unknown',
+  /** The runner answered with a failure of its own. */
+  RunnerFailed: 'runner-failed'
+} as const
+export type Outcome = (typeof Outcome)[keyof typeof Outcome]
+
+export const NextStep = { Finish: 'finish', SendAgain: 'send-again', GiveUp: 'give-up' } as const
+export type NextStep = (typeof NextStep)[keyof typeof NextStep]
+
+export type Progress = {
+  /** Runners that may have run the request. */
+  runs: number
+  /** Sendings that certainly didn't run. */
+  notRuns: number
+  /** Bytes of an answer have gone to the caller. */
+  answerBegun: boolean
+}
+
+/** Sendings that may be refused before the caller is told to come back. */
+const MAX_NOT_RUN = 3
+
+/** Decides after an attempt; the budget is asked separately when the answer is to send again. */
+export function decideNext (route: Route, outcome: Outcome, progress: Progress): NextStep {
+  if (outcome === Outcome.Answered) return NextStep.Finish
+  if (outcome === Outcome.NotRun) return progress.notRuns < MAX_NOT_RUN ? NextStep.SendAgain : NextStep.GiveUp
+  if (!mayRunAgain(route, progress)) return NextStep.GiveUp
+  return progress.runs < route.maxAttempts ? NextStep.SendAgain : NextStep.GiveUp
+}
+
+function mayRunAgain (route: Route, progress: Progress): boolean {
+  if (route.kind === RouteKind.Idempotent) return !progress.answerBegun
+  return route.kind === RouteKind.Stream && route.resumable
+}
--- /dev/null
+++ b/packages/gateway/src/serve/own-answer.ts
@@ -0,0 +1,22 @@
+/** Answers of the gateway itself: refusals and failures with a numbered code. */
+import type { ServerResponse } from 'node:http'
+import { toFailureBody, type Failure } from '@figloom/runtime'
+
+/** Writes a failure as JSON; `closeConnection` tells the caller to open another connection next time. */
+export function writeFailure (response: ServerResponse, failure: Failure, closeConnection: boolean): void {
+  if (response.headersSent || response.destroyed) return
+  const body = JSON.stringify(toFailureBody(failure))
+  const headers: Record<string, string | number> = {
+    'Content-Type': 'application/json',
+    'Content-Length': Buffer.byteLength(body)
+  }
+  if (failure.retryAfterMs !== undefined) headers['Retry-After'] = formatSeconds(failure.retryAfterMs)
+  if (closeConnection) headers['Connection'] = 'close'
+  response.writeHead(failure.code.httpStatus, headers)
+  response.end(body)
+}
+
+/** Seconds with two decimals; callers of a gateway understand fractions. */
+function formatSeconds (durationMs: number): string {
+  return (Math.ceil(durationMs / 10) / 100).toString()
+}
--- /dev/null
+++ b/packages/gateway/src/serve/request-run.ts
@@ -0,0 +1,332 @@
+/** One request from its arrival to its final answer: choosing, sending, sending again, and giving up. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
+import { RouteKind, type Route, type Service } from '../config/types.js'
+import { findCandidates, connectionShare, type CandidateSet, type Need } from '../choose/candidates.js'
+import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
+import { Attempt } from '../forward/attempt.js'
+import type { CallerFacts, RawHeaders } from '../forward/types.js'
+import type { RunnerState } from '../runners/runner-table.js'
+import { AnswerRelay } from './answer-relay.js'
+import { ResultObserver, type AttemptResult } from './attempt-result.js'
+import { decideNext, NextStep, Outcome, type Progress } from './outcome.js'
+import { writeFailure } from './own-answer.js'
+import type { ServeContext } from './types.js'
+
+/** A request whose head and body are read and whose route is known. */
+export type AcceptedRequest = {
+  id: string
+  method: string
+  target: string
+  headers: RawHeaders
+  body: Buffer | undefined
+  facts: CallerFacts
+  route: Route
+  service: Service
+  arrivedMs: number
+  /** Monotonic time by which the final answer is due. */
+  dueMs: number
+}
+
+/** Time for which a runner of a refused request is expected to be full. */
+const OVERLOAD_RETRY_MS = 700
+const NO_RUNNER_RETRY_MS = 1_000
+/** Part of the time left within which an adapter has to arrive. */
+const ADAPTER_WAIT_SHARE = 0.3
+/** Callers wait at most this part of the time they have left before they come back. */
+const RETRY_AFTER_SHARE = 0.3
+/** A sending with less time than this can't be answered. */
+const MIN_ATTEMPT_MS = 5
+
+export class RequestRun {
+  readonly #relay: AnswerRelay
+  readonly #excluded = new Set<string>()
+  readonly #progress: Progress = { runs: 0, notRuns: 0, answerBegun: false }
+  readonly #finished: Promise<void>
+  #resolveFinished: () => void = () => {}
+  #attempt: Attempt | undefined
+  #runner: RunnerState | undefined
+  #timer: Timer | undefined
+  #weightsVersion: number | undefined
+  #mayHaveRun = false
+  #over = false
+  #sendings = 0
+  #firstByteMs: number | undefined
+  #lastReason = ''
+
+  private constructor (
+    private readonly context: ServeContext,
+    private readonly request: AcceptedRequest,
+    private readonly response: ServerResponse
+  ) {
+    this.#relay = AnswerRelay.create(response, context.codec, context.host.isLeaving)
+    this.#finished = new Promise((resolve) => { this.#resolveFinished = resolve })
+  }
+
+  /** Serves the request; resolves when its final answer is written or its caller is gone. */
+  static serve (context: ServeContext, request: AcceptedRequest, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+    const run = new RequestRun(context, request, response)
+    run.#start(incoming)
+    return run.#finished
+  }
+
+  #start (incoming: IncomingMessage): void {
+    const { clock, budget } = this.context
+    this.response.on('close', () => this.#onCallerGone())
+    this.response.on('drain', () => this.#attempt?.resume())
+    if (incoming.socket.destroyed) return this.#onCallerGone()
+    this.#timer = clock.setTimer(this.request.dueMs - clock.monotonicMs(), () => this.#onDue())
+    budget.onRequest(this.request.service.name, clock.monotonicMs())
+    this.#send()
+  }
+
+  /** Sends the request to the best runner now, or gives it up at once. */
+  #send (): void {
+    if (this.#over) return
+    const nowMs = this.context.clock.monotonicMs()
+    if (this.request.dueMs - nowMs < MIN_ATTEMPT_MS) return this.#onDue()
+    const set = findCandidates(this.context.runners, this.#need(), nowMs)
+    const chosen = this.#choose(set.open)
+    if (chosen !== undefined) return this.#sendTo(chosen)
+    if (set.withoutAdapter.length > 0) {
+      this.#bringAdapter(set.withoutAdapter).catch((error: Error) => this.#giveUp(this.#failure(ResultCode.Internal, error.message)))
+      return
+    }
+    this.#refuse(set)
+  }
+
+  #need (): Need {
+    const { facts, service } = this.request
+    return {
+      service,
+      model: service.engine === undefined ? undefined : facts.model,
+      adapter: facts.adapter,
+      excluded: this.#excluded,
+      hostCount: this.context.host.hostCount()
+    }
+  }
+
+  #choose (candidates: readonly Candidate[]): Candidate | undefined {
+    return chooseRunner({
+      candidates,
+      affinityKey: affinityKey(this.request.facts),
+      availabilityZone: this.context.host.availabilityZone,
+      random: this.context.random
+    })
+  }
+
+  async #bringAdapter (candidates: Candidate[]): Promise<void> {
+    const { model, adapter } = this.request.facts
+    if (model === undefined || adapter === undefined) return
+    const chosen = chooseRunner({
+      candidates,
+      affinityKey: `${model}/${adapter}`,
+      availabilityZone: this.context.host.availabilityZone,
+      random: this.context.random
+    })
+    if (chosen === undefined) return
+    const timeLeftMs = this.request.dueMs - this.context.clock.monotonicMs()
+    const resident = await this.context.adapters.ensure(chosen.id, model, adapter, timeLeftMs * ADAPTER_WAIT_SHARE)
+    if (this.#over) return
+    if (!resident) this.#excluded.add(chosen.id)
+    if (!resident && this.#excluded.size > 1) return this.#giveUp(this.#failure(ResultCode.NoRunner, 'the adapter could not be made resident', NO_RUNNER_RETRY_MS))
+    this.#send()
+  }
+
+  #sendTo (candidate: Candidate): void {
+    const runner = this.context.runners.get(candidate.id)
+    if (runner === undefined) return this.#refuse({ open: [], fullCount: 0, withoutAdapter: [] })
+    const { request, context } = this
+    const nowMs = context.clock.monotonicMs()
+    const { id, address } = runner.entry
+    const headers = context.codec.encodeRequest(request.headers, {
+      deadlineMs: Math.max(1, Math.floor(request.dueMs - nowMs)),
+      runnerId: id,
+      lastEventId: this.#relay.lastEventId ?? request.facts.lastEventId,
+      weightsVersion: this.#relay.begun ? this.#weightsVersion : undefined
+    })
+    const dispatcher = context.connections.to(id, address, connectionShare(request.service, context.host.hostCount()))
+    const observer = ResultObserver.create(request.id, context.codec, this.#relay,
+      (result) => this.#onResult(runner, result), () => this.#onFirstByte())
+    this.#sendings += 1
+    this.#runner = runner
+    runner.inFlight += 1
+    runner.health.onSent(request.id)
+    const { method, target, body } = request
+    this.#attempt = Attempt.start(dispatcher, { method, target, headers, body }, observer)
+  }
+
+  #onFirstByte (): void {
+    if (this.#firstByteMs !== undefined) return
+    this.#firstByteMs = this.context.clock.monotonicMs()
+    this.context.metrics.firstByteSeconds.observe({ route: this.request.route.name }, (this.#firstByteMs - this.request.arrivedMs) / 1000)
+  }
+
+  #onResult (runner: RunnerState, result: AttemptResult): void {
+    this.#release()
+    if (this.#over) return
+    this.#learn(runner, result)
+    this.#count(result)
+    this.#excluded.add(runner.entry.id)
+    this.#lastReason = result.reason
+    const step = decideNext(this.request.route, result.outcome, this.#progress)
+    if (step === NextStep.Finish) return this.#finish(result)
+    if (step === NextStep.SendAgain && this.#takeRepeat(result)) return this.#send()
+    this.#finishFailed(result)
+  }
+
+  #release (): void {
+    if (this.#runner === undefined) return
+    this.#runner.inFlight -= 1
+    this.#runner = undefined
+  }
+
+  /** Takes from the attempt what it tells of its runner. */
+  #learn (runner: RunnerState, result: AttemptResult): void {
+    const nowMs = this.context.clock.monotonicMs()
+    const { facts } = result
+    const { model, adapter } = this.request.facts
+    if (facts?.misdirected === true) {
+      if (facts.runnerId !== undefined && facts.runnerId !== runner.entry.id) this.context.runners.remove(runner.entry.id, nowMs, false)
+      else if (model !== undefined) this.context.runners.markDenied(runner.entry.id, model, adapter, nowMs)
+      runner.health.onNeutral(this.request.id)
+      return
+    }
+    if (result.outcome === Outcome.Answered) runner.health.onSuccess()
+    else if (facts?.notRun === true) runner.health.onNeutral(this.request.id)
+    else runner.health.onFailure(this.request.id, nowMs)
+    if (facts?.weightsVersion !== undefined) this.#weightsVersion ??= facts.weightsVersion
+  }
+
+  #count (result: AttemptResult): void {
+    if (result.outcome === Outcome.NotRun) this.#progress.notRuns += 1
+    else {
+      this.#progress.runs += 1
+      this.#mayHaveRun = true
+    }
+    this.#progress.answerBegun = this.#relay.begun
+  }
+
+  #takeRepeat (result: AttemptResult): boolean {
+    const { budget, clock, host, metrics } = this.context
+    if (host.isLeaving() && this.#relay.begun) return false
+    const granted = budget.take(this.request.service.name, host.hostCount(), clock.monotonicMs())
+    if (granted) metrics.repeats.inc({ reason: result.outcome })
+    return granted
+  }
+
+  #finish (result: AttemptResult): void {
+    if (result.whole !== undefined) {
+      this.#onFirstByte()
+      this.#relay.sendWhole(result.whole.head, result.whole.body)
+    }
+    this.#end('answered', result.reason)
+  }
+
+  #finishFailed (result: AttemptResult): void {
+    if (this.#relay.begun) return this.#breakOff(result.reason)
+    if (result.outcome === Outcome.RunnerFailed && result.whole !== undefined && !promisesNotRun(result.whole.head.status)) {
+      this.#relay.sendWhole(result.whole.head, result.whole.body)
+      return this.#end('runner_failed', result.reason)
+    }
+    if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, result.reason))
+    this.#giveUp(this.#failure(ResultCode.Overloaded, result.reason, OVERLOAD_RETRY_MS))
+  }
+
+  #refuse (set: CandidateSet): void {
+    if (this.#relay.begun) return this.#breakOff('no runner to resume the stream')
+    if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastReason}; no other runner is free`))
+    if (set.fullCount > 0) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'all runners that could serve the request are full', OVERLOAD_RETRY_MS))
+    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no live runner can serve the request', NO_RUNNER_RETRY_MS))
+  }
+
+  /** The route's timeout or the caller's deadline is reached. */
+  #onDue (): void {
+    if (this.#over) return
+    const sent = this.#attempt?.sent === true && this.#runner !== undefined
+    this.#cancelAttempt()
+    if (this.#relay.begun) return this.#breakOff('timeout within the stream')
+    const ran = sent || this.#mayHaveRun
+    if (ran) return this.#giveUp(this.#failure(ResultCode.BackendTimeout, 'no answer within the time of the request'))
+    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no runner could be reached in time', NO_RUNNER_RETRY_MS))
+  }
+
+  #onCallerGone (): void {
+    if (this.#over) return
+    this.#cancelAttempt()
+    this.#end('caller_gone', 'the caller closed its connection')
+  }
+
+  #cancelAttempt (): void {
+    const attempt = this.#attempt
+    this.#attempt = undefined
+    this.#runner?.health.onNeutral(this.request.id)
+    this.#release()
+    attempt?.cancel()
+  }
+
+  #failure (code: ResultCodeInfo, message: string, retryAfterMs?: number): Failure {
+    const timeLeftMs = this.request.dueMs - this.context.clock.monotonicMs()
+    return createFailure(code, message, {
+      ran: this.#mayHaveRun ? Ran.Unknown : code.ran,
+      retryAfterMs: retryAfterMs === undefined ? undefined : Math.max(1, Math.min(retryAfterMs, timeLeftMs * RETRY_AFTER_SHARE))
+    })
+  }
+
+  #giveUp (failure: Failure): void {
+    if (this.#over) return
+    writeFailure(this.response, failure, this.context.host.isLeaving())
+    this.#end(failure.code.type, failure.message)
+  }
+
+  #breakOff (reason: string): void {
+    this.#relay.breakOff()
+    this.#end('broken_off', reason)
+  }
+
+  #end (result: string, reason: string): void {
+    if (this.#over) return
+    this.#over = true
+    this.#timer?.cancel()
+    this.#logEnd(result, reason)
+    this.#resolveFinished()
+  }
+
+  #logEnd (result: string, reason: string): void {
+    const { request, context } = this
+    const totalMs = context.clock.monotonicMs() - request.arrivedMs
+    context.metrics.requests.inc({ route: request.route.name, result })
+    context.metrics.totalSeconds.observe({ route: request.route.name }, totalMs / 1000)
+    const fields = {
+      requestId: request.id,
+      route: request.route.name,
+      configVersion: context.config.version,
+      result,
+      reason,
+      sendings: this.#sendings,
+      runs: this.#progress.runs,
+      totalMs: Math.round(totalMs),
+      firstByteMs: this.#firstByteMs === undefined ? undefined : Math.round(this.#firstByteMs - request.arrivedMs)
+    }
+    if (result === 'answered') context.log.debug('request answered', fields)
+    else context.log.warn('request not answered', fields)
+  }
+}
+
+/** Statuses that promise that a request has not run; a runner that says so without stating it isn't believed. */
+function promisesNotRun (status: number): boolean {
+  return status === 408 || status === 421 || status === 429 || status === 503
+}
+
+/** The deepest part of the prompt that other requests share. */
+function affinityKey (facts: CallerFacts): string {
+  const parts = facts.promptParts
+  if (parts.length === 0) return ''
+  const shared = parts[Math.max(0, parts.length - 2)]
+  return `${facts.model ?? ''}/${facts.adapter ?? ''}/${shared?.id ?? ''}`
+}
+
+/** Whether a request of the route may run more than once. */
+export function mayRepeat (route: Route): boolean {
+  return route.kind === RouteKind.Idempotent || (route.kind === RouteKind.Stream && route.resumable)
+}
--- /dev/null
+++ b/packages/gateway/src/serve/serve-request.ts
@@ -0,0 +1,99 @@
+/** Takes a caller's request in: checks it, finds its route, reads its body and hands it to a run. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
+import { err, ok, type Result } from 'neverthrow'
+import type { Route, Service } from '../config/types.js'
+import type { CallerFacts } from '../forward/types.js'
+import { writeFailure } from './own-answer.js'
+import { RequestRun } from './request-run.js'
+import type { ServeContext } from './types.js'
+
+const NOT_READY_RETRY_MS = 500
+/** Longest wait of a caller that names none. */
+const DEFAULT_DEADLINE_MS = 60_000
+
+type Destination = { route: Route, service: Service }
+
+/** Serves one request; resolves when its final answer is written or its caller is gone. */
+export async function serveRequest (context: ServeContext, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+  const arrivedMs = context.clock.monotonicMs()
+  const facts = context.codec.decodeRequest(incoming.rawHeaders)
+  const destination = findDestination(context, incoming)
+  if (destination.isErr()) return refuse(context, response, facts, destination.error)
+  const body = await readBody(incoming, context.config.limits?.maxBodyBytes ?? Infinity)
+  if (body.isErr()) {
+    if (incoming.socket.destroyed) return
+    return refuse(context, response, facts, body.error)
+  }
+  const { route, service } = destination.value
+  countDemand(context, service, facts, arrivedMs)
+  const dueMs = arrivedMs + Math.min(route.timeoutMs, facts.deadlineMs ?? DEFAULT_DEADLINE_MS)
+  await RequestRun.serve(context, {
+    id: facts.requestId ?? '',
+    method: incoming.method ?? 'GET',
+    target: incoming.url ?? '/',
+    headers: incoming.rawHeaders,
+    body: body.value,
+    facts,
+    route,
+    service,
+    arrivedMs,
+    dueMs
+  }, incoming, response)
+}
+
+function findDestination (context: ServeContext, incoming: IncomingMessage): Result<Destination, Failure> {
+  const { config } = context
+  if (!config.known) return err(createFailure(ResultCode.NotReady, 'no configuration is known yet', { retryAfterMs: NOT_READY_RETRY_MS }))
+  const route = config.findRoute(incoming.headers.host ?? '', incoming.url ?? '/')
+  if (route === undefined) return err(createFailure(ResultCode.NoSuchRoute, 'no route has this host and path'))
+  const service = config.services.get(pickService(route, context.random))
+  if (service === undefined) return err(createFailure(ResultCode.NoRunner, 'the route leads to an unknown service', { retryAfterMs: NOT_READY_RETRY_MS }))
+  return ok({ route, service })
+}
+
+/** Picks one of the route's services by weight. */
+function pickService (route: Route, random: () => number): string {
+  const total = route.services.reduce((sum, { weight }) => sum + weight, 0)
+  let rest = random() * total
+  for (const { service, weight } of route.services) {
+    rest -= weight
+    if (rest < 0) return service
+  }
+  return route.services.at(-1)?.service ?? ''
+}
+
+function countDemand (context: ServeContext, service: Service, facts: CallerFacts, nowMs: number): void {
+  if (service.engine === undefined || facts.model === undefined) return
+  context.demand.count(service.name, facts.model, undefined, nowMs)
+  if (facts.adapter !== undefined) context.demand.count(service.name, facts.model, facts.adapter, nowMs)
+}
+
+/** Reads the whole body, so that the request can be sent again; undefined where there is none. */
+async function readBody (incoming: IncomingMessage, maxBytes: number): Promise<Result<Buffer | undefined, Failure>> {
+  const hasBody = incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
+  if (!hasBody) return ok(undefined)
+  if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) return err(tooLarge())
+  const chunks: Buffer[] = []
+  let bytes = 0
+  try {
+    for await (const chunk of incoming as AsyncIterable<Buffer>) {
+      bytes += chunk.length
+      if (bytes > maxBytes) return err(tooLarge())
+      chunks.push(chunk)
+    }
+  } catch (error) {
+    return err(createFailure(ResultCode.MalformedRequest, `the body broke off: ${(error as Error).message}`))
+  }
+  return ok(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))
+}
+
+function tooLarge (): Failure {
+  return createFailure(ResultCode.BodyTooLarge, 'the body exceeds the limit')
+}
+
+function refuse (context: ServeContext, response: ServerResponse, facts: CallerFacts, failure: Failure): void {
+  context.metrics.requests.inc({ route: 'none', result: failure.code.type })
+  context.log.warn('request refused on arrival', { requestId: facts.requestId, result: failure.code.type, reason: failure.message, configVersion: context.config.version })
+  writeFailure(response, failure, context.host.isLeaving())
+}
--- /dev/null
+++ b/packages/gateway/src/serve/types.ts
@@ -0,0 +1,39 @@
+/** What serving a request needs of the rest of the gateway. */
+import type { Clock, Logger } from '@figloom/runtime'
+import type { ConfigState } from '../config/config-state.js'
+import type { RunnerConnections } from '../forward/runner-connections.js'
+import type { RequestCodec } from '../forward/types.js'
+import type { SharedBudget } from '../retry/shared-budget.js'
+import type { RunnerTable } from '../runners/runner-table.js'
+import type { DemandMeter } from './demand-meter.js'
+import type { RequestMetrics } from './metrics.js'
+
+/** Makes adapters resident, through whichever host may give orders. */
+export abstract class AdapterLoader {
+  /** Resolves true when the runner holds the adapter, false when it can't be brought there in time. */
+  abstract ensure (runnerId: string, model: string, adapter: string, timeoutMs: number): Promise<boolean>
+}
+
+/** What a host knows of its own state and of the others. */
+export type HostView = {
+  availabilityZone: string
+  /** Hosts that may use the runners, this one included. */
+  hostCount: () => number
+  /** This host is shutting down: callers should move to others. */
+  isLeaving: () => boolean
+}
+
+export type ServeContext = {
+  clock: Clock
+  log: Logger
+  metrics: RequestMetrics
+  codec: RequestCodec
+  config: ConfigState
+  runners: RunnerTable
+  connections: RunnerConnections
+  budget: SharedBudget
+  demand: DemandMeter
+  adapters: AdapterLoader
+  host: HostView
+  random: () => number
+}
--- /dev/null
+++ b/packages/gateway/src/types.ts
@@ -0,0 +1,60 @@
+/** What the gateway needs from outside: its settings and the platform behind abstract classes. */
+import type { RequestCodec } from './forward/types.js'
+import type { LeaseLog } from './lease/types.js'
+import type { HostAddress, HostRegistry } from './members/types.js'
+import type { RunnerOrders } from './orders/types.js'
+import type { BudgetLimits } from './retry/shared-budget.js'
+import type { GatewayConfig } from './config/types.js'
+import type { RunnerEntry } from './runners/types.js'
+
+/** Settings of one host. */
+export type GatewaySettings = {
+  self: HostAddress
+  /** IP:PORT of the listeners; a listener without an address isn't opened. */
+  callerListener: string
+  readinessListener: string | undefined
+  lookupListener: string | undefined
+  peerListener: string
+  /** Peer addresses of hosts that may be up. */
+  seedPeerAddresses: string[]
+  budget: BudgetLimits
+  /** Time between a request to stop and the end of the process. */
+  graceMs: number
+  /** Time that has to pass between orders of two holders. */
+  orderGapMs: number
+  /** Time to live of lookups that callers honour at the most. */
+  maxLookupTtlMs: number
+}
+
+/** What the platform tells; calls come in the order of the platform's records. */
+export type PlatformEvents = {
+  onConfig: (config: GatewayConfig) => void
+  onRunner: (entry: RunnerEntry) => void
+  /** @param lapsed the list was out of reach of late */
+  onRunnerGone: (id: string, lapsed: boolean) => void
+  /** The whole list was read anew: ids that aren't in it are gone. */
+  onRunnerList: (ids: ReadonlySet<string>, lapsed: boolean) => void
+}
+
+/** Follows the platform's configuration and list of runners. */
+export abstract class PlatformWatch {
+  abstract start (events: PlatformEvents): void
+  abstract stop (): void
+}
+
+/** How the platform asks a host for hosts and for its readiness. */
+export type LookupWire = {
+  lookupPath: string
+  readinessPath: string
+  formatLookup: (addresses: string[], ttlMs: number) => string
+}
+
+/** The platform behind its abstract classes. */
+export type Platform = {
+  codec: RequestCodec
+  watch: PlatformWatch
+  registry: HostRegistry
+  leaseLog: LeaseLog
+  orders: RunnerOrders
+  lookupWire: LookupWire
+}
--- a/packages/load/src/caller/lookup.ts
+++ b/packages/load/src/caller/lookup.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod'
 import type { Clock } from '@figloom/runtime'
-import type { JsonHttp } from '@figloom/platform'
+import type { JsonHttp } from '@figloom/clients'
 import { isLoopbackUrl } from '../settings/loopback.js'
 
 const lookupSchema = z.object({
--- a/packages/load/src/plan/plan.ts
+++ b/packages/load/src/plan/plan.ts
@@ -1,4 +1,4 @@
-import { SeededRandomSource, type RandomSource } from '@figloom/platform'
+import { SeededRandomSource, type RandomSource } from '@figloom/clients'
 import type { LoadConfig, LoadRoute } from '../settings/schema.js'
 
 /** A request to be sent at a time after the start. */
--- a/packages/load/src/report/stats.ts
+++ b/packages/load/src/report/stats.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod'
-import type { JsonHttp } from '@figloom/platform'
+import type { JsonHttp } from '@figloom/clients'
 import type { MovesReport } from './types.js'
 
 const countSchema = z.number().int().nonnegative()
--- a/packages/load/src/run/run-load.ts
+++ b/packages/load/src/run/run-load.ts
@@ -1,5 +1,5 @@
 import { Agent } from 'undici'
-import { JsonHttp } from '@figloom/platform'
+import { JsonHttp } from '@figloom/clients'
 import type { Clock } from '@figloom/runtime'
 import type { AttemptContext } from '../caller/attempt.js'
 import { callOnce } from '../caller/caller.js'
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,5 +1,6 @@
 /** Inner protocol between figloom daemons, generated from proto/, and its version. */
 export * from './gen/figloom/inner/v1/inner_pb.js'
+export * from './gen/figloom/inner/v1/gateway_pb.js'
 
 /** Version that this release speaks. */
 export const PROTOCOL_VERSION = 1
--- a/packages/standin/src/clients/append-until-known.test.ts
+++ b/packages/standin/src/clients/append-until-known.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap'
 import { ManualClock, type Failure } from '@figloom/runtime'
-import { appendUntilKnown, backoffMs, SeededRandomSource, type AppendedRecord } from '@figloom/platform'
+import { appendUntilKnown, backoffMs, SeededRandomSource, type AppendedRecord } from '@figloom/clients'
 import type { ResultAsync } from 'neverthrow'
 import { MemoryLog } from '../log/memory-log.js'
 
--- a/packages/standin/src/clients/batching-appender.test.ts
+++ b/packages/standin/src/clients/batching-appender.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap'
 import { ManualClock, SequentialIdSource, type Failure } from '@figloom/runtime'
-import { BatchingAppender, readBatch, SeededRandomSource, type AppendedEntry } from '@figloom/platform'
+import { BatchingAppender, readBatch, SeededRandomSource, type AppendedEntry } from '@figloom/clients'
 import type { ResultAsync } from 'neverthrow'
 import { MemoryLog } from '../log/memory-log.js'
 
--- a/packages/standin/src/clients/follow.test.ts
+++ b/packages/standin/src/clients/follow.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check'
 import { errAsync, okAsync, type ResultAsync } from 'neverthrow'
 import { createFailure, ManualClock, ResultCode, type Failure } from '@figloom/runtime'
-import { follow, LogClient, RecentIds, SeededRandomSource, type FollowHandlers, type FollowOptions, type LogPage, type LogRecord } from '@figloom/platform'
+import { follow, LogClient, RecentIds, SeededRandomSource, type FollowHandlers, type FollowOptions, type LogPage, type LogRecord } from '@figloom/clients'
 import { MemoryLog } from '../log/memory-log.js'
 
 /** A log that gives the same page for every read. */
--- a/packages/standin/src/clients/http-log-client.test.ts
+++ b/packages/standin/src/clients/http-log-client.test.ts
@@ -4,7 +4,7 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { ManualClock, SystemClock, type Failure } from '@figloom/runtime'
-import { HttpLogClient, type LogClient } from '@figloom/platform'
+import { HttpLogClient, type LogClient } from '@figloom/clients'
 import { startStandins } from '../start.js'
 import { MemoryLog } from '../log/memory-log.js'
 
--- a/packages/standin/src/config.ts
+++ b/packages/standin/src/config.ts
@@ -1,4 +1,4 @@
-import { listedHostSchema } from '@figloom/platform'
+import { listedHostSchema } from '@figloom/clients'
 import { z } from 'zod'
 
 const sizeSchema = z.number().nonnegative()
--- a/packages/standin/src/engine/engine-app.ts
+++ b/packages/standin/src/engine/engine-app.ts
@@ -1,6 +1,6 @@
 import { createApp, createRouter, eventHandler, getQuery, getRouterParam, type App, type H3Event } from 'h3'
 import type { Clock } from '@figloom/runtime'
-import { engineOrderSchema } from '@figloom/platform'
+import { engineOrderSchema } from '@figloom/clients'
 import { z } from 'zod'
 import { readChecked, resetConnection, sendJson } from '../http/event.js'
 import { createFaultsHandler } from '../http/faults.js'
--- a/packages/standin/src/engine/engine-core.test.ts
+++ b/packages/standin/src/engine/engine-core.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap'
 import { ManualClock } from '@figloom/runtime'
-import type { EngineOrder } from '@figloom/platform'
+import type { EngineOrder } from '@figloom/clients'
 import { EngineCore } from './engine-core.js'
 import { MemoryEngines } from './memory-engines.js'
 import { WeightStore } from '../store/weight-store.js'
--- a/packages/standin/src/engine/engine-core.ts
+++ b/packages/standin/src/engine/engine-core.ts
@@ -1,4 +1,4 @@
-import type { CacheEventPage, EngineOrder, EngineReport, OrderOutcome } from '@figloom/platform'
+import type { CacheEventPage, EngineOrder, EngineReport, OrderOutcome } from '@figloom/clients'
 import type { Clock } from '@figloom/runtime'
 import { WeightStore } from '../store/weight-store.js'
 import { EngineAttempts, type CancelOutcome } from './engine-attempts.js'
--- a/packages/standin/src/engine/engine-memory.ts
+++ b/packages/standin/src/engine/engine-memory.ts
@@ -1,4 +1,4 @@
-import type { ReportedAdapter, ReportedCopy } from '@figloom/platform'
+import type { ReportedAdapter, ReportedCopy } from '@figloom/clients'
 
 /** Names a copy; an adapter is not part of the key. */
 export function copyKey (model: string, version: string): string {
--- a/packages/standin/src/engine/engine-orders.ts
+++ b/packages/standin/src/engine/engine-orders.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@figloom/runtime'
-import type { EngineOrder, OrderOutcome, ReportedAdapter, ReportedCopy } from '@figloom/platform'
+import type { EngineOrder, OrderOutcome, ReportedAdapter, ReportedCopy } from '@figloom/clients'
 import type { WeightStore } from '../store/weight-store.js'
 import { copyKey, type EngineMemory } from './engine-memory.js'
 import type { Gate } from './gate.js'
--- a/packages/standin/src/engine/memory-engines.ts
+++ b/packages/standin/src/engine/memory-engines.ts
@@ -1,6 +1,6 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import { createFailure, ResultCode, type Clock, type Failure } from '@figloom/runtime'
-import { EngineClient, type CacheEventPage, type EngineOrder, type EngineReport, type OrderOutcome } from '@figloom/platform'
+import { EngineClient, type CacheEventPage, type EngineOrder, type EngineReport, type OrderOutcome } from '@figloom/clients'
 import type { CancelOutcome } from './engine-attempts.js'
 import { EngineCore, type EngineCoreOptions } from './engine-core.js'
 
--- a/packages/standin/src/engine/prefix-cache.ts
+++ b/packages/standin/src/engine/prefix-cache.ts
@@ -1,4 +1,4 @@
-import type { CacheEvent, CacheEventPage } from '@figloom/platform'
+import type { CacheEvent, CacheEventPage } from '@figloom/clients'
 import { hashText } from './tokens.js'
 
 /** Length of the prefix that is cached, in characters. */
--- a/packages/standin/src/engine/types.ts
+++ b/packages/standin/src/engine/types.ts
@@ -1,4 +1,4 @@
-import type { ReportedCopy } from '@figloom/platform'
+import type { ReportedCopy } from '@figloom/clients'
 
 /** Settings of one engine stand-in. */
 export type EngineConfig = {
--- a/packages/standin/src/hosts/hosts-app.ts
+++ b/packages/standin/src/hosts/hosts-app.ts
@@ -1,5 +1,5 @@
 import { createApp, createRouter, eventHandler, getRouterParam, type App, type H3Event } from 'h3'
-import { listedHostSchema } from '@figloom/platform'
+import { listedHostSchema } from '@figloom/clients'
 import { z } from 'zod'
 import { readChecked, resetConnection, sendJson } from '../http/event.js'
 import { createFaultsHandler } from '../http/faults.js'
--- a/packages/standin/src/hosts/memory-host-list.test.ts
+++ b/packages/standin/src/hosts/memory-host-list.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap'
 import { ManualClock } from '@figloom/runtime'
-import type { ListedHost } from '@figloom/platform'
+import type { ListedHost } from '@figloom/clients'
 import { MemoryHostList } from './memory-host-list.js'
 
 const host: ListedHost = { name: 'a', url: 'http://127.0.0.1:1', innerUrl: 'http://127.0.0.1:2', availabilityZone: 'porto-a', state: 'live' }
--- a/packages/standin/src/hosts/memory-host-list.ts
+++ b/packages/standin/src/hosts/memory-host-list.ts
@@ -1,6 +1,6 @@
 import { errAsync, ok, ResultAsync } from 'neverthrow'
 import { createFailure, ResultCode, type Clock, type Failure } from '@figloom/runtime'
-import { HostListClient, type ListedHost } from '@figloom/platform'
+import { HostListClient, type ListedHost } from '@figloom/clients'
 
 /** Faults of the host list. */
 export type HostListFaults = {
--- a/packages/standin/src/log/memory-log.ts
+++ b/packages/standin/src/log/memory-log.ts
@@ -1,6 +1,6 @@
 import { errAsync, ResultAsync, err, ok, type Result } from 'neverthrow'
 import { createFailure, ResultCode, type Clock, type Failure } from '@figloom/runtime'
-import { LogClient, type LogPage, type LogRecord, type ReadOptions } from '@figloom/platform'
+import { LogClient, type LogPage, type LogRecord, type ReadOptions } from '@figloom/clients'
 
 /** Faults that a test switches on and off while the log is in use. */
 export type LogFaults = {
