--- a/packages/gateway/src/forward/runner-connections.ts
+++ b/packages/gateway/src/forward/runner-connections.ts
@@ -1,5 +1,6 @@
 /** Connections to runners: one bounded pool for each runner, dropped when the runner is gone. */
-import { Pool, type Dispatcher } from 'undici'
+import type { Socket } from 'node:net'
+import { buildConnector, Pool, type Dispatcher } from 'undici'
 
 /** A runner that accepts no connection in this time is taken as unreachable. */
 const CONNECT_TIMEOUT_MS = 700
@@ -10,6 +11,9 @@
 /** Answer heads of runners are small; a larger one is damaged. */
 const MAX_HEADER_BYTES = 16_384
 
+/** Error code of a connection that the runner reset. */
+export const RESET_CODE = 'RUNNER_RESET'
+
 type RunnerPool = { pool: Pool, address: string }
 
 export class RunnerConnections {
@@ -29,7 +33,7 @@
     const pool = new Pool(`http://${address}`, {
       connections: Math.max(1, maxConnections),
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: createConnector(),
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_MS,
@@ -65,3 +69,22 @@
     await Promise.all(pools.map(({ pool }) => pool.destroy()))
   }
 }
+
+/**
+ * Connects so that a reset is told from an end. The library takes an answer without a length for complete when its
+ * connection is reset with this one code; under another code it is a failure.
+ */
+function createConnector (): buildConnector.connector {
+  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+  return (options, callback) => connect(options, (...[error, socket]: buildConnector.CallbackArgs) => {
+    if (socket === null) return callback(error as Error, null)
+    markResets(socket)
+    callback(null, socket)
+  })
+}
+
+function markResets (socket: Socket): void {
+  socket.prependListener('error', (error: NodeJS.ErrnoException) => {
+    if (error.code === 'ECONNRESET') error.code = RESET_CODE
+  })
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,12 +55,14 @@
   readonly #context: ServeContext
   readonly #front: HttpServer
   readonly #others: HttpServer[] = []
+  #settings: GatewaySettings
   #inFlight = 0
   #leaving = false
   #sweepTimer: Timer | undefined
 
   private constructor (private readonly parts: GatewayParts) {
     const { settings, clock, log } = parts
+    this.#settings = settings
     this.#registry = createRegistry({ host: settings.self.host, availabilityZone: settings.self.availabilityZone })
     this.#members = MemberTable.create(settings.self.host)
     this.#exchanger = this.#createExchanger()
@@ -108,8 +110,8 @@
   async stop (): Promise<void> {
     if (this.#leaving) return
     this.#leaving = true
-    const { clock, log, settings } = this.parts
-    const endMs = this.#nowMs() + settings.graceMs - EXIT_MARGIN_MS
+    const { clock, log } = this.parts
+    const endMs = this.#nowMs() + this.#settings.graceMs - EXIT_MARGIN_MS
     log.info('gateway is leaving', { inFlight: this.#inFlight })
     await Promise.allSettled([this.#exchanger.tellAll(), this.#lease.release()])
     this.#desk.stop()
@@ -123,6 +125,13 @@
     await this.#destroy()
   }
 
+  /** Takes over settings that changed; listeners and the host's name stay as they are until the next start. */
+  reload (settings: GatewaySettings): void {
+    this.#settings = { ...this.parts.settings, graceMs: settings.graceMs, maxLookupTtlMs: settings.maxLookupTtlMs, budget: settings.budget }
+    this.#context.budget.setLimits(settings.budget)
+    this.parts.log.info('settings reloaded', { graceMs: settings.graceMs, budgetRatio: settings.budget.ratio, budgetSlack: settings.budget.slack })
+  }
+
   get ready (): boolean {
     return this.#config.known && !this.#leaving && this.#runners.all().length > 0
   }
@@ -156,11 +165,11 @@
   }
 
   #answerLookup () {
-    const { settings, platform } = this.parts
-    const ownAddress = this.ready ? settings.self.callerAddress : undefined
+    const { platform } = this.parts
+    const ownAddress = this.ready ? this.#settings.self.callerAddress : undefined
     const addresses = lookupHosts({ members: this.#members, ownAddress, nowMs: this.#nowMs() })
     if (addresses.length === 0) return textAnswer(false)
-    const ttlMs = Math.min(LOOKUP_TTL_MS, settings.maxLookupTtlMs)
+    const ttlMs = Math.min(LOOKUP_TTL_MS, this.#settings.maxLookupTtlMs)
     return { status: 200, body: platform.lookupWire.formatLookup(addresses, ttlMs), contentType: 'application/json' }
   }
 
--- a/packages/gateway/src/retry/shared-budget.ts
+++ b/packages/gateway/src/retry/shared-budget.ts
@@ -40,12 +40,17 @@
 export class SharedBudget {
   readonly #services = new Map<string, ServiceWindow>()
 
-  private constructor (private readonly limits: BudgetLimits) {}
+  private constructor (private limits: BudgetLimits) {}
 
   static create (limits: BudgetLimits): SharedBudget {
     return new SharedBudget(limits)
   }
 
+  /** Puts other limits into force; what was counted stays counted. */
+  setLimits (limits: BudgetLimits): void {
+    this.limits = limits
+  }
+
   onRequest (service: string, nowMs: number): void {
     this.#window(service).count(this.#index(nowMs), 'requests')
   }
--- /dev/null
+++ b/packages/gateway/src/serve/damaged-answers.test.ts
@@ -0,0 +1,114 @@
+import t, { type Test } from 'tap'
+import { RouteKind } from '../config/types.js'
+import { createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
+import type { RawExchange } from '../testing/raw-runner.js'
+
+const read = createRoute({ pathPrefix: '/read/' })
+const book = createRoute({ pathPrefix: '/book/', kind: RouteKind.NonIdempotent, maxAttempts: 1 })
+
+async function createFixture (t: Test): Promise<GatewayFixture> {
+  const fixture = await GatewayFixture.create([read, book])
+  t.teardown(() => fixture.close())
+  return fixture
+}
+
+function good ({ requestId, socket }: RawExchange): void {
+  socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: 1\r\nContent-Length: 4\r\n\r\ngood`)
+}
+
+t.test('an answer without a length that is reset is not complete', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', ({ requestId, socket }) => {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: 1\r\n\r\nhalf`)
+    setTimeout(() => socket.resetAndDestroy(), 30)
+  })
+  const answer = await fixture.call({ path: '/book/1', method: 'POST' })
+  t.equal(answer.status, 502)
+})
+
+t.test('an answer without a length that ends is complete', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', ({ requestId, socket }) => {
+    socket.end(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: 1\r\n\r\nwhole`)
+  })
+  const answer = await fixture.call({ path: '/read/1' })
+  t.match(answer, { status: 200, body: 'whole' })
+})
+
+t.test('a body shorter than its length is not complete', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', ({ requestId, socket }) => {
+    socket.end(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: 1\r\nContent-Length: 50\r\n\r\nhalf`)
+  })
+  const answer = await fixture.call({ path: '/book/1', method: 'POST' })
+  t.equal(answer.status, 502)
+})
+
+t.test('an answer of another request is never passed on', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', (exchange) => {
+    good(exchange)
+    // A second answer comes late, where the next one is expected.
+    if (exchange.number === 1) setTimeout(() => exchange.socket.write('HTTP/1.1 200 OK\r\nRequest-Id: request-1\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nextra'), 40)
+  })
+  t.equal((await fixture.call({ path: '/book/1', method: 'POST' })).body, 'good')
+  const second = await fixture.call({ path: '/book/2', method: 'POST', id: 'request-2' })
+  t.not(second.body, 'extra')
+})
+
+t.test('a success without a signature is a failure', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', ({ requestId, socket }) => {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nContent-Length: 4\r\n\r\nfake`)
+  })
+  t.equal((await fixture.call({ path: '/book/1', method: 'POST' })).status, 502)
+})
+
+t.test('an encoded body is a failure', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', ({ requestId, socket }) => {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: 1\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nzzzz`)
+  })
+  t.equal((await fixture.call({ path: '/book/1', method: 'POST' })).status, 502)
+})
+
+t.test('a request that may not run twice is not sent again after a reset', async (t) => {
+  const fixture = await createFixture(t)
+  const runners = await Promise.all(['runner-1', 'runner-2'].map((id) => fixture.addRunner(id, ({ socket }) => { socket.resetAndDestroy() })))
+  const answer = await fixture.call({ path: '/book/1', method: 'POST' })
+  t.equal(answer.status, 502)
+  t.equal(runners.reduce((sum, { requests }) => sum + requests.length, 0), 1)
+})
+
+t.test('a request that may run twice is sent again after a reset', async (t) => {
+  const fixture = await createFixture(t)
+  let first = true
+  const answerOnce = (exchange: RawExchange) => {
+    if (!first) return good(exchange)
+    first = false
+    exchange.socket.resetAndDestroy()
+  }
+  await fixture.addRunner('runner-1', answerOnce)
+  await fixture.addRunner('runner-2', answerOnce)
+  t.match(await fixture.call({ path: '/read/1' }), { status: 200, body: 'good' })
+})
+
+t.test('a refusal that a runner states is passed on as not run', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', ({ requestId, socket }) => {
+    socket.write(`HTTP/1.1 503 Full\r\nRequest-Id: ${requestId}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n`)
+  })
+  const answer = await fixture.call({ path: '/book/1', method: 'POST' })
+  t.equal(answer.status, 503)
+  t.match(answer.headers, /Retry-After/)
+})
+
+t.test('a refusal that a runner does not state to be not run is no promise', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', ({ requestId, socket }) => {
+    socket.write(`HTTP/1.1 503 Full\r\nRequest-Id: ${requestId}\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n`)
+  })
+  const answer = await fixture.call({ path: '/book/1', method: 'POST' })
+  t.equal(answer.status, 502)
+  t.notMatch(answer.headers, /Signed/)
+})
--- /dev/null
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -0,0 +1,140 @@
+/** The request path of a gateway before raw runners, without membership, store or orders. */
+import { createServer, type Server } from 'node:http'
+import { connect, type AddressInfo } from 'node:net'
+import { Registry, silentLogger, SystemClock } from '@figloom/runtime'
+import { ConfigState } from '../config/config-state.js'
+import { RouteKind, type Route, type Service } from '../config/types.js'
+import { RunnerConnections } from '../forward/runner-connections.js'
+import { SharedBudget } from '../retry/shared-budget.js'
+import { RunnerTable } from '../runners/runner-table.js'
+import type { RunnerEntry } from '../runners/types.js'
+import { DemandMeter } from '../serve/demand-meter.js'
+import { createRequestMetrics } from '../serve/metrics.js'
+import { serveRequest } from '../serve/serve-request.js'
+import { AdapterLoader, type ServeContext } from '../serve/types.js'
+import { RawRunner, type RawExchange } from './raw-runner.js'
+import { TestCodec } from './test-codec.js'
+
+class NoAdapters extends AdapterLoader {
+  override ensure (): Promise<boolean> {
+    return Promise.resolve(false)
+  }
+}
+
+const SERVICE: Service = { name: 'plain', maxConnections: 50 }
+
+export function createRoute (changes: Partial<Route>): Route {
+  return {
+    name: 'route',
+    host: 'test',
+    pathPrefix: '/',
+    kind: RouteKind.Idempotent,
+    timeoutMs: 5_000,
+    targetLatencyMs: 100,
+    priority: 0,
+    services: [{ service: 'plain', weight: 1 }],
+    maxAttempts: 2,
+    resumable: false,
+    ...changes
+  }
+}
+
+export function createEntry (changes: Partial<RunnerEntry>): RunnerEntry {
+  return {
+    id: 'runner-1',
+    service: 'plain',
+    address: '127.0.0.1:1',
+    availabilityZone: 'zone-1',
+    slots: 8,
+    draining: false,
+    models: [],
+    localWeights: [],
+    ...changes
+  }
+}
+
+/** What a caller read from its connection. */
+export type RawAnswer = { text: string, status: number, ended: boolean, headers: string, body: string }
+
+export class GatewayFixture {
+  readonly #runners: RawRunner[] = []
+  readonly #server: Server
+
+  private constructor (readonly context: ServeContext) {
+    this.#server = createServer((request, response) => { serveRequest(context, request, response) })
+  }
+
+  static async create (routes: Route[]): Promise<GatewayFixture> {
+    const clock = SystemClock.create()
+    const config = ConfigState.create()
+    config.adopt({
+      version: 1,
+      routes,
+      services: new Map([[SERVICE.name, SERVICE]]),
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
+    })
+    const fixture = new GatewayFixture({
+      clock,
+      log: silentLogger,
+      metrics: createRequestMetrics(new Registry()),
+      codec: TestCodec.create(),
+      config,
+      runners: RunnerTable.create(),
+      connections: RunnerConnections.create(),
+      budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
+      demand: DemandMeter.create(),
+      adapters: new NoAdapters(),
+      host: { availabilityZone: 'zone-1', hostCount: () => 1, isLeaving: () => false },
+      random: () => 0.5
+    })
+    await new Promise<void>((resolve) => fixture.#server.listen(0, '127.0.0.1', resolve))
+    return fixture
+  }
+
+  /** Adds a runner; `answer` gets each request. */
+  async addRunner (id: string, answer: (exchange: RawExchange) => void): Promise<RawRunner> {
+    const runner = await RawRunner.create(answer)
+    this.#runners.push(runner)
+    this.context.runners.upsert(createEntry({ id, address: runner.address }))
+    return runner
+  }
+
+  /** Sends one request on a connection of its own and reads until the answer or the connection ends. */
+  call (options: { method?: string, path?: string, id?: string, headers?: string[] }): Promise<RawAnswer> {
+    const { method = 'GET', path = '/', id = 'request-1', headers = [] } = options
+    const { port } = this.#server.address() as AddressInfo
+    const socket = connect(port, '127.0.0.1')
+    socket.write([`${method} ${path} HTTP/1.1`, 'Host: test', `Request-Id: ${id}`, 'Connection: close', ...headers, '', ''].join('\r\n'))
+    return new Promise((resolve) => {
+      let text = ''
+      let ended = false
+      socket.on('data', (chunk) => { text += chunk.toString('latin1') })
+      socket.on('end', () => { ended = true })
+      socket.on('error', () => {})
+      socket.on('close', () => resolve(toAnswer(text, ended)))
+    })
+  }
+
+  /** Port for callers that need a connection of their own. */
+  get port (): number {
+    return (this.#server.address() as AddressInfo).port
+  }
+
+  async close (): Promise<void> {
+    this.#server.closeAllConnections()
+    await new Promise((resolve) => this.#server.close(resolve))
+    await this.context.connections.destroy()
+    await Promise.all(this.#runners.map((runner) => runner.close()))
+  }
+}
+
+function toAnswer (text: string, ended: boolean): RawAnswer {
+  const blank = text.indexOf('\r\n\r\n')
+  return {
+    text,
+    status: Number(text.slice(9, 12)),
+    ended,
+    headers: blank < 0 ? text : text.slice(0, blank),
+    body: blank < 0 ? '' : text.slice(blank + 4)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -0,0 +1,57 @@
+/** Plain header names for tests: the platform's own live in its adapter. */
+import { RequestCodec, type AnswerFacts, type CallerFacts, type ForwardFields, type RawHeaders } from '../forward/types.js'
+
+const CONNECTION_HEADERS = ['connection', 'keep-alive', 'transfer-encoding', 'content-length']
+
+export class TestCodec extends RequestCodec {
+  static create (): TestCodec {
+    return new TestCodec()
+  }
+
+  override decodeRequest (headers: RawHeaders): CallerFacts {
+    const [model, adapter] = (valueOf(headers, 'model') ?? '').split('/')
+    const deadline = valueOf(headers, 'deadline-ms')
+    return {
+      requestId: valueOf(headers, 'request-id'),
+      deadlineMs: deadline === undefined ? undefined : Number(deadline),
+      model: model === '' ? undefined : model,
+      adapter,
+      promptTokens: 0,
+      maxOutputTokens: 0,
+      promptParts: []
+    }
+  }
+
+  override encodeRequest (headers: RawHeaders, fields: ForwardFields): RawHeaders {
+    const encoded = [...strip(headers), 'runner-id', fields.runnerId, 'left-ms', String(fields.deadlineMs)]
+    if (fields.lastEventId !== undefined) encoded.push('last-event-id', String(fields.lastEventId))
+    return encoded
+  }
+
+  override decodeAnswer (status: number, headers: RawHeaders): AnswerFacts {
+    return {
+      status,
+      requestId: valueOf(headers, 'request-id'),
+      signed: valueOf(headers, 'signed') !== undefined,
+      notRun: valueOf(headers, 'not-run') !== undefined,
+      misdirected: status === 421,
+      runnerId: valueOf(headers, 'runner-id'),
+      encoded: valueOf(headers, 'content-encoding') !== undefined,
+      isEventStream: valueOf(headers, 'content-type') === 'text/event-stream',
+      closes: false
+    }
+  }
+
+  override encodeAnswer (headers: RawHeaders): RawHeaders {
+    return strip(headers)
+  }
+}
+
+function valueOf (headers: RawHeaders, name: string): string | undefined {
+  const at = headers.findIndex((part, index) => index % 2 === 0 && part.toLowerCase() === name)
+  return at < 0 ? undefined : headers[at + 1]
+}
+
+function strip (headers: RawHeaders): RawHeaders {
+  return headers.filter((_, index) => !CONNECTION_HEADERS.includes((headers[index - index % 2] ?? '').toLowerCase()))
+}
