Place models by the places that demand fills, bring adapters ahead, rank requests at runners

Ruled out: store and lease (one holder throughout, renewals answered). Now: copies follow rate times holding time, nothing in use is displaced for a model that nobody asks for; places for adapters are filled ahead; a runner that loads is passed over; failed runners are used when no other is left; requests that can wait queue behind the others.

--- a/packages/gateway/src/choose/candidates.ts
+++ b/packages/gateway/src/choose/candidates.ts
@@ -12,6 +12,8 @@
   excluded: ReadonlySet<string>
   /** Hosts that share the runners' connections. */
   hostCount: number
+  /** Time to the first byte that the caller was promised. */
+  targetLatencyMs: number
 }
 
 export type CandidateSet = {
@@ -23,17 +25,29 @@
   withoutAdapter: Candidate[]
 }
 
-/** Part of a runner's places that may be taken, queue included. */
+/** Part of a runner's places that may be taken, its queue included; the queue must stay short enough for the target. */
 const ENGINE_OCCUPATION_LIMIT = 1.1
+/** The same for requests that can wait. */
+const PATIENT_OCCUPATION_LIMIT = 1.4
+/** Requests with a target above this can wait in a runner's queue. */
+export const PATIENT_TARGET_MS = 2_000
 /** Plain services have few places and queue briefly. */
 const PLAIN_OCCUPATION_LIMIT = 2
 /** Part of a runner's connections that the hosts use; the rest is left for connections that are closing. */
 const CONNECTION_SHARE = 0.85
 
 export function findCandidates (table: RunnerTable, need: Need, nowMs: number): CandidateSet {
+  const healthy = collect(table, need, nowMs, true)
+  if (healthy.open.length > 0 || healthy.withoutAdapter.length > 0) return healthy
+  // Runners that failed of late are better than none.
+  return collect(table, need, nowMs, false)
+}
+
+function collect (table: RunnerTable, need: Need, nowMs: number, healthyOnly: boolean): CandidateSet {
   const set: CandidateSet = { open: [], fullCount: 0, withoutAdapter: [] }
   for (const state of table.usable(need.service.name)) {
-    if (need.excluded.has(state.entry.id) || !state.health.accepts(nowMs)) continue
+    if (need.excluded.has(state.entry.id)) continue
+    if (healthyOnly && !state.health.accepts(nowMs)) continue
     if (need.model !== undefined && !table.holds(state, need.model, undefined, nowMs)) continue
     const candidate = toCandidate(table, state)
     if (isFull(candidate, state, need)) {
@@ -60,11 +74,15 @@
 }
 
 function isFull (candidate: Candidate, state: RunnerState, need: Need): boolean {
-  const limit = need.service.engine === undefined ? PLAIN_OCCUPATION_LIMIT : ENGINE_OCCUPATION_LIMIT
-  if (candidate.inFlight >= candidate.slots * limit) return true
+  if (candidate.inFlight >= candidate.slots * occupationLimit(need)) return true
   return state.inFlight >= connectionShare(need.service, need.hostCount)
 }
 
+function occupationLimit (need: Need): number {
+  if (need.service.engine === undefined) return PLAIN_OCCUPATION_LIMIT
+  return need.targetLatencyMs > PATIENT_TARGET_MS ? PATIENT_OCCUPATION_LIMIT : ENGINE_OCCUPATION_LIMIT
+}
+
 /** Connections that this host may open to one runner. */
 export function connectionShare (service: Service, hostCount: number): number {
   return Math.max(1, Math.floor(service.maxConnections * CONNECTION_SHARE / Math.max(1, hostCount)))
--- a/packages/gateway/src/forward/runner-connections.ts
+++ b/packages/gateway/src/forward/runner-connections.ts
@@ -77,7 +77,7 @@
 function createConnector (): buildConnector.connector {
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
   return (options, callback) => connect(options, (...[error, socket]: buildConnector.CallbackArgs) => {
-    if (socket === null) return callback(error as Error, null)
+    if (error !== null || socket === null) return callback(error ?? new Error('no connection'), null)
     markResets(socket)
     callback(null, socket)
   })
--- a/packages/gateway/src/forward/types.ts
+++ b/packages/gateway/src/forward/types.ts
@@ -23,6 +23,8 @@
   deadlineMs: number
   /** Runner that is meant; another one at the same address refuses. */
   runnerId: string
+  /** Rank in the runner's queue, 0 first; absent: the runner's usual rank. */
+  urgency?: number
   lastEventId?: number
   /** Weights that a resumed stream has to go on with. */
   weightsVersion?: number
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -67,7 +67,7 @@
     leaving: report.leaving,
     configVersion: BigInt(report.configVersion),
     runnerUses: [...report.runnerUses].map(([runnerId, inFlight]) => ({ runnerId, inFlight })),
-    demand: report.demand.map(({ service, model, adapter, requestsPerS }) => ({ service, model, adapter: adapter ?? '', requestsPerS })),
+    demand: report.demand.map((rate) => ({ ...rate, adapter: rate.adapter ?? '' })),
     lease: { ...report.lease, fencingToken: BigInt(report.lease.fencingToken) },
     knownHosts: report.knownHosts
   }
@@ -82,7 +82,7 @@
     leaving: message.leaving,
     configVersion: Number(message.configVersion),
     runnerUses: new Map(message.runnerUses.map(({ runnerId, inFlight }) => [runnerId, inFlight])),
-    demand: message.demand.map(({ service, model, adapter, requestsPerS }) => ({ service, model, adapter: adapter === '' ? undefined : adapter, requestsPerS })),
+    demand: message.demand.map(({ service, model, adapter, requestsPerS, holdMs }) => ({ service, model, adapter: adapter === '' ? undefined : adapter, requestsPerS, holdMs })),
     lease: {
       holder: message.lease?.holder ?? '',
       fencingToken: Number(message.lease?.fencingToken ?? 0n),
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -12,7 +12,14 @@
 export type LeaseView = { holder: string, fencingToken: number, heldBySender: boolean }
 
 /** Demand for a model or adapter at one host. */
-export type DemandRate = { service: string, model: string, adapter?: string, requestsPerS: number }
+export type DemandRate = {
+  service: string
+  model: string
+  adapter?: string
+  requestsPerS: number
+  /** How long a request holds its place at a runner, on average. */
+  holdMs: number
+}
 
 /** What a host says of itself. */
 export type HostReport = {
--- a/packages/gateway/src/orders/order-desk.ts
+++ b/packages/gateway/src/orders/order-desk.ts
@@ -4,6 +4,7 @@
 import type { EngineSpec, Service } from '../config/types.js'
 import type { AdapterReply, AdapterRequest, DemandRate } from '../members/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
+import { planAdapters, type AdapterLoad } from './plan-adapters.js'
 import { planModels, type PlannedOrder, type PlannedRunner } from './plan-models.js'
 import { LoadPace } from './load-pace.js'
 import { RunnerBook, type AdapterCopy } from './runner-book.js'
@@ -36,6 +37,8 @@
   startedUnixMs: number | undefined
   /** Orders to one runner follow each other. */
   tail: Promise<unknown>
+  /** Orders that wait for the ones before them. */
+  waiting: number
   reportedMs: number
   reporting: boolean
 }
@@ -71,11 +74,19 @@
     const engine = state === undefined ? undefined : this.#engineOf(state)
     if (state === undefined || engine === undefined || this.parts.orderToken() === undefined) return refused
     const desk = this.#desk(state)
-    const result = desk.tail.then(() => this.#bringAdapter(state, engine, desk, request))
+    // While a model is loaded or unloaded a runner takes no other order.
+    if (desk.book.pending !== undefined) return refused
+    return await this.#enqueue(desk, () => this.#bringAdapter(state, engine, desk, request))
+  }
+
+  /** Runs a task behind the orders that a runner is given already. */
+  #enqueue<Value> (desk: RunnerDesk, task: () => Promise<Value>): Promise<Value> {
+    desk.waiting += 1
+    const result = desk.tail.then(task).finally(() => { desk.waiting -= 1 })
     desk.tail = result.catch((error: Error) => {
-      this.parts.log.warn('adapter order failed', { ...request, reason: error.message })
+      this.parts.log.warn('order failed', { runner: desk.book.runnerId, reason: error.message })
     })
-    return await result
+    return result
   }
 
   #tick (): void {
@@ -107,31 +118,53 @@
     const plan = planModels({
       engine,
       runners: known.map((state) => this.#planned(state, engine)),
-      ratePerS: this.#modelRates(service.name),
+      places: this.#modelPlaces(service.name),
       storeLoads: this.#pace.available(engine.loadsPerS, nowMs)
     })
-    for (const order of plan) this.#giveModelOrder(order, engine)
+    for (const order of plan) this.#giveModelOrder(order)
+    this.#bringAdaptersAhead(known, engine, new Set(plan.map(({ runnerId }) => runnerId)))
   }
 
-  #modelRates (service: string): Map<string, number> {
-    const rates = new Map<string, number>()
+  #modelPlaces (service: string): Map<string, number> {
+    const places = new Map<string, number>()
     for (const demand of this.parts.demand()) {
       if (demand.service !== service || demand.adapter !== undefined) continue
-      rates.set(demand.model, (rates.get(demand.model) ?? 0) + demand.requestsPerS)
+      const added = demand.requestsPerS * demand.holdMs / 1000
+      places.set(demand.model, (places.get(demand.model) ?? 0) + added)
     }
-    return rates
+    return places
+  }
+
+  #bringAdaptersAhead (states: RunnerState[], engine: EngineSpec, ordered: ReadonlySet<string>): void {
+    const runners = states.map((state) => {
+      const { book, waiting } = this.#desk(state)
+      return {
+        id: state.entry.id,
+        models: book.models,
+        adapters: book.adapters.map(({ model, adapter }) => `${model}/${adapter}`),
+        busy: book.pending !== undefined || waiting > 0 || ordered.has(state.entry.id),
+        usedMb: book.usedMb(engine)
+      }
+    })
+    for (const load of planAdapters(engine, runners)) this.#giveAdapterOrder(load)
+  }
+
+  #giveAdapterOrder ({ runnerId, model, adapter }: AdapterLoad): void {
+    const state = this.parts.runners.get(runnerId)
+    if (state === undefined) return
+    const desk = this.#desk(state)
+    this.#enqueue(desk, () => this.#send(state, desk, { kind: OrderKind.Load, model, adapter }, ADAPTER_LOAD_MS)).catch(() => {})
   }
 
   #planned (state: RunnerState, engine: EngineSpec): PlannedRunner {
-    const { book } = this.#desk(state)
+    const { book, waiting } = this.#desk(state)
     const { pending } = book
     return {
       id: state.entry.id,
       models: book.models,
       loading: pending?.kind === OrderKind.Load ? pending.model : undefined,
-      busy: pending !== undefined,
+      busy: pending !== undefined || waiting > 0,
       usedMb: book.usedMb(engine),
-      occupation: this.parts.runners.totalInFlight(state) / Math.max(1, state.entry.slots),
       localWeights: state.entry.localWeights
     }
   }
@@ -166,19 +199,18 @@
     }
   }
 
-  #giveModelOrder (order: PlannedOrder, engine: EngineSpec): void {
+  #giveModelOrder (order: PlannedOrder): void {
     const state = this.parts.runners.get(order.runnerId)
     if (state === undefined) return
     const desk = this.#desk(state)
     if (order.fromStore) this.#pace.onLoad()
-    desk.tail = desk.tail.then(() => this.#send(state, desk, order, 0)).catch((error: Error) => {
-      this.parts.log.warn('model order failed', { runner: order.runnerId, reason: error.message })
-    })
+    this.#enqueue(desk, () => this.#send(state, desk, order, 0)).catch(() => {})
     if (order.kind === OrderKind.Unload) this.parts.runners.markDenied(order.runnerId, order.model, undefined, this.parts.clock.monotonicMs())
   }
 
   async #bringAdapter (state: RunnerState, engine: EngineSpec, desk: RunnerDesk, request: AdapterRequest): Promise<AdapterReply> {
     const { model, adapter } = request
+    if (desk.book.pending !== undefined) return { accepted: false, readyInMs: 0 }
     const nowMs = this.parts.clock.monotonicMs()
     const known = desk.book.adapter(model, adapter)
     if (known !== undefined) {
@@ -223,7 +255,7 @@
     const { id, startedUnixMs } = state.entry
     const known = this.#desks.get(id)
     if (known !== undefined && known.startedUnixMs === startedUnixMs) return known
-    const desk: RunnerDesk = { book: RunnerBook.create(id), startedUnixMs, tail: Promise.resolve(), reportedMs: -Infinity, reporting: false }
+    const desk: RunnerDesk = { book: RunnerBook.create(id), startedUnixMs, tail: Promise.resolve(), waiting: 0, reportedMs: -Infinity, reporting: false }
     this.#desks.set(id, desk)
     return desk
   }
--- a/packages/gateway/src/serve/damaged-answers.test.ts
+++ b/packages/gateway/src/serve/damaged-answers.test.ts
@@ -112,3 +112,11 @@
   t.equal(answer.status, 502)
   t.notMatch(answer.headers, /Signed/)
 })
+
+t.test('a runner that takes no connection has not run the request', async (t) => {
+  const fixture = await createFixture(t)
+  const runner = await fixture.addRunner('runner-1', good)
+  await runner.close()
+  const answer = await fixture.call({ path: '/book/1', method: 'POST' })
+  t.equal(answer.status, 503)
+})
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
 import { RouteKind, type Route, type Service } from '../config/types.js'
-import { findCandidates, connectionShare, type CandidateSet, type Need } from '../choose/candidates.js'
+import { findCandidates, connectionShare, PATIENT_TARGET_MS, type CandidateSet, type Need } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { Attempt } from '../forward/attempt.js'
 import type { CallerFacts, RawHeaders } from '../forward/types.js'
@@ -33,10 +33,13 @@
 const NO_RUNNER_RETRY_MS = 1_000
 /** Part of the time left within which an adapter has to arrive. */
 const ADAPTER_WAIT_SHARE = 0.3
+const MAX_ADAPTER_TRIES = 4
 /** Callers wait at most this part of the time they have left before they come back. */
 const RETRY_AFTER_SHARE = 0.3
 /** A sending with less time than this can't be answered. */
 const MIN_ATTEMPT_MS = 5
+/** Lowest rank in a runner's queue. */
+const MAX_URGENCY = 9
 
 export class RequestRun {
   readonly #relay: AnswerRelay
@@ -51,6 +54,8 @@
   #mayHaveRun = false
   #over = false
   #sendings = 0
+  #sentMs = 0
+  #adapterTries = 0
   #firstByteMs: number | undefined
   #lastReason = ''
 
@@ -102,7 +107,8 @@
       model: service.engine === undefined ? undefined : facts.model,
       adapter: facts.adapter,
       excluded: this.#excluded,
-      hostCount: this.context.host.hostCount()
+      hostCount: this.context.host.hostCount(),
+      targetLatencyMs: this.request.route.targetLatencyMs
     }
   }
 
@@ -128,8 +134,9 @@
     const timeLeftMs = this.request.dueMs - this.context.clock.monotonicMs()
     const resident = await this.context.adapters.ensure(chosen.id, model, adapter, timeLeftMs * ADAPTER_WAIT_SHARE)
     if (this.#over) return
+    this.#adapterTries += 1
     if (!resident) this.#excluded.add(chosen.id)
-    if (!resident && this.#excluded.size > 1) return this.#giveUp(this.#failure(ResultCode.NoRunner, 'the adapter could not be made resident', NO_RUNNER_RETRY_MS))
+    if (!resident && this.#adapterTries >= MAX_ADAPTER_TRIES) return this.#giveUp(this.#failure(ResultCode.NoRunner, 'the adapter could not be made resident', NO_RUNNER_RETRY_MS))
     this.#send()
   }
 
@@ -142,6 +149,7 @@
     const headers = context.codec.encodeRequest(request.headers, {
       deadlineMs: Math.max(1, Math.floor(request.dueMs - nowMs)),
       runnerId: id,
+      urgency: request.service.engine === undefined ? undefined : urgencyOf(request.route),
       lastEventId: this.#relay.lastEventId ?? request.facts.lastEventId,
       weightsVersion: this.#relay.begun ? this.#weightsVersion : undefined
     })
@@ -149,6 +157,7 @@
     const observer = ResultObserver.create(request.id, context.codec, this.#relay,
       (result) => this.#onResult(runner, result), () => this.#onFirstByte())
     this.#sendings += 1
+    this.#sentMs = nowMs
     this.#runner = runner
     runner.inFlight += 1
     runner.health.onSent(request.id)
@@ -192,12 +201,18 @@
       runner.health.onNeutral(this.request.id)
       return
     }
-    if (result.outcome === Outcome.Answered) runner.health.onSuccess()
+    if (result.outcome === Outcome.Answered) this.#learnAnswered(runner, nowMs)
     else if (facts?.notRun === true) runner.health.onNeutral(this.request.id)
     else runner.health.onFailure(this.request.id, nowMs)
     if (facts?.weightsVersion !== undefined) this.#weightsVersion ??= facts.weightsVersion
   }
 
+  #learnAnswered (runner: RunnerState, nowMs: number): void {
+    runner.health.onSuccess()
+    const { service, facts } = this.request
+    if (service.engine !== undefined && facts.model !== undefined) this.context.demand.observeHold(service.name, facts.model, nowMs - this.#sentMs)
+  }
+
   #count (result: AttemptResult): void {
     if (result.outcome === Outcome.NotRun) this.#progress.notRuns += 1
     else {
@@ -326,6 +341,12 @@
   return `${facts.model ?? ''}/${facts.adapter ?? ''}/${shared?.id ?? ''}`
 }
 
+/** Rank in a runner's queue, 0 first: by the route's priority, requests that can wait behind all others. */
+function urgencyOf (route: Route): number {
+  const patience = route.targetLatencyMs > PATIENT_TARGET_MS ? 4 : 0
+  return Math.min(MAX_URGENCY, route.priority + patience)
+}
+
 /** Whether a request of the route may run more than once. */
 export function mayRepeat (route: Route): boolean {
   return route.kind === RouteKind.Idempotent || (route.kind === RouteKind.Stream && route.resumable)
