--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -95,8 +95,8 @@
     platform.watch.start({
       onConfig: (config) => this.#onConfig(config),
       onRunner: (entry) => this.#runners.upsert(entry),
-      onRunnerGone: (id, lapsed) => this.#runners.remove(id, this.#nowMs(), lapsed),
-      onRunnerList: (ids, lapsed) => this.#runners.retain(ids, this.#nowMs(), lapsed)
+      onRunnerGone: (id, graceMs) => this.#runners.remove(id, this.#nowMs(), graceMs),
+      onRunnerList: (ids, graceMs) => this.#runners.retain(ids, this.#nowMs(), graceMs)
     })
     await this.#openListeners()
     this.#exchanger.start()
--- /dev/null
+++ b/packages/gateway/src/runners/runner-table.test.ts
@@ -0,0 +1,68 @@
+import t from 'tap'
+import { createEntry } from '../testing/gateway-fixture.js'
+import { RunnerTable } from './runner-table.js'
+
+t.test('a runner whose entry is removed takes no more work', async (t) => {
+  const table = RunnerTable.create()
+  table.upsert(createEntry({ id: 'a' }))
+  table.remove('a', 1_000, 0)
+  t.equal(table.usable('plain').length, 0)
+})
+
+t.test('a runner whose entry lapsed in an outage stays for the grace', async (t) => {
+  const table = RunnerTable.create()
+  table.upsert(createEntry({ id: 'a' }))
+  table.remove('a', 1_000, 500)
+  table.sweep(1_400)
+  t.equal(table.usable('plain').length, 1)
+  table.sweep(1_500)
+  t.equal(table.usable('plain').length, 0)
+})
+
+t.test('an entry that comes back ends the grace', async (t) => {
+  const table = RunnerTable.create()
+  table.upsert(createEntry({ id: 'a' }))
+  table.remove('a', 1_000, 500)
+  table.upsert(createEntry({ id: 'a' }))
+  table.sweep(9_000)
+  t.equal(table.usable('plain').length, 1)
+})
+
+t.test('a draining runner takes no work', async (t) => {
+  const table = RunnerTable.create()
+  table.upsert(createEntry({ id: 'a', draining: true }))
+  t.equal(table.usable('plain').length, 0)
+})
+
+t.test('a new start under the same id holds nothing of before', async (t) => {
+  const table = RunnerTable.create()
+  table.upsert(createEntry({ id: 'a', startedUnixMs: 1 }))
+  table.markResident('a', 'model', undefined, 0)
+  table.upsert(createEntry({ id: 'a', startedUnixMs: 2 }))
+  const state = table.get('a')
+  t.ok(state)
+  t.equal(state !== undefined && table.holds(state, 'model', undefined, 1), false)
+})
+
+t.test('what a runner denied holding is not asked of it for a while', async (t) => {
+  const table = RunnerTable.create()
+  table.upsert(createEntry({ id: 'a', models: [{ name: 'model', version: 1, adapters: ['x'] }] }))
+  const state = table.get('a')
+  if (state === undefined) return t.fail('no runner')
+  table.markDenied('a', 'model', undefined, 0)
+  t.equal(table.holds(state, 'model', undefined, 100), false)
+  t.equal(table.holds(state, 'model', 'x', 100), false)
+  t.equal(table.holds(state, 'model', 'x', 60_000), true)
+})
+
+t.test('the load of all hosts counts', async (t) => {
+  const table = RunnerTable.create()
+  table.upsert(createEntry({ id: 'a' }))
+  const state = table.get('a')
+  if (state === undefined) return t.fail('no runner')
+  state.inFlight = 2
+  table.setPeerUse('host-2', new Map([['a', 3]]))
+  t.equal(table.totalInFlight(state), 5)
+  table.forgetPeer('host-2')
+  t.equal(table.totalInFlight(state), 2)
+})
--- a/packages/gateway/src/runners/runner-table.ts
+++ b/packages/gateway/src/runners/runner-table.ts
@@ -5,8 +5,6 @@
 import { RunnerHealth } from '@figloom/routing'
 import type { ResidentModel, RunnerEntry } from './types.js'
 
-/** Time in which entries that lapsed during an outage of the list come back if their runner lives. */
-const LAPSED_GRACE_MS = 2_500
 /** A model or adapter that a runner denied holding is not asked for again in this time, whatever its entry says. */
 const DENIED_MS = 1_500
 /** What was learned of a runner from orders counts above its entry in this time: entries lag by a heartbeat. */
@@ -53,22 +51,23 @@
 
   /**
    * An entry disappeared from the list.
-   * @param lapsed the list was out of reach of late, so that a living runner's entry may have expired
+   * @param graceMs after an outage of the list, in which a living runner's entry may have expired, the time in
+   * which such an entry comes back; 0 otherwise
    */
-  remove (id: string, nowMs: number, lapsed: boolean): void {
+  remove (id: string, nowMs: number, graceMs: number): void {
     const state = this.#runners.get(id)
     if (state === undefined) return
-    if (!lapsed) {
+    if (graceMs <= 0) {
       this.#runners.delete(id)
       return
     }
-    state.goneAtMs ??= nowMs + LAPSED_GRACE_MS
+    state.goneAtMs ??= nowMs + graceMs
   }
 
   /** Keeps only the listed ids; for a list that was read anew as a whole. */
-  retain (ids: ReadonlySet<string>, nowMs: number, lapsed: boolean): void {
+  retain (ids: ReadonlySet<string>, nowMs: number, graceMs: number): void {
     for (const id of this.#runners.keys()) {
-      if (!ids.has(id)) this.remove(id, nowMs, lapsed)
+      if (!ids.has(id)) this.remove(id, nowMs, graceMs)
     }
   }
 
--- a/packages/gateway/src/serve/answer-relay.ts
+++ b/packages/gateway/src/serve/answer-relay.ts
@@ -4,7 +4,19 @@
 import type { RawHeaders, RequestCodec } from '../forward/types.js'
 
 /** The head that a runner gave. */
-export type AnswerHead = { status: number, headers: RawHeaders }
+export type AnswerHead = {
+  status: number
+  headers: RawHeaders
+  /** The answer has a length or chunks; otherwise only the end of its connection ends it, which proves nothing. */
+  framed: boolean
+}
+
+/** Reads from a runner's headers how the end of its answer is marked. */
+export function createHead (status: number, headers: RawHeaders): AnswerHead {
+  const names = headers.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase())
+  const framed = names.includes('content-length') || names.includes('transfer-encoding') || !allowsBody(status)
+  return { status, headers, framed }
+}
 
 /** What came of the bytes of one attempt at a stream. */
 export const StreamFault = {
@@ -45,8 +57,8 @@
   sendWhole (head: AnswerHead, body: Buffer): void {
     if (this.response.destroyed) return
     const headers = this.#callerHeaders(head)
-    if (allowsBody(head.status)) headers.push('Content-Length', String(body.length))
-    this.response.writeHead(head.status, headers)
+    if (head.framed && allowsBody(head.status)) headers.push('Content-Length', String(body.length))
+    this.#writeHead(head, headers)
     this.response.end(body)
   }
 
@@ -92,12 +104,18 @@
   #begin (): void {
     if (this.#begun || this.#head === undefined || this.response.destroyed) return
     this.#begun = true
-    this.response.writeHead(this.#head.status, this.#callerHeaders(this.#head))
+    this.#writeHead(this.#head, this.#callerHeaders(this.#head))
+  }
+
+  /** An answer whose end isn't marked stays so: the caller must not take it for proven whole. */
+  #writeHead (head: AnswerHead, headers: RawHeaders): void {
+    if (!head.framed) this.response.useChunkedEncodingByDefault = false
+    this.response.writeHead(head.status, headers)
   }
 
   #callerHeaders (head: AnswerHead): RawHeaders {
     const headers = this.codec.encodeAnswer(head.headers)
-    if (this.closesConnection()) headers.push('Connection', 'close')
+    if (this.closesConnection() || !head.framed) headers.push('Connection', 'close')
     return headers
   }
 }
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -1,7 +1,7 @@
 /** Reads one attempt at a runner up to its outcome, and hands the bytes of good answers to the relay. */
 import { AttemptObserver, FailedAt } from '../forward/attempt.js'
 import type { AnswerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
-import { AnswerRelay, StreamFault, type AnswerHead } from './answer-relay.js'
+import { AnswerRelay, createHead, StreamFault, type AnswerHead } from './answer-relay.js'
 import { Outcome } from './outcome.js'
 
 /** How an attempt ended. */
@@ -48,7 +48,7 @@
   override onHead (status: number, headers: RawHeaders): boolean {
     const facts = this.codec.decodeAnswer(status, headers)
     this.#facts = facts
-    this.#head = { status, headers }
+    this.#head = createHead(status, headers)
     if (facts.requestId !== this.requestId) return this.#reject('the answer belongs to another request')
     if (facts.notRun || facts.misdirected) return this.#ignore(Outcome.NotRun, facts.misdirected ? 'misdirected' : 'refused by the runner')
     if (facts.encoded) return this.#reject('the answer is encoded')
--- a/packages/gateway/src/serve/damaged-answers.test.ts
+++ b/packages/gateway/src/serve/damaged-answers.test.ts
@@ -35,6 +35,16 @@
   t.match(answer, { status: 200, body: 'whole' })
 })
 
+t.test('an answer without a length gets none on its way', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', ({ requestId, socket }) => {
+    socket.end(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: 1\r\n\r\nperhaps whole`)
+  })
+  const answer = await fixture.call({ path: '/read/1' })
+  t.equal(answer.body, 'perhaps whole')
+  t.notMatch(answer.headers, /Content-Length|Transfer-Encoding/i)
+})
+
 t.test('a body shorter than its length is not complete', async (t) => {
   const fixture = await createFixture(t)
   await fixture.addRunner('runner-1', ({ requestId, socket }) => {
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -196,7 +196,7 @@
     const { facts } = result
     const { model, adapter } = this.request.facts
     if (facts?.misdirected === true) {
-      if (facts.runnerId !== undefined && facts.runnerId !== runner.entry.id) this.context.runners.remove(runner.entry.id, nowMs, false)
+      if (facts.runnerId !== undefined && facts.runnerId !== runner.entry.id) this.context.runners.remove(runner.entry.id, nowMs, 0)
       else if (model !== undefined) this.context.runners.markDenied(runner.entry.id, model, adapter, nowMs)
       runner.health.onNeutral(this.request.id)
       return
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -30,10 +30,10 @@
 export type PlatformEvents = {
   onConfig: (config: GatewayConfig) => void
   onRunner: (entry: RunnerEntry) => void
-  /** @param lapsed the list was out of reach of late */
-  onRunnerGone: (id: string, lapsed: boolean) => void
+  /** @param graceMs after an outage of the list, the time in which entries of living runners come back; else 0 */
+  onRunnerGone: (id: string, graceMs: number) => void
   /** The whole list was read anew: ids that aren't in it are gone. */
-  onRunnerList: (ids: ReadonlySet<string>, lapsed: boolean) => void
+  onRunnerList: (ids: ReadonlySet<string>, graceMs: number) => void
 }
 
 /** Follows the platform's configuration and list of runners. */
