--- /dev/null
+++ b/packages/gateway/src/forward/event-splitter.test.ts
@@ -0,0 +1,25 @@
+import t from 'tap'
+import { EventSplitter } from './event-splitter.js'
+
+function split (...chunks: string[]): { ids: (number | undefined)[], texts: string[], rest: string } {
+  const splitter = EventSplitter.create()
+  const events = chunks.flatMap((chunk) => splitter.push(Buffer.from(chunk)))
+  return { ids: events.map(({ id }) => id), texts: events.map(({ bytes }) => bytes.toString()), rest: splitter.rest.toString() }
+}
+
+t.test('whole events pass, the rest waits', async (t) => {
+  t.same(split('id: 1\ndata: a\n\nid: 2\nda'), { ids: [1], texts: ['id: 1\ndata: a\n\n'], rest: 'id: 2\nda' })
+})
+
+t.test('an event cut anywhere is put together', async (t) => {
+  const text = 'id: 7\r\ndata: a\r\n\r\n'
+  for (let at = 1; at < text.length; at += 1) {
+    const { ids, texts } = split(text.slice(0, at), text.slice(at))
+    t.same(ids, [7])
+    t.same(texts, [text])
+  }
+})
+
+t.test('an event without an id passes', async (t) => {
+  t.same(split('data: a\n\n').ids, [undefined])
+})
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,8 @@
 /** Time before the end of the grace period by which the process is gone. */
 const EXIT_MARGIN_MS = 300
 const SWEEP_MS = 200
+/** A holder of the lease that was silent for this long may be gone. */
+const HOLDER_SILENT_MS = 900
 
 export type GatewayParts = {
   settings: GatewaySettings
@@ -75,6 +77,7 @@
       orders: parts.platform.orders,
       host: settings.self.host,
       orderToken: () => this.#lease.orderToken(),
+      onOrder: () => this.#lease.onOrder(),
       demand: () => this.#allDemand()
     })
     this.#context = this.#createContext()
@@ -207,6 +210,7 @@
       incarnation: this.#incarnation,
       orderGapMs: settings.orderGapMs,
       holderIsLive: () => this.#holderReport() !== undefined,
+      lastOrderOf: (incarnation) => this.#lastOrderOf(incarnation),
       mayHold: () => this.#config.known && !this.#leaving
     })
   }
@@ -241,12 +245,23 @@
     }
   }
 
-  /** Last word of a live host that says it holds the lease on orders. */
+  /** Last word of a host that says it holds the lease on orders. */
   #holderReport (): HostReport | undefined {
-    return this.#members.live(this.#nowMs()).find(({ report }) => report?.lease.heldBySender === true)?.report
+    const nowMs = this.#nowMs()
+    const holder = this.#members.live(nowMs).find(({ report }) => report?.lease.heldBySender === true)
+    return holder !== undefined && nowMs - holder.heardMs < HOLDER_SILENT_MS ? holder.report : undefined
+  }
+
+  /** Time since the last order of a process that says it holds no lease; undefined if it wasn't heard of late. */
+  #lastOrderOf (incarnation: string): number | undefined {
+    const nowMs = this.#nowMs()
+    const member = this.#members.live(nowMs).find(({ report }) => report?.incarnation === incarnation)
+    if (member?.report === undefined || member.report.lease.heldBySender) return undefined
+    return (member.report.lease.lastOrderAgoMs ?? Infinity) + nowMs - member.heardMs
   }
 
   #report (): HostReport {
+    const lease = this.#lease.describe()
     const uses = this.#runners.all().filter(({ inFlight }) => inFlight > 0)
     return {
       address: this.parts.settings.self,
@@ -256,7 +271,7 @@
       configVersion: this.#config.version,
       runnerUses: new Map(uses.map(({ entry, inFlight }) => [entry.id, inFlight])),
       demand: this.#demand.rates(this.#nowMs()),
-      lease: { holder: this.#lease.holds ? this.parts.settings.self.host : '', fencingToken: this.#lease.fencingToken, heldBySender: this.#lease.holds },
+      lease: { heldBySender: lease.held, fencingToken: lease.fencingToken, lastOrderAgoMs: lease.lastOrderAgoMs },
       knownHosts: this.#members.live(this.#nowMs()).map(({ address }) => address)
     }
   }
--- a/packages/gateway/src/lease/lease-keeper.ts
+++ b/packages/gateway/src/lease/lease-keeper.ts
@@ -8,11 +8,15 @@
 import { AppendOutcome, LeaseRecordKind, type LeaseLog, type LeaseTail } from './types.js'
 
 /** A lease ends this long after the sending of its last renewal. */
-export const LEASE_MS = 2_500
+export const LEASE_MS = 1_800
 /** Difference of the clocks' speeds and delays that a successor allows for. */
 const EXPIRY_MARGIN_MS = 300
-const RENEW_MS = 700
+const RENEW_MS = 600
 const TICK_MS = 150
+/** A holder that couldn't renew for this long gives the lease up, so that a host that reaches the log can take it. */
+const GIVE_UP_MS = 1_300
+/** Pause after giving up, in which others may claim. */
+const STAND_BACK_MS = 3_000
 /** While a live holder is in direct contact, the log isn't read. */
 const WATCH_MS = 400
 
@@ -27,17 +31,27 @@
   orderGapMs: number
   /** Another host that says it holds the lease was heard of late. */
   holderIsLive: () => boolean
+  /**
+   * Time since the last order of an earlier holder by its own word, if that process was heard of late and says that it
+   * gives none any more.
+   */
+  lastOrderOf: (incarnation: string) => number | undefined
   /** Whether this host may take the lease now. */
   mayHold: () => boolean
 }
 
 type Holding = { fencingToken: number, renewedAt: Instant, ordersFromMs: number }
+/** What a host says of a lease that it held or holds. */
+export type OwnLease = { held: boolean, fencingToken: number, lastOrderAgoMs: number | undefined }
+
 type Observation = { end: number, sinceMs: number }
 
 export class LeaseKeeper {
   #holding: Holding | undefined
   #end = 0
   #observed: Observation | undefined
+  #lastOrderAt: Instant | undefined
+  #fencingToken = 0
   #nextMs = 0
   #busy = false
   #timer: Timer | undefined
@@ -72,8 +86,15 @@
     return this.#holding !== undefined && this.parts.instants.elapsedMs(this.#holding.renewedAt) < LEASE_MS
   }
 
-  get fencingToken (): number {
-    return this.#holding?.fencingToken ?? 0
+  /** What other hosts are told. A host that doesn't hold the lease gives no order under it any more. */
+  describe (): OwnLease {
+    const lastOrderAgoMs = this.#lastOrderAt === undefined ? undefined : this.parts.instants.elapsedMs(this.#lastOrderAt)
+    return { held: this.#holding !== undefined, fencingToken: this.#fencingToken, lastOrderAgoMs }
+  }
+
+  /** Notes that an order is being sent. */
+  onOrder (): void {
+    this.#lastOrderAt = this.parts.instants.now()
   }
 
   /** Gives no order any more and says so in the log, so that a successor needn't wait for the lease to run out. */
@@ -97,9 +118,19 @@
       this.parts.log.warn('log of leases is out of reach', { reason: (error as Error).message })
       this.#nextMs = this.parts.clock.monotonicMs() + WATCH_MS
     }
+    this.#giveUpIfStale()
     this.#busy = false
   }
 
+  /** Without the log the lease runs out; saying so at once spares the others the wait. */
+  #giveUpIfStale (): void {
+    const holding = this.#holding
+    if (holding === undefined || this.parts.instants.elapsedMs(holding.renewedAt) < GIVE_UP_MS) return
+    this.#holding = undefined
+    this.#nextMs = this.parts.clock.monotonicMs() + STAND_BACK_MS
+    this.parts.log.warn('order lease given up: it could not be renewed', { fencingToken: holding.fencingToken })
+  }
+
   #schedule (): void {
     if (this.#stopped) return
     this.#timer = this.parts.clock.setTimer(TICK_MS, () => {
@@ -152,6 +183,8 @@
     const { host, orderGapMs, clock } = this.parts
     if (tail.end === 0) return 0
     if (tail.last?.holder === host) return 0
+    const lastOrderMs = tail.last === undefined ? undefined : this.parts.lastOrderOf(tail.last.incarnation)
+    if (lastOrderMs !== undefined) return Math.max(0, orderGapMs - lastOrderMs)
     if (tail.last?.kind === LeaseRecordKind.Release) return orderGapMs
     const nowMs = clock.monotonicMs()
     if (this.#observed?.end !== tail.end) this.#observed = { end: tail.end, sinceMs: nowMs }
@@ -167,9 +200,10 @@
     if (outcome !== AppendOutcome.Appended || this.#stopped) return
     this.#end = tail.end + 1
     const nowMs = clock.monotonicMs()
-    this.#holding = { fencingToken: tail.end + 1, renewedAt: sentAt, ordersFromMs: nowMs + waitMs }
+    this.#fencingToken = tail.end + 1
+    this.#holding = { fencingToken: this.#fencingToken, renewedAt: sentAt, ordersFromMs: nowMs + waitMs }
     this.#nextMs = nowMs + RENEW_MS
-    log.info('order lease taken', { fencingToken: tail.end + 1, earlierHolder: tail.last?.holder, ordersInMs: waitMs })
+    log.info('order lease taken', { fencingToken: this.#fencingToken, earlierHolder: tail.last?.holder, ordersInMs: waitMs })
   }
 
   #record (kind: LeaseRecordKind) {
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -84,9 +84,9 @@
     runnerUses: new Map(message.runnerUses.map(({ runnerId, inFlight }) => [runnerId, inFlight])),
     demand: message.demand.map(({ service, model, adapter, requestsPerS, holdMs }) => ({ service, model, adapter: adapter === '' ? undefined : adapter, requestsPerS, holdMs })),
     lease: {
-      holder: message.lease?.holder ?? '',
       fencingToken: Number(message.lease?.fencingToken ?? 0n),
-      heldBySender: message.lease?.heldBySender ?? false
+      heldBySender: message.lease?.heldBySender ?? false,
+      lastOrderAgoMs: message.lease?.lastOrderAgoMs
     },
     knownHosts: message.knownHosts.map(toAddress)
   }
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -8,8 +8,13 @@
   peerAddress: string
 }
 
-/** Who may give orders to runners, as a host knows it. */
-export type LeaseView = { holder: string, fencingToken: number, heldBySender: boolean }
+/** A host's word on the lease on orders: whether it holds it, and when it gave its last order. */
+export type LeaseView = {
+  heldBySender: boolean
+  fencingToken: number
+  /** Absent if it gave none since its start. */
+  lastOrderAgoMs?: number
+}
 
 /** Demand for a model or adapter at one host. */
 export type DemandRate = {
--- a/packages/gateway/src/orders/order-desk.ts
+++ b/packages/gateway/src/orders/order-desk.ts
@@ -28,6 +28,8 @@
   host: string
   /** Token of this host's lease while it may give orders. */
   orderToken: () => number | undefined
+  /** Called before each order is sent. */
+  onOrder: () => void
   /** Demand at all hosts. */
   demand: () => DemandRate[]
 }
@@ -241,6 +243,7 @@
     const expectedOrders = desk.book.acceptedOrders
     if (fencingToken === undefined || expectedOrders === undefined) return OrderAnswer.Conflict
     const { kind, model, adapter } = target
+    this.parts.onOrder()
     const answer = await this.parts.orders.send(state.entry, { kind, model, adapter, expectedOrders, holder: this.parts.host, fencingToken })
     const nowMs = this.parts.clock.monotonicMs()
     this.parts.log.info('order given', { runner: state.entry.id, kind, model, adapter, expectedOrders, fencingToken, answer })
--- /dev/null
+++ b/packages/gateway/src/orders/plan-models.test.ts
@@ -0,0 +1,65 @@
+import t from 'tap'
+import type { EngineSpec, ModelSpec } from '../config/types.js'
+import { planModels, type PlanInput, type PlannedRunner } from './plan-models.js'
+
+function spec (name: string): ModelSpec {
+  return { name, sizeMb: 70, loadMs: 9_000, diskLoadMs: 2_000, adapters: [], adapterSizeMb: 1 }
+}
+
+function engine (models: string[]): EngineSpec {
+  return { slots: 32, memoryTokens: 100_000, weightsMb: 220, adapterSlots: 8, loadsPerS: 2, models: new Map(models.map((name) => [name, spec(name)])) }
+}
+
+function runner (id: string, models: string[], changes: Partial<PlannedRunner> = {}): PlannedRunner {
+  return { id, models, busy: false, usedMb: models.length * 70, localWeights: [], ...changes }
+}
+
+function plan (changes: Partial<PlanInput>) {
+  return planModels({ engine: engine(['a', 'b', 'c', 'd']), runners: [], places: new Map(), storeLoads: 2, ...changes })
+}
+
+t.test('nothing is unloaded while nobody asks', async (t) => {
+  t.same(plan({ runners: [runner('r1', ['a', 'b', 'c']), runner('r2', ['a', 'b', 'c'])] }), [])
+})
+
+t.test('a model without a copy takes free room', async (t) => {
+  t.match(plan({ runners: [runner('r1', ['a', 'b']), runner('r2', ['a', 'b', 'c'])] }), [{ runnerId: 'r1', kind: 'load', model: 'd' }])
+})
+
+t.test('a model that is asked for displaces one that is not', async (t) => {
+  const orders = plan({ runners: [runner('r1', ['a', 'b', 'c'])], places: new Map([['d', 3], ['a', 3], ['b', 3]]) })
+  t.match(orders, [{ runnerId: 'r1', kind: 'unload', model: 'c' }])
+})
+
+t.test('the last copy of a model in demand stays', async (t) => {
+  const places = new Map(['a', 'b', 'c', 'd'].map((name): [string, number] => [name, 3]))
+  t.same(plan({ runners: [runner('r1', ['a', 'b', 'c'])], places }), [])
+})
+
+t.test('a busy model gets more copies', async (t) => {
+  const orders = plan({ runners: [runner('r1', ['a']), runner('r2', ['b'])], places: new Map([['a', 40], ['b', 1]]) })
+  t.match(orders[0], { runnerId: 'r2', kind: 'load', model: 'a' })
+})
+
+t.test('a load from disk is preferred and takes none of the store', async (t) => {
+  const orders = plan({
+    runners: [runner('r1', ['b']), runner('r2', ['c'], { localWeights: ['a'] })],
+    places: new Map([['a', 1]]),
+    storeLoads: 0
+  })
+  t.match(orders, [{ runnerId: 'r2', model: 'a', fromStore: false }])
+})
+
+t.test('loads from the store keep to their number', async (t) => {
+  const runners = ['r1', 'r2', 'r3'].map((id) => runner(id, []))
+  t.equal(plan({ runners, storeLoads: 1 }).length, 1)
+})
+
+t.test('a runner that is busy gets no order', async (t) => {
+  t.same(plan({ runners: [runner('r1', ['a'], { busy: true, loading: 'b' })], places: new Map([['c', 5]]) }), [])
+})
+
+t.test('memory is never promised twice', async (t) => {
+  const orders = plan({ runners: [runner('r1', ['a', 'b'], { usedMb: 215 })], places: new Map([['c', 5]]) })
+  t.notOk(orders.some(({ kind }) => kind === 'load'))
+})
--- /dev/null
+++ b/packages/gateway/src/retry/shared-budget.test.ts
@@ -0,0 +1,37 @@
+import t from 'tap'
+import { SharedBudget } from './shared-budget.js'
+
+const limits = { ratio: 0.2, slack: 50, windowMs: 10_000 }
+
+function takeAll (budget: SharedBudget, hosts: number, nowMs: number): number {
+  let taken = 0
+  while (budget.take('s', hosts, nowMs)) taken += 1
+  return taken
+}
+
+t.test('all hosts together stay within the slack', async (t) => {
+  const hosts = Array.from({ length: 7 }, () => SharedBudget.create(limits))
+  const taken = hosts.reduce((sum, budget) => sum + takeAll(budget, 7, 0), 0)
+  t.ok(taken <= 50)
+  t.ok(taken > 0)
+})
+
+t.test('requests earn repeats', async (t) => {
+  const budget = SharedBudget.create({ ...limits, slack: 0 })
+  for (let count = 0; count < 100; count += 1) budget.onRequest('s', 0)
+  const taken = takeAll(budget, 1, 0)
+  t.ok(taken > 5 && taken <= 20)
+})
+
+t.test('repeats count for a whole window', async (t) => {
+  const budget = SharedBudget.create(limits)
+  const taken = takeAll(budget, 1, 0)
+  t.equal(takeAll(budget, 1, 9_000), 0)
+  t.equal(takeAll(budget, 1, 10_500), taken)
+})
+
+t.test('services have windows of their own', async (t) => {
+  const budget = SharedBudget.create(limits)
+  takeAll(budget, 1, 0)
+  t.ok(budget.take('other', 1, 0))
+})
--- a/packages/gateway/src/serve/answer-relay.ts
+++ b/packages/gateway/src/serve/answer-relay.ts
@@ -93,7 +93,15 @@
 
   /** Ends an answer that can't be completed, so that the caller can't take it for a whole one. */
   breakOff (): void {
-    this.response.destroy()
+    const { socket } = this.response
+    if (socket === null || this.#head?.framed !== true) {
+      // Only a reset tells the end of an answer without a length from its break.
+      if (socket === null) this.response.destroy()
+      else socket.resetAndDestroy()
+      return
+    }
+    // Events passed on in this turn still reach the caller; the last chunk is missing.
+    setImmediate(() => socket.destroySoon())
   }
 
   /** A later event has to follow the last one without a gap. */
