--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { AdapterRequests } from './orders/adapter-requests.js'
 import { OrderDesk } from './orders/order-desk.js'
 import { SharedBudget } from './retry/shared-budget.js'
+import type { RunnerEntry } from './runners/types.js'
 import { RunnerTable } from './runners/runner-table.js'
 import { DemandMeter } from './serve/demand-meter.js'
 import { createRequestMetrics } from './serve/metrics.js'
@@ -97,8 +98,11 @@
     const { settings, platform, log } = this.parts
     platform.watch.start({
       onConfig: (config) => this.#onConfig(config),
-      onRunner: (entry) => this.#runners.upsert(entry),
-      onRunnerGone: (id, graceMs) => this.#runners.remove(id, this.#nowMs(), graceMs),
+      onRunner: (entry) => this.#onRunner(entry),
+      onRunnerGone: (id, graceMs) => {
+        log.info('runner left the list', { runner: id, graceMs: Math.round(graceMs) })
+        this.#runners.remove(id, this.#nowMs(), graceMs)
+      },
       onRunnerList: (ids, graceMs) => this.#runners.retain(ids, this.#nowMs(), graceMs)
     })
     await this.#openListeners()
@@ -150,6 +154,14 @@
     this.parts.log.info('configuration in force', { version: config.version, before, routes: config.routes.length })
   }
 
+  #onRunner (entry: RunnerEntry): void {
+    const known = this.#runners.get(entry.id)?.entry
+    this.#runners.upsert(entry)
+    if (known?.draining === entry.draining && known.startedUnixMs === entry.startedUnixMs) return
+    const { id, service, address, draining, remainingMs } = entry
+    this.parts.log.info(draining ? 'runner drains' : 'runner listed', { runner: id, service, address, remainingMs })
+  }
+
   async #openListeners (): Promise<void> {
     const { settings, platform } = this.parts
     const { lookupWire } = platform
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -11,6 +11,7 @@
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
 import { decideNext, NextStep, Outcome, type Progress } from './outcome.js'
 import { writeFailure } from './own-answer.js'
+import { RequestLog } from './request-log.js'
 import type { ServeContext } from './types.js'
 
 /** A request whose head and body are read and whose route is known. */
@@ -43,6 +44,7 @@
 
 export class RequestRun {
   readonly #relay: AnswerRelay
+  readonly #log: RequestLog
   readonly #excluded = new Set<string>()
   readonly #progress: Progress = { runs: 0, notRuns: 0, answerBegun: false }
   readonly #finished: Promise<void>
@@ -65,6 +67,7 @@
     private readonly response: ServerResponse
   ) {
     this.#relay = AnswerRelay.create(response, context.codec, context.host.isLeaving)
+    this.#log = RequestLog.create(context.log, context.clock, request.id)
     this.#finished = new Promise((resolve) => { this.#resolveFinished = resolve })
   }
 
@@ -82,6 +85,16 @@
     if (incoming.socket.destroyed) return this.#onCallerGone()
     this.#timer = clock.setTimer(this.request.dueMs - clock.monotonicMs(), () => this.#onDue())
     budget.onRequest(this.request.service.name, clock.monotonicMs())
+    const { route, service, facts, dueMs, arrivedMs } = this.request
+    this.#log.note('request accepted', {
+      route: route.name,
+      kind: route.kind,
+      service: service.name,
+      model: facts.model,
+      adapter: facts.adapter,
+      configVersion: this.context.config.version,
+      timeLeftMs: Math.round(dueMs - arrivedMs)
+    })
     this.#send()
   }
 
@@ -132,6 +145,7 @@
     })
     if (chosen === undefined) return
     const timeLeftMs = this.request.dueMs - this.context.clock.monotonicMs()
+    this.#log.note('adapter asked for', { runner: chosen.id, holders: candidates.length })
     const resident = await this.context.adapters.ensure(chosen.id, model, adapter, timeLeftMs * ADAPTER_WAIT_SHARE)
     if (this.#over) return
     this.#adapterTries += 1
@@ -156,6 +170,13 @@
     const dispatcher = context.connections.to(id, address, connectionShare(request.service, context.host.hostCount()))
     const observer = ResultObserver.create(request.id, context.codec, this.#relay,
       (result) => this.#onResult(runner, result), () => this.#onFirstByte())
+    this.#log.note('sent to a runner', {
+      runner: id,
+      sending: this.#sendings + 1,
+      inFlight: candidate.inFlight,
+      slots: candidate.slots,
+      resumedAfter: this.#relay.lastEventId
+    })
     this.#sendings += 1
     this.#sentMs = nowMs
     this.#runner = runner
@@ -179,6 +200,14 @@
     this.#excluded.add(runner.entry.id)
     this.#lastReason = result.reason
     const step = decideNext(this.request.route, result.outcome, this.#progress)
+    this.#log.note('attempt ended', {
+      runner: runner.entry.id,
+      outcome: result.outcome,
+      reason: result.reason,
+      status: result.facts?.status,
+      tookMs: Math.round(this.context.clock.monotonicMs() - this.#sentMs),
+      next: step
+    })
     if (step === NextStep.Finish) return this.#finish(result)
     if (step === NextStep.SendAgain && this.#takeRepeat(result)) return this.#send()
     this.#finishFailed(result)
@@ -227,6 +256,7 @@
     if (host.isLeaving() && this.#relay.begun) return false
     const granted = budget.take(this.request.service.name, host.hostCount(), clock.monotonicMs())
     if (granted) metrics.repeats.inc({ reason: result.outcome })
+    else this.#log.note('repeat refused by the budget', { service: this.request.service.name, hosts: host.hostCount() })
     return granted
   }
 
@@ -249,6 +279,7 @@
   }
 
   #refuse (set: CandidateSet): void {
+    this.#log.note('no runner can take the request', { full: set.fullCount, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
     if (this.#relay.begun) return this.#breakOff('no runner to resume the stream')
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastReason}; no other runner is free`))
     if (set.fullCount > 0) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'all runners that could serve the request are full', OVERLOAD_RETRY_MS))
@@ -313,9 +344,7 @@
     context.metrics.requests.inc({ route: request.route.name, result })
     context.metrics.totalSeconds.observe({ route: request.route.name }, totalMs / 1000)
     const fields = {
-      requestId: request.id,
       route: request.route.name,
-      configVersion: context.config.version,
       result,
       reason,
       sendings: this.#sendings,
@@ -323,8 +352,9 @@
       totalMs: Math.round(totalMs),
       firstByteMs: this.#firstByteMs === undefined ? undefined : Math.round(this.#firstByteMs - request.arrivedMs)
     }
-    if (result === 'answered') context.log.debug('request answered', fields)
-    else context.log.warn('request not answered', fields)
+    const answered = result === 'answered'
+    this.#log.note(answered ? 'request answered' : 'request not answered', fields)
+    this.#log.end(!answered)
   }
 }
 
