--- /dev/null
+++ b/packages/gateway/src/testing/fake-runner.ts
@@ -0,0 +1,123 @@
+/** A runner's side of orders for tests: it loses answers, delays orders, and notes when it is given more than it holds. */
+import type { Clock } from '@figloom/runtime'
+import type { EngineSpec } from '../config/types.js'
+import { OrderAnswer, OrderKind, RunnerOrders, type RunnerOrder } from '../orders/types.js'
+import type { ResidentModel, RunnerEntry, RunnerReport } from '../runners/types.js'
+
+/** What happens to an order on its way. */
+export const Fate = { Carried: 'carried', AnswerLost: 'answer-lost', Late: 'late' } as const
+export type Fate = (typeof Fate)[keyof typeof Fate]
+
+const LATE_MS = 3_000
+const UNLOAD_MS = 100
+const ANSWER_TIMEOUT_MS = 400
+
+export class FakeRunner {
+  readonly #models = new Map<string, Set<string>>()
+  #loading: string | undefined
+  #unloading: string | undefined
+  #accepted = 0
+  /** It was ordered to hold more than it can. */
+  overfull = false
+  readonly orders: RunnerOrder[] = []
+
+  private constructor (readonly id: string, private readonly engine: EngineSpec, private readonly clock: Clock) {}
+
+  static create (id: string, engine: EngineSpec, clock: Clock, models: string[]): FakeRunner {
+    const runner = new FakeRunner(id, engine, clock)
+    for (const model of models) runner.#models.set(model, new Set())
+    return runner
+  }
+
+  get models (): ResidentModel[] {
+    return [...this.#models].map(([name, adapters]) => ({ name, version: 1, adapters: [...adapters] }))
+  }
+
+  entry (): RunnerEntry {
+    return { id: this.id, service: 'engine', address: this.id, availabilityZone: 'z', slots: this.engine.slots, draining: false, models: this.models, localWeights: [] }
+  }
+
+  report (): RunnerReport {
+    return { models: this.models, coming: [], busy: this.#isBusy, acceptedOrders: this.#accepted, running: 0, queued: 0 }
+  }
+
+  carryOut (order: RunnerOrder): OrderAnswer {
+    if (order.expectedOrders !== this.#accepted || this.#isBusy) return OrderAnswer.Conflict
+    this.orders.push(order)
+    this.#accepted += 1
+    if (order.adapter !== undefined) this.#changeAdapter(order, order.adapter)
+    else this.#changeModel(order)
+    if (this.#usedMb() > this.engine.weightsMb || this.#adapterCount() > this.engine.adapterSlots) this.overfull = true
+    return OrderAnswer.Accepted
+  }
+
+  get #isBusy (): boolean {
+    return this.#loading !== undefined || this.#unloading !== undefined
+  }
+
+  #changeAdapter (order: RunnerOrder, adapter: string): void {
+    const adapters = this.#models.get(order.model)
+    if (order.kind === OrderKind.Load) adapters?.add(adapter)
+    else adapters?.delete(adapter)
+  }
+
+  #changeModel (order: RunnerOrder): void {
+    const { model } = order
+    if (order.kind === OrderKind.Load) {
+      this.#loading = model
+      this.clock.setTimer(this.engine.models.get(model)?.loadMs ?? 0, () => {
+        this.#models.set(model, new Set())
+        this.#loading = undefined
+      })
+      return
+    }
+    this.#unloading = model
+    this.clock.setTimer(UNLOAD_MS, () => {
+      this.#models.delete(model)
+      this.#unloading = undefined
+    })
+  }
+
+  #usedMb (): number {
+    const names = [...this.#models.keys(), ...(this.#loading === undefined ? [] : [this.#loading])]
+    const weights = names.reduce((sum, name) => sum + (this.engine.models.get(name)?.sizeMb ?? 0), 0)
+    const adapters = this.models.reduce((sum, { name, adapters }) => sum + adapters.length * (this.engine.models.get(name)?.adapterSizeMb ?? 0), 0)
+    return weights + adapters
+  }
+
+  #adapterCount (): number {
+    return this.models.reduce((sum, { adapters }) => sum + adapters.length, 0)
+  }
+}
+
+/** Brings orders to fake runners, each by the fate that the test gives it. */
+export class FakeRunnerOrders extends RunnerOrders {
+  private constructor (
+    private readonly runners: ReadonlyMap<string, FakeRunner>,
+    private readonly clock: Clock,
+    private readonly fate: () => Fate
+  ) {
+    super()
+  }
+
+  static create (runners: readonly FakeRunner[], clock: Clock, fate: () => Fate): FakeRunnerOrders {
+    return new FakeRunnerOrders(new Map(runners.map((runner) => [runner.id, runner])), clock, fate)
+  }
+
+  override async report (runner: RunnerEntry): Promise<RunnerReport> {
+    const known = this.runners.get(runner.id)
+    if (known === undefined) throw new Error('no such runner')
+    return known.report()
+  }
+
+  override async send (runner: RunnerEntry, order: RunnerOrder): Promise<OrderAnswer> {
+    const known = this.runners.get(runner.id)
+    if (known === undefined) return OrderAnswer.Unknown
+    const fate = this.fate()
+    if (fate === Fate.Carried) return known.carryOut(order)
+    if (fate === Fate.AnswerLost) known.carryOut(order)
+    else this.clock.setTimer(LATE_MS, () => { known.carryOut(order) })
+    await this.clock.sleep(ANSWER_TIMEOUT_MS)
+    return OrderAnswer.Unknown
+  }
+}
