Bind a holder's word to its token; weigh loads by the time they take

Records now carry the token and whether its holder may have ordered; tests of both failed before. Ruled out: the store's order of appends.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -222,7 +222,7 @@
       incarnation: this.#incarnation,
       orderGapMs: settings.orderGapMs,
       holderIsLive: () => this.#holderReport() !== undefined,
-      lastOrderOf: (incarnation) => this.#lastOrderOf(incarnation),
+      lastOrderUnder: (fencingToken) => this.#lastOrderUnder(fencingToken),
       mayHold: () => this.#config.known && !this.#leaving
     })
   }
@@ -264,12 +264,13 @@
     return holder !== undefined && nowMs - holder.heardMs < HOLDER_SILENT_MS ? holder.report : undefined
   }
 
-  /** Time since the last order of a process that says it holds no lease; undefined if it wasn't heard of late. */
-  #lastOrderOf (incarnation: string): number | undefined {
+  /** Time since the last order under a token, by the word of a host that gave that lease up. */
+  #lastOrderUnder (fencingToken: number): number | undefined {
     const nowMs = this.#nowMs()
-    const member = this.#members.live(nowMs).find(({ report }) => report?.incarnation === incarnation)
-    if (member?.report === undefined || member.report.lease.heldBySender) return undefined
-    return (member.report.lease.lastOrderAgoMs ?? Infinity) + nowMs - member.heardMs
+    const member = this.#members.live(nowMs).find(({ report }) => report?.lease.fencingToken === fencingToken)
+    const lease = member?.report?.lease
+    if (member === undefined || lease === undefined || lease.heldBySender || lease.lastOrderAgoMs === undefined) return undefined
+    return lease.lastOrderAgoMs + nowMs - member.heardMs
   }
 
   #report (): HostReport {
--- a/packages/gateway/src/lease/lease-keeper.test.ts
+++ b/packages/gateway/src/lease/lease-keeper.test.ts
@@ -66,7 +66,7 @@
       incarnation,
       orderGapMs: GAP_MS,
       holderIsLive: () => this.#heard(name).some(({ keeper }) => keeper.describe().held),
-      lastOrderOf: (other) => this.#lastOrderOf(name, other),
+      lastOrderUnder: (fencingToken) => this.#lastOrderUnder(name, fencingToken),
       mayHold: () => true
     })
     this.#hosts.set(incarnation, { keeper, name })
@@ -79,10 +79,9 @@
     return [...this.#hosts.values()].filter(({ name }) => name !== by && !this.silent.has(name))
   }
 
-  #lastOrderOf (by: string, incarnation: string): number | undefined {
-    const host = this.#hosts.get(incarnation)
-    if (host === undefined || !this.#heard(by).includes(host) || host.keeper.describe().held) return undefined
-    return host.keeper.describe().lastOrderAgoMs ?? Infinity
+  #lastOrderUnder (by: string, fencingToken: number): number | undefined {
+    const host = this.#heard(by).find(({ keeper }) => keeper.describe().fencingToken === fencingToken)
+    return host === undefined || host.keeper.describe().held ? undefined : host.keeper.describe().lastOrderAgoMs
   }
 }
 
@@ -175,7 +174,7 @@
   const hosts = Hosts.create()
   const keeper = hosts.start('a')
   await hosts.clock.advance(1_000)
-  hosts.log.records.push({ kind: 'claim', holder: 'b', incarnation: 'b' })
+  hosts.log.records.push({ kind: 'claim', holder: 'b', incarnation: 'b', fencingToken: 9, ordering: true })
   await hosts.clock.advance(1_000)
   t.equal(keeper.orderToken(), undefined)
 })
@@ -201,3 +200,51 @@
   await hosts.clock.advance(GAP_MS + 1_000)
   t.ok((second.orderToken() ?? 0) > before)
 })
+
+t.test('a host that restarts within its wait waits again', async (t) => {
+  const hosts = Hosts.create()
+  const first = hosts.start('a')
+  await hosts.clock.advance(1_000)
+  first.onOrder()
+  const second = hosts.start('b', 'b-1')
+  await first.release()
+  first.stop()
+  await hosts.clock.advance(1_000)
+  second.stop()
+  hosts.silent.add('a')
+  hosts.silent.add('b')
+  const again = hosts.start('b', 'b-2')
+  await hosts.clock.advance(2_000)
+  t.equal(again.orderToken(), undefined)
+  await hosts.clock.advance(3_000)
+  t.ok(again.orderToken())
+})
+
+t.test('a holder that gave no order says nothing of the one before it', async (t) => {
+  const hosts = Hosts.create()
+  const first = hosts.start('a')
+  await hosts.clock.advance(1_000)
+  first.onOrder()
+  const second = hosts.start('b')
+  await first.release()
+  await hosts.clock.advance(600)
+  t.ok(second.describe().held)
+  const third = hosts.start('c')
+  await second.release()
+  await hosts.clock.advance(GAP_MS - 700)
+  t.equal(third.orderToken(), undefined)
+})
+
+t.test('word of an earlier lease is not taken for the present one', async (t) => {
+  const hosts = Hosts.create()
+  const first = hosts.start('a')
+  await hosts.clock.advance(1_000)
+  first.onOrder()
+  const record: LeaseRecord = { kind: 'claim', holder: 'b', incarnation: 'b', fencingToken: hosts.log.records.length + 1, ordering: true }
+  hosts.log.records.push(record)
+  await hosts.clock.advance(1_000)
+  t.notOk(first.describe().held)
+  const third = hosts.start('c')
+  await hosts.clock.advance(2_000)
+  t.equal(third.orderToken(), undefined)
+})
--- a/packages/gateway/src/lease/lease-keeper.ts
+++ b/packages/gateway/src/lease/lease-keeper.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger, Timer } from '@figloom/runtime'
 import type { Instant, InstantSource } from './instant.js'
-import { AppendOutcome, LeaseRecordKind, type LeaseLog, type LeaseTail } from './types.js'
+import { AppendOutcome, LeaseRecordKind, type LeaseLog, type LeaseRecord, type LeaseTail } from './types.js'
 
 /** A lease ends this long after the sending of its last renewal. */
 export const LEASE_MS = 1_800
@@ -32,10 +32,10 @@
   /** Another host that says it holds the lease was heard of late. */
   holderIsLive: () => boolean
   /**
-   * Time since the last order of an earlier holder by its own word, if that process was heard of late and says that it
-   * gives none any more.
+   * Time since the last order under a token by its holder's own word; undefined if the holder wasn't heard of late,
+   * hasn't said that it gave the lease up, or gave no order under it.
    */
-  lastOrderOf: (incarnation: string) => number | undefined
+  lastOrderUnder: (fencingToken: number) => number | undefined
   /** Whether this host may take the lease now. */
   mayHold: () => boolean
 }
@@ -99,11 +99,12 @@
 
   /** Gives no order any more and says so in the log, so that a successor needn't wait for the lease to run out. */
   async release (): Promise<void> {
-    const held = this.#holding !== undefined
+    const holding = this.#holding
     this.#holding = undefined
     this.stop()
-    if (!held) return
-    const outcome = await this.parts.leaseLog.append(this.#end, this.#record(LeaseRecordKind.Release))
+    if (holding === undefined) return
+    const ordering = this.parts.clock.monotonicMs() >= holding.ordersFromMs
+    const outcome = await this.parts.leaseLog.append(this.#end, this.#record(LeaseRecordKind.Release, holding.fencingToken, ordering))
     this.parts.log.info('order lease released', { outcome })
   }
 
@@ -142,7 +143,8 @@
     const { clock, instants, leaseLog } = this.parts
     if (clock.monotonicMs() < this.#nextMs) return
     const sentAt = instants.now()
-    const outcome = await leaseLog.append(this.#end, this.#record(LeaseRecordKind.Renewal))
+    const ordering = clock.monotonicMs() >= holding.ordersFromMs
+    const outcome = await leaseLog.append(this.#end, this.#record(LeaseRecordKind.Renewal, holding.fencingToken, ordering))
     if (this.#holding !== holding) return
     if (outcome === AppendOutcome.Appended) {
       this.#end += 1
@@ -182,8 +184,9 @@
   #waitBeforeClaim (tail: LeaseTail): number | undefined {
     const { host, orderGapMs, clock } = this.parts
     if (tail.end === 0) return 0
-    if (tail.last?.holder === host) return 0
-    const lastOrderMs = tail.last === undefined ? undefined : this.parts.lastOrderOf(tail.last.incarnation)
+    // One host is one holder, but its earlier life may still have waited behind another host's orders.
+    if (tail.last?.holder === host) return tail.last.ordering ? 0 : orderGapMs
+    const lastOrderMs = tail.last === undefined ? undefined : this.parts.lastOrderUnder(tail.last.fencingToken)
     if (lastOrderMs !== undefined) return Math.max(0, orderGapMs - lastOrderMs)
     if (tail.last?.kind === LeaseRecordKind.Release) return orderGapMs
     const nowMs = clock.monotonicMs()
@@ -195,18 +198,19 @@
   async #claim (tail: LeaseTail, waitMs: number): Promise<void> {
     const { clock, instants, leaseLog, log } = this.parts
     const sentAt = instants.now()
-    const outcome = await leaseLog.append(tail.end, this.#record(LeaseRecordKind.Claim))
+    const outcome = await leaseLog.append(tail.end, this.#record(LeaseRecordKind.Claim, tail.end + 1, waitMs === 0))
     this.#observed = undefined
     if (outcome !== AppendOutcome.Appended || this.#stopped) return
     this.#end = tail.end + 1
     const nowMs = clock.monotonicMs()
     this.#fencingToken = tail.end + 1
+    this.#lastOrderAt = undefined
     this.#holding = { fencingToken: this.#fencingToken, renewedAt: sentAt, ordersFromMs: nowMs + waitMs }
     this.#nextMs = nowMs + RENEW_MS
     log.info('order lease taken', { fencingToken: this.#fencingToken, earlierHolder: tail.last?.holder, ordersInMs: waitMs })
   }
 
-  #record (kind: LeaseRecordKind) {
-    return { kind, holder: this.parts.host, incarnation: this.parts.incarnation }
+  #record (kind: LeaseRecordKind, fencingToken: number, ordering: boolean): LeaseRecord {
+    return { kind, holder: this.parts.host, incarnation: this.parts.incarnation, fencingToken, ordering }
   }
 }
--- a/packages/gateway/src/lease/types.ts
+++ b/packages/gateway/src/lease/types.ts
@@ -11,7 +11,15 @@
 } as const
 export type LeaseRecordKind = (typeof LeaseRecordKind)[keyof typeof LeaseRecordKind]
 
-export type LeaseRecord = { kind: LeaseRecordKind, holder: string, incarnation: string }
+export type LeaseRecord = {
+  kind: LeaseRecordKind
+  holder: string
+  incarnation: string
+  /** Token of the lease that the record belongs to; a claim's own token is the offset behind it. */
+  fencingToken: number
+  /** The holder's wait behind its predecessor is over: it may have given orders. */
+  ordering: boolean
+}
 
 /** End of the log of lease records, and its last record if it is still kept. */
 export type LeaseTail = { end: number, last?: LeaseRecord }
--- a/packages/gateway/src/orders/order-desk.ts
+++ b/packages/gateway/src/orders/order-desk.ts
@@ -112,7 +112,8 @@
   }
 
   #workOn (name: string, service: Service, engine: EngineSpec): void {
-    const states = this.parts.runners.usable(name)
+    const startMs = this.parts.clock.monotonicMs()
+    const states = this.parts.runners.usable(name).filter(({ unreachableUntilMs }) => unreachableUntilMs <= startMs)
     for (const state of states) this.#refresh(state, engine)
     const known = states.filter((state) => this.#desk(state).book.acceptedOrders !== undefined)
     if (known.length < states.length / 2) return
@@ -165,6 +166,7 @@
       id: state.entry.id,
       models: book.models,
       loading: pending?.kind === OrderKind.Load ? pending.model : undefined,
+      unloading: pending?.kind === OrderKind.Unload,
       busy: pending !== undefined || waiting > 0,
       usedMb: book.usedMb(engine),
       localWeights: state.entry.localWeights
--- a/packages/gateway/src/orders/plan-models.ts
+++ b/packages/gateway/src/orders/plan-models.ts
@@ -12,6 +12,8 @@
   models: readonly string[]
   /** Model being loaded. */
   loading?: string
+  /** A model is being unloaded. */
+  unloading: boolean
   /** Another order can't be taken now. */
   busy: boolean
   usedMb: number
@@ -32,8 +34,12 @@
 
 /** Part of a copy's places that its own model should fill. */
 const TARGET_OCCUPATION = 0.5
-/** A load from the weight store is worth this part of a runner's places more than one from the runner's disk. */
-const STORE_LOAD_COST = 0.5
+/** A second of loading weighs like this part of a runner's places. */
+const LOAD_SECOND_COST = 0.1
+/** An unload before the load takes a round of planning more. */
+const UNLOAD_COST = 0.05
+/** A place asked for where no copy is counts like this many on a copy. */
+const NO_COPY_FACTOR = 3
 /** A copy in demand makes way for one that lacks this many times more places. */
 const DISPLACE_FACTOR = 4
 
@@ -42,14 +48,19 @@
   return ModelPlan.create(input).run()
 }
 
+/** A way to get one more copy: into free room, or into the room of `victim`. */
+type CopyOption = { runner: PlannedRunner, victim?: string, cost: number }
+
 class ModelPlan {
   readonly #orders: PlannedOrder[] = []
   readonly #taken = new Set<string>()
   readonly #copies = new Map<string, number>()
+  readonly #unloading: number
   #storeLoads: number
 
   private constructor (private readonly input: PlanInput) {
     this.#storeLoads = input.storeLoads
+    this.#unloading = input.runners.filter(({ unloading }) => unloading).length
     for (const runner of input.runners) {
       for (const model of copiesOf(runner)) this.#copies.set(model, this.#copyCount(model) + 1)
     }
@@ -60,10 +71,14 @@
   }
 
   run (): PlannedOrder[] {
+    let lacking = 0
     for (const model of this.#inDemand()) {
-      if (this.#copyCount(model.name) < this.#wantedCopies(model)) this.#addCopy(model)
+      if (this.#copyCount(model.name) >= this.#wantedCopies(model)) continue
+      lacking += 1
+      // Room that is being made already is for the models that lack most.
+      if (lacking > this.#unloading) this.#addCopy(model)
     }
-    this.#fillFreeRoom()
+    if (lacking === 0) this.#fillFreeRoom()
     return this.#orders
   }
 
@@ -73,10 +88,10 @@
     return models.sort((a, b) => this.#lack(b.name) - this.#lack(a.name))
   }
 
-  /** Places asked for on each copy; a model without a copy comes before all others. */
+  /** Places asked for on each copy; a model without a copy turns all its callers away. */
   #lack (model: string): number {
     const copies = this.#copyCount(model)
-    return copies === 0 ? this.input.engine.slots + this.#places(model) : this.#places(model) / copies
+    return copies === 0 ? this.#places(model) * NO_COPY_FACTOR + 1 : this.#places(model) / copies
   }
 
   #wantedCopies (model: ModelSpec): number {
@@ -92,13 +107,22 @@
     return this.#copies.get(model) ?? 0
   }
 
+  /** Takes the best of free room and room that another copy leaves. */
   #addCopy (model: ModelSpec): void {
-    const free = this.#free().filter((runner) => !copiesOf(runner).includes(model.name))
-    const target = this.#cheapest(free.filter((runner) => this.#fits(runner, model)), model)
-    if (target !== undefined) return this.#load(target, model)
-    // Room that is being made already will do.
-    if (this.input.runners.some((runner) => runner.busy && runner.loading === undefined)) return
-    this.#makeRoom(free, model)
+    const options = this.#free().filter((runner) => !copiesOf(runner).includes(model.name))
+      .flatMap((runner) => this.#optionsAt(runner, model))
+    const best = minBy(options, ({ cost }) => cost)
+    if (best === undefined) return
+    if (best.victim === undefined) return this.#load(best.runner, model)
+    this.#push({ runnerId: best.runner.id, kind: OrderKind.Unload, model: best.victim, fromStore: false })
+    this.#copies.set(best.victim, this.#copyCount(best.victim) - 1)
+  }
+
+  #optionsAt (runner: PlannedRunner, model: ModelSpec): CopyOption[] {
+    const cost = this.#occupation(runner) + this.#loadCost(runner, model)
+    if (this.#fits(runner, model)) return this.#mayLoad(runner, model) ? [{ runner, cost }] : []
+    return runner.models.filter((victim) => this.#mayGo(victim, model))
+      .map((victim) => ({ runner, victim, cost: cost + UNLOAD_COST + this.#victimCost(runner, victim) }))
   }
 
   #free (): PlannedRunner[] {
@@ -109,10 +133,6 @@
     return runner.usedMb + model.sizeMb <= this.input.engine.weightsMb
   }
 
-  #cheapest (runners: readonly PlannedRunner[], model: ModelSpec): PlannedRunner | undefined {
-    return minBy(runners, (runner) => this.#occupation(runner) + this.#loadCost(runner, model))
-  }
-
   /** Part of a runner's places that the demand for its models fills. */
   #occupation (runner: PlannedRunner): number {
     const places = copiesOf(runner).reduce((sum, model) => sum + this.#places(model) / this.#copyCount(model), 0)
@@ -120,27 +140,21 @@
   }
 
   #loadCost (runner: PlannedRunner, model: ModelSpec): number {
-    return runner.localWeights.includes(model.name) ? 0 : STORE_LOAD_COST
+    const loadMs = runner.localWeights.includes(model.name) ? model.diskLoadMs : model.loadMs
+    return loadMs / 1000 * LOAD_SECOND_COST
+  }
+
+  #mayLoad (runner: PlannedRunner, model: ModelSpec): boolean {
+    return runner.localWeights.includes(model.name) || this.#storeLoads >= 1
   }
 
   #load (runner: PlannedRunner, model: ModelSpec): void {
     const fromStore = !runner.localWeights.includes(model.name)
-    if (fromStore && this.#storeLoads < 1) return
     if (fromStore) this.#storeLoads -= 1
     this.#push({ runnerId: runner.id, kind: OrderKind.Load, model: model.name, fromStore })
     this.#copies.set(model.name, this.#copyCount(model.name) + 1)
   }
 
-  /** Unloads the copy that is needed least, on a runner that has places left. */
-  #makeRoom (runners: readonly PlannedRunner[], model: ModelSpec): void {
-    const options = runners.flatMap((runner) => runner.models.map((victim) => ({ runner, victim })))
-      .filter(({ victim }) => this.#mayGo(victim, model))
-    const best = minBy(options, ({ runner, victim }) => this.#victimCost(runner, victim) + this.#occupation(runner) + this.#loadCost(runner, model))
-    if (best === undefined) return
-    this.#push({ runnerId: best.runner.id, kind: OrderKind.Unload, model: best.victim, fromStore: false })
-    this.#copies.set(best.victim, this.#copyCount(best.victim) - 1)
-  }
-
   /** Whether a copy of `victim` may make way for `model`. */
   #mayGo (victim: string, model: ModelSpec): boolean {
     const spec = this.input.engine.models.get(victim)
@@ -161,8 +175,9 @@
   /** Models without a copy take room that is left over, without displacing any. */
   #fillFreeRoom (): void {
     for (const model of this.input.engine.models.values()) {
-      if (this.#copyCount(model.name) > 0 || this.#storeLoads < 1) continue
-      const target = this.#cheapest(this.#free().filter((runner) => this.#fits(runner, model)), model)
+      if (this.#copyCount(model.name) > 0) continue
+      const runners = this.#free().filter((runner) => this.#fits(runner, model) && this.#mayLoad(runner, model))
+      const target = minBy(runners, (runner) => this.#occupation(runner) + this.#loadCost(runner, model))
       if (target !== undefined) this.#load(target, model)
     }
   }
--- a/packages/gateway/src/runners/runner-table.test.ts
+++ b/packages/gateway/src/runners/runner-table.test.ts
@@ -66,3 +66,11 @@
   table.forgetPeer('host-2')
   t.equal(table.totalInFlight(state), 2)
 })
+
+t.test('a runner that took no connection is not chosen again at once', async (t) => {
+  const table = RunnerTable.create()
+  table.upsert(createEntry({ id: 'a' }))
+  table.markUnreachable('a', 1_000)
+  t.equal(table.get('a')?.health.accepts(1_100), false)
+  t.ok((table.get('a')?.unreachableUntilMs ?? 0) > 1_100)
+})
--- a/packages/gateway/src/runners/runner-table.ts
+++ b/packages/gateway/src/runners/runner-table.ts
@@ -7,6 +7,8 @@
 
 /** A model or adapter that a runner denied holding is not asked for again in this time, whatever its entry says. */
 const DENIED_MS = 1_500
+/** A runner that took no connection counts as gone for this long. */
+const UNREACHABLE_MS = 2_000
 /** What was learned of a runner from orders counts above its entry in this time: entries lag by a heartbeat. */
 const LEARNED_MS = 4_000
 
@@ -15,6 +17,8 @@
   health: RunnerHealth
   /** Requests of this host that the runner works on or queues. */
   inFlight: number
+  /** End of the time in which the runner counts as unreachable, since a connection to it failed. */
+  unreachableUntilMs: number
   /** Set when the entry disappeared during an outage of the list; the runner is gone at this time unless it returns. */
   goneAtMs?: number
   /** Targets that the runner denied holding, with the end of that knowledge. */
@@ -116,6 +120,14 @@
     return isListed(state.entry.models, model, adapter)
   }
 
+  /** A runner took no connection: it is passed over until it is tried again. */
+  markUnreachable (id: string, nowMs: number): void {
+    const state = this.#runners.get(id)
+    if (state === undefined) return
+    state.unreachableUntilMs = nowMs + UNREACHABLE_MS
+    state.health.eject(nowMs)
+  }
+
   /** A runner answered that it doesn't hold the target. */
   markDenied (id: string, model: string, adapter: string | undefined, nowMs: number): void {
     const state = this.#runners.get(id)
@@ -136,7 +148,7 @@
 }
 
 function createState (entry: RunnerEntry): RunnerState {
-  return { entry, health: RunnerHealth.create(), inFlight: 0, denied: new Map(), learned: new Map() }
+  return { entry, health: RunnerHealth.create(), inFlight: 0, unreachableUntilMs: -Infinity, denied: new Map(), learned: new Map() }
 }
 
 function isOtherProcess (known: RunnerEntry, next: RunnerEntry): boolean {
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -232,6 +232,7 @@
     }
     if (result.outcome === Outcome.Answered) this.#learnAnswered(runner, nowMs)
     else if (facts?.notRun === true) runner.health.onNeutral(this.request.id)
+    else if (result.outcome === Outcome.NotRun) this.context.runners.markUnreachable(runner.entry.id, nowMs)
     else runner.health.onFailure(this.request.id, nowMs)
     if (facts?.weightsVersion !== undefined) this.#weightsVersion ??= facts.weightsVersion
   }
