Plan copies greedily by what models lack; measure rising demand without a lag

Loads of 9 s bind, not places: rounds gave each model one copy, surplus copies of rising models went to models with a single request, and a load started late.

--- a/packages/gateway/src/orders/order-desk.ts
+++ b/packages/gateway/src/orders/order-desk.ts
@@ -19,6 +19,10 @@
 const OVERDUE_FACTOR = 1.5
 const OVERDUE_MARGIN_MS = 1_500
 
+/** Time between two lines on placement, and the models that they name. */
+const PLACEMENT_LOG_MS = 2_000
+const PLACEMENT_LOG_MODELS = 8
+
 export type OrderDeskParts = {
   clock: Clock
   log: Logger
@@ -49,6 +53,7 @@
   readonly #desks = new Map<string, RunnerDesk>()
   readonly #pace: LoadPace
   #token: number | undefined
+  #loggedMs = -Infinity
   #timer: Timer | undefined
   #stopped = false
 
@@ -125,9 +130,28 @@
       storeLoads: this.#pace.available(engine.loadsPerS, nowMs)
     })
     for (const order of plan) this.#giveModelOrder(order)
+    this.#logPlacement(known, engine)
     this.#bringAdaptersAhead(known, engine, new Set(plan.map(({ runnerId }) => runnerId)))
   }
 
+  /** A line now and then on the demand for models and the copies that meet it. */
+  #logPlacement (states: RunnerState[], engine: EngineSpec): void {
+    const nowMs = this.parts.clock.monotonicMs()
+    if (nowMs - this.#loggedMs < PLACEMENT_LOG_MS) return
+    this.#loggedMs = nowMs
+    const service = states[0]?.entry.service ?? ''
+    const asked = [...this.#modelPlaces(service)].sort(([, a], [, b]) => b - a).slice(0, PLACEMENT_LOG_MODELS)
+    const copies = (model: string) => states.filter((state) => this.#desk(state).book.models.includes(model)).length
+    this.parts.log.info('placement', {
+      service,
+      runners: states.length,
+      places: states.length * engine.slots,
+      taken: states.reduce((sum, state) => sum + this.parts.runners.totalInFlight(state), 0),
+      busy: states.filter((state) => this.#desk(state).book.pending !== undefined).length,
+      models: asked.map(([model, places]) => `${model} asks ${places.toFixed(1)} of ${copies(model)} copies`).join(', ')
+    })
+  }
+
   #modelPlaces (service: string): Map<string, number> {
     const places = new Map<string, number>()
     for (const demand of this.parts.demand()) {
--- a/packages/gateway/src/orders/plan-models.ts
+++ b/packages/gateway/src/orders/plan-models.ts
@@ -38,8 +38,13 @@
 const LOAD_SECOND_COST = 0.1
 /** An unload before the load takes a round of planning more. */
 const UNLOAD_COST = 0.05
-/** A place asked for where no copy is counts like this many on a copy. */
-const NO_COPY_FACTOR = 3
+/** What the loss of a copy weighs: one above the wanted number, the last one of a model that nobody asks for now, one in use. */
+const SURPLUS_COST = 0.05
+const LAST_COPY_COST = 0.3
+const IN_USE_COST = 0.5
+/** A model without a copy counts like one with this many places asked for on each copy, and more for each place. */
+const NO_COPY_PLACES = 6
+const NO_COPY_FACTOR = 10
 /** A copy in demand makes way for one that lacks this many times more places. */
 const DISPLACE_FACTOR = 4
 
@@ -71,27 +76,33 @@
   }
 
   run (): PlannedOrder[] {
-    let lacking = 0
-    for (const model of this.#inDemand()) {
-      if (this.#copyCount(model.name) >= this.#wantedCopies(model)) continue
-      lacking += 1
-      // Room that is being made already is for the models that lack most.
-      if (lacking > this.#unloading) this.#addCopy(model)
+    const lacking = this.#lackingModels()
+    // Room that is being made already is for the models that lack most.
+    let roomComing = this.#unloading
+    for (let model = this.#mostLacking(lacking); model !== undefined; model = this.#mostLacking(lacking)) {
+      if (roomComing > 0) this.#countCopy(model.name)
+      else if (!this.#addCopy(model)) lacking.delete(model)
+      roomComing -= 1
+      if (this.#copyCount(model.name) >= this.#wantedCopies(model)) lacking.delete(model)
     }
-    if (lacking === 0) this.#fillFreeRoom()
+    if (this.#lackingModels().size === 0) this.#fillFreeRoom()
     return this.#orders
   }
 
-  /** Models that are asked for, the one that lacks most places first. */
-  #inDemand (): ModelSpec[] {
-    const models = [...this.input.engine.models.values()].filter((model) => this.#places(model.name) > 0)
-    return models.sort((a, b) => this.#lack(b.name) - this.#lack(a.name))
+  /** Models that are asked for more than their copies can serve. */
+  #lackingModels (): Set<ModelSpec> {
+    const asked = [...this.input.engine.models.values()].filter((model) => this.#places(model.name) > 0)
+    return new Set(asked.filter((model) => this.#copyCount(model.name) < this.#wantedCopies(model)))
+  }
+
+  #mostLacking (models: ReadonlySet<ModelSpec>): ModelSpec | undefined {
+    return minBy([...models], (model) => -this.#lack(model.name))
   }
 
   /** Places asked for on each copy; a model without a copy turns all its callers away. */
   #lack (model: string): number {
     const copies = this.#copyCount(model)
-    return copies === 0 ? this.#places(model) * NO_COPY_FACTOR + 1 : this.#places(model) / copies
+    return copies === 0 ? this.#places(model) * NO_COPY_FACTOR + NO_COPY_PLACES : this.#places(model) / copies
   }
 
   #wantedCopies (model: ModelSpec): number {
@@ -103,26 +114,38 @@
     return this.input.places.get(model) ?? 0
   }
 
+  #countCopy (model: string): void {
+    this.#copies.set(model, this.#copyCount(model) + 1)
+  }
+
   #copyCount (model: string): number {
     return this.#copies.get(model) ?? 0
   }
 
-  /** Takes the best of free room and room that another copy leaves. */
-  #addCopy (model: ModelSpec): void {
+  /** Takes the best of free room and room that another copy leaves; false if there is neither. */
+  #addCopy (model: ModelSpec): boolean {
     const options = this.#free().filter((runner) => !copiesOf(runner).includes(model.name))
       .flatMap((runner) => this.#optionsAt(runner, model))
     const best = minBy(options, ({ cost }) => cost)
-    if (best === undefined) return
-    if (best.victim === undefined) return this.#load(best.runner, model)
-    this.#push({ runnerId: best.runner.id, kind: OrderKind.Unload, model: best.victim, fromStore: false })
-    this.#copies.set(best.victim, this.#copyCount(best.victim) - 1)
+    if (best === undefined) return false
+    if (best.victim === undefined) this.#load(best.runner, model)
+    else this.#unload(best.runner, best.victim)
+    // The copy that room is made for counts already, so that the next one goes elsewhere.
+    if (best.victim !== undefined) this.#countCopy(model.name)
+    return true
+  }
+
+  #unload (runner: PlannedRunner, victim: string): void {
+    this.#push({ runnerId: runner.id, kind: OrderKind.Unload, model: victim, fromStore: false })
+    this.#copies.set(victim, this.#copyCount(victim) - 1)
   }
 
   #optionsAt (runner: PlannedRunner, model: ModelSpec): CopyOption[] {
     const cost = this.#occupation(runner) + this.#loadCost(runner, model)
-    if (this.#fits(runner, model)) return this.#mayLoad(runner, model) ? [{ runner, cost }] : []
+    if (!this.#mayLoad(runner, model)) return []
+    if (this.#fits(runner, model)) return [{ runner, cost }]
     return runner.models.filter((victim) => this.#mayGo(victim, model))
-      .map((victim) => ({ runner, victim, cost: cost + UNLOAD_COST + this.#victimCost(runner, victim) }))
+      .map((victim) => ({ runner, victim, cost: cost + UNLOAD_COST + this.#victimCost(victim) }))
   }
 
   #free (): PlannedRunner[] {
@@ -152,24 +175,27 @@
     const fromStore = !runner.localWeights.includes(model.name)
     if (fromStore) this.#storeLoads -= 1
     this.#push({ runnerId: runner.id, kind: OrderKind.Load, model: model.name, fromStore })
-    this.#copies.set(model.name, this.#copyCount(model.name) + 1)
+    this.#countCopy(model.name)
   }
 
   /** Whether a copy of `victim` may make way for `model`. */
   #mayGo (victim: string, model: ModelSpec): boolean {
-    const spec = this.input.engine.models.get(victim)
-    if (spec === undefined || this.#places(victim) === 0) return true
-    if (this.#copyCount(victim) > this.#wantedCopies(spec)) return true
+    if (this.#places(victim) === 0 || this.#isSurplus(victim)) return true
     const copies = this.#copyCount(victim)
     return copies > 1 && this.#places(victim) / (copies - 1) * DISPLACE_FACTOR < this.#lack(model.name)
   }
 
-  /** Copies that nobody asks for go first, among these the ones that others hold too. */
-  #victimCost (runner: PlannedRunner, victim: string): number {
-    const inUse = this.#places(victim) / this.#copyCount(victim) / this.input.engine.slots
-    const lastCopy = this.#copyCount(victim) === 1 ? 0.2 : 0
-    const comesBackSoon = runner.localWeights.includes(victim) ? 0 : 0.1
-    return inUse * 2 + lastCopy + comesBackSoon
+  #isSurplus (model: string): boolean {
+    const spec = this.input.engine.models.get(model)
+    return spec === undefined || this.#copyCount(model) > this.#wantedCopies(spec)
+  }
+
+  /** Copies that nobody asks for go first if others hold the model too, then those above what is wanted. */
+  #victimCost (victim: string): number {
+    const places = this.#places(victim)
+    if (places === 0) return this.#copyCount(victim) === 1 ? LAST_COPY_COST : 0
+    const perCopy = places / this.#copyCount(victim) / this.input.engine.slots
+    return perCopy * 2 + (this.#isSurplus(victim) ? SURPLUS_COST : IN_USE_COST)
   }
 
   /** Models without a copy take room that is left over, without displacing any. */
--- /dev/null
+++ b/packages/gateway/src/serve/demand-meter.test.ts
@@ -0,0 +1,35 @@
+import t from 'tap'
+import { DemandMeter } from './demand-meter.js'
+
+/** Counts requests whose rate rises evenly from one figure to another. */
+function ramp (meter: DemandMeter, fromPerS: number, toPerS: number, durationMs: number, startMs: number): void {
+  let due = 0
+  for (let atMs = 0; atMs < durationMs; atMs += 10) {
+    due += (fromPerS + (toPerS - fromPerS) * atMs / durationMs) / 100
+    for (; due >= 1; due -= 1) meter.count('s', 'm', undefined, startMs + atMs)
+  }
+}
+
+function rate (meter: DemandMeter, nowMs: number): number {
+  return meter.rates(nowMs)[0]?.requestsPerS ?? 0
+}
+
+t.test('steady demand is measured as it is', async (t) => {
+  const meter = DemandMeter.create()
+  ramp(meter, 20, 20, 30_000, 0)
+  t.ok(Math.abs(rate(meter, 30_000) - 20) < 4)
+})
+
+t.test('rising demand is measured without a lag', async (t) => {
+  const meter = DemandMeter.create()
+  ramp(meter, 2, 2, 20_000, 0)
+  ramp(meter, 2, 20, 6_000, 20_000)
+  t.ok(Math.abs(rate(meter, 26_000) - 20) < 4)
+})
+
+t.test('falling demand is let go slowly', async (t) => {
+  const meter = DemandMeter.create()
+  ramp(meter, 20, 20, 20_000, 0)
+  t.ok(rate(meter, 23_000) > 8)
+  t.equal(rate(meter, 80_000), 0)
+})
