--- /dev/null
+++ b/packages/gateway/src/choose/choose.test.ts
@@ -0,0 +1,80 @@
+import t from 'tap'
+import type { Service } from '../config/types.js'
+import { RunnerTable } from '../runners/runner-table.js'
+import { createEntry } from '../testing/gateway-fixture.js'
+import { findCandidates, type Need } from './candidates.js'
+import { chooseRunner, type Candidate } from './choose-runner.js'
+
+const engine: Service = {
+  name: 'plain',
+  maxConnections: 100,
+  engine: { slots: 10, memoryTokens: 1, weightsMb: 1, adapterSlots: 1, loadsPerS: 1, models: new Map() }
+}
+
+function candidate (id: string, inFlight: number, zone = 'z'): Candidate {
+  return { id, slots: 10, inFlight, availabilityZone: zone, slowness: 1 }
+}
+
+function choose (candidates: Candidate[], affinityKey = ''): string | undefined {
+  return chooseRunner({ candidates, affinityKey, availabilityZone: 'own', random: () => 0 })?.id
+}
+
+function need (changes: Partial<Need> = {}): Need {
+  return { service: engine, excluded: new Set(), hostCount: 1, targetLatencyMs: 500, ...changes }
+}
+
+function tableOf (...entries: Parameters<typeof createEntry>[0][]): RunnerTable {
+  const table = RunnerTable.create()
+  for (const entry of entries) table.upsert(createEntry({ slots: 10, ...entry }))
+  return table
+}
+
+t.test('the least occupied runner is chosen', async (t) => {
+  t.equal(choose([candidate('a', 5), candidate('b', 2), candidate('c', 9)]), 'b')
+})
+
+t.test('the own availability zone breaks a tie only', async (t) => {
+  t.equal(choose([candidate('a', 2), candidate('b', 2, 'own')]), 'b')
+  t.equal(choose([candidate('a', 1), candidate('b', 2, 'own')]), 'a')
+})
+
+t.test('the same prompt prefers the same runner, within bounds', async (t) => {
+  const idle = ['a', 'b', 'c'].map((id) => candidate(id, 0))
+  const preferred = choose(idle, 'prompt') ?? ''
+  t.equal(choose([...idle].reverse(), 'prompt'), preferred)
+  const loaded = idle.map((entry) => entry.id === preferred ? { ...entry, inFlight: 9 } : entry)
+  t.not(choose(loaded, 'prompt'), preferred)
+})
+
+t.test('a full runner takes nothing; a patient request may queue', async (t) => {
+  const table = tableOf({ id: 'a' })
+  const state = table.get('a')
+  if (state === undefined) return t.fail('no runner')
+  state.inFlight = 11
+  t.match(findCandidates(table, need(), 0), { open: [], fullCount: 1 })
+  t.equal(findCandidates(table, need({ targetLatencyMs: 10_000 }), 0).open.length, 1)
+})
+
+t.test('only holders of the model, and of the adapter, are open', async (t) => {
+  const table = tableOf({ id: 'a', models: [{ name: 'm', version: 1, adapters: ['x'] }] }, { id: 'b', models: [{ name: 'm', version: 1, adapters: [] }] }, { id: 'c' })
+  const set = findCandidates(table, need({ model: 'm', adapter: 'x' }), 0)
+  t.same(set.open.map(({ id }) => id), ['a'])
+  t.same(set.withoutAdapter.map(({ id }) => id), ['b'])
+})
+
+t.test('runners that failed are used when no other is left', async (t) => {
+  const table = tableOf({ id: 'a' }, { id: 'b' })
+  table.get('a')?.health.eject(0)
+  t.same(findCandidates(table, need(), 10).open.map(({ id }) => id), ['b'])
+  table.get('b')?.health.eject(0)
+  t.equal(findCandidates(table, need(), 10).open.length, 2)
+})
+
+t.test('hosts share a runner\'s connections', async (t) => {
+  const table = tableOf({ id: 'a', slots: 1_000 })
+  const state = table.get('a')
+  if (state === undefined) return t.fail('no runner')
+  state.inFlight = 8
+  t.equal(findCandidates(table, need({ hostCount: 10 }), 0).open.length, 0)
+  t.equal(findCandidates(table, need({ hostCount: 2 }), 0).open.length, 1)
+})
--- /dev/null
+++ b/packages/gateway/src/gateway.test.ts
@@ -0,0 +1,139 @@
+import { createServer, type AddressInfo } from 'node:net'
+import t, { type Test } from 'tap'
+import { silentLogger, SystemClock } from '@figloom/runtime'
+import { RouteKind } from './config/types.js'
+import { Gateway } from './gateway.js'
+import { AppendOutcome, LeaseLog, type LeaseTail } from './lease/types.js'
+import { HostRegistry } from './members/types.js'
+import { FakeRunnerOrders } from './testing/fake-runner.js'
+import { createEntry, createRoute } from './testing/gateway-fixture.js'
+import { RawRunner, type RawExchange } from './testing/raw-runner.js'
+import { TestCodec } from './testing/test-codec.js'
+import { PlatformWatch, type PlatformEvents } from './types.js'
+
+class FixedWatch extends PlatformWatch {
+  events: PlatformEvents | undefined
+
+  override start (events: PlatformEvents): void {
+    this.events = events
+  }
+
+  override stop (): void {}
+}
+
+class NoRegistry extends HostRegistry {
+  override async announce (): Promise<void> {}
+
+  override async list (): Promise<never[]> {
+    return []
+  }
+}
+
+class NoLeases extends LeaseLog {
+  override async readTail (): Promise<LeaseTail> {
+    throw new Error('no log')
+  }
+
+  override async append (): Promise<AppendOutcome> {
+    return AppendOutcome.Unknown
+  }
+}
+
+async function freeAddress (): Promise<string> {
+  const server = createServer()
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  return `127.0.0.1:${port}`
+}
+
+type Host = { gateway: Gateway, watch: FixedWatch, callers: string, lookup: string, readiness: string, runner: RawRunner }
+
+/** A host with one runner; `answer` gets each of its requests. */
+async function createHost (t: Test, answer: (exchange: RawExchange) => void): Promise<Host> {
+  const [callers, lookup, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()])
+  const clock = SystemClock.create()
+  const runner = await RawRunner.create(answer)
+  const watch = new FixedWatch()
+  const gateway = Gateway.create({
+    clock,
+    log: silentLogger,
+    random: () => 0.5,
+    settings: {
+      self: { host: 'a', availabilityZone: 'z', callerAddress: callers, peerAddress: peers },
+      callerListener: callers,
+      readinessListener: readiness,
+      lookupListener: lookup,
+      peerListener: peers,
+      seedPeerAddresses: [],
+      budget: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+      graceMs: 8_000,
+      orderGapMs: 3_000,
+      maxLookupTtlMs: 5_000
+    },
+    platform: {
+      codec: TestCodec.create(),
+      watch,
+      registry: new NoRegistry(),
+      leaseLog: new NoLeases(),
+      orders: FakeRunnerOrders.create([], clock, () => 'carried'),
+      lookupWire: { lookupPath: '/hosts', readinessPath: '/ready', formatLookup: (addresses) => JSON.stringify(addresses) }
+    }
+  })
+  await gateway.start()
+  t.teardown(async () => {
+    await gateway.stop()
+    await runner.close()
+  })
+  return { gateway, watch, callers, lookup, readiness, runner }
+}
+
+function configure ({ watch, runner }: Host): void {
+  watch.events?.onConfig({
+    version: 3,
+    routes: [createRoute({ pathPrefix: '/stream/', kind: RouteKind.Stream, timeoutMs: 20_000 })],
+    services: new Map([['plain', { name: 'plain', maxConnections: 20 }]]),
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+  })
+  watch.events?.onRunner(createEntry({ address: runner.address }))
+}
+
+async function status (address: string, path: string): Promise<number> {
+  const response = await fetch(`http://${address}${path}`)
+  await response.arrayBuffer()
+  return response.status
+}
+
+t.test('a host is ready once it knows a configuration and runners', async (t) => {
+  const host = await createHost(t, () => {})
+  t.equal(await status(host.readiness, '/ready'), 503)
+  t.equal(await status(host.lookup, '/hosts?name=x'), 503)
+  t.equal(await status(host.callers, '/stream/1'), 503)
+  configure(host)
+  t.equal(await status(host.readiness, '/ready'), 200)
+  const answer = await fetch(`http://${host.lookup}/hosts?name=x`)
+  t.same(await answer.json(), [host.callers])
+})
+
+t.test('a stop takes the host out of lookups and lets a stream end', async (t) => {
+  let finish: () => void = () => {}
+  const host = await createHost(t, ({ requestId, socket }) => {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`)
+    const event = 'id: 0\ndata: x\n\n'
+    socket.write(`${event.length.toString(16)}\r\n${event}\r\n`)
+    finish = () => socket.write('0\r\n\r\n')
+  })
+  configure(host)
+  const socket = (await import('node:net')).connect({ host: '127.0.0.1', port: Number(host.callers.split(':')[1]) })
+  let text = ''
+  socket.on('data', (chunk) => { text += chunk.toString() })
+  const closed = new Promise<void>((resolve) => socket.on('close', () => resolve()))
+  socket.write('POST /stream/1 HTTP/1.1\r\nHost: test\r\nRequest-Id: r-2\r\nContent-Length: 0\r\n\r\n')
+  while (!text.includes('id: 0')) await new Promise((resolve) => setTimeout(resolve, 10))
+  const stopped = host.gateway.stop()
+  t.equal(await status(host.readiness, '/ready'), 503)
+  t.equal(await status(host.lookup, '/hosts?name=x'), 503)
+  setTimeout(finish, 500)
+  await Promise.all([stopped, closed])
+  t.match(text, /0\r\n\r\n$/)
+})
