--- a/packages/gateway/src/orders/order-desk.ts
+++ b/packages/gateway/src/orders/order-desk.ts
@@ -190,7 +190,6 @@
       id: state.entry.id,
       models: book.models,
       loading: pending?.kind === OrderKind.Load ? pending.model : undefined,
-      unloading: pending?.kind === OrderKind.Unload,
       busy: pending !== undefined || waiting > 0,
       usedMb: book.usedMb(engine),
       localWeights: state.entry.localWeights
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -12,6 +12,7 @@
 import { decideNext, NextStep, Outcome, type Progress } from './outcome.js'
 import { writeFailure } from './own-answer.js'
 import { RequestLog } from './request-log.js'
+import { retryAfterFull, retryAfterMissing } from './retry-after.js'
 import type { ServeContext } from './types.js'
 
 /** A request whose head and body are read and whose route is known. */
@@ -29,14 +30,9 @@
   dueMs: number
 }
 
-/** Time for which a runner of a refused request is expected to be full. */
-const OVERLOAD_RETRY_MS = 700
-const NO_RUNNER_RETRY_MS = 1_000
 /** Part of the time left within which an adapter has to arrive. */
 const ADAPTER_WAIT_SHARE = 0.3
 const MAX_ADAPTER_TRIES = 4
-/** Callers wait at most this part of the time they have left before they come back. */
-const RETRY_AFTER_SHARE = 0.3
 /** A sending with less time than this can't be answered. */
 const MIN_ATTEMPT_MS = 5
 /** Lowest rank in a runner's queue. */
@@ -144,13 +140,12 @@
       random: this.context.random
     })
     if (chosen === undefined) return
-    const timeLeftMs = this.request.dueMs - this.context.clock.monotonicMs()
     this.#log.note('adapter asked for', { runner: chosen.id, holders: candidates.length })
-    const resident = await this.context.adapters.ensure(chosen.id, model, adapter, timeLeftMs * ADAPTER_WAIT_SHARE)
+    const resident = await this.context.adapters.ensure(chosen.id, model, adapter, this.#timeLeftMs() * ADAPTER_WAIT_SHARE)
     if (this.#over) return
     this.#adapterTries += 1
     if (!resident) this.#excluded.add(chosen.id)
-    if (!resident && this.#adapterTries >= MAX_ADAPTER_TRIES) return this.#giveUp(this.#failure(ResultCode.NoRunner, 'the adapter could not be made resident', NO_RUNNER_RETRY_MS))
+    if (!resident && this.#adapterTries >= MAX_ADAPTER_TRIES) return this.#giveUp(this.#failure(ResultCode.NoRunner, 'the adapter could not be made resident', this.#fullRetryMs()))
     this.#send()
   }
 
@@ -276,15 +271,15 @@
       return this.#end('runner_failed', result.reason)
     }
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, result.reason))
-    this.#giveUp(this.#failure(ResultCode.Overloaded, result.reason, OVERLOAD_RETRY_MS))
+    this.#giveUp(this.#failure(ResultCode.Overloaded, result.reason, this.#fullRetryMs()))
   }
 
   #refuse (set: CandidateSet): void {
     this.#log.note('no runner can take the request', { full: set.fullCount, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
     if (this.#relay.begun) return this.#breakOff('no runner to resume the stream')
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastReason}; no other runner is free`))
-    if (set.fullCount > 0) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'all runners that could serve the request are full', OVERLOAD_RETRY_MS))
-    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no live runner can serve the request', NO_RUNNER_RETRY_MS))
+    if (set.fullCount > 0) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'all runners that could serve the request are full', this.#fullRetryMs()))
+    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no live runner can serve the request', this.#missingRetryMs()))
   }
 
   /** The route's timeout or the caller's deadline is reached. */
@@ -295,7 +290,7 @@
     if (this.#relay.begun) return this.#breakOff('timeout within the stream')
     const ran = sent || this.#mayHaveRun
     if (ran) return this.#giveUp(this.#failure(ResultCode.BackendTimeout, 'no answer within the time of the request'))
-    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no runner could be reached in time', NO_RUNNER_RETRY_MS))
+    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no runner could be reached in time', this.#missingRetryMs()))
   }
 
   #onCallerGone (): void {
@@ -313,11 +308,22 @@
   }
 
   #failure (code: ResultCodeInfo, message: string, retryAfterMs?: number): Failure {
-    const timeLeftMs = this.request.dueMs - this.context.clock.monotonicMs()
-    return createFailure(code, message, {
-      ran: this.#mayHaveRun ? Ran.Unknown : code.ran,
-      retryAfterMs: retryAfterMs === undefined ? undefined : Math.max(1, Math.min(retryAfterMs, timeLeftMs * RETRY_AFTER_SHARE))
-    })
+    return createFailure(code, message, { ran: this.#mayHaveRun ? Ran.Unknown : code.ran, retryAfterMs })
+  }
+
+  #fullRetryMs (): number {
+    return retryAfterFull({ timeLeftMs: this.#timeLeftMs(), random: this.context.random })
+  }
+
+  #missingRetryMs (): number {
+    const { service, facts } = this.request
+    const model = facts.model === undefined ? undefined : service.engine?.models.get(facts.model)
+    const onDisk = model !== undefined && this.context.runners.usable(service.name).some(({ entry }) => entry.localWeights.includes(model.name))
+    return retryAfterMissing(model, onDisk, { timeLeftMs: this.#timeLeftMs(), random: this.context.random })
+  }
+
+  #timeLeftMs (): number {
+    return this.request.dueMs - this.context.clock.monotonicMs()
   }
 
   #giveUp (failure: Failure): void {
