Tell suspensions from the time of day, not from the machine's uptime

The uptime that Node reads comes from /proc, which goes by the real machine and not by the process's clocks, so a slow machine made every lease look old. Now what the time of day gains on the steady clock counts as suspension; steps back are noted at each look, so that they hide none. The test that only the clock passed in counts fails with the earlier source.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,7 @@
 import { RunnerConnections } from './forward/runner-connections.js'
 import { createCallerHandler, createPathHandler, createPeerHandler } from './front/handlers.js'
 import { HttpServer } from './front/http-server.js'
-import { InstantSource, systemBootClock } from './lease/instant.js'
+import { InstantSource } from './lease/instant.js'
 import { LeaseKeeper } from './lease/lease-keeper.js'
 import { lookupHosts } from './lookup/lookup.js'
 import { Exchanger } from './members/exchanger.js'
@@ -215,7 +215,7 @@
     const { settings, clock, log, platform } = this.parts
     return LeaseKeeper.create({
       clock,
-      instants: InstantSource.create(clock, systemBootClock),
+      instants: InstantSource.create(clock),
       log,
       leaseLog: platform.leaseLog,
       host: settings.self.host,
--- a/packages/gateway/src/lease/instant.ts
+++ b/packages/gateway/src/lease/instant.ts
@@ -1,31 +1,49 @@
 /**
- * Elapsed time that also counts while a host is suspended. A steady clock stands still then, and the time of day may
- * jump, so the largest of the three differences counts: a lease may look older than it is, but never younger.
+ * Elapsed time that also counts while a host is suspended. A steady clock stands still then and the time of day goes on,
+ * so whatever the time of day gains on the steady clock counts as suspension: a lease may look older than it is, but not
+ * younger. The time since the machine's start would tell it directly, but the runtime can't read it.
  */
-import { uptime } from 'node:os'
 import type { Clock } from '@figloom/runtime'
 
-export type Instant = { steadyMs: number, wallMs: number, bootMs: number }
+/** A moment on a clock that counts suspensions. */
+export type Instant = { awakeMs: number, suspendedMs: number }
 
-/** Time since the machine's start, suspension included. */
-export type BootClock = () => number
-
-export const systemBootClock: BootClock = () => uptime() * 1000
+/** The time of day is read to a millisecond and slewed; less than this is no step. */
+const STEP_MS = 10
 
 export class InstantSource {
-  private constructor (private readonly clock: Clock, private readonly bootMs: BootClock) {}
+  #offsetMs: number
+  #suspendedMs = 0
+
+  private constructor (private readonly clock: Clock) {
+    this.#offsetMs = this.#offset()
+  }
 
-  static create (clock: Clock, bootMs: BootClock): InstantSource {
-    return new InstantSource(clock, bootMs)
+  static create (clock: Clock): InstantSource {
+    return new InstantSource(clock)
   }
 
   now (): Instant {
-    return { steadyMs: this.clock.monotonicMs(), wallMs: this.clock.now().getTime(), bootMs: this.bootMs() }
+    this.#noteSteps()
+    return { awakeMs: this.clock.monotonicMs(), suspendedMs: this.#suspendedMs }
   }
 
   /** Milliseconds since `instant` at the most. */
   elapsedMs (instant: Instant): number {
     const now = this.now()
-    return Math.max(now.steadyMs - instant.steadyMs, now.wallMs - instant.wallMs, now.bootMs - instant.bootMs)
+    return now.awakeMs - instant.awakeMs + now.suspendedMs - instant.suspendedMs
+  }
+
+  /** Steps back hide no suspension but one that happens between two looks at the clocks. */
+  #noteSteps (): void {
+    const offsetMs = this.#offset()
+    const stepMs = offsetMs - this.#offsetMs
+    if (Math.abs(stepMs) < STEP_MS) return
+    this.#offsetMs = offsetMs
+    if (stepMs > 0) this.#suspendedMs += stepMs
+  }
+
+  #offset (): number {
+    return this.clock.now().getTime() - this.clock.monotonicMs()
   }
 }
--- a/packages/gateway/src/lease/lease-keeper.test.ts
+++ b/packages/gateway/src/lease/lease-keeper.test.ts
@@ -46,8 +46,6 @@
 class Hosts {
   readonly clock = ManualClock.create()
   readonly log = SharedLog.create()
-  /** Time that no steady clock counts. */
-  suspendedMs = 0
   /** Hosts that the others don't hear. */
   readonly silent = new Set<string>()
   readonly #hosts = new Map<string, Host>()
@@ -59,7 +57,7 @@
   start (name: string, incarnation = name): LeaseKeeper {
     const keeper = LeaseKeeper.create({
       clock: this.clock,
-      instants: InstantSource.create(this.clock, () => this.clock.monotonicMs() + this.suspendedMs),
+      instants: InstantSource.create(this.clock),
       log: silentLogger,
       leaseLog: HostLog.create(this.log, name),
       host: name,
@@ -112,7 +110,7 @@
   const hosts = Hosts.create()
   const keeper = hosts.start('a')
   await hosts.clock.advance(1_000)
-  hosts.suspendedMs += LEASE_MS
+  hosts.clock.stepTimeOfDay(LEASE_MS)
   t.equal(keeper.orderToken(), undefined)
 })
 
--- a/packages/runtime/src/clock/manual-clock.ts
+++ b/packages/runtime/src/clock/manual-clock.ts
@@ -5,6 +5,7 @@
 /** Clock that moves only when a test advances it. Timers fire in due order, ties in creation order. */
 export class ManualClock extends Clock {
   #elapsedMs = 0
+  #stepMs = 0
   #order = 0
   readonly #startedAt: Date
   readonly #pending = new Set<PendingTimer>()
@@ -19,7 +20,12 @@
   }
 
   override now (): Date {
-    return new Date(this.#startedAt.getTime() + this.#elapsedMs)
+    return new Date(this.#startedAt.getTime() + this.#stepMs + this.#elapsedMs)
+  }
+
+  /** Moves the time of day alone, as a correction or a suspension of the machine does. */
+  stepTimeOfDay (byMs: number): void {
+    this.#stepMs += byMs
   }
 
   override monotonicMs (): number {
