--- a/packages/gateway/src/orders/order-desk.ts
+++ b/packages/gateway/src/orders/order-desk.ts
@@ -126,8 +126,10 @@
     const known = states.filter((state) => this.#desk(state).book.acceptedOrders !== undefined)
     if (known.length < states.length / 2) return
     const nowMs = this.parts.clock.monotonicMs()
+    const rates = this.parts.demand().filter(({ service }) => service === name)
+    this.#bringAdaptersAhead(known, engine, rates)
     const runners = known.map((state) => this.#planned(state, engine))
-    const demand = forecastDemand(this.parts.demand(), name)
+    const demand = forecastDemand(rates, name)
     const plan = planModels({
       engine,
       runners,
@@ -137,7 +139,6 @@
     })
     for (const order of plan) this.#giveModelOrder(order)
     this.#logPlacement(known, engine, demand)
-    this.#bringAdaptersAhead(known, engine, new Set(plan.map(({ runnerId }) => runnerId)))
   }
 
   /** A line now and then on the demand for models and the copies that meet it. */
@@ -158,18 +159,19 @@
     })
   }
 
-  #bringAdaptersAhead (states: RunnerState[], engine: EngineSpec, ordered: ReadonlySet<string>): void {
+  /** Runners that are given adapters count as busy for the models planned next. */
+  #bringAdaptersAhead (states: RunnerState[], engine: EngineSpec, rates: readonly DemandRate[]): void {
     const runners = states.map((state) => {
       const { book, waiting } = this.#desk(state)
       return {
         id: state.entry.id,
         models: book.models,
         adapters: book.adapters.map(({ model, adapter }) => `${model}/${adapter}`),
-        busy: book.pending !== undefined || waiting > 0 || ordered.has(state.entry.id),
+        busy: book.pending !== undefined || waiting > 0,
         usedMb: book.usedMb(engine)
       }
     })
-    for (const load of planAdapters(engine, runners)) this.#giveAdapterOrder(load)
+    for (const load of planAdapters(engine, runners, rates)) this.#giveAdapterOrder(load)
   }
 
   #giveAdapterOrder ({ runnerId, model, adapter }: AdapterLoad): void {
