Explain a failed request from collected logs; keep the budget for what runners bear

figloom explain-request ID FILE... puts one request's decisions and what hosts wrote of its runners, model, lease and store on one clock and names the cause. Hosts now write how far a peer's time of day is ahead of theirs; 'host answers' named the peer in the field of its own host, which is mended. A connection that was never accepted is no arrival, so sending elsewhere takes nothing from the budget now; the test fails without the change (tried).

--- a/packages/cli/src/app.test.ts
+++ b/packages/cli/src/app.test.ts
@@ -1,3 +1,4 @@
+import { writeFileSync } from 'node:fs'
 import t, { type Test } from 'tap'
 import { createClient, createRouterTransport, type ServiceImpl } from '@connectrpc/connect'
 import { InnerService } from '@figloom/protocol'
@@ -207,3 +208,14 @@
   const bad = await run('status', '--settings', 'routes.toml')
   t.match(bad, { exit: 1, output: { errors: [/:1:1: daemon: missing key/, /:1:1: log: missing key/, /:1:1: operator: missing key/, /:1:3: route: unknown key/] } }, folder)
 })
+
+t.test('explain-request tells a story from files', async (t) => {
+  const { run, folder } = setUp(t)
+  const at = { time: '2026-03-01T10:00:00.000Z', host: 'h1', requestId: 'r1', atMs: 0 }
+  const lines = [{ ...at, message: 'request accepted' }, { ...at, message: 'request refused on arrival', reason: 'too large' }]
+  writeFileSync(`${folder}/host.log`, lines.map((line) => JSON.stringify(line)).join('\n'))
+  t.match(await run('explain-request', 'r1', `${folder}/host.log`), { exit: 0, output: { lines: [/request accepted/, /too large/, 'cause: Refused on arrival: too large.'] } })
+  t.match(await run('explain-request', 'r2', `${folder}/host.log`, '--json'), { exit: 1, json: [{ outcome: 'no-such-request', lineCount: 2 }] })
+  t.match(await run('explain-request', 'r1', `${folder}/none.log`, '--json'), { exit: 1, json: [{ outcome: 'unreadable' }] })
+  t.equal((await run('explain-request', 'r1')).exit, 2)
+})
--- a/packages/cli/src/app.ts
+++ b/packages/cli/src/app.ts
@@ -5,6 +5,7 @@
 import { diff } from './commands/diff.js'
 import { drain } from './commands/drain.js'
 import { explain } from './commands/explain.js'
+import { explainRequest } from './commands/explain-request.js'
 import { publish } from './commands/publish.js'
 import { status } from './commands/status.js'
 import { watch } from './commands/watch.js'
@@ -19,6 +20,7 @@
 const NONE: Operands = { min: 0, max: 0 }
 const ONE: Operands = { min: 1, max: 1 }
 const FILES: Operands = { min: 1, max: Infinity }
+const ID_AND_FILES: Operands = { min: 2, max: Infinity }
 
 const COMMANDS: Readonly<Record<string, Command>> = {
   publish: { operands: FILES, run: (environment, settings, line) => publish(environment, settings, { ...line, paths: line.operands }) },
@@ -48,6 +50,7 @@
 
 async function runCommand (line: CommandLine, environment: Environment): Promise<Report> {
   if (line.command === 'check') return hasOperands(line, FILES) ? check(line.operands) : reportUsage('check takes files')
+  if (line.command === 'explain-request') return hasOperands(line, ID_AND_FILES) ? explainRequest(line.operands) : reportUsage('explain-request takes an id and log files')
   const command = Object.hasOwn(COMMANDS, line.command) ? COMMANDS[line.command] : undefined
   if (command === undefined) return reportUsage(line.command === '' ? 'no command was given' : `unknown command ${line.command}`)
   if (!hasOperands(line, command.operands)) return reportUsage(`wrong number of arguments for ${line.command}`)
--- a/packages/cli/src/arguments.ts
+++ b/packages/cli/src/arguments.ts
@@ -8,6 +8,8 @@
     figloom diff FILE...        rows in which files differ from the configuration in force
     figloom status              hosts, cells and runners
     figloom explain ROUTE       how a route is served at present
+    figloom explain-request ID FILE...
+                                one request's story and cause, from collected logs of hosts
     figloom drain HOST|RUNNER   stop new work to a host or runner
     figloom watch               print the status whenever it changes
 
--- /dev/null
+++ b/packages/cli/src/logs/request-story.ts
@@ -0,0 +1,74 @@
+/** One request's lines, and what hosts wrote of the same runners, model, leases and store at the time, on one clock. */
+import { HostClocks } from './host-clocks.js'
+import { numberOf, textOf, type LogLine } from './log-line.js'
+
+/** A line with the time of what it tells, by the clock of the host that took the request. */
+export type StoryLine = { atUnixMs: number, own: boolean, clockKnown: boolean, line: LogLine }
+
+export type RequestStory = {
+  requestId: string
+  host: string
+  model: string | undefined
+  adapter: string | undefined
+  startUnixMs: number
+  endUnixMs: number
+  /** In order of time. */
+  lines: StoryLine[]
+}
+
+/** A load takes up to some ten seconds, so what led to a refusal may lie as far back. */
+const BEFORE_MS = 12_000
+const AFTER_MS = 1_500
+const LEASE_MESSAGES: readonly string[] = ['order lease taken', 'order lease given up: it could not be renewed', 'order lease lost', 'order lease released']
+const HOST_MESSAGES: readonly string[] = [
+  'store does not answer', 'store answers again', 'configuration in force', 'gateway started', 'gateway is leaving', 'gateway stopped', 'log lines dropped'
+]
+
+/** Undefined if no line names the request. */
+export function tellStory (lines: readonly LogLine[], requestId: string): RequestStory | undefined {
+  const own = lines.filter((line) => textOf(line, 'requestId') === requestId)
+  const first = own[0]
+  if (first === undefined) return undefined
+  const clocks = HostClocks.create(lines, first.host)
+  const ownLines = own.map((line) => ({ atUnixMs: decidedAt(line, own, clocks), own: true, clockKnown: true, line }))
+  const startUnixMs = Math.min(...ownLines.map(({ atUnixMs }) => atUnixMs))
+  const endUnixMs = Math.max(...ownLines.map(({ atUnixMs }) => atUnixMs))
+  const subject = subjectOf(own)
+  const around = lines.filter((line) => textOf(line, 'requestId') === undefined && concerns(line, subject))
+    .map((line) => place(line, clocks))
+    .filter(({ atUnixMs }) => atUnixMs >= startUnixMs - BEFORE_MS && atUnixMs <= endUnixMs + AFTER_MS)
+  const all = [...ownLines, ...around].sort((a, b) => a.atUnixMs - b.atUnixMs)
+  return { requestId, host: first.host, model: subject.model, adapter: subject.adapter, startUnixMs, endUnixMs, lines: all }
+}
+
+/** A request's lines are written together at its end; `atMs` tells when each decision was made. */
+function decidedAt (line: LogLine, own: readonly LogLine[], clocks: HostClocks): number {
+  const writtenMs = clocks.toReferenceMs(line) ?? line.writtenUnixMs
+  const atMs = numberOf(line, 'atMs')
+  if (atMs === undefined) return writtenMs
+  const totalMs = Math.max(...own.filter(({ host }) => host === line.host).map((other) => numberOf(other, 'atMs') ?? 0))
+  return writtenMs - (totalMs - atMs)
+}
+
+type Subject = { host: string, runners: ReadonlySet<string>, model: string | undefined, adapter: string | undefined }
+
+function subjectOf (own: readonly LogLine[]): Subject {
+  const find = (name: string) => own.map((line) => textOf(line, name)).find((value) => value !== undefined)
+  const runners = new Set(own.flatMap((line) => textOf(line, 'runner') ?? []))
+  return { host: own[0]?.host ?? '', runners, model: find('model'), adapter: find('adapter') }
+}
+
+function concerns (line: LogLine, { host, runners, model }: Subject): boolean {
+  const runner = textOf(line, 'runner')
+  if (runner !== undefined && runners.has(runner)) return true
+  if (LEASE_MESSAGES.includes(line.message)) return true
+  if (line.host === host && HOST_MESSAGES.includes(line.message)) return true
+  if (model === undefined) return false
+  if (line.message === 'placement') return textOf(line, 'models')?.includes(`${model} `) === true
+  return line.message === 'order given' && textOf(line, 'model') === model
+}
+
+function place (line: LogLine, clocks: HostClocks): StoryLine {
+  const atUnixMs = clocks.toReferenceMs(line)
+  return { atUnixMs: atUnixMs ?? line.writtenUnixMs, own: false, clockKnown: atUnixMs !== undefined, line }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -285,7 +285,8 @@
       runnerUses: new Map(uses.map(({ entry, inFlight }) => [entry.id, inFlight])),
       demand: this.#demand.rates(this.#nowMs()),
       lease: { heldBySender: lease.held, fencingToken: lease.fencingToken, lastOrderAgoMs: lease.lastOrderAgoMs },
-      knownHosts: this.#members.live(this.#nowMs()).map(({ address }) => address)
+      knownHosts: this.#members.live(this.#nowMs()).map(({ address }) => address),
+      sentAt: this.parts.clock.now()
     }
   }
 
--- a/packages/gateway/src/members/exchanger.ts
+++ b/packages/gateway/src/members/exchanger.ts
@@ -25,7 +25,16 @@
   onForgotten: (host: string) => void
 }
 
-type Contact = { busy: boolean, nextMs: number, answering: boolean }
+type Contact = {
+  busy: boolean
+  nextMs: number
+  answering: boolean
+  /** How far the other host's time of day is ahead of this one's, as last written to the log. */
+  clockAheadMs: number
+}
+
+/** A difference of two hosts' times of day is written anew when it changes by this much. */
+const CLOCK_CHANGE_MS = 100
 
 export class Exchanger {
   readonly #contacts = new Map<string, Contact>()
@@ -89,10 +98,11 @@
     const contact = this.#contact(address)
     contact.busy = true
     const { clock, calls, log } = this.parts
+    const startMs = clock.monotonicMs()
     try {
       const report = await calls.exchange(address, this.parts.report())
       this.#hear(report)
-      if (!contact.answering) log.info('host answers', { host: report.address.host, address })
+      this.#logContact(contact, report, clock.monotonicMs() - startMs)
       contact.answering = true
     } catch (error) {
       if (contact.answering) log.warn('host does not answer', { address, reason: (error as Error).message })
@@ -102,10 +112,20 @@
     contact.nextMs = clock.monotonicMs() + (contact.answering ? EXCHANGE_MS : SILENT_EXCHANGE_MS)
   }
 
+  /** The other host wrote its time of day about half of the way through the exchange. */
+  #logContact (contact: Contact, report: HostReport, tookMs: number): void {
+    const clockAheadMs = Math.round(report.sentAt.getTime() - this.parts.clock.now().getTime() + tookMs / 2)
+    const moved = Math.abs(clockAheadMs - contact.clockAheadMs) >= CLOCK_CHANGE_MS
+    if (contact.answering && !moved) return
+    contact.clockAheadMs = clockAheadMs
+    const { host, peerAddress } = report.address
+    this.parts.log.info(contact.answering ? 'clock of a host moved' : 'host answers', { peer: host, address: peerAddress, clockAheadMs })
+  }
+
   #contact (address: string): Contact {
     const known = this.#contacts.get(address)
     if (known !== undefined) return known
-    const contact = { busy: false, nextMs: 0, answering: false }
+    const contact = { busy: false, nextMs: 0, answering: false, clockAheadMs: 0 }
     this.#contacts.set(address, contact)
     return contact
   }
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -20,6 +20,7 @@
     demand: [],
     lease: { heldBySender: false, fencingToken: 0 },
     knownHosts: [],
+    sentAt: new Date(0),
     ...changes
   }
 }
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -69,7 +69,8 @@
     runnerUses: [...report.runnerUses].map(([runnerId, inFlight]) => ({ runnerId, inFlight })),
     demand: report.demand.map((rate) => ({ ...rate, adapter: rate.adapter ?? '' })),
     lease: { ...report.lease, fencingToken: BigInt(report.lease.fencingToken) },
-    knownHosts: report.knownHosts
+    knownHosts: report.knownHosts,
+    sentUnixMs: BigInt(report.sentAt.getTime())
   }
   return create(GatewayReportSchema, init)
 }
@@ -88,7 +89,8 @@
       heldBySender: message.lease?.heldBySender ?? false,
       lastOrderAgoMs: message.lease?.lastOrderAgoMs
     },
-    knownHosts: message.knownHosts.map(toAddress)
+    knownHosts: message.knownHosts.map(toAddress),
+    sentAt: new Date(Number(message.sentUnixMs))
   }
 }
 
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -42,6 +42,8 @@
   demand: DemandRate[]
   lease: LeaseView
   knownHosts: HostAddress[]
+  /** Time of day at the sender. */
+  sentAt: Date
 }
 
 /** Hands reports to other hosts and takes theirs. */
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -78,7 +78,7 @@
   }
 
   override onFailure (at: FailedAt, error: Error): void {
-    const outcome = at === FailedAt.Connect ? Outcome.NotRun : Outcome.Unknown
+    const outcome = at === FailedAt.Connect ? Outcome.Unreached : Outcome.Unknown
     this.#finish(outcome, `${at}: ${error.message}`)
   }
 
--- a/packages/gateway/src/serve/outcome.ts
+++ b/packages/gateway/src/serve/outcome.ts
@@ -4,7 +4,9 @@
 export const Outcome = {
   /** The whole answer has reached the caller's connection, or is ready for it. */
   Answered: 'answered',
-  /** The runner certainly did not run the request. */
+  /** No connection: the runner never saw the request. */
+  Unreached: 'unreached',
+  /** The runner saw the request and certainly did not run it. */
   NotRun: 'not-run',
   /** It may have run; no whole answer came. */
   Unknown: 'unknown',
@@ -31,7 +33,7 @@
 /** Decides after an attempt; the budget is asked separately when the answer is to send again. */
 export function decideNext (route: Route, outcome: Outcome, progress: Progress): NextStep {
   if (outcome === Outcome.Answered) return NextStep.Finish
-  if (outcome === Outcome.NotRun) return progress.notRuns < MAX_NOT_RUN ? NextStep.SendAgain : NextStep.GiveUp
+  if (outcome === Outcome.NotRun || outcome === Outcome.Unreached) return progress.notRuns < MAX_NOT_RUN ? NextStep.SendAgain : NextStep.GiveUp
   if (!mayRunAgain(route, progress)) return NextStep.GiveUp
   return progress.runs < route.maxAttempts ? NextStep.SendAgain : NextStep.GiveUp
 }
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -1,7 +1,7 @@
 /** One request from its arrival to its final answer: choosing, sending, sending again, and giving up. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
-import { RouteKind, type Route, type Service } from '../config/types.js'
+import type { Route, Service } from '../config/types.js'
 import { findCandidates, connectionShare, PATIENT_TARGET_MS, type CandidateSet, type Need } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { Attempt } from '../forward/attempt.js'
@@ -227,7 +227,7 @@
     }
     if (result.outcome === Outcome.Answered) this.#learnAnswered(runner, nowMs)
     else if (facts?.notRun === true) runner.health.onNeutral(this.request.id)
-    else if (result.outcome === Outcome.NotRun) this.context.runners.markUnreachable(runner.entry.id, nowMs)
+    else if (result.outcome === Outcome.Unreached) this.context.runners.markUnreachable(runner.entry.id, nowMs)
     else runner.health.onFailure(this.request.id, nowMs)
     if (facts?.weightsVersion !== undefined) this.#weightsVersion ??= facts.weightsVersion
   }
@@ -239,7 +239,7 @@
   }
 
   #count (result: AttemptResult): void {
-    if (result.outcome === Outcome.NotRun) this.#progress.notRuns += 1
+    if (result.outcome === Outcome.NotRun || result.outcome === Outcome.Unreached) this.#progress.notRuns += 1
     else {
       this.#progress.runs += 1
       this.#mayHaveRun = true
@@ -250,6 +250,8 @@
   #takeRepeat (result: AttemptResult): boolean {
     const { budget, clock, host, metrics } = this.context
     if (host.isLeaving() && this.#relay.begun) return false
+    // The budget is for what runners have to bear.
+    if (result.outcome === Outcome.Unreached) return true
     const granted = budget.take(this.request.service.name, host.hostCount(), clock.monotonicMs())
     if (granted) metrics.repeats.inc({ reason: result.outcome })
     else this.#log.note('repeat refused by the budget', { service: this.request.service.name, hosts: host.hostCount() })
@@ -383,8 +385,3 @@
   const patience = route.targetLatencyMs > PATIENT_TARGET_MS ? 4 : 0
   return Math.min(MAX_URGENCY, route.priority + patience)
 }
-
-/** Whether a request of the route may run more than once. */
-export function mayRepeat (route: Route): boolean {
-  return route.kind === RouteKind.Idempotent || (route.kind === RouteKind.Stream && route.resumable)
-}
--- /dev/null
+++ b/packages/gateway/src/serve/unreachable-runners.test.ts
@@ -0,0 +1,30 @@
+import t from 'tap'
+import { RouteKind } from '../config/types.js'
+import { createEntry, createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
+import type { RawExchange } from '../testing/raw-runner.js'
+
+function answer ({ requestId, socket }: RawExchange): void {
+  socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: s\r\nContent-Length: 2\r\n\r\nok`)
+}
+
+/** A port where nobody listens any more. */
+async function closedAddress (fixture: GatewayFixture): Promise<string> {
+  const runner = await fixture.addRunner('closed', answer)
+  const { address } = runner
+  await runner.close()
+  return address
+}
+
+t.test('a runner that accepts no connection costs nothing of the budget', async (t) => {
+  const fixture = await GatewayFixture.create([createRoute({ kind: RouteKind.NonIdempotent, maxAttempts: 1 })])
+  t.teardown(() => fixture.close())
+  const { runners, budget, clock } = fixture.context
+  const address = await closedAddress(fixture)
+  runners.upsert(createEntry({ id: 'closed', address, availabilityZone: 'zone-1' }))
+  const live = await fixture.addRunner('live', answer)
+  runners.upsert(createEntry({ id: 'live', address: live.address, availabilityZone: 'zone-2' }))
+  while (budget.take('plain', 1, clock.monotonicMs()));
+  const reply = await fixture.call({ method: 'POST' })
+  t.equal(reply.status, 200)
+  t.equal(reply.body, 'ok')
+})
