--- a/packages/control/src/cell/situation.ts
+++ b/packages/control/src/cell/situation.ts
@@ -111,11 +111,12 @@
     return taken !== undefined && this.options.clock.monotonicMs() - taken.takenMs >= this.options.staleReportMs
   }
 
-  /** The host's own report while it is fresh, else what the stream says. */
+  /** The host's own report while it is fresh and the stream has none that was taken later, else what the stream says. */
   #shownReport (state: CellState, runner: string) {
-    const own = this.books.reportOf(runner)?.report
+    const own = this.books.reportOf(runner)
     const logged = state.runners.find(({ name }) => name === runner)
-    return own !== undefined && !this.#isStale(runner) ? own : logged ?? own
+    if (own === undefined || logged === undefined) return logged ?? own?.report
+    return this.#isStale(runner) || logged.asOfOffset > own.asOfOffset ? logged : own.report
   }
 
   /** Whether a runner that the tables do not name may still hold memory. */
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -1,3 +1,4 @@
+import { readFile } from 'node:fs/promises'
 import { createServer, type AddressInfo } from 'node:net'
 import t, { type Test } from 'tap'
 import { silentLogger, SystemClock } from '@figloom/runtime'
@@ -47,7 +48,7 @@
   return `127.0.0.1:${port}`
 }
 
-type Host = { gateway: Gateway, watch: FixedWatch, callers: string, lookup: string, readiness: string, runner: RawRunner }
+type Host = { gateway: Gateway, watch: FixedWatch, callers: string, lookup: string, readiness: string, peers: string, runner: RawRunner }
 
 /** A host with one runner; `answer` gets each of its requests. */
 async function createHost (t: Test, answer: (exchange: RawExchange) => void): Promise<Host> {
@@ -85,7 +86,7 @@
     await gateway.stop()
     await runner.close()
   })
-  return { gateway, watch, callers, lookup, readiness, runner }
+  return { gateway, watch, callers, lookup, readiness, peers, runner }
 }
 
 function configure ({ watch, runner }: Host): void {
@@ -137,3 +138,16 @@
   await Promise.all([stopped, closed])
   t.match(text, /0\r\n\r\n$/)
 })
+
+/** Names in the table of metrics, without their labels. */
+async function documentedMetrics (): Promise<string[]> {
+  const page = await readFile(new URL('../../../docs/OPERATIONS.md', import.meta.url), 'utf8')
+  return [...page.matchAll(/^\| `(figloom_gateway_\w+)(?:\{[\w,]*\})?` \| \S/gm)].map((match) => match[1] ?? '')
+}
+
+t.test('the operators page lists every metric with its unit, and no other', async (t) => {
+  const host = await createHost(t, () => {})
+  const text = await (await fetch(`http://${host.peers}/metrics`)).text()
+  const served = [...text.matchAll(/^# TYPE (figloom_gateway_\w+)/gm)].map((match) => match[1] ?? '')
+  t.same((await documentedMetrics()).sort(), served.sort())
+})
