Pass the rest of a wait on with a released lease; leave it to hosts that restarted

A release now says how long its successor has to wait (what is left of the holder's own wait, or of the gap behind its last order), and a host that saw another restart leaves the lease to it for one look at the log.

--- a/packages/gateway/src/lease/lease-keeper.test.ts
+++ b/packages/gateway/src/lease/lease-keeper.test.ts
@@ -46,6 +46,8 @@
 class Hosts {
   readonly clock = ManualClock.create()
   readonly log = SharedLog.create()
+  /** Hosts that know of a fresher one. */
+  readonly deferring = new Set<string>()
   /** Hosts that the others don't hear. */
   readonly silent = new Set<string>()
   readonly #hosts = new Map<string, Host>()
@@ -65,6 +67,7 @@
       orderGapMs: GAP_MS,
       holderIsLive: () => this.#heard(name).some(({ keeper }) => keeper.describe().held),
       lastOrderUnder: (fencingToken) => this.#lastOrderUnder(name, fencingToken),
+      hasFresherPeer: () => this.deferring.has(name),
       mayHold: () => true
     })
     this.#hosts.set(incarnation, { keeper, name })
@@ -246,3 +249,49 @@
   await hosts.clock.advance(2_000)
   t.equal(third.orderToken(), undefined)
 })
+
+t.test('a holder that leaves within its wait passes on what is left of it', async (t) => {
+  const hosts = Hosts.create()
+  const first = hosts.start('a')
+  await hosts.clock.advance(1_000)
+  first.onOrder()
+  const orderedMs = hosts.clock.monotonicMs()
+  const second = hosts.start('b')
+  await first.release()
+  await hosts.clock.advance(1_500)
+  t.equal(second.orderToken(), undefined)
+  await second.release()
+  hosts.silent.add('a')
+  hosts.silent.add('b')
+  const third = hosts.start('c')
+  while (third.orderToken() === undefined) await hosts.clock.advance(50)
+  const waitedMs = hosts.clock.monotonicMs() - orderedMs
+  t.ok(waitedMs >= GAP_MS, `${waitedMs}`)
+  t.ok(waitedMs < GAP_MS + 1_000, `${waitedMs}`)
+})
+
+t.test('a release long after the last order lets a successor order at once', async (t) => {
+  const hosts = Hosts.create()
+  const first = hosts.start('a')
+  await hosts.clock.advance(1_000)
+  first.onOrder()
+  await hosts.clock.advance(GAP_MS)
+  await first.release()
+  hosts.silent.add('a')
+  const second = hosts.start('b')
+  await hosts.clock.advance(700)
+  t.ok(second.orderToken())
+})
+
+t.test('a host leaves the lease to a fresher one', async (t) => {
+  for (const stays of ['b', 'c']) {
+    const hosts = Hosts.create()
+    for (const host of ['b', 'c']) if (host !== stays) hosts.deferring.add(host)
+    const first = hosts.start('a')
+    await hosts.clock.advance(1_000)
+    const others = new Map(['b', 'c'].map((host) => [host, hosts.start(host)]))
+    await first.release()
+    await hosts.clock.advance(900)
+    t.ok(others.get(stays)?.describe().held, stays)
+  }
+})
--- a/packages/gateway/src/lease/lease-keeper.ts
+++ b/packages/gateway/src/lease/lease-keeper.ts
@@ -19,6 +19,8 @@
 const STAND_BACK_MS = 3_000
 /** While a live holder is in direct contact, the log isn't read. */
 const WATCH_MS = 400
+/** A host leaves the lease to a fresher one for this long: for one look of it at the log. */
+const DEFER_MS = WATCH_MS
 
 export type LeaseParts = {
   clock: Clock
@@ -36,11 +38,13 @@
    * hasn't said that it gave the lease up, or gave no order under it.
    */
   lastOrderUnder: (fencingToken: number) => number | undefined
+  /** Another host started anew of late: while hosts are stopped in turn, it stays longer than this one. */
+  hasFresherPeer: () => boolean
   /** Whether this host may take the lease now. */
   mayHold: () => boolean
 }
 
-type Holding = { fencingToken: number, renewedAt: Instant, ordersFromMs: number }
+type Holding = { fencingToken: number, claimedAt: Instant, renewedAt: Instant, ordersFromMs: number }
 /** What a host says of a lease that it held or holds. */
 export type OwnLease = { held: boolean, fencingToken: number, lastOrderAgoMs: number | undefined }
 
@@ -50,6 +54,7 @@
   #holding: Holding | undefined
   #end = 0
   #observed: Observation | undefined
+  #vacantSinceMs: number | undefined
   #lastOrderAt: Instant | undefined
   #fencingToken = 0
   #nextMs = 0
@@ -104,8 +109,18 @@
     this.stop()
     if (holding === undefined) return
     const ordering = this.parts.clock.monotonicMs() >= holding.ordersFromMs
-    const outcome = await this.parts.leaseLog.append(this.#end, this.#record(LeaseRecordKind.Release, holding.fencingToken, ordering))
-    this.parts.log.info('order lease released', { outcome })
+    const successorWaitMs = this.#successorWaitMs(holding)
+    const record = { ...this.#record(LeaseRecordKind.Release, holding.fencingToken, ordering), successorWaitMs }
+    const outcome = await this.parts.leaseLog.append(this.#end, record)
+    this.parts.log.info('order lease released', { outcome, successorWaitMs })
+  }
+
+  /** What is left of this host's own wait, or of the gap behind its last order; an earlier life may have ordered until the claim. */
+  #successorWaitMs (holding: Holding): number {
+    const { clock, instants, orderGapMs } = this.parts
+    const ownWaitMs = holding.ordersFromMs - clock.monotonicMs()
+    if (ownWaitMs > 0) return ownWaitMs
+    return Math.max(0, orderGapMs - instants.elapsedMs(this.#lastOrderAt ?? holding.claimedAt))
   }
 
   /** One step; also called by the timer. */
@@ -172,8 +187,11 @@
     this.#nextMs = nowMs + WATCH_MS
     if (holderIsLive() || !mayHold()) {
       this.#observed = undefined
+      this.#vacantSinceMs = undefined
       return
     }
+    this.#vacantSinceMs ??= nowMs
+    if (nowMs - this.#vacantSinceMs < DEFER_MS && this.parts.hasFresherPeer()) return
     const tail = await leaseLog.readTail()
     const waitMs = this.#waitBeforeClaim(tail)
     if (waitMs === undefined) return
@@ -188,7 +206,7 @@
     if (tail.last?.holder === host) return tail.last.ordering ? 0 : orderGapMs
     const lastOrderMs = tail.last === undefined ? undefined : this.parts.lastOrderUnder(tail.last.fencingToken)
     if (lastOrderMs !== undefined) return Math.max(0, orderGapMs - lastOrderMs)
-    if (tail.last?.kind === LeaseRecordKind.Release) return orderGapMs
+    if (tail.last?.kind === LeaseRecordKind.Release) return tail.last.successorWaitMs ?? orderGapMs
     const nowMs = clock.monotonicMs()
     if (this.#observed?.end !== tail.end) this.#observed = { end: tail.end, sinceMs: nowMs }
     const unchangedMs = nowMs - this.#observed.sinceMs
@@ -205,7 +223,8 @@
     const nowMs = clock.monotonicMs()
     this.#fencingToken = tail.end + 1
     this.#lastOrderAt = undefined
-    this.#holding = { fencingToken: this.#fencingToken, renewedAt: sentAt, ordersFromMs: nowMs + waitMs }
+    this.#holding = { fencingToken: this.#fencingToken, claimedAt: sentAt, renewedAt: sentAt, ordersFromMs: nowMs + waitMs }
+    this.#vacantSinceMs = undefined
     this.#nextMs = nowMs + RENEW_MS
     log.info('order lease taken', { fencingToken: this.#fencingToken, earlierHolder: tail.last?.holder, ordersInMs: waitMs })
   }
--- a/packages/gateway/src/lease/types.ts
+++ b/packages/gateway/src/lease/types.ts
@@ -19,6 +19,8 @@
   fencingToken: number
   /** The holder's wait behind its predecessor is over: it may have given orders. */
   ordering: boolean
+  /** In a release: how long the next holder has to wait before its first order. */
+  successorWaitMs?: number
 }
 
 /** End of the log of lease records, and its last record if it is still kept. */
--- a/packages/gateway/src/members/member-table.ts
+++ b/packages/gateway/src/members/member-table.ts
@@ -5,6 +5,8 @@
 export const SILENT_MS = 1_300
 /** A silent host counts for shared limits for this long, since it may still use its share. */
 const COUNTED_MS = 15_000
+/** Hosts that are stopped in turn are through with it within about this time. */
+const FRESH_MS = 60_000
 /** A silent host is forgotten after this time. */
 const FORGET_MS = 60_000
 
@@ -12,6 +14,8 @@
   address: HostAddress
   report?: HostReport
   heardMs: number
+  /** When it was first heard in a new incarnation; absent if it has had one only. */
+  restartedMs?: number
 }
 
 export class MemberTable {
@@ -32,7 +36,10 @@
   /** Takes over what a host said of itself. */
   hear (report: HostReport, nowMs: number): void {
     if (report.address.host === this.self) return
-    this.#members.set(report.address.host, { address: report.address, report, heardMs: nowMs })
+    const known = this.#members.get(report.address.host)
+    const restarted = known?.report !== undefined && known.report.incarnation !== report.incarnation
+    const restartedMs = restarted ? nowMs : known?.restartedMs
+    this.#members.set(report.address.host, { address: report.address, report, heardMs: nowMs, restartedMs })
     for (const address of report.knownHosts) this.mention(address, nowMs)
   }
 
@@ -55,6 +62,11 @@
     return this.live(nowMs).filter(({ report }) => report?.ready === true && !report.leaving)
   }
 
+  /** Whether another host that stays was seen to start anew of late. */
+  hasFreshHost (nowMs: number): boolean {
+    return this.ready(nowMs).some(({ restartedMs }) => restartedMs !== undefined && nowMs - restartedMs < FRESH_MS)
+  }
+
   /** Hosts that may use a part of what all share, this one included. */
   sharingCount (nowMs: number): number {
     const others = this.all().filter(({ heardMs, report }) => report !== undefined && nowMs - heardMs < COUNTED_MS)
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -144,3 +144,15 @@
   t.same(lookupHosts({ members, ownAddress: undefined, nowMs: 100 }), ['b:80'])
   t.same(lookupHosts({ members, ownAddress: 'a:80', nowMs: SILENT_MS }), ['a:80'])
 })
+
+t.test('a host that started anew counts as fresh for a while', async (t) => {
+  const members = MemberTable.create('a')
+  members.hear(report('b', { incarnation: 'b-1' }), 0)
+  t.notOk(members.hasFreshHost(10))
+  members.hear(report('b', { incarnation: 'b-2' }), 1_000)
+  t.ok(members.hasFreshHost(1_100))
+  members.hear(report('b', { incarnation: 'b-2', leaving: true }), 1_200)
+  t.notOk(members.hasFreshHost(1_300))
+  members.hear(report('b', { incarnation: 'b-2' }), 90_000)
+  t.notOk(members.hasFreshHost(90_100))
+})
