Let requests with time wait for a load that ends within their target

The holder of the lease now tells the others its loads under way, a request whose model will be there within its target waits for it, and Retry-After of the others goes by the load's end.

--- a/packages/cli/src/logs/logs.test.ts
+++ b/packages/cli/src/logs/logs.test.ts
@@ -137,6 +137,18 @@
   t.same(causes, ['The host knew no runner of the service.', 'Store does not answer (runners), 0.8 s before the end.'])
 })
 
+t.test('a caller that left while a runner was silent', async (t) => {
+  const causes = findCauses(story([
+    ...request(3_000, 'a', [
+      [0, 'request accepted'],
+      [0, 'sent to a runner', { runner: 'r' }],
+      [2_400, 'request not answered', { result: 'caller_gone' }]
+    ]),
+    line(3_500, 'a', 'runner left the list', { runner: 'r' })
+  ]))
+  t.same(causes, ['The caller closed its connection before the end. It had waited for r for 2.4 s.', 'Runner left the list: r, 0.5 s after the end.'])
+})
+
 t.test('other ends', async (t) => {
   const end = (message: string, fields: Fields) => findCauses(story(request(1_000, 'a', [[0, message, fields]])))
   t.same(end('request answered', {}), ['The request was answered.'])
--- a/packages/cli/src/logs/request-cause.ts
+++ b/packages/cli/src/logs/request-cause.ts
@@ -12,10 +12,22 @@
   const result = textOf(end, 'result')
   if (result === 'no_runner') return missingCauses(story, own)
   if (result === 'overloaded') return overloadCauses(story, own, end)
-  if (result === 'caller_gone') return ['The caller closed its connection before the end.']
+  if (result === 'caller_gone') return leftCauses(story, own)
   return runnerCauses(story, own, end)
 }
 
+/** What the request was waiting for when its caller left. */
+function leftCauses (story: RequestStory, own: readonly StoryLine[]): string[] {
+  const last = own.at(-2)
+  const left = 'The caller closed its connection before the end.'
+  if (last === undefined) return [left]
+  const waited = secondsBefore(story, last)
+  const runner = textOf(last.line, 'runner')
+  if (last.line.message === 'sent to a runner') return [`${left} It had waited for ${runner} for ${waited} s.`, ...runnerEvents(story)]
+  if (last.line.message === 'waits for a load') return [`${left} It had waited for a load of ${story.model} for ${waited} s.`, ...placementCauses(story)]
+  return [left]
+}
+
 function missingCauses (story: RequestStory, own: readonly StoryLine[]): string[] {
   const choice = lastOf(own, 'no runner can take the request')
   const listed = choice === undefined ? undefined : numberOf(choice, 'listed')
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,7 +11,8 @@
 import { Exchanger } from './members/exchanger.js'
 import { MemberTable } from './members/member-table.js'
 import { ConnectPeerCalls, type PeerHandler } from './members/peer-service.js'
-import type { DemandRate, HostReport } from './members/types.js'
+import type { DemandRate, ExpectedLoad, HostReport } from './members/types.js'
+import { KnownLoads } from './orders/known-loads.js'
 import { AdapterRequests } from './orders/adapter-requests.js'
 import { OrderDesk } from './orders/order-desk.js'
 import { SharedBudget } from './retry/shared-budget.js'
@@ -249,6 +250,7 @@
         mayOrder: () => this.#lease.orderToken() !== undefined,
         holderAddress: () => this.#holderReport()?.address.peerAddress
       }),
+      loads: KnownLoads.create(() => this.#expectedLoads()),
       host: {
         availabilityZone: settings.self.availabilityZone,
         hostCount: () => this.#members.sharingCount(this.#nowMs()),
@@ -258,6 +260,12 @@
     }
   }
 
+  /** Loads under way by the word of the holder of the lease; its report is younger than two exchanges. */
+  #expectedLoads (): ExpectedLoad[] {
+    if (this.#lease.orderToken() !== undefined) return this.#desk.expectedLoads()
+    return this.#holderReport()?.expectedLoads ?? []
+  }
+
   /** Last word of a host that says it holds the lease on orders. */
   #holderReport (): HostReport | undefined {
     const nowMs = this.#nowMs()
@@ -285,6 +293,7 @@
       configVersion: this.#config.version,
       runnerUses: new Map(uses.map(({ entry, inFlight }) => [entry.id, inFlight])),
       demand: this.#demand.rates(this.#nowMs()),
+      expectedLoads: this.#lease.orderToken() === undefined ? [] : this.#desk.expectedLoads(),
       lease: { heldBySender: lease.held, fencingToken: lease.fencingToken, lastOrderAgoMs: lease.lastOrderAgoMs },
       knownHosts: this.#members.live(this.#nowMs()).map(({ address }) => address),
       sentAt: this.parts.clock.now()
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -18,6 +18,7 @@
     configVersion: 1,
     runnerUses: new Map(),
     demand: [],
+    expectedLoads: [],
     lease: { heldBySender: false, fencingToken: 0 },
     knownHosts: [],
     sentAt: new Date(0),
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -68,6 +68,7 @@
     configVersion: BigInt(report.configVersion),
     runnerUses: [...report.runnerUses].map(([runnerId, inFlight]) => ({ runnerId, inFlight })),
     demand: report.demand.map((rate) => ({ ...rate, adapter: rate.adapter ?? '' })),
+    expectedLoads: report.expectedLoads,
     lease: { ...report.lease, fencingToken: BigInt(report.lease.fencingToken) },
     knownHosts: report.knownHosts,
     sentUnixMs: BigInt(report.sentAt.getTime())
@@ -84,6 +85,7 @@
     configVersion: Number(message.configVersion),
     runnerUses: new Map(message.runnerUses.map(({ runnerId, inFlight }) => [runnerId, inFlight])),
     demand: message.demand.map(toDemandRate),
+    expectedLoads: message.expectedLoads.map(({ service, model, readyInMs }) => ({ service, model, readyInMs })),
     lease: {
       fencingToken: Number(message.lease?.fencingToken ?? 0n),
       heldBySender: message.lease?.heldBySender ?? false,
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -29,6 +29,9 @@
   holdMs: number
 }
 
+/** A load under way, and when its model is expected to serve. */
+export type ExpectedLoad = { service: string, model: string, readyInMs: number }
+
 /** What a host says of itself. */
 export type HostReport = {
   address: HostAddress
@@ -40,6 +43,8 @@
   /** Requests in flight by runner id. */
   runnerUses: Map<string, number>
   demand: DemandRate[]
+  /** Loads that this host ordered as the holder of the lease. */
+  expectedLoads: ExpectedLoad[]
   lease: LeaseView
   knownHosts: HostAddress[]
   /** Time of day at the sender. */
--- a/packages/gateway/src/orders/order-desk.ts
+++ b/packages/gateway/src/orders/order-desk.ts
@@ -2,7 +2,7 @@
 import type { Clock, Logger, Timer } from '@figloom/runtime'
 import type { ConfigState } from '../config/config-state.js'
 import type { EngineSpec, Service } from '../config/types.js'
-import type { AdapterReply, AdapterRequest, DemandRate } from '../members/types.js'
+import type { AdapterReply, AdapterRequest, DemandRate, ExpectedLoad } from '../members/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
 import { forecastDemand, type ModelDemand } from './demand-forecast.js'
 import { planAdapters, type AdapterLoad } from './plan-adapters.js'
@@ -45,6 +45,8 @@
   startedUnixMs: number | undefined
   /** Orders to one runner follow each other. */
   tail: Promise<unknown>
+  /** How long the model order under way takes, as far as it is known. */
+  usualMs: number
   /** Orders that wait for the ones before them. */
   waiting: number
   reportedMs: number
@@ -77,6 +79,17 @@
     this.#timer?.cancel()
   }
 
+  /** Loads under way that this host knows of. */
+  expectedLoads (): ExpectedLoad[] {
+    const nowMs = this.parts.clock.monotonicMs()
+    return this.parts.runners.all().flatMap(({ entry }) => {
+      const desk = this.#desks.get(entry.id)
+      const pending = desk?.book.pending
+      if (desk === undefined || pending?.kind !== OrderKind.Load || pending.model === '') return []
+      return [{ service: entry.service, model: pending.model, readyInMs: Math.max(0, pending.sinceMs + desk.usualMs - nowMs) }]
+    })
+  }
+
   /** Brings an adapter to a runner that holds its model. */
   async ensureAdapter (request: AdapterRequest): Promise<AdapterReply> {
     const refused = { accepted: false, readyInMs: 0 }
@@ -228,6 +241,8 @@
     const state = this.parts.runners.get(order.runnerId)
     if (state === undefined) return
     const desk = this.#desk(state)
+    const spec = this.#engineOf(state)?.models.get(order.model)
+    desk.usualMs = (order.fromStore ? spec?.loadMs : spec?.diskLoadMs) ?? 0
     if (order.fromStore) this.#pace.onLoad()
     this.#enqueue(desk, () => this.#send(state, desk, order, 0)).catch(() => {})
     if (order.kind === OrderKind.Unload) this.parts.runners.markDenied(order.runnerId, order.model, undefined, this.parts.clock.monotonicMs())
@@ -281,7 +296,7 @@
     const { id, startedUnixMs } = state.entry
     const known = this.#desks.get(id)
     if (known !== undefined && known.startedUnixMs === startedUnixMs) return known
-    const desk: RunnerDesk = { book: RunnerBook.create(id), startedUnixMs, tail: Promise.resolve(), waiting: 0, reportedMs: -Infinity, reporting: false }
+    const desk: RunnerDesk = { book: RunnerBook.create(id), startedUnixMs, tail: Promise.resolve(), usualMs: 0, waiting: 0, reportedMs: -Infinity, reporting: false }
     this.#desks.set(id, desk)
     return desk
   }
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
 import type { Route, Service } from '../config/types.js'
+import { LoadWait } from './load-wait.js'
 import { findCandidates, connectionShare, PATIENT_TARGET_MS, type CandidateSet, type Need } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { Attempt } from '../forward/attempt.js'
@@ -48,6 +49,8 @@
   #attempt: Attempt | undefined
   #runner: RunnerState | undefined
   #timer: Timer | undefined
+  #lookTimer: Timer | undefined
+  #loadWait: LoadWait | undefined
   #weightsVersion: number | undefined
   #mayHaveRun = false
   #over = false
@@ -276,7 +279,23 @@
     this.#giveUp(this.#failure(ResultCode.Overloaded, result.reason, this.#fullRetryMs()))
   }
 
+  /** Looks again in a moment if the model is being loaded and will be there in time. */
+  #waitForLoad (): boolean {
+    const { clock, loads, host } = this.context
+    const { service, facts, route, arrivedMs } = this.request
+    if (service.engine === undefined || facts.model === undefined || host.isLeaving()) return false
+    const isFirstLook = this.#loadWait === undefined
+    this.#loadWait ??= LoadWait.create(loads, { service: service.name, model: facts.model, arrivedMs, targetLatencyMs: route.targetLatencyMs })
+    const lookMs = this.#loadWait.nextLookMs(clock.monotonicMs())
+    if (lookMs === undefined) return false
+    if (isFirstLook) this.#log.note('waits for a load', { model: facts.model, readyInMs: loads.readyInMs(service.name, facts.model) })
+    this.#lookTimer = clock.setTimer(lookMs, () => this.#send())
+    return true
+  }
+
   #refuse (set: CandidateSet): void {
+    const mayWait = !this.#relay.begun && !this.#mayHaveRun && set.fullCount === 0
+    if (mayWait && this.#waitForLoad()) return
     this.#log.note('no runner can take the request', { full: set.fullCount, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
     if (this.#relay.begun) return this.#breakOff('no runner to resume the stream')
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastReason}; no other runner is free`))
@@ -321,7 +340,8 @@
     const { service, facts } = this.request
     const model = facts.model === undefined ? undefined : service.engine?.models.get(facts.model)
     const onDisk = model !== undefined && this.context.runners.usable(service.name).some(({ entry }) => entry.localWeights.includes(model.name))
-    return retryAfterMissing(model, onDisk, { timeLeftMs: this.#timeLeftMs(), random: this.context.random })
+    const readyInMs = model === undefined ? undefined : this.context.loads.readyInMs(service.name, model.name)
+    return retryAfterMissing(model, onDisk, readyInMs, { timeLeftMs: this.#timeLeftMs(), random: this.context.random })
   }
 
   #timeLeftMs (): number {
@@ -343,6 +363,7 @@
     if (this.#over) return
     this.#over = true
     this.#timer?.cancel()
+    this.#lookTimer?.cancel()
     this.#logEnd(result, reason)
     this.#resolveFinished()
   }
--- a/packages/gateway/src/serve/retry-after.ts
+++ b/packages/gateway/src/serve/retry-after.ts
@@ -8,6 +8,8 @@
 const TIME_LEFT_SHARE = 0.33
 /** A model that has no copy is ordered within about this time. */
 const ORDER_MS = 800
+/** The list of runners shows the end of a load within about this time. */
+const LIST_LAG_MS = 800
 /** Requests end all the time on full runners: the first place is free soon, one for everybody later. */
 const FULL_MIN_MS = 700
 const FULL_MAX_MS = 3_000
@@ -27,11 +29,13 @@
  * No runner holds what the request needs.
  * @param model the model, if one was named that the configuration knows
  * @param onDisk a runner has its weights on its own disk
+ * @param readyInMs time until a load under way is expected to end
  */
-export function retryAfterMissing (model: ModelSpec | undefined, onDisk: boolean, { timeLeftMs, random }: RetryAfterInput): number {
+export function retryAfterMissing (model: ModelSpec | undefined, onDisk: boolean, readyInMs: number | undefined, { timeLeftMs, random }: RetryAfterInput): number {
   if (model === undefined) return bounded(UNKNOWN_MS, timeLeftMs)
   const loadMs = onDisk ? model.diskLoadMs : model.loadMs
-  return bounded(ORDER_MS + loadMs + random() * SPREAD_MS, timeLeftMs)
+  const waitMs = readyInMs === undefined ? ORDER_MS + loadMs : readyInMs + LIST_LAG_MS
+  return bounded(waitMs + random() * SPREAD_MS, timeLeftMs)
 }
 
 function bounded (delayMs: number, timeLeftMs: number): number {
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -14,6 +14,12 @@
   abstract ensure (runnerId: string, model: string, adapter: string, timeoutMs: number): Promise<boolean>
 }
 
+/** What is known of loads under way. */
+export abstract class LoadOutlook {
+  /** Time until a model that is being loaded is expected to serve; undefined if no load of it is known. */
+  abstract readyInMs (service: string, model: string): number | undefined
+}
+
 /** What a host knows of its own state and of the others. */
 export type HostView = {
   availabilityZone: string
@@ -34,6 +40,7 @@
   budget: SharedBudget
   demand: DemandMeter
   adapters: AdapterLoader
+  loads: LoadOutlook
   host: HostView
   random: () => number
 }
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -4,6 +4,8 @@
 import { Registry, silentLogger, SystemClock } from '@figloom/runtime'
 import { ConfigState } from '../config/config-state.js'
 import { RouteKind, type Route, type Service } from '../config/types.js'
+import type { ExpectedLoad } from '../members/types.js'
+import { KnownLoads } from '../orders/known-loads.js'
 import { RunnerConnections } from '../forward/runner-connections.js'
 import { SharedBudget } from '../retry/shared-budget.js'
 import { RunnerTable } from '../runners/runner-table.js'
@@ -60,17 +62,19 @@
   readonly #runners: RawRunner[] = []
   readonly #server: Server
 
-  private constructor (readonly context: ServeContext) {
+  /** `expectedLoads` are those that the host is told of. */
+  private constructor (readonly context: ServeContext, readonly expectedLoads: ExpectedLoad[]) {
     this.#server = createServer((request, response) => { serveRequest(context, request, response) })
   }
 
-  static async create (routes: Route[]): Promise<GatewayFixture> {
+  static async create (routes: Route[], service = SERVICE): Promise<GatewayFixture> {
+    const expectedLoads: ExpectedLoad[] = []
     const clock = SystemClock.create()
     const config = ConfigState.create()
     config.adopt({
       version: 1,
       routes,
-      services: new Map([[SERVICE.name, SERVICE]]),
+      services: new Map([[service.name, service]]),
       limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
     })
     const fixture = new GatewayFixture({
@@ -84,9 +88,10 @@
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
       adapters: new NoAdapters(),
+      loads: KnownLoads.create(() => expectedLoads),
       host: { availabilityZone: 'zone-1', hostCount: () => 1, isLeaving: () => false },
       random: () => 0.5
-    })
+    }, expectedLoads)
     await new Promise<void>((resolve) => fixture.#server.listen(0, '127.0.0.1', resolve))
     return fixture
   }
