--- a/packages/gateway/src/choose/candidates.ts
+++ b/packages/gateway/src/choose/candidates.ts
@@ -68,8 +68,7 @@
     id: entry.id,
     slots: Math.max(1, entry.slots),
     inFlight: table.totalInFlight(state),
-    availabilityZone: entry.availabilityZone,
-    slowness: 1
+    availabilityZone: entry.availabilityZone
   }
 }
 
--- a/packages/gateway/src/choose/choose-runner.ts
+++ b/packages/gateway/src/choose/choose-runner.ts
@@ -10,8 +10,6 @@
   /** Requests there from all hosts. */
   inFlight: number
   availabilityZone: string
-  /** Factor on its usual pace; above 1 it answers more slowly than its peers. */
-  slowness: number
 }
 
 export type ChoiceInput = {
@@ -48,7 +46,7 @@
 
 /** Expected occupation of a runner, less what speaks for it. */
 function costOf (candidate: Candidate, input: ChoiceInput, options: ChoiceOptions, isPreferred: boolean): number {
-  const occupation = (candidate.inFlight + 1) / candidate.slots * candidate.slowness
+  const occupation = (candidate.inFlight + 1) / candidate.slots
   const affinity = isPreferred ? options.affinityAllowance : 0
   const zone = candidate.availabilityZone === input.availabilityZone ? options.zoneAllowance : 0
   const tieBreak = input.random() * 0.01
--- a/packages/gateway/src/choose/choose.test.ts
+++ b/packages/gateway/src/choose/choose.test.ts
@@ -12,7 +12,7 @@
 }
 
 function candidate (id: string, inFlight: number, zone = 'z'): Candidate {
-  return { id, slots: 10, inFlight, availabilityZone: zone, slowness: 1 }
+  return { id, slots: 10, inFlight, availabilityZone: zone }
 }
 
 function choose (candidates: Candidate[], affinityKey = ''): string | undefined {
--- a/packages/gateway/src/orders/order-desk.ts
+++ b/packages/gateway/src/orders/order-desk.ts
@@ -4,12 +4,13 @@
 import type { EngineSpec, Service } from '../config/types.js'
 import type { AdapterReply, AdapterRequest, DemandRate, ExpectedLoad } from '../members/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
-import { forecastDemand, type ModelDemand } from './demand-forecast.js'
+import { forecastDemand } from './demand-forecast.js'
 import { planAdapters, type AdapterLoad } from './plan-adapters.js'
+import { PlacementLog } from './placement-log.js'
 import { planModels, type PlannedOrder, type PlannedRunner } from './plan-models.js'
 import { LoadPace } from './load-pace.js'
 import { MissingCopies } from './missing-copies.js'
-import { RunnerBook, type AdapterCopy } from './runner-book.js'
+import { RunnerBook, UNKNOWN_ORDER, type AdapterCopy } from './runner-book.js'
 import { OrderAnswer, OrderKind, type OrderTarget, type RunnerOrders } from './types.js'
 
 const TICK_MS = 250
@@ -21,10 +22,6 @@
 const OVERDUE_FACTOR = 1.5
 const OVERDUE_MARGIN_MS = 1_500
 
-/** Time between two lines on placement, and the models that they name. */
-const PLACEMENT_LOG_MS = 2_000
-const PLACEMENT_LOG_MODELS = 8
-
 export type OrderDeskParts = {
   clock: Clock
   log: Logger
@@ -57,13 +54,14 @@
   readonly #desks = new Map<string, RunnerDesk>()
   readonly #pace: LoadPace
   readonly #missing = MissingCopies.create()
+  readonly #placementLog: PlacementLog
   #token: number | undefined
-  #loggedMs = -Infinity
   #timer: Timer | undefined
   #stopped = false
 
   private constructor (private readonly parts: OrderDeskParts) {
     this.#pace = LoadPace.create(parts.clock.monotonicMs())
+    this.#placementLog = PlacementLog.create(parts.clock, parts.log)
   }
 
   static create (parts: OrderDeskParts): OrderDesk {
@@ -85,7 +83,7 @@
     return this.parts.runners.all().flatMap(({ entry }) => {
       const desk = this.#desks.get(entry.id)
       const pending = desk?.book.pending
-      if (desk === undefined || pending?.kind !== OrderKind.Load || pending.model === '') return []
+      if (desk === undefined || pending?.kind !== OrderKind.Load || pending.model === UNKNOWN_ORDER) return []
       return [{ service: entry.service, model: pending.model, readyInMs: Math.max(0, pending.sinceMs + desk.usualMs - nowMs) }]
     })
   }
@@ -112,6 +110,11 @@
     return result
   }
 
+  /** Nobody waits for the outcome; the queue has written a failure to the log. */
+  #giveUnasked (desk: RunnerDesk, task: () => Promise<OrderAnswer>): void {
+    this.#enqueue(desk, task).catch(() => undefined)
+  }
+
   #tick (): void {
     if (this.#stopped) return
     const token = this.parts.orderToken()
@@ -151,25 +154,8 @@
       storeLoads: this.#pace.available(engine.loadsPerS, nowMs)
     })
     for (const order of plan) this.#giveModelOrder(order)
-    this.#logPlacement(known, engine, demand)
-  }
-
-  /** A line now and then on the demand for models and the copies that meet it. */
-  #logPlacement (states: RunnerState[], engine: EngineSpec, demand: ReadonlyMap<string, ModelDemand>): void {
-    const nowMs = this.parts.clock.monotonicMs()
-    if (nowMs - this.#loggedMs < PLACEMENT_LOG_MS) return
-    this.#loggedMs = nowMs
-    const service = states[0]?.entry.service ?? ''
-    const asked = [...demand].sort(([, a], [, b]) => b.nowPlaces - a.nowPlaces).slice(0, PLACEMENT_LOG_MODELS)
-    const copies = (model: string) => states.filter((state) => this.#desk(state).book.models.includes(model)).length
-    this.parts.log.info('placement', {
-      service,
-      runners: states.length,
-      places: states.length * engine.slots,
-      taken: states.reduce((sum, state) => sum + this.parts.runners.totalInFlight(state), 0),
-      busy: states.filter((state) => this.#desk(state).book.pending !== undefined).length,
-      models: asked.map(([model, { nowPlaces, comingPlaces }]) => `${model} asks ${nowPlaces.toFixed(1)} and then ${comingPlaces.toFixed(1)} of ${copies(model)} copies`).join(', ')
-    })
+    const taken = known.reduce((sum, state) => sum + this.parts.runners.totalInFlight(state), 0)
+    this.#placementLog.write({ service: name, runners, slots: engine.slots, taken, demand })
   }
 
   /** Runners that are given adapters count as busy for the models planned next. */
@@ -191,7 +177,7 @@
     const state = this.parts.runners.get(runnerId)
     if (state === undefined) return
     const desk = this.#desk(state)
-    this.#enqueue(desk, () => this.#send(state, desk, { kind: OrderKind.Load, model, adapter }, ADAPTER_LOAD_MS)).catch(() => {})
+    this.#giveUnasked(desk, () => this.#send(state, desk, { kind: OrderKind.Load, model, adapter }, ADAPTER_LOAD_MS))
   }
 
   #planned (state: RunnerState, engine: EngineSpec): PlannedRunner {
@@ -244,7 +230,7 @@
     const spec = this.#engineOf(state)?.models.get(order.model)
     desk.usualMs = (order.fromStore ? spec?.loadMs : spec?.diskLoadMs) ?? 0
     if (order.fromStore) this.#pace.onLoad()
-    this.#enqueue(desk, () => this.#send(state, desk, order, 0)).catch(() => {})
+    this.#giveUnasked(desk, () => this.#send(state, desk, order, 0))
     if (order.kind === OrderKind.Unload) this.parts.runners.markDenied(order.runnerId, order.model, undefined, this.parts.clock.monotonicMs())
   }
 
--- a/packages/gateway/src/orders/runner-book.ts
+++ b/packages/gateway/src/orders/runner-book.ts
@@ -14,7 +14,7 @@
 export type AdapterCopy = { model: string, adapter: string, residentFromMs: number, usedMs: number }
 
 /** A runner that says it is busy with an order which isn't known may be loading the largest model. */
-const UNKNOWN_ORDER = ''
+export const UNKNOWN_ORDER = ''
 
 export class RunnerBook {
   #acceptedOrders: number | undefined
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -3,7 +3,7 @@
 import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
 import type { Route, Service } from '../config/types.js'
 import { LoadWait } from './load-wait.js'
-import { findCandidates, connectionShare, PATIENT_TARGET_MS, type CandidateSet, type Need } from '../choose/candidates.js'
+import { findCandidates, connectionShare, type CandidateSet, type Need } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { Attempt } from '../forward/attempt.js'
 import type { CallerFacts, RawHeaders } from '../forward/types.js'
@@ -12,6 +12,7 @@
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
 import { decideNext, NextStep, Outcome, type Progress } from './outcome.js'
 import { writeFailure } from './own-answer.js'
+import { affinityKey, promisesNotRun, urgencyOf } from './request-hints.js'
 import { RequestLog } from './request-log.js'
 import { retryAfterFull, retryAfterMissing } from './retry-after.js'
 import type { ServeContext } from './types.js'
@@ -36,8 +37,6 @@
 const MAX_ADAPTER_TRIES = 4
 /** A sending with less time than this can't be answered. */
 const MIN_ATTEMPT_MS = 5
-/** Lowest rank in a runner's queue. */
-const MAX_URGENCY = 9
 
 export class RequestRun {
   readonly #relay: AnswerRelay
@@ -387,22 +386,3 @@
     this.#log.end(!answered)
   }
 }
-
-/** Statuses that promise that a request has not run; a runner that says so without stating it isn't believed. */
-function promisesNotRun (status: number): boolean {
-  return status === 408 || status === 421 || status === 429 || status === 503
-}
-
-/** The deepest part of the prompt that other requests share. */
-function affinityKey (facts: CallerFacts): string {
-  const parts = facts.promptParts
-  if (parts.length === 0) return ''
-  const shared = parts[Math.max(0, parts.length - 2)]
-  return `${facts.model ?? ''}/${facts.adapter ?? ''}/${shared?.id ?? ''}`
-}
-
-/** Rank in a runner's queue, 0 first: by the route's priority, requests that can wait behind all others. */
-function urgencyOf (route: Route): number {
-  const patience = route.targetLatencyMs > PATIENT_TARGET_MS ? 4 : 0
-  return Math.min(MAX_URGENCY, route.priority + patience)
-}
