--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -134,7 +134,7 @@
   const stopped = host.gateway.stop()
   t.equal(await status(host.readiness, '/ready'), 503)
   t.equal(await status(host.lookup, '/hosts?name=x'), 503)
-  setTimeout(finish, 500)
+  setTimeout(finish, 4_500)
   await Promise.all([stopped, closed])
   t.match(text, /0\r\n\r\n$/)
 })
--- a/packages/gateway/src/serve/damaged-answers.test.ts
+++ b/packages/gateway/src/serve/damaged-answers.test.ts
@@ -4,7 +4,7 @@
 import type { RawExchange } from '../testing/raw-runner.js'
 
 const read = createRoute({ pathPrefix: '/read/' })
-const book = createRoute({ pathPrefix: '/book/', kind: RouteKind.NonIdempotent, maxAttempts: 1 })
+const book = createRoute({ pathPrefix: '/book/', kind: RouteKind.NonIdempotent, maxAttempts: 2 })
 
 async function createFixture (t: Test): Promise<GatewayFixture> {
   const fixture = await GatewayFixture.create([read, book])
