--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -224,7 +224,7 @@
       orderGapMs: settings.orderGapMs,
       holderIsLive: () => this.#holderReport() !== undefined,
       lastOrderUnder: (fencingToken) => this.#lastOrderUnder(fencingToken),
-      hasFresherPeer: () => this.#members.hasFreshHost(this.#nowMs()),
+      hasRestartedPeer: () => this.#members.hasRestartedHost(this.#nowMs()),
       mayHold: () => this.#config.known && !this.#leaving
     })
   }
--- a/packages/gateway/src/lease/lease-keeper.test.ts
+++ b/packages/gateway/src/lease/lease-keeper.test.ts
@@ -46,7 +46,7 @@
 class Hosts {
   readonly clock = ManualClock.create()
   readonly log = SharedLog.create()
-  /** Hosts that know of a fresher one. */
+  /** Hosts that saw another restart. */
   readonly deferring = new Set<string>()
   /** Hosts that the others don't hear. */
   readonly silent = new Set<string>()
@@ -67,7 +67,7 @@
       orderGapMs: GAP_MS,
       holderIsLive: () => this.#heard(name).some(({ keeper }) => keeper.describe().held),
       lastOrderUnder: (fencingToken) => this.#lastOrderUnder(name, fencingToken),
-      hasFresherPeer: () => this.deferring.has(name),
+      hasRestartedPeer: () => this.deferring.has(name),
       mayHold: () => true
     })
     this.#hosts.set(incarnation, { keeper, name })
@@ -283,7 +283,7 @@
   t.ok(second.orderToken())
 })
 
-t.test('a host leaves the lease to a fresher one', async (t) => {
+t.test('a host leaves the lease to one that restarted of late', async (t) => {
   for (const stays of ['b', 'c']) {
     const hosts = Hosts.create()
     for (const host of ['b', 'c']) if (host !== stays) hosts.deferring.add(host)
--- a/packages/gateway/src/lease/lease-keeper.ts
+++ b/packages/gateway/src/lease/lease-keeper.ts
@@ -19,7 +19,7 @@
 const STAND_BACK_MS = 3_000
 /** While a live holder is in direct contact, the log isn't read. */
 const WATCH_MS = 400
-/** A host leaves the lease to a fresher one for this long: for one look of it at the log. */
+/** A host leaves the lease to one that restarted of late for this long: for one look of that host at the log. */
 const DEFER_MS = WATCH_MS
 
 export type LeaseParts = {
@@ -39,7 +39,7 @@
    */
   lastOrderUnder: (fencingToken: number) => number | undefined
   /** Another host started anew of late: while hosts are stopped in turn, it stays longer than this one. */
-  hasFresherPeer: () => boolean
+  hasRestartedPeer: () => boolean
   /** Whether this host may take the lease now. */
   mayHold: () => boolean
 }
@@ -191,7 +191,7 @@
       return
     }
     this.#vacantSinceMs ??= nowMs
-    if (nowMs - this.#vacantSinceMs < DEFER_MS && this.parts.hasFresherPeer()) return
+    if (nowMs - this.#vacantSinceMs < DEFER_MS && this.parts.hasRestartedPeer()) return
     const tail = await leaseLog.readTail()
     const waitMs = this.#waitBeforeClaim(tail)
     if (waitMs === undefined) return
--- a/packages/gateway/src/members/member-table.ts
+++ b/packages/gateway/src/members/member-table.ts
@@ -6,7 +6,7 @@
 /** A silent host counts for shared limits for this long, since it may still use its share. */
 const COUNTED_MS = 15_000
 /** Hosts that are stopped in turn are through with it within about this time. */
-const FRESH_MS = 60_000
+const RESTARTED_LATELY_MS = 60_000
 /** A silent host is forgotten after this time. */
 const FORGET_MS = 60_000
 
@@ -63,8 +63,8 @@
   }
 
   /** Whether another host that stays was seen to start anew of late. */
-  hasFreshHost (nowMs: number): boolean {
-    return this.ready(nowMs).some(({ restartedMs }) => restartedMs !== undefined && nowMs - restartedMs < FRESH_MS)
+  hasRestartedHost (nowMs: number): boolean {
+    return this.ready(nowMs).some(({ restartedMs }) => restartedMs !== undefined && nowMs - restartedMs < RESTARTED_LATELY_MS)
   }
 
   /** Hosts that may use a part of what all share, this one included. */
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -146,14 +146,14 @@
   t.same(lookupHosts({ members, ownAddress: 'a:80', nowMs: SILENT_MS }), ['a:80'])
 })
 
-t.test('a host that started anew counts as fresh for a while', async (t) => {
+t.test('a host that restarted is told from the others for a while', async (t) => {
   const members = MemberTable.create('a')
   members.hear(report('b', { incarnation: 'b-1' }), 0)
-  t.notOk(members.hasFreshHost(10))
+  t.notOk(members.hasRestartedHost(10))
   members.hear(report('b', { incarnation: 'b-2' }), 1_000)
-  t.ok(members.hasFreshHost(1_100))
+  t.ok(members.hasRestartedHost(1_100))
   members.hear(report('b', { incarnation: 'b-2', leaving: true }), 1_200)
-  t.notOk(members.hasFreshHost(1_300))
+  t.notOk(members.hasRestartedHost(1_300))
   members.hear(report('b', { incarnation: 'b-2' }), 90_000)
-  t.notOk(members.hasFreshHost(90_100))
+  t.notOk(members.hasRestartedHost(90_100))
 })
--- a/packages/gateway/src/serve/load-wait.ts
+++ b/packages/gateway/src/serve/load-wait.ts
@@ -7,8 +7,8 @@
 
 /** Part of the route's target within which the model has to be there; the rest is for the answer's beginning. */
 const TARGET_SHARE = 0.85
-/** The list of runners shows the end of a load this much later at some hosts. */
-const LIST_LAG_MS = 1_500
+/** Behind the end of a load the wait goes on for this long: the list of runners shows it later at some hosts. */
+const WAIT_BEHIND_LOAD_MS = 1_500
 /** Pause between two looks for the model. */
 const RECHECK_MS = 100
 
@@ -31,7 +31,7 @@
     const readyInMs = this.outlook.readyInMs(service, model)
     if (readyInMs !== undefined && nowMs + readyInMs > latestMs) return undefined
     if (readyInMs !== undefined) this.#seenMs = nowMs
-    if (this.#seenMs === undefined || nowMs - this.#seenMs > LIST_LAG_MS) return undefined
+    if (this.#seenMs === undefined || nowMs - this.#seenMs > WAIT_BEHIND_LOAD_MS) return undefined
     return RECHECK_MS
   }
 }
