--- /dev/null
+++ b/scripts/check-build.mjs
@@ -0,0 +1,108 @@
+/**
+ * Runs the build of deploy/system.toml as a new machine would: in a fresh clone, without the caller's environment, with the
+ * programs of the listed packages alone. Fails when the build fails or uses a system package that is not listed.
+ * Needs git, dpkg and strace. Prints each package with one file of it.
+ */
+import { spawnSync } from 'node:child_process'
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, symlinkSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { basename, join } from 'node:path'
+import { getStaticTOMLValue, parseTOML } from 'toml-eslint-parser'
+import { findOwner, isMachineFile, listPrograms } from './build-check/packages.mjs'
+import { readOpenedPaths } from './build-check/trace.mjs'
+
+/** The users' limit for a build. */
+const BUILD_LIMIT_MS = 15 * 60_000
+const VIRTUAL = /^\/(proc|sys|dev)(\/|$)/
+
+function run (command, args, options = {}) {
+  const result = spawnSync(command, args, { encoding: 'utf8', maxBuffer: 64 * 1024 * 1024, ...options })
+  if (result.error) throw result.error
+  return result
+}
+
+function readDeployFile () {
+  const deploy = getStaticTOMLValue(parseTOML(readFileSync('deploy/system.toml', 'utf8')))
+  return { build: deploy.build, packages: deploy.packages ?? [] }
+}
+
+/** A directory that holds links to the programs of the listed packages and nothing else. */
+function linkPrograms (directory, packages) {
+  mkdirSync(directory)
+  const programs = new Map(packages.flatMap(listPrograms).map((path) => [basename(path), path]))
+  for (const [name, path] of programs) symlinkSync(path, join(directory, name))
+  return programs.get('sh') ?? '/bin/sh'
+}
+
+function cloneInto (directory) {
+  const cloned = run('git', ['clone', '--quiet', '.', directory])
+  if (cloned.status !== 0) throw new Error(`git clone failed: ${cloned.stderr}`)
+}
+
+/** The tracer is this check's tool, not the build's: it is found on the caller's path. */
+function findTracer () {
+  const path = run('/bin/sh', ['-c', 'command -v strace']).stdout.trim()
+  if (path === '') throw new Error('strace is not installed')
+  return path
+}
+
+/** Runs the build; returns the paths outside the checkout that it opened, or undefined where it failed. */
+function runBuild ({ build, shell, scratch, checkout }) {
+  const trace = join(scratch, 'trace')
+  const home = join(scratch, 'home')
+  const traced = ['-f', '-qq', '-o', trace, '-e', 'trace=execve,open,openat,openat2', shell, '-c', build]
+  const env = { PATH: join(scratch, 'bin'), HOME: home, LANG: 'C' }
+  mkdirSync(home, { recursive: true })
+  const result = run(findTracer(), traced, { cwd: checkout, env, timeout: BUILD_LIMIT_MS })
+  if (result.status !== 0) {
+    console.log(`build failed with status ${result.status}\n${result.stdout}${result.stderr}`)
+    return undefined
+  }
+  return readOpenedPaths(readFileSync(trace, 'utf8')).filter((path) => !path.startsWith(scratch) && !VIRTUAL.test(path))
+}
+
+/** First file seen of each owner; files that no package owns stand under undefined. */
+function groupByOwner (paths) {
+  const owners = new Map()
+  for (const path of paths) {
+    const owner = findOwner(path)
+    if (owner === undefined && isMachineFile(path)) continue
+    owners.set(owner, [...owners.get(owner) ?? [], path])
+  }
+  return owners
+}
+
+function report (owners, packages) {
+  const unlisted = [...owners.keys()].filter((owner) => !packages.includes(owner))
+  for (const [owner, paths] of owners) console.log(`build uses ${owner ?? 'no package'}: ${paths[0]} and ${paths.length - 1} more`)
+  for (const name of packages.filter((name) => !owners.has(name))) console.log(`listed, not used by this build: ${name}`)
+  for (const owner of unlisted) console.log(`NOT LISTED: ${owner ?? 'files of no package'}: ${owners.get(owner).slice(0, 5).join(' ')}`)
+  return unlisted.length === 0
+}
+
+/** An install that was interrupted leaves a directory that is newer than the lock file and has nothing in it. */
+function buildsOverInterruptedInstall (parts) {
+  const checkout = join(parts.scratch, 'interrupted')
+  cloneInto(checkout)
+  mkdirSync(join(checkout, 'node_modules'))
+  const good = runBuild({ ...parts, checkout }) !== undefined
+  console.log(`build over an interrupted install: ${good ? 'passes' : 'FAILS'}`)
+  return good
+}
+
+function main () {
+  const { build, packages } = readDeployFile()
+  const scratch = mkdtempSync(join(tmpdir(), 'figloom-build-'))
+  try {
+    const parts = { build, scratch, checkout: join(scratch, 'checkout'), shell: linkPrograms(join(scratch, 'bin'), packages) }
+    cloneInto(parts.checkout)
+    const opened = runBuild(parts)
+    if (opened === undefined) return 1
+    const listed = report(groupByOwner(opened), packages)
+    return listed && buildsOverInterruptedInstall(parts) ? 0 : 1
+  } finally {
+    rmSync(scratch, { recursive: true, force: true })
+  }
+}
+
+process.exitCode = main()
