--- a/scripts/check-build.mjs
+++ b/scripts/check-build.mjs
@@ -4,11 +4,11 @@
  * Needs git, dpkg and strace. Prints each package with one file of it.
  */
 import { spawnSync } from 'node:child_process'
-import { mkdirSync, mkdtempSync, readFileSync, rmSync, symlinkSync } from 'node:fs'
+import { existsSync, mkdirSync, mkdtempSync, readFileSync, rmSync, symlinkSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { basename, join } from 'node:path'
 import { getStaticTOMLValue, parseTOML } from 'toml-eslint-parser'
-import { findOwner, isMachineFile, listPrograms } from './build-check/packages.mjs'
+import { groupByOwner, listPrograms } from './build-check/packages.mjs'
 import { readOpenedPaths } from './build-check/trace.mjs'
 
 /** The users' limit for a build. */
@@ -58,18 +58,7 @@
     console.log(`build failed with status ${result.status}\n${result.stdout}${result.stderr}`)
     return undefined
   }
-  return readOpenedPaths(readFileSync(trace, 'utf8')).filter((path) => !path.startsWith(scratch) && !VIRTUAL.test(path))
-}
-
-/** First file seen of each owner; files that no package owns stand under undefined. */
-function groupByOwner (paths) {
-  const owners = new Map()
-  for (const path of paths) {
-    const owner = findOwner(path)
-    if (owner === undefined && isMachineFile(path)) continue
-    owners.set(owner, [...owners.get(owner) ?? [], path])
-  }
-  return owners
+  return readOpenedPaths(readFileSync(trace, 'utf8')).filter((path) => path !== '/' && !path.startsWith(scratch) && !VIRTUAL.test(path))
 }
 
 function report (owners, packages) {
@@ -80,6 +69,16 @@
   return unlisted.length === 0
 }
 
+/** Tools of the tests have no place in a build. */
+function installsNoTestTools (checkout) {
+  const { devDependencies } = JSON.parse(readFileSync('package.json', 'utf8'))
+  const installed = Object.keys(devDependencies).filter((name) => existsSync(join(checkout, 'node_modules', name)))
+  // The types come along with a library that the gateway imports.
+  const tools = installed.filter((name) => !name.startsWith('@types/'))
+  if (tools.length > 0) console.log(`BUILD INSTALLS TOOLS OF THE TESTS: ${tools.join(', ')}`)
+  return tools.length === 0
+}
+
 /** An install that was interrupted leaves a directory that is newer than the lock file and has nothing in it. */
 function buildsOverInterruptedInstall (parts) {
   const checkout = join(parts.scratch, 'interrupted')
@@ -98,8 +97,12 @@
     cloneInto(parts.checkout)
     const opened = runBuild(parts)
     if (opened === undefined) return 1
-    const listed = report(groupByOwner(opened), packages)
-    return listed && buildsOverInterruptedInstall(parts) ? 0 : 1
+    const checks = [
+      report(groupByOwner(opened), packages),
+      installsNoTestTools(parts.checkout),
+      buildsOverInterruptedInstall(parts)
+    ]
+    return checks.every(Boolean) ? 0 : 1
   } finally {
     rmSync(scratch, { recursive: true, force: true })
   }
