--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -20,6 +20,10 @@
   }
 
   override stop (): void {}
+
+  override readConfig (): void {}
+
+  override configReadAgoMs (): undefined {}
 }
 
 class NoRegistry extends HostRegistry {
@@ -61,7 +65,7 @@
     log: silentLogger,
     random: () => 0.5,
     settings: {
-      self: { host: 'a', availabilityZone: 'z', callerAddress: callers, peerAddress: peers },
+      self: { host: 'a', availabilityZone: 'z', callerAddress: callers, peerAddress: peers, capacityCores: 1 },
       callerListener: callers,
       readinessListener: readiness,
       lookupListener: lookup,
@@ -69,6 +73,7 @@
       seedPeerAddresses: [],
       budget: { ratio: 0.2, slack: 50, windowMs: 10_000 },
       graceMs: 8_000,
+      contactMs: 3_000,
       orderGapMs: 3_000,
       maxLookupTtlMs: 5_000
     },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,8 +9,11 @@
 import { LeaseKeeper } from './lease/lease-keeper.js'
 import { lookupHosts } from './lookup/lookup.js'
 import { Exchanger } from './members/exchanger.js'
-import { MemberTable } from './members/member-table.js'
+import { createContactPace, type ContactPace } from './members/contact-pace.js'
+import { MemberTable, type Member } from './members/member-table.js'
 import { ConnectPeerCalls, type PeerHandler } from './members/peer-service.js'
+import { ReportWriter, type OwnState } from './members/report-writer.js'
+import { SharedView } from './members/shared-view.js'
 import type { DemandRate, ExpectedLoad, HostReport } from './members/types.js'
 import { KnownLoads } from './orders/known-loads.js'
 import { AdapterRequests } from './orders/adapter-requests.js'
@@ -28,13 +31,13 @@
 const LOOKUP_TTL_MS = 1_000
 /** Callers that keep answers longest. */
 const LOOKUP_KEPT_FACTOR = 3
-/** Time until peers leave this host out of their lookups. */
-const LEAVE_MARGIN_MS = 700
 /** Time before the end of the grace period by which the process is gone. */
 const EXIT_MARGIN_MS = 300
 const SWEEP_MS = 200
-/** A holder of the lease that was silent for this long may be gone. */
-const HOLDER_SILENT_MS = 900
+/** A relay's read of the configuration is recent for this long: a read that waits, and the exchange that tells of it. */
+const CONFIG_READ_LATELY_MS = 2_000
+/** A host that started knows by then whom its seeds know. */
+const SETTLE_MS = 700
 
 export type GatewayParts = {
   settings: GatewaySettings
@@ -44,6 +47,8 @@
   random: () => number
 }
 
+type DirectMember = Member & Required<Pick<Member, 'direct'>>
+
 export class Gateway {
   readonly #registry: Registry
   readonly #config = ConfigState.create()
@@ -52,7 +57,11 @@
   readonly #demand = DemandMeter.create()
   readonly #peers = ConnectPeerCalls.create()
   readonly #incarnation = randomUUID()
+  readonly #startedMs: number
+  readonly #pace: ContactPace
   readonly #members: MemberTable
+  readonly #shared: SharedView
+  readonly #reports: ReportWriter
   readonly #exchanger: Exchanger
   readonly #lease: LeaseKeeper
   readonly #desk: OrderDesk
@@ -68,7 +77,18 @@
     const { settings, clock, log } = parts
     this.#settings = settings
     this.#registry = createRegistry({ host: settings.self.host, availabilityZone: settings.self.availabilityZone })
-    this.#members = MemberTable.create(settings.self.host)
+    this.#startedMs = clock.monotonicMs()
+    this.#pace = createContactPace(settings.contactMs)
+    this.#members = MemberTable.create(settings.self.host, this.#pace)
+    this.#shared = SharedView.create(this.#pace.relayTrustMs)
+    this.#reports = ReportWriter.create({
+      clock,
+      self: settings.self,
+      incarnation: this.#incarnation,
+      members: this.#members,
+      shared: this.#shared,
+      state: () => this.#ownState()
+    })
     this.#exchanger = this.#createExchanger()
     this.#lease = this.#createLease()
     this.#desk = OrderDesk.create({
@@ -104,7 +124,8 @@
         log.info('runner left the list', { runner: id, graceMs: Math.round(graceMs) })
         this.#runners.remove(id, this.#nowMs(), graceMs)
       },
-      onRunnerList: (ids, graceMs) => this.#runners.retain(ids, this.#nowMs(), graceMs)
+      onRunnerList: (ids, graceMs) => this.#runners.retain(ids, this.#nowMs(), graceMs),
+      hearsOfConfig: () => this.#hearsOfConfig()
     })
     await this.#openListeners()
     this.#exchanger.start()
@@ -121,9 +142,9 @@
     const { clock, log } = this.parts
     const endMs = this.#nowMs() + this.#settings.graceMs - EXIT_MARGIN_MS
     log.info('gateway is leaving', { inFlight: this.#inFlight })
-    await Promise.allSettled([this.#exchanger.tellAll(), this.#lease.release()])
+    await Promise.allSettled([this.#exchanger.tellRelays(), this.#lease.release()])
     this.#desk.stop()
-    await clock.sleep(LOOKUP_TTL_MS * LOOKUP_KEPT_FACTOR + LEAVE_MARGIN_MS)
+    await clock.sleep(LOOKUP_TTL_MS * LOOKUP_KEPT_FACTOR + this.#pace.spreadMs)
     this.#front.stopAccepting()
     while (this.#inFlight > 0 && this.#nowMs() < endMs) {
       await clock.sleep(50)
@@ -183,7 +204,7 @@
   #answerLookup () {
     const { platform } = this.parts
     const ownAddress = this.ready ? this.#settings.self.callerAddress : undefined
-    const addresses = lookupHosts({ members: this.#members, ownAddress, nowMs: this.#nowMs() })
+    const addresses = lookupHosts({ members: this.#members, self: this.#settings.self.host, ownAddress, nowMs: this.#nowMs() })
     if (addresses.length === 0) return textAnswer(false)
     const ttlMs = Math.min(LOOKUP_TTL_MS, this.#settings.maxLookupTtlMs)
     return { status: 200, body: platform.lookupWire.formatLookup(addresses, ttlMs), contentType: 'application/json' }
@@ -206,9 +227,10 @@
       registry: platform.registry,
       self: settings.self,
       seedPeerAddresses: settings.seedPeerAddresses,
-      report: () => this.#report(),
-      onReport: (report) => this.#runners.setPeerUse(report.address.host, report.runnerUses),
-      onForgotten: (host) => this.#runners.forgetPeer(host)
+      pace: this.#pace,
+      holdsLease: () => this.#lease.holds,
+      report: (peer) => this.#reports.write(peer),
+      onReport: (report) => this.#onReport(report)
     })
   }
 
@@ -225,7 +247,7 @@
       holderIsLive: () => this.#holderReport() !== undefined,
       lastOrderUnder: (fencingToken) => this.#lastOrderUnder(fencingToken),
       hasRestartedPeer: () => this.#members.hasRestartedHost(this.#nowMs()),
-      mayHold: () => this.#config.known && !this.#leaving
+      mayHold: () => this.#config.known && !this.#leaving && this.#exchanger.ranked && this.#nowMs() - this.#startedMs > SETTLE_MS
     })
   }
 
@@ -248,7 +270,7 @@
         desk: this.#desk,
         peers: this.#peers,
         mayOrder: () => this.#lease.orderToken() !== undefined,
-        holderAddress: () => this.#holderReport()?.address.peerAddress
+        holderAddress: () => this.#holder()?.summary.address.peerAddress
       }),
       loads: KnownLoads.create(() => this.#expectedLoads()),
       host: {
@@ -260,53 +282,81 @@
     }
   }
 
-  /** Loads under way by the word of the holder of the lease; its report is younger than two exchanges. */
+  #onReport (report: HostReport): void {
+    const nowMs = this.#nowMs()
+    const reportsHere = this.#members.group(nowMs).some(({ sender }) => sender.address.host === report.sender.address.host)
+    this.#shared.hear(report, reportsHere, nowMs)
+    this.#runners.setOthersUses(this.#shared.othersUses())
+    if (report.configVersion > this.#config.version) this.parts.platform.watch.readConfig()
+  }
+
+  /** Loads under way by the word of the holder of the lease, or of the relay that passed it on last. */
   #expectedLoads (): ExpectedLoad[] {
     if (this.#lease.orderToken() !== undefined) return this.#desk.expectedLoads()
-    return this.#holderReport()?.expectedLoads ?? []
+    const holder = this.#holderReport()
+    if (holder !== undefined) return holder.expectedLoads
+    const relayed = this.#directMembers().filter(({ direct }) => direct.report.speaksForAll)
+    const latest = relayed.reduce<DirectMember | undefined>((best, member) => (best?.direct.heardMs ?? -Infinity) < member.direct.heardMs ? member : best, undefined)
+    return latest?.direct.report.expectedLoads ?? []
   }
 
-  /** Last word of a host that says it holds the lease on orders. */
+  /** Relays read the configuration often; what one said of its last read counts while it is young. */
+  #hearsOfConfig (): boolean {
+    if (this.#exchanger.relay) return false
+    const nowMs = this.#nowMs()
+    return this.#directMembers().some(({ summary, direct }) => {
+      const { configReadAgoMs } = direct.report
+      return summary.relay && configReadAgoMs !== undefined && configReadAgoMs + nowMs - direct.heardMs < CONFIG_READ_LATELY_MS
+    })
+  }
+
+  #directMembers (): DirectMember[] {
+    return this.#members.live(this.#nowMs()).filter((member): member is DirectMember => member.direct !== undefined)
+  }
+
+  /** A host that says it holds the lease on orders, by its own word or that of a relay. */
+  #holder (): Member | undefined {
+    return this.#members.live(this.#nowMs()).find(({ summary }) => summary.holdsLease)
+  }
+
+  /** Last word of a host that says it holds the lease on orders and that this one hears itself. */
   #holderReport (): HostReport | undefined {
     const nowMs = this.#nowMs()
-    const holder = this.#members.live(nowMs).find(({ report }) => report?.lease.heldBySender === true)
-    return holder !== undefined && nowMs - holder.heardMs < HOLDER_SILENT_MS ? holder.report : undefined
+    const holder = this.#directMembers().find(({ direct }) => direct.report.lease.heldBySender)
+    return holder !== undefined && nowMs - holder.direct.heardMs < this.#pace.holderSilentMs ? holder.direct.report : undefined
   }
 
   /** Time since the last order under a token, by the word of a host that gave that lease up. */
   #lastOrderUnder (fencingToken: number): number | undefined {
     const nowMs = this.#nowMs()
-    const member = this.#members.live(nowMs).find(({ report }) => report?.lease.fencingToken === fencingToken)
-    const lease = member?.report?.lease
-    if (member === undefined || lease === undefined || lease.heldBySender || lease.lastOrderAgoMs === undefined) return undefined
-    return lease.lastOrderAgoMs + nowMs - member.heardMs
+    const direct = this.#directMembers().find(({ direct }) => direct.report.lease.fencingToken === fencingToken)?.direct
+    const lease = direct?.report.lease
+    if (direct === undefined || lease === undefined || lease.heldBySender || lease.lastOrderAgoMs === undefined) return undefined
+    return lease.lastOrderAgoMs + nowMs - direct.heardMs
   }
 
-  #report (): HostReport {
+  #ownState (): OwnState {
     const lease = this.#lease.describe()
     const uses = this.#runners.all().filter(({ inFlight }) => inFlight > 0)
     return {
-      address: this.parts.settings.self,
-      incarnation: this.#incarnation,
       ready: this.ready,
       leaving: this.#leaving,
+      relay: this.#exchanger.relay,
       configVersion: this.#config.version,
+      configReadAgoMs: this.parts.platform.watch.configReadAgoMs(),
       runnerUses: new Map(uses.map(({ entry, inFlight }) => [entry.id, inFlight])),
       demand: this.#demand.rates(this.#nowMs()),
-      expectedLoads: this.#lease.orderToken() === undefined ? [] : this.#desk.expectedLoads(),
       lease: { heldBySender: lease.held, fencingToken: lease.fencingToken, lastOrderAgoMs: lease.lastOrderAgoMs },
-      knownHosts: this.#members.live(this.#nowMs()).map(({ address }) => address),
-      sentAt: this.parts.clock.now()
+      expectedLoads: this.#expectedLoads()
     }
   }
 
   #allDemand (): DemandRate[] {
-    const nowMs = this.#nowMs()
-    const others = this.#members.live(nowMs).flatMap(({ report }) => report?.demand ?? [])
-    return [...this.#demand.rates(nowMs), ...others]
+    return [...this.#demand.rates(this.#nowMs()), ...this.#shared.othersDemand()]
   }
 
   #sweep (): void {
+    this.#shared.sweep(this.#nowMs())
     for (const id of this.#runners.sweep(this.#nowMs())) this.parts.log.info('runner is gone', { runner: id })
     this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
@@ -319,6 +369,7 @@
     count('figloom_gateway_config_version', 'Version of the configuration in force.', () => this.#config.version)
     count('figloom_gateway_runners', 'Runners in the list.', () => this.#runners.all().length)
     count('figloom_gateway_live_hosts', 'Other hosts heard of late.', () => this.#members.live(this.#nowMs()).length)
+    count('figloom_gateway_relay', '1 while this host passes on the word of others.', () => this.#exchanger.relay ? 1 : 0)
     count('figloom_gateway_holds_lease', '1 while this host holds the lease on orders.', () => this.#lease.holds ? 1 : 0)
   }
 
--- a/packages/gateway/src/members/exchanger.ts
+++ b/packages/gateway/src/members/exchanger.ts
@@ -1,43 +1,49 @@
-/** Keeps this host in direct contact with the others: a report to each of them at a steady pace, and at once when it changes. */
+/** Exchanges reports with other hosts, as planned: at a steady pace, and at once when a change can't wait. */
 import type { Clock, Logger, Timer } from '@figloom/runtime'
+import type { ContactPace } from './contact-pace.js'
+import { planContacts, type ContactPlan } from './contact-plan.js'
 import type { MemberTable } from './member-table.js'
 import type { HostAddress, HostRegistry, HostReport, PeerCalls } from './types.js'
 
-const EXCHANGE_MS = 400
-/** Hosts that don't answer are tried less often. */
-const SILENT_EXCHANGE_MS = 1_200
 /** Pause between two reads of the registry while hosts are missing from it. */
 const REGISTRY_MS = 5_000
 const REGISTRY_RETRY_MS = 1_000
+/** Looks for exchanges that are due, for each exchange. */
+const TICKS_AN_EXCHANGE = 4
+/** A difference of two hosts' times of day is written anew when it changes by this much. */
+const CLOCK_CHANGE_MS = 100
 
 export type ExchangerParts = {
   clock: Clock
   log: Logger
+  pace: ContactPace
   members: MemberTable
   calls: PeerCalls
   registry: HostRegistry
   self: HostAddress
   seedPeerAddresses: readonly string[]
-  report: () => HostReport
+  holdsLease: () => boolean
+  /** What to tell a host; undefined where it isn't known yet. */
+  report: (peer: HostReport['sender'] | undefined) => HostReport
   /** Called with every report heard. */
   onReport: (report: HostReport) => void
-  /** Called with the name of a host that was forgotten. */
-  onForgotten: (host: string) => void
 }
 
 type Contact = {
   busy: boolean
   nextMs: number
   answering: boolean
+  /** The last try failed, and nothing was heard since. */
+  failing: boolean
+  /** Who answered last. */
+  host?: string
   /** How far the other host's time of day is ahead of this one's, as last written to the log. */
   clockAheadMs: number
 }
 
-/** A difference of two hosts' times of day is written anew when it changes by this much. */
-const CLOCK_CHANGE_MS = 100
-
 export class Exchanger {
   readonly #contacts = new Map<string, Contact>()
+  #plan: ContactPlan = { relay: true, ranked: true, peerAddresses: [] }
   #timer: Timer | undefined
   #announced = false
   #registryDueMs = 0
@@ -59,33 +65,69 @@
     this.#timer?.cancel()
   }
 
-  /** Tells every host at once, for changes that can't wait. */
-  async tellAll (): Promise<void> {
-    const contacts = this.#addresses().map((address) => this.#exchange(address))
-    await Promise.allSettled(contacts)
+  /** This host passes on what others say. */
+  get relay (): boolean {
+    return this.#plan.relay
+  }
+
+  /** This host is one of the few that all others regard as relays. */
+  get ranked (): boolean {
+    return this.#plan.ranked
+  }
+
+  /** Tells every host that passes on the word of others, for changes that can't wait. */
+  async tellRelays (): Promise<void> {
+    const { members, clock } = this.parts
+    const relays = members.live(clock.monotonicMs()).filter(({ summary }) => summary.relay || summary.holdsLease)
+    const addresses = [...this.#plan.peerAddresses, ...relays.map(({ summary }) => summary.address.peerAddress)]
+    await Promise.allSettled([...new Set(addresses)].map((address) => this.#exchange(address)))
   }
 
   /** Answers a report that another host sent. */
   onIncoming (report: HostReport): HostReport {
-    this.#hear(report)
-    return this.parts.report()
+    this.#hear(report, true)
+    const { sender } = report
+    // An exchange tells both sides: this host needn't call before the next one is due.
+    const contact = this.#contact(sender.address.peerAddress)
+    contact.failing = false
+    contact.nextMs = Math.max(contact.nextMs, this.parts.clock.monotonicMs() + this.parts.pace.exchangeMs)
+    return this.parts.report(sender)
+  }
+
+  #makePlan (): ContactPlan {
+    const { members, self, seedPeerAddresses, clock, holdsLease } = this.parts
+    const nowMs = clock.monotonicMs()
+    return planContacts({
+      self,
+      mustRelay: holdsLease() || members.group(nowMs).length > 0,
+      live: members.live(nowMs).map(({ summary }) => summary),
+      mentioned: members.mentioned(nowMs),
+      silentRelays: members.silentRelays(nowMs),
+      seedPeerAddresses,
+      isFailing: (address) => this.#contacts.get(address)?.failing ?? false
+    })
   }
 
   #tick (): void {
     if (this.#stopped) return
-    const { clock, members, onForgotten } = this.parts
+    const { clock, members, pace } = this.parts
     const nowMs = clock.monotonicMs()
-    for (const host of members.sweep(nowMs)) onForgotten(host)
-    for (const address of this.#addresses()) this.#exchangeIfDue(address, nowMs)
+    members.sweep(nowMs)
+    this.#followPlan()
+    for (const address of this.#plan.peerAddresses) this.#exchangeIfDue(address, nowMs)
     this.#useRegistryIfDue(nowMs)
-    this.#timer = clock.setTimer(EXCHANGE_MS / 4, () => this.#tick())
+    this.#timer = clock.setTimer(pace.exchangeMs / TICKS_AN_EXCHANGE, () => this.#tick())
   }
 
-  /** Peers that are known, and seeds while they are not. */
-  #addresses (): string[] {
-    const known = this.parts.members.all().map(({ address }) => address.peerAddress)
-    const seeds = this.parts.seedPeerAddresses.filter((address) => address !== this.parts.self.peerAddress)
-    return [...new Set([...known, ...seeds])]
+  #followPlan (): void {
+    const before = this.#plan
+    this.#plan = this.#makePlan()
+    if (before.relay === this.#plan.relay) return
+    this.parts.log.info(this.#plan.relay ? 'host is a relay' : 'host reports to a relay', {
+      ranked: this.#plan.ranked,
+      contacts: this.#plan.peerAddresses.length,
+      liveHosts: this.parts.members.live(this.parts.clock.monotonicMs()).length
+    })
   }
 
   #exchangeIfDue (address: string, nowMs: number): void {
@@ -97,19 +139,27 @@
   async #exchange (address: string): Promise<void> {
     const contact = this.#contact(address)
     contact.busy = true
-    const { clock, calls, log } = this.parts
+    const { clock, calls, log, pace } = this.parts
     const startMs = clock.monotonicMs()
     try {
-      const report = await calls.exchange(address, this.parts.report())
-      this.#hear(report)
+      const report = await calls.exchange(address, this.parts.report(this.#known(contact)), pace.timeoutMs)
+      this.#hear(report, false)
       this.#logContact(contact, report, clock.monotonicMs() - startMs)
       contact.answering = true
+      contact.failing = false
+      contact.host = report.sender.address.host
     } catch (error) {
       if (contact.answering) log.warn('host does not answer', { address, reason: (error as Error).message })
       contact.answering = false
+      contact.failing = true
     }
     contact.busy = false
-    contact.nextMs = clock.monotonicMs() + (contact.answering ? EXCHANGE_MS : SILENT_EXCHANGE_MS)
+    contact.nextMs = (contact.answering ? startMs + pace.exchangeMs : clock.monotonicMs() + pace.retryMs)
+  }
+
+  #known ({ host }: Contact): HostReport['sender'] | undefined {
+    const { members, clock } = this.parts
+    return members.live(clock.monotonicMs()).find(({ summary }) => summary.address.host === host)?.summary
   }
 
   /** The other host wrote its time of day about half of the way through the exchange. */
@@ -118,20 +168,20 @@
     const moved = Math.abs(clockAheadMs - contact.clockAheadMs) >= CLOCK_CHANGE_MS
     if (contact.answering && !moved) return
     contact.clockAheadMs = clockAheadMs
-    const { host, peerAddress } = report.address
+    const { host, peerAddress } = report.sender.address
     this.parts.log.info(contact.answering ? 'clock of a host moved' : 'host answers', { peer: host, address: peerAddress, clockAheadMs })
   }
 
   #contact (address: string): Contact {
     const known = this.#contacts.get(address)
     if (known !== undefined) return known
-    const contact = { busy: false, nextMs: 0, answering: false, clockAheadMs: 0 }
+    const contact = { busy: false, nextMs: 0, answering: false, failing: false, clockAheadMs: 0 }
     this.#contacts.set(address, contact)
     return contact
   }
 
-  #hear (report: HostReport): void {
-    this.parts.members.hear(report, this.parts.clock.monotonicMs())
+  #hear (report: HostReport, called: boolean): void {
+    this.parts.members.hear(report, this.parts.clock.monotonicMs(), called)
     this.parts.onReport(report)
   }
 
--- a/packages/gateway/src/members/member-table.ts
+++ b/packages/gateway/src/members/member-table.ts
@@ -1,82 +1,183 @@
-/** The other hosts, by their last word and its age. Pure state. */
-import type { HostAddress, HostReport } from './types.js'
+/** The other hosts: those in direct contact by their last word and its age, the others by the word of relays. Pure state. */
+import type { ContactPace } from './contact-pace.js'
+import { RosterView } from './roster.js'
+import type { HostAddress, HostReport, HostSummary, RosterVersion } from './types.js'
 
-/** A host is left out of lookups when it was silent for this long. */
-export const SILENT_MS = 1_300
 /** A silent host counts for shared limits for this long, since it may still use its share. */
 const COUNTED_MS = 15_000
 /** Hosts that are stopped in turn are through with it within about this time. */
 const RESTARTED_LATELY_MS = 60_000
 /** A silent host is forgotten after this time. */
 const FORGET_MS = 60_000
+/** What was put together from all reports is used this long, unless another report comes. */
+const SNAPSHOT_MS = 50
 
+/** A host in direct contact. */
+type Contact = { report: HostReport, heardMs: number, /** It reports to this host, by calls of its own. */ reportsHere: boolean }
+
+/** A host that is up. */
 export type Member = {
+  summary: HostSummary
+  /** Its last report and when it came; absent if only relays hear it. */
+  direct?: { report: HostReport, heardMs: number }
+}
+
+/** What is remembered of a host beyond its silence. */
+type Trace = {
   address: HostAddress
-  report?: HostReport
-  heardMs: number
-  /** When it was first heard in a new incarnation; absent if it has had one only. */
+  incarnation?: string
+  /** Last time at which it was up; absent if it was only mentioned. */
+  upMs?: number
+  /** Last time at which anybody spoke of it. */
+  mentionedMs: number
+  /** When it was first seen in a new incarnation; absent if it has had one only. */
   restartedMs?: number
+  /** It was a relay when last seen. */
+  relay: boolean
 }
 
+type Snapshot = { atMs: number, live: Member[] }
+
 export class MemberTable {
-  readonly #members = new Map<string, Member>()
+  readonly #contacts = new Map<string, Contact>()
+  readonly #views = new Map<string, RosterView>()
+  readonly #traces = new Map<string, Trace>()
+  #snapshot: Snapshot | undefined
 
-  private constructor (private readonly self: string) {}
+  private constructor (private readonly self: string, private readonly pace: ContactPace) {}
 
-  static create (self: string): MemberTable {
-    return new MemberTable(self)
+  static create (self: string, pace: ContactPace): MemberTable {
+    return new MemberTable(self, pace)
   }
 
   /** Notes a host that somebody mentioned, so that it is contacted. */
   mention (address: HostAddress, nowMs: number): void {
-    if (address.host === this.self || this.#members.has(address.host)) return
-    this.#members.set(address.host, { address, heardMs: nowMs - COUNTED_MS })
+    if (address.host === this.self) return
+    const known = this.#traces.get(address.host)
+    if (known !== undefined) known.mentionedMs = nowMs
+    else this.#traces.set(address.host, { address, mentionedMs: nowMs, relay: false })
   }
 
-  /** Takes over what a host said of itself. */
-  hear (report: HostReport, nowMs: number): void {
-    if (report.address.host === this.self) return
-    const known = this.#members.get(report.address.host)
-    const restarted = known?.report !== undefined && known.report.incarnation !== report.incarnation
-    const restartedMs = restarted ? nowMs : known?.restartedMs
-    this.#members.set(report.address.host, { address: report.address, report, heardMs: nowMs, restartedMs })
-    for (const address of report.knownHosts) this.mention(address, nowMs)
+  /** Takes over a host's report; `called`: the host sent it by a call of its own. */
+  hear (report: HostReport, nowMs: number, called: boolean): void {
+    const { host } = report.sender.address
+    if (host === this.self) return
+    const before = this.#contacts.get(host)
+    const calls = called || (before?.reportsHere ?? false)
+    this.#contacts.set(host, { report, heardMs: nowMs, reportsHere: calls && !report.sender.relay })
+    this.#note(report.sender, nowMs)
+    this.#applyRoster(host, report, nowMs)
+    this.#snapshot = undefined
   }
 
-  /** Every host that is worth contacting. */
-  all (): Member[] {
-    return [...this.#members.values()]
+  #applyRoster (host: string, report: HostReport, nowMs: number): void {
+    if (report.roster === undefined) return
+    const view = this.#views.get(host) ?? RosterView.create()
+    this.#views.set(host, view)
+    view.apply(report.roster)
+    for (const { address, hearsay } of report.roster.hosts) {
+      if (hearsay) this.mention(address, nowMs)
+    }
   }
 
-  get (host: string): Member | undefined {
-    return this.#members.get(host)
+  /** What this host has of another one's list. */
+  rosterSeen (host: string): RosterVersion | undefined {
+    return this.#views.get(host)?.seen
   }
 
-  /** Hosts heard of late. */
+  /** What another host has of this one's list, by its last report. */
+  seenBy (host: string): RosterVersion | undefined {
+    return this.#contacts.get(host)?.report.rosterSeen
+  }
+
+  /** Hosts that are up, this one aside. */
   live (nowMs: number): Member[] {
-    return this.all().filter((member) => member.report !== undefined && nowMs - member.heardMs < SILENT_MS)
+    const known = this.#snapshot
+    if (known !== undefined && nowMs - known.atMs < SNAPSHOT_MS) return known.live
+    const live = this.#collect(nowMs)
+    for (const { summary } of live) this.#note(summary, nowMs)
+    this.#snapshot = { atMs: nowMs, live }
+    return live
+  }
+
+  #collect (nowMs: number): Member[] {
+    const found = new Map<string, Member>()
+    for (const { report, heardMs } of this.#contacts.values()) {
+      if (nowMs - heardMs >= this.pace.silentMs) continue
+      found.set(report.sender.address.host, { summary: report.sender, direct: { report, heardMs } })
+    }
+    for (const [relay, view] of this.#views) {
+      if (nowMs - (this.#contacts.get(relay)?.heardMs ?? -Infinity) >= this.pace.relayTrustMs) continue
+      for (const summary of view.hosts) this.#addRelayed(found, summary)
+    }
+    return [...found.values()]
+  }
+
+  /** A host that turns to another relay is in two lists for a while: the one that says that it leaves counts. */
+  #addRelayed (found: Map<string, Member>, summary: HostSummary): void {
+    const { host } = summary.address
+    if (summary.hearsay || host === this.self) return
+    const known = found.get(host)
+    if (known === undefined) found.set(host, { summary })
+    else if (known.direct === undefined && summary.leaving) known.summary = summary
   }
 
   /** Hosts that callers may be sent to. */
   ready (nowMs: number): Member[] {
-    return this.live(nowMs).filter(({ report }) => report?.ready === true && !report.leaving)
+    return this.live(nowMs).filter(({ summary }) => summary.ready && !summary.leaving)
+  }
+
+  /** Hosts that report to this one. */
+  group (nowMs: number): HostReport[] {
+    return [...this.#contacts.values()]
+      .filter(({ reportsHere, heardMs }) => reportsHere && nowMs - heardMs < this.pace.silentMs)
+      .map(({ report }) => report)
+  }
+
+  /** Hosts that were mentioned of late but not heard of. */
+  mentioned (nowMs: number): HostAddress[] {
+    const live = new Set(this.live(nowMs).map(({ summary }) => summary.address.host))
+    return [...this.#traces.values()]
+      .filter(({ address, mentionedMs }) => !live.has(address.host) && nowMs - mentionedMs < this.pace.relayTrustMs)
+      .map(({ address }) => address)
+  }
+
+  /** Relays that fell silent: they may lead to hosts that this one lost sight of. */
+  silentRelays (nowMs: number): HostAddress[] {
+    const live = new Set(this.live(nowMs).map(({ summary }) => summary.address.host))
+    return [...this.#traces.values()].filter(({ relay, address }) => relay && !live.has(address.host)).map(({ address }) => address)
   }
 
   /** Whether another host that stays was seen to start anew of late. */
   hasRestartedHost (nowMs: number): boolean {
-    return this.ready(nowMs).some(({ restartedMs }) => restartedMs !== undefined && nowMs - restartedMs < RESTARTED_LATELY_MS)
+    return this.ready(nowMs).some(({ summary }) => {
+      const restartedMs = this.#traces.get(summary.address.host)?.restartedMs
+      return restartedMs !== undefined && nowMs - restartedMs < RESTARTED_LATELY_MS
+    })
   }
 
   /** Hosts that may use a part of what all share, this one included. */
   sharingCount (nowMs: number): number {
-    const others = this.all().filter(({ heardMs, report }) => report !== undefined && nowMs - heardMs < COUNTED_MS)
+    this.live(nowMs)
+    const others = [...this.#traces.values()].filter(({ upMs }) => upMs !== undefined && nowMs - upMs < COUNTED_MS)
     return others.length + 1
   }
 
-  /** Forgets hosts that were silent for long; gives their names. */
-  sweep (nowMs: number): string[] {
-    const gone = this.all().filter(({ heardMs }) => nowMs - heardMs > FORGET_MS)
-    for (const { address } of gone) this.#members.delete(address.host)
-    return gone.map(({ address }) => address.host)
+  /** Forgets hosts that nobody spoke of for long. */
+  sweep (nowMs: number): void {
+    for (const [host, { upMs, mentionedMs }] of this.#traces) {
+      if (nowMs - Math.max(upMs ?? -Infinity, mentionedMs) <= FORGET_MS) continue
+      this.#traces.delete(host)
+      this.#contacts.delete(host)
+      this.#views.delete(host)
+    }
+  }
+
+  #note (summary: HostSummary, nowMs: number): void {
+    const { address, incarnation, relay } = summary
+    const known = this.#traces.get(address.host)
+    const restarted = known?.incarnation !== undefined && known.incarnation !== incarnation
+    const restartedMs = restarted ? nowMs : known?.restartedMs
+    this.#traces.set(address.host, { address, incarnation, upMs: nowMs, mentionedMs: nowMs, restartedMs, relay })
   }
 }
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -1,71 +1,137 @@
 import t from 'tap'
 import { ManualClock, silentLogger } from '@figloom/runtime'
 import { lookupHosts } from '../lookup/lookup.js'
+import { createContactPace } from './contact-pace.js'
 import { Exchanger } from './exchanger.js'
-import { MemberTable, SILENT_MS } from './member-table.js'
-import { HostRegistry, PeerCalls, type AdapterReply, type HostAddress, type HostReport } from './types.js'
+import { MemberTable } from './member-table.js'
+import { ReportWriter, type OwnState } from './report-writer.js'
+import { SharedView } from './shared-view.js'
+import { HostRegistry, PeerCalls, type AdapterReply, type HostAddress, type HostReport, type HostSummary } from './types.js'
+
+const CONTACT_MS = 3_000
+const PACE = createContactPace(CONTACT_MS)
 
 function address (host: string): HostAddress {
-  return { host, availabilityZone: 'z', callerAddress: `${host}:80`, peerAddress: `${host}:7380` }
+  return { host, availabilityZone: 'z', callerAddress: `${host}:80`, peerAddress: `${host}:7380`, capacityCores: 1 }
 }
 
-function report (host: string, changes: Partial<HostReport> = {}): HostReport {
+function report (host: string, changes: Partial<HostSummary> = {}): HostReport {
+  const sender = { address: address(host), incarnation: host, ready: true, leaving: false, relay: true, holdsLease: false, hearsay: false, ...changes }
   return {
-    address: address(host),
-    incarnation: host,
-    ready: true,
-    leaving: false,
+    sender,
     configVersion: 1,
     runnerUses: new Map(),
     demand: [],
     expectedLoads: [],
     lease: { heldBySender: false, fencingToken: 0 },
-    knownHosts: [],
     sentAt: new Date(0),
-    ...changes
+    speaksForAll: false
   }
 }
 
+type Host = { exchanger: Exchanger, members: MemberTable, shared: SharedView, state: OwnState, incarnation: string }
+
+/** Hosts that exchange reports without sockets; calls are counted. */
 class Network extends PeerCalls {
-  readonly hosts = new Map<string, Exchanger>()
-  readonly tables = new Map<string, MemberTable>()
+  readonly hosts = new Map<string, Host>()
   readonly down = new Set<string>()
-  readonly leaving = new Set<string>()
+  /** Hosts on this side and the others don't reach each other. */
+  readonly farSide = new Set<string>()
   readonly registered: HostAddress[] = []
+  calls = 0
+  #lives = 0
+
+  private constructor (private readonly clock: ManualClock) {
+    super()
+  }
 
-  static create (): Network {
-    return new Network()
+  static create (clock = ManualClock.create()): Network {
+    return new Network(clock)
   }
 
   override async exchange (peerAddress: string, sent: HostReport): Promise<HostReport> {
-    const host = peerAddress.split(':')[0] ?? ''
-    const exchanger = this.hosts.get(host)
-    if (exchanger === undefined || this.down.has(host) || this.down.has(sent.address.host)) throw new Error('no answer')
-    return exchanger.onIncoming(sent)
+    const name = peerAddress.split(':')[0] ?? ''
+    const host = this.hosts.get(name)
+    const sender = sent.sender.address.host
+    const cut = this.farSide.has(name) !== this.farSide.has(sender)
+    this.calls += 1
+    if (host === undefined || this.down.has(name) || this.down.has(sender) || cut) throw new Error('no answer')
+    return host.exchanger.onIncoming(sent)
   }
 
   override async ensureAdapter (): Promise<AdapterReply> {
     return { accepted: false, readyInMs: 0 }
   }
 
-  start (host: string, clock: ManualClock, seeds: string[]): MemberTable {
-    const members = MemberTable.create(host)
+  start (name: string, seeds: string[]): Host {
+    const { clock } = this
+    const members = MemberTable.create(name, PACE)
+    const shared = SharedView.create(PACE.relayTrustMs)
+    this.#lives += 1
+    const state: OwnState = {
+      ready: true,
+      leaving: false,
+      relay: true,
+      configVersion: 1,
+      configReadAgoMs: 0,
+      runnerUses: new Map([['runner', 1]]),
+      demand: [{ service: 's', model: 'm', requestsPerS: 1, slowRequestsPerS: 1, holdMs: 100 }],
+      lease: { heldBySender: false, fencingToken: 0 },
+      expectedLoads: []
+    }
+    const incarnation = `${name}-${this.#lives}`
+    const writer = ReportWriter.create({
+      clock,
+      self: address(name),
+      incarnation,
+      members,
+      shared,
+      state: () => ({ ...state, relay: host.exchanger.relay })
+    })
     const exchanger = Exchanger.create({
       clock,
       log: silentLogger,
+      pace: PACE,
       members,
       calls: this,
       registry: new TestRegistry(this.registered),
-      self: address(host),
+      self: address(name),
       seedPeerAddresses: seeds.map((seed) => `${seed}:7380`),
-      report: () => report(host, { leaving: this.leaving.has(host), knownHosts: members.live(clock.monotonicMs()).map((member) => member.address) }),
-      onReport: () => {},
-      onForgotten: () => {}
+      holdsLease: () => state.lease.heldBySender,
+      report: (peer) => writer.write(peer),
+      onReport: (heard) => {
+        const nowMs = clock.monotonicMs()
+        const reportsHere = members.group(nowMs).some(({ sender }) => sender.address.host === heard.sender.address.host)
+        shared.hear(heard, reportsHere, nowMs)
+      }
     })
-    this.hosts.set(host, exchanger)
-    this.tables.set(host, members)
+    const host = { exchanger, members, shared, state, incarnation }
+    this.hosts.set(name, host)
     exchanger.start()
-    return members
+    return host
+  }
+
+  startMany (count: number): Host[] {
+    return Array.from({ length: count }, (_, index) => this.start(`h${index}`, ['h0', 'h1', 'h2']))
+  }
+
+  /** Names of the hosts that a host takes for ready. */
+  readyAt ({ members }: Host): string[] {
+    return members.ready(this.clock.monotonicMs()).map(({ summary }) => summary.address.host).sort()
+  }
+
+  relays (): Host[] {
+    return [...this.hosts.values()].filter(({ exchanger }) => exchanger.relay)
+  }
+
+  /** Takes a host away without a word. */
+  kill (host: Host): void {
+    host.exchanger.stop()
+    this.down.add(this.nameOf(host))
+  }
+
+  nameOf (host: Host): string {
+    return [...this.hosts].find(([, candidate]) => candidate === host)?.[0] ?? ''
   }
 }
 
@@ -83,77 +149,182 @@
   }
 }
 
-function names (members: MemberTable, clock: ManualClock): string[] {
-  return members.ready(clock.monotonicMs()).map((member) => member.address.host).sort()
-}
-
 t.test('hosts find each other over seeds and by word of others', async (t) => {
   const clock = ManualClock.create()
-  const network = Network.create()
-  const tables = ['a', 'b', 'c', 'd'].map((host) => network.start(host, clock, ['a']))
+  const network = Network.create(clock)
+  const hosts = ['a', 'b', 'c', 'd'].map((host) => network.start(host, ['a']))
   await clock.advance(3_000)
-  t.same(names(tables[3] ?? MemberTable.create(''), clock), ['a', 'b', 'c'])
+  for (const host of hosts) t.equal(network.readyAt(host).length, 3)
 })
 
 t.test('hosts without a living seed find each other in the registry', async (t) => {
   const clock = ManualClock.create()
-  const network = Network.create()
-  const first = network.start('a', clock, ['gone'])
-  const second = network.start('b', clock, ['gone'])
+  const network = Network.create(clock)
+  const first = network.start('a', ['gone'])
+  const second = network.start('b', ['gone'])
   await clock.advance(8_000)
-  t.same(names(first, clock), ['b'])
-  t.same(names(second, clock), ['a'])
+  t.same(network.readyAt(first), ['b'])
+  t.same(network.readyAt(second), ['a'])
 })
 
 t.test('a silent host leaves lookups in time, and comes back', async (t) => {
   const clock = ManualClock.create()
-  const network = Network.create()
-  const members = network.start('a', clock, ['b'])
-  network.start('b', clock, ['a'])
+  const network = Network.create(clock)
+  const host = network.start('a', ['b'])
+  network.start('b', ['a'])
   await clock.advance(2_000)
   network.down.add('b')
-  await clock.advance(SILENT_MS + 500)
-  t.same(names(members, clock), [])
+  await clock.advance(PACE.silentMs + 500)
+  t.same(network.readyAt(host), [])
   network.down.delete('b')
   await clock.advance(2_000)
-  t.same(names(members, clock), ['b'])
+  t.same(network.readyAt(host), ['b'])
 })
 
 t.test('a host that leaves is left out at once', async (t) => {
   const clock = ManualClock.create()
-  const network = Network.create()
-  const members = network.start('a', clock, ['b'])
-  network.start('b', clock, ['a'])
+  const network = Network.create(clock)
+  const host = network.start('a', ['b'])
+  const leaving = network.start('b', ['a'])
   await clock.advance(2_000)
-  network.leaving.add('b')
-  await network.hosts.get('b')?.tellAll()
-  t.same(names(members, clock), [])
+  leaving.state.leaving = true
+  await leaving.exchanger.tellRelays()
+  t.same(network.readyAt(host), [])
+})
+
+t.test('of many hosts few are relays, and all know all', async (t) => {
+  const clock = ManualClock.create()
+  const network = Network.create(clock)
+  const hosts = network.startMany(40)
+  await clock.advance(4_000)
+  for (const host of hosts) t.equal(network.readyAt(host).length, 39)
+  t.equal(network.relays().length, 7)
+})
+
+t.test('calls between hosts grow with their number, not with its square', async (t) => {
+  const clock = ManualClock.create()
+  const callsOf = async (count: number) => {
+    const network = Network.create(clock)
+    network.startMany(count)
+    await clock.advance(5_000)
+    const before = network.calls
+    await clock.advance(10_000)
+    return (network.calls - before) / count
+  }
+  const few = await callsOf(20)
+  const many = await callsOf(80)
+  t.ok(many < 2 * few, `${few} calls a host at 20 hosts, ${many} at 80`)
+})
+
+t.test('all hosts learn within the time of its lookups that a host leaves', async (t) => {
+  const clock = ManualClock.create()
+  const network = Network.create(clock)
+  const hosts = network.startMany(30)
+  await clock.advance(4_000)
+  const leaving = hosts.find(({ exchanger }) => !exchanger.relay)
+  if (leaving === undefined) throw new Error('all are relays')
+  leaving.state.leaving = true
+  leaving.exchanger.tellRelays()
+  await clock.advance(PACE.spreadMs)
+  const name = network.nameOf(leaving)
+  for (const host of hosts.filter((candidate) => candidate !== leaving)) t.notOk(network.readyAt(host).includes(name))
+})
+
+t.test('a dead host is out of all lookups within the bound for contact', async (t) => {
+  const clock = ManualClock.create()
+  const network = Network.create(clock)
+  const hosts = network.startMany(30)
+  await clock.advance(4_000)
+  const dead = hosts.find(({ exchanger }) => !exchanger.relay)
+  if (dead === undefined) throw new Error('all are relays')
+  network.kill(dead)
+  await clock.advance(CONTACT_MS)
+  const name = network.nameOf(dead)
+  for (const host of hosts.filter((candidate) => candidate !== dead)) t.notOk(network.readyAt(host).includes(name))
+})
+
+t.test('hosts whose relays all died turn to others and stay known', async (t) => {
+  const clock = ManualClock.create()
+  const network = Network.create(clock)
+  const hosts = network.startMany(30)
+  await clock.advance(4_000)
+  const dead = network.relays()
+  for (const relay of dead) network.kill(relay)
+  await clock.advance(2 * CONTACT_MS)
+  const staying = hosts.filter((host) => !dead.includes(host))
+  for (const host of staying) t.equal(network.readyAt(host).length, staying.length - 1)
+})
+
+t.test('hosts that were cut into two halves find each other again', async (t) => {
+  const clock = ManualClock.create()
+  const network = Network.create(clock)
+  const hosts = network.startMany(24)
+  await clock.advance(4_000)
+  for (const host of hosts.slice(12)) network.farSide.add(network.nameOf(host))
+  await clock.advance(10_000)
+  for (const host of hosts) t.equal(network.readyAt(host).length, 11)
+  network.farSide.clear()
+  await clock.advance(2 * CONTACT_MS)
+  for (const host of hosts) t.equal(network.readyAt(host).length, 23)
+})
+
+t.test('every host knows the use of all others, each counted once', async (t) => {
+  const clock = ManualClock.create()
+  const network = Network.create(clock)
+  const hosts = network.startMany(30)
+  await clock.advance(6_000)
+  for (const host of hosts) t.equal(host.shared.othersUses().get('runner'), 29)
+})
+
+t.test('the holder of the lease knows the demand of all others, whatever its rank', async (t) => {
+  const clock = ManualClock.create()
+  const network = Network.create(clock)
+  const hosts = network.startMany(30)
+  await clock.advance(4_000)
+  const holder = hosts.find(({ exchanger }) => !exchanger.relay)
+  if (holder === undefined) throw new Error('all are relays')
+  holder.state.lease = { heldBySender: true, fencingToken: 4 }
+  await clock.advance(3_000)
+  const rates = holder.shared.othersDemand().map(({ requestsPerS }) => requestsPerS)
+  t.equal(rates.reduce((sum, rate) => sum + rate, 0), 29)
+  const other = hosts.find((host) => host !== holder && !host.exchanger.relay)
+  t.equal(other?.members.live(clock.monotonicMs()).find(({ summary }) => summary.holdsLease)?.summary.address.host, network.nameOf(holder))
 })
 
 t.test('a silent host keeps its part of what all share for a while', async (t) => {
-  const members = MemberTable.create('a')
-  members.hear(report('b'), 0)
+  const members = MemberTable.create('a', PACE)
+  members.hear(report('b'), 0, false)
   t.equal(members.sharingCount(5_000), 2)
   t.equal(members.sharingCount(60_000), 1)
 })
 
 t.test('a lookup names this host and the ready ones', async (t) => {
-  const members = MemberTable.create('a')
-  members.hear(report('b'), 0)
-  members.hear(report('c', { ready: false }), 0)
-  t.same(lookupHosts({ members, ownAddress: 'a:80', nowMs: 100 }), ['a:80', 'b:80'])
-  t.same(lookupHosts({ members, ownAddress: undefined, nowMs: 100 }), ['b:80'])
-  t.same(lookupHosts({ members, ownAddress: 'a:80', nowMs: SILENT_MS }), ['a:80'])
+  const members = MemberTable.create('a', PACE)
+  members.hear(report('b'), 0, false)
+  members.hear(report('c', { ready: false }), 0, false)
+  t.same(lookupHosts({ members, self: 'a', ownAddress: 'a:80', nowMs: 100 }), ['a:80', 'b:80'])
+  t.same(lookupHosts({ members, self: 'a', ownAddress: undefined, nowMs: 100 }), ['b:80'])
+  t.same(lookupHosts({ members, self: 'a', ownAddress: 'a:80', nowMs: PACE.silentMs }), ['a:80'])
+})
+
+t.test('lookups of different hosts leave out different ones where there are too many', async (t) => {
+  const answers = ['a', 'b'].map((self) => {
+    const members = MemberTable.create(self, PACE)
+    for (let index = 0; index < 80; index += 1) members.hear(report(`h${index}`), 0, false)
+    return lookupHosts({ members, self, ownAddress: undefined, nowMs: 0 })
+  })
+  t.same(answers.map((addresses) => addresses.length), [64, 64])
+  t.not(answers[0]?.sort().join(), answers[1]?.sort().join())
 })
 
 t.test('a host that restarted is told from the others for a while', async (t) => {
-  const members = MemberTable.create('a')
-  members.hear(report('b', { incarnation: 'b-1' }), 0)
+  const members = MemberTable.create('a', PACE)
+  members.hear(report('b', { incarnation: 'b-1' }), 0, false)
   t.notOk(members.hasRestartedHost(10))
-  members.hear(report('b', { incarnation: 'b-2' }), 1_000)
+  members.hear(report('b', { incarnation: 'b-2' }), 1_000, false)
   t.ok(members.hasRestartedHost(1_100))
-  members.hear(report('b', { incarnation: 'b-2', leaving: true }), 1_200)
+  members.hear(report('b', { incarnation: 'b-2', leaving: true }), 1_200, false)
   t.notOk(members.hasRestartedHost(1_300))
-  members.hear(report('b', { incarnation: 'b-2' }), 90_000)
+  members.hear(report('b', { incarnation: 'b-2' }), 90_000, false)
   t.notOk(members.hasRestartedHost(90_100))
 })
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -3,12 +3,15 @@
 import { createClient, type Client, type ConnectRouter } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
 import {
-  GatewayReportSchema, GatewayService, type GatewayAddress, type GatewayReport, type TargetDemand
+  GatewayReportSchema, GatewayService, type GatewayAddress, type GatewayReport, type HostSummary as HostSummaryMessage,
+  type RosterUpdate as RosterUpdateMessage, type RosterVersion as RosterVersionMessage, type TargetDemand
 } from '@figloom/protocol'
 import { Agent } from 'node:http'
-import { PeerCalls, type AdapterReply, type AdapterRequest, type DemandRate, type HostAddress, type HostReport } from './types.js'
+import {
+  PeerCalls, type AdapterReply, type AdapterRequest, type DemandRate, type HostAddress, type HostReport, type HostSummary,
+  type RosterUpdate, type RosterVersion
+} from './types.js'
 
-const EXCHANGE_TIMEOUT_MS = 600
 const ENSURE_TIMEOUT_MS = 1_000
 /** Idle connections between hosts stay open over several exchanges. */
 const KEEP_ALIVE_MS = 5_000
@@ -34,8 +37,8 @@
     return new ConnectPeerCalls()
   }
 
-  override async exchange (peerAddress: string, report: HostReport): Promise<HostReport> {
-    const answer = await this.#client(peerAddress).exchange(toMessage(report), { timeoutMs: EXCHANGE_TIMEOUT_MS })
+  override async exchange (peerAddress: string, report: HostReport, timeoutMs: number): Promise<HostReport> {
+    const answer = await this.#client(peerAddress).exchange(toMessage(report), { timeoutMs })
     return fromMessage(answer)
   }
 
@@ -61,28 +64,26 @@
 
 function toMessage (report: HostReport): GatewayReport {
   const init: MessageInitShape<typeof GatewayReportSchema> = {
-    address: report.address,
-    incarnation: report.incarnation,
-    ready: report.ready,
-    leaving: report.leaving,
+    sender: report.sender,
     configVersion: BigInt(report.configVersion),
+    configReadAgoMs: report.configReadAgoMs,
     runnerUses: [...report.runnerUses].map(([runnerId, inFlight]) => ({ runnerId, inFlight })),
     demand: report.demand.map((rate) => ({ ...rate, adapter: rate.adapter ?? '' })),
     expectedLoads: report.expectedLoads,
     lease: { ...report.lease, fencingToken: BigInt(report.lease.fencingToken) },
-    knownHosts: report.knownHosts,
-    sentUnixMs: BigInt(report.sentAt.getTime())
+    sentUnixMs: BigInt(report.sentAt.getTime()),
+    speaksForAll: report.speaksForAll,
+    roster: report.roster === undefined ? undefined : { ...report.roster, to: toVersionMessage(report.roster.to) },
+    rosterSeen: report.rosterSeen === undefined ? undefined : toVersionMessage(report.rosterSeen)
   }
   return create(GatewayReportSchema, init)
 }
 
 function fromMessage (message: GatewayReport): HostReport {
   return {
-    address: toAddress(message.address),
-    incarnation: message.incarnation,
-    ready: message.ready,
-    leaving: message.leaving,
+    sender: toSummary(message.sender),
     configVersion: Number(message.configVersion),
+    configReadAgoMs: message.configReadAgoMs,
     runnerUses: new Map(message.runnerUses.map(({ runnerId, inFlight }) => [runnerId, inFlight])),
     demand: message.demand.map(toDemandRate),
     expectedLoads: message.expectedLoads.map(({ service, model, readyInMs }) => ({ service, model, readyInMs })),
@@ -91,8 +92,34 @@
       heldBySender: message.lease?.heldBySender ?? false,
       lastOrderAgoMs: message.lease?.lastOrderAgoMs
     },
-    knownHosts: message.knownHosts.map(toAddress),
-    sentAt: new Date(Number(message.sentUnixMs))
+    sentAt: new Date(Number(message.sentUnixMs)),
+    speaksForAll: message.speaksForAll,
+    roster: message.roster === undefined ? undefined : toRosterUpdate(message.roster),
+    rosterSeen: toRosterVersion(message.rosterSeen)
+  }
+}
+
+function toVersionMessage ({ rosterId, version }: RosterVersion) {
+  return { rosterId, version: BigInt(version) }
+}
+
+function toRosterVersion (message: RosterVersionMessage | undefined): RosterVersion | undefined {
+  return message === undefined ? undefined : { rosterId: message.rosterId, version: Number(message.version) }
+}
+
+function toRosterUpdate ({ to, complete, hosts, removed }: RosterUpdateMessage): RosterUpdate {
+  return { to: toRosterVersion(to) ?? { rosterId: '', version: 0 }, complete, hosts: hosts.map(toSummary), removed }
+}
+
+function toSummary (message: HostSummaryMessage | undefined): HostSummary {
+  return {
+    address: toAddress(message?.address),
+    incarnation: message?.incarnation ?? '',
+    ready: message?.ready ?? false,
+    leaving: message?.leaving ?? false,
+    relay: message?.relay ?? false,
+    holdsLease: message?.holdsLease ?? false,
+    hearsay: message?.hearsay ?? false
   }
 }
 
@@ -105,6 +132,7 @@
     host: message?.host ?? '',
     availabilityZone: message?.availabilityZone ?? '',
     callerAddress: message?.callerAddress ?? '',
-    peerAddress: message?.peerAddress ?? ''
+    peerAddress: message?.peerAddress ?? '',
+    capacityCores: message?.capacityCores ?? 0
   }
 }
--- /dev/null
+++ b/packages/gateway/src/members/report-writer.ts
@@ -0,0 +1,111 @@
+/** Writes what a host tells another one, by what that one needs to know. */
+import type { Clock } from '@figloom/runtime'
+import type { Member, MemberTable } from './member-table.js'
+import { Roster } from './roster.js'
+import type { SharedView } from './shared-view.js'
+import type { DemandRate, ExpectedLoad, HostAddress, HostReport, HostSummary, LeaseView } from './types.js'
+
+/** What a host knows of itself. */
+export type OwnState = {
+  ready: boolean
+  leaving: boolean
+  relay: boolean
+  configVersion: number
+  configReadAgoMs: number | undefined
+  /** Requests in flight by runner id. */
+  runnerUses: Map<string, number>
+  demand: DemandRate[]
+  lease: LeaseView
+  /** Loads that the holder of the lease has under way, by what this host knows. */
+  expectedLoads: ExpectedLoad[]
+}
+
+export type ReportWriterParts = {
+  clock: Clock
+  self: HostAddress
+  /** New with every start of the process. */
+  incarnation: string
+  members: MemberTable
+  shared: SharedView
+  state: () => OwnState
+}
+
+/** Lists of one process, told apart from those of its other lives. */
+const ListName = { Group: 'group', All: 'all' } as const
+
+export class ReportWriter {
+  /** For other relays: the hosts that report here, and relays by hearsay. */
+  readonly #groupRoster: Roster
+  /** For hosts that report here: everybody. */
+  readonly #allRoster: Roster
+
+  private constructor (private readonly parts: ReportWriterParts) {
+    this.#groupRoster = Roster.create(`${parts.incarnation}/${ListName.Group}`)
+    this.#allRoster = Roster.create(`${parts.incarnation}/${ListName.All}`)
+  }
+
+  static create (parts: ReportWriterParts): ReportWriter {
+    return new ReportWriter(parts)
+  }
+
+  /** @param peer undefined where the receiver isn't known yet */
+  write (peer: HostSummary | undefined): HostReport {
+    const { clock, members } = this.parts
+    const state = this.parts.state()
+    const nowMs = clock.monotonicMs()
+    const live = members.live(nowMs)
+    const report = {
+      sender: this.#summary(state),
+      configVersion: state.configVersion,
+      configReadAgoMs: state.configReadAgoMs,
+      lease: state.lease,
+      sentAt: clock.now(),
+      rosterSeen: peer === undefined ? undefined : members.rosterSeen(peer.address.host)
+    }
+    if (!state.relay) return { ...report, ...this.#shareOfHost(state, peer) }
+    return { ...report, ...(peer === undefined || peer.relay ? this.#shareOfGroup(state, live, peer) : this.#shareOfAll(state, live, peer)) }
+  }
+
+  #summary ({ ready, leaving, relay, lease }: OwnState): HostSummary {
+    const { self, incarnation } = this.parts
+    return { address: self, incarnation, ready, leaving, relay, holdsLease: lease.heldBySender, hearsay: false }
+  }
+
+  /** What a host tells its relay. Only the holder of the lease plans by demand; relays pass it on. */
+  #shareOfHost ({ runnerUses, demand }: OwnState, peer: HostSummary | undefined) {
+    return { runnerUses, demand: peer?.relay === false ? [] : demand, expectedLoads: [], speaksForAll: false }
+  }
+
+  /** What a relay tells another one. */
+  #shareOfGroup (state: OwnState, live: readonly Member[], peer: HostSummary | undefined) {
+    const { members, shared, clock } = this.parts
+    const group = members.group(clock.monotonicMs()).map(({ sender }) => sender)
+    const relays = live.map(({ summary }) => summary).filter(({ relay, leaving }) => relay && !leaving)
+    this.#groupRoster.update([...relays.map((summary) => ({ ...summary, hearsay: true })), ...group])
+    return {
+      runnerUses: shared.groupUses(state),
+      demand: peer?.holdsLease === true ? shared.groupDemand(state) : [],
+      expectedLoads: state.lease.heldBySender ? state.expectedLoads : [],
+      speaksForAll: false,
+      roster: this.#groupRoster.changesSince(this.#seenBy(peer))
+    }
+  }
+
+  /** What a relay tells a host that reports to it. */
+  #shareOfAll (state: OwnState, live: readonly Member[], peer: HostSummary) {
+    const { shared } = this.parts
+    const { host } = peer.address
+    this.#allRoster.update(live.map(({ summary }) => summary))
+    return {
+      runnerUses: shared.usesBut(host, state),
+      demand: [],
+      expectedLoads: state.expectedLoads,
+      speaksForAll: true,
+      roster: this.#allRoster.changesSince(this.#seenBy(peer))
+    }
+  }
+
+  #seenBy (peer: HostSummary | undefined) {
+    return peer === undefined ? undefined : this.parts.members.seenBy(peer.address.host)
+  }
+}
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -1,4 +1,4 @@
-/** Hosts of the gateway as they know each other by direct contact. Times are monotonic milliseconds. */
+/** Hosts of the gateway as they know each other, by direct contact or by a relay's word. Times are monotonic milliseconds. */
 
 /** Where a host can be reached; addresses are IP:PORT. */
 export type HostAddress = {
@@ -6,6 +6,8 @@
   availabilityZone: string
   callerAddress: string
   peerAddress: string
+  /** What it can do for other hosts: cores, or less where its link is the narrower. */
+  capacityCores: number
 }
 
 /** A host's word on the lease on orders: whether it holds it, and when it gave its last order. */
@@ -16,7 +18,7 @@
   lastOrderAgoMs?: number
 }
 
-/** Demand for a model or adapter at one host. */
+/** Demand for a model or adapter. */
 export type DemandRate = {
   service: string
   model: string
@@ -32,29 +34,59 @@
 /** A load under way, and when its model is expected to serve. */
 export type ExpectedLoad = { service: string, model: string, readyInMs: number }
 
-/** What a host says of itself. */
-export type HostReport = {
+/** What is said of a host to others that don't hear it themselves. */
+export type HostSummary = {
   address: HostAddress
   /** New with every start of its process. */
   incarnation: string
   ready: boolean
   leaving: boolean
+  /** Passes on what other hosts say. */
+  relay: boolean
+  holdsLease: boolean
+  /** The sender knows of this host but doesn't vouch for its being up. */
+  hearsay: boolean
+}
+
+/** A state of one sender's list of hosts. */
+export type RosterVersion = { rosterId: string, version: number }
+
+/** A sender's list of hosts, or what changed in it. */
+export type RosterUpdate = {
+  to: RosterVersion
+  /** The whole list, not only changes since the version that the receiver named. */
+  complete: boolean
+  hosts: HostSummary[]
+  /** Names of hosts that left the list. */
+  removed: string[]
+}
+
+/** What a host says of itself and of the hosts that it speaks for. */
+export type HostReport = {
+  sender: HostSummary
   configVersion: number
-  /** Requests in flight by runner id. */
+  /** Time since the sender last read the configuration from the platform; absent if it hasn't. */
+  configReadAgoMs?: number
+  /** Requests in flight by runner id, at the sender and at the hosts that it speaks for. */
   runnerUses: Map<string, number>
+  /** Demand at the sender and at the hosts that it speaks for; empty to hosts that don't need it. */
   demand: DemandRate[]
-  /** Loads that this host ordered as the holder of the lease. */
+  /** Loads that the holder of the lease has under way, by its own word or passed on. */
   expectedLoads: ExpectedLoad[]
   lease: LeaseView
-  knownHosts: HostAddress[]
   /** Time of day at the sender. */
   sentAt: Date
+  /** The sender speaks for all hosts but the receiver; otherwise for those that report to it. */
+  speaksForAll: boolean
+  roster?: RosterUpdate
+  /** What the sender has of the receiver's roster. */
+  rosterSeen?: RosterVersion
 }
 
 /** Hands reports to other hosts and takes theirs. */
 export abstract class PeerCalls {
   /** Sends a report to the host at `peerAddress` and returns its own. */
-  abstract exchange (peerAddress: string, report: HostReport): Promise<HostReport>
+  abstract exchange (peerAddress: string, report: HostReport, timeoutMs: number): Promise<HostReport>
   abstract ensureAdapter (peerAddress: string, request: AdapterRequest): Promise<AdapterReply>
 }
 
--- a/packages/gateway/src/runners/runner-table.test.ts
+++ b/packages/gateway/src/runners/runner-table.test.ts
@@ -61,9 +61,9 @@
   const state = table.get('a')
   if (state === undefined) return t.fail('no runner')
   state.inFlight = 2
-  table.setPeerUse('host-2', new Map([['a', 3]]))
+  table.setOthersUses(new Map([['a', 3]]))
   t.equal(table.totalInFlight(state), 5)
-  table.forgetPeer('host-2')
+  table.setOthersUses(new Map())
   t.equal(table.totalInFlight(state), 2)
 })
 
--- a/packages/gateway/src/runners/runner-table.ts
+++ b/packages/gateway/src/runners/runner-table.ts
@@ -34,7 +34,7 @@
 
 export class RunnerTable {
   readonly #runners = new Map<string, RunnerState>()
-  readonly #peerUse = new Map<string, Map<string, number>>()
+  #othersUses: ReadonlyMap<string, number> = new Map()
 
   private constructor () {}
 
@@ -97,18 +97,12 @@
 
   /** Requests at a runner from all hosts, as far as this host knows. */
   totalInFlight (state: RunnerState): number {
-    let total = state.inFlight
-    for (const uses of this.#peerUse.values()) total += uses.get(state.entry.id) ?? 0
-    return total
+    return state.inFlight + (this.#othersUses.get(state.entry.id) ?? 0)
   }
 
-  /** Takes over what a peer has in flight. */
-  setPeerUse (host: string, uses: Map<string, number>): void {
-    this.#peerUse.set(host, uses)
-  }
-
-  forgetPeer (host: string): void {
-    this.#peerUse.delete(host)
+  /** Takes over what all other hosts have in flight by runner id. */
+  setOthersUses (uses: ReadonlyMap<string, number>): void {
+    this.#othersUses = uses
   }
 
   /** Whether a runner holds the target, by its entry and by what was learned since. */
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -22,6 +22,8 @@
   graceMs: number
   /** Time that has to pass between orders of two holders. */
   orderGapMs: number
+  /** Time within which hosts in contact have to know of changes. */
+  contactMs: number
   /** Time to live of lookups that callers honour at the most. */
   maxLookupTtlMs: number
 }
@@ -32,6 +34,11 @@
   onRunner: (entry: RunnerEntry) => void
   /** @param graceMs after an outage of the list, the time in which entries of living runners come back; else 0 */
   onRunnerGone: (id: string, graceMs: number) => void
+  /**
+   * Whether another host is in contact that reads the configuration often and would tell of a newer one, so that this
+   * host may wait for one over a single call.
+   */
+  hearsOfConfig: () => boolean
   /** The whole list was read anew: ids that aren't in it are gone. */
   onRunnerList: (ids: ReadonlySet<string>, graceMs: number) => void
 }
@@ -39,6 +46,10 @@
 /** Follows the platform's configuration and list of runners. */
 export abstract class PlatformWatch {
   abstract start (events: PlatformEvents): void
+  /** Reads the configuration at once: another host knows of a newer one. */
+  abstract readConfig (): void
+  /** Time since the configuration was last read; undefined before. */
+  abstract configReadAgoMs (): number | undefined
   abstract stop (): void
 }
 
