--- a/packages/gateway/src/front/handlers.ts
+++ b/packages/gateway/src/front/handlers.ts
@@ -38,7 +38,7 @@
 
 /** The hosts' own protocol and the metrics page. */
 export function createPeerHandler (handler: PeerHandler, registry: Registry): RequestHandler {
-  const peers = connectNodeAdapter({ routes: (router) => registerPeerService(router, handler) })
+  const peers = connectNodeAdapter({ acceptCompression: [], routes: (router) => registerPeerService(router, handler) })
   const metrics = createApp()
   metrics.use('/metrics', defineEventHandler(async (event) => {
     setResponseHeader(event, 'Content-Type', registry.contentType)
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -54,6 +54,7 @@
       baseUrl: `http://${peerAddress}`,
       httpVersion: '1.1',
       useBinaryFormat: true,
+      acceptCompression: [],
       nodeOptions: { agent: this.#agent }
     })
     const client = createClient(GatewayService, transport)
