Use the weight store's rate also where it is high

Callers saw: on the grown sites (13 loads a second allowed) models that nobody held yet were loaded at 8 a second at the most. Cause: a plan every 250 ms could start two loads, whatever the rate. Why it works: what may start at once grows with the rate by the time from one plan to the next; the limit over five seconds (rate x 5 x 1.1 + 3) keeps its distance, as nine tenths of the rate are used.

--- a/packages/gateway/src/orders/load-pace.ts
+++ b/packages/gateway/src/orders/load-pace.ts
@@ -2,7 +2,9 @@
 
 /** Part of the store's rate that is used; the rest is for loads that start late. */
 const USED_SHARE = 0.9
+/** Loads that may start at once, besides what the store allows in the time from one plan to the next. */
 const BURST = 2
+const PLAN_S = 0.25
 
 export class LoadPace {
   #tokens = 1
@@ -19,7 +21,7 @@
   /** Loads that may start now. */
   available (loadsPerS: number, nowMs: number): number {
     const elapsedS = Math.max(0, nowMs - this.#updatedMs) / 1000
-    this.#tokens = Math.min(BURST, this.#tokens + elapsedS * loadsPerS * USED_SHARE)
+    this.#tokens = Math.min(BURST + loadsPerS * PLAN_S, this.#tokens + elapsedS * loadsPerS * USED_SHARE)
     this.#updatedMs = nowMs
     return Math.floor(this.#tokens)
   }
