Compare few runners where word on load is old

Cause: with relays a host's word on the others' load is up to a second old. All 80 hosts compared all copies and sent to the one that had seemed least loaded. Why it works: each host compares a runner of its own, which also keeps connections in use, with one at random; with up to eight hosts, which hear each other directly, all are compared as before. The choice by highest random weight stood twice, in the choice of runners and of adapters; it is one module now.

--- a/packages/gateway/src/choose/choose-runner.ts
+++ b/packages/gateway/src/choose/choose-runner.ts
@@ -3,6 +3,9 @@
  * that has read the shared part of the prompt before. Pure.
  */
 
+import { narrowCandidates } from './narrow-candidates.js'
+import { pickByWeight } from './rendezvous.js'
+
 /** A runner as the choice sees it. */
 export type Candidate = {
   id: string
@@ -17,6 +20,8 @@
   /** Same value: same preferred runner, at every host. Empty: no preference. */
   affinityKey: string
   availabilityZone: string
+  /** Name of the host that chooses, where what it knows of others' load is old; absent where it is fresh. */
+  hostOfOldLoads?: string
   random: () => number
 }
 
@@ -31,10 +36,10 @@
 
 /** Chooses among candidates that all may take the request; undefined if there is none. */
 export function chooseRunner (input: ChoiceInput, options: ChoiceOptions = DEFAULT_CHOICE_OPTIONS): Candidate | undefined {
-  const preferred = preferredRunner(input)
+  const preferred = input.affinityKey === '' ? undefined : pickByWeight(input.affinityKey, input.candidates)
   let best: Candidate | undefined
   let bestCost = Infinity
-  for (const candidate of input.candidates) {
+  for (const candidate of comparedCandidates(input, preferred)) {
     const cost = costOf(candidate, input, options, candidate === preferred)
     if (cost < bestCost) {
       best = candidate
@@ -44,6 +49,12 @@
   return best
 }
 
+function comparedCandidates ({ candidates, hostOfOldLoads: host, random }: ChoiceInput, preferred: Candidate | undefined): readonly Candidate[] {
+  if (host === undefined) return candidates
+  const few = narrowCandidates({ candidates, host, random })
+  return preferred === undefined ? few : [preferred, ...few.filter((candidate) => candidate !== preferred)]
+}
+
 /** Expected occupation of a runner, less what speaks for it. */
 function costOf (candidate: Candidate, input: ChoiceInput, options: ChoiceOptions, isPreferred: boolean): number {
   const occupation = (candidate.inFlight + 1) / candidate.slots
@@ -52,29 +63,3 @@
   const tieBreak = input.random() * 0.01
   return occupation - affinity - zone + tieBreak
 }
-
-/** Highest random weight: stays the same while its runner stays, whatever others come and go. */
-function preferredRunner (input: ChoiceInput): Candidate | undefined {
-  if (input.affinityKey === '') return undefined
-  let best: Candidate | undefined
-  let bestWeight = -1
-  for (const candidate of input.candidates) {
-    const weight = hashOf(`${input.affinityKey}\n${candidate.id}`)
-    if (weight > bestWeight) {
-      best = candidate
-      bestWeight = weight
-    }
-  }
-  return best
-}
-
-/** FNV-1a over the characters with a final mix, 32 bits. */
-export function hashOf (text: string): number {
-  let hash = 0x811c9dc5
-  for (let at = 0; at < text.length; at += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193)
-  }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
-  return (hash ^ (hash >>> 16)) >>> 0
-}
--- /dev/null
+++ b/packages/gateway/src/choose/rendezvous.ts
@@ -0,0 +1,26 @@
+/** Choices by highest random weight: each stays the same while its item stays, whatever others come and go. Pure. */
+
+/** The item with the highest weight under a key; undefined if there is none. */
+export function pickByWeight<Item extends { id: string }> (key: string, items: readonly Item[]): Item | undefined {
+  let best: Item | undefined
+  let bestWeight = -1
+  for (const item of items) {
+    const weight = hashOf(`${key}\n${item.id}`)
+    if (weight > bestWeight) {
+      best = item
+      bestWeight = weight
+    }
+  }
+  return best
+}
+
+/** FNV-1a over the characters with a final mix, 32 bits. */
+export function hashOf (text: string): number {
+  let hash = 0x811c9dc5
+  for (let at = 0; at < text.length; at += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193)
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
+  return (hash ^ (hash >>> 16)) >>> 0
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import { Exchanger } from './members/exchanger.js'
 import { createContactPace, type ContactPace } from './members/contact-pace.js'
 import { MemberTable, type Member } from './members/member-table.js'
+import { ALL_RELAYS_UP_TO } from './members/relay-plan.js'
 import { ConnectPeerCalls, type PeerHandler } from './members/peer-service.js'
 import { ReportWriter, type OwnState } from './members/report-writer.js'
 import { SharedView } from './members/shared-view.js'
@@ -276,6 +277,7 @@
       host: {
         availabilityZone: settings.self.availabilityZone,
         hostCount: () => this.#members.sharingCount(this.#nowMs()),
+        hostOfOldLoads: () => this.#members.live(this.#nowMs()).length < ALL_RELAYS_UP_TO ? undefined : settings.self.host,
         isLeaving: () => this.#leaving
       },
       random
--- a/packages/gateway/src/lookup/lookup.ts
+++ b/packages/gateway/src/lookup/lookup.ts
@@ -1,5 +1,5 @@
 /** Answers of lookups: which hosts callers should use. Pure. */
-import { hashOf } from '../choose/choose-runner.js'
+import { hashOf } from '../choose/rendezvous.js'
 import type { MemberTable } from '../members/member-table.js'
 
 export type LookupInput = {
--- a/packages/gateway/src/members/relay-plan.ts
+++ b/packages/gateway/src/members/relay-plan.ts
@@ -3,11 +3,11 @@
  * square root are relays, so that a relay has as many hosts that report to it as there are other relays. All hosts that
  * know the same hosts come to the same plan. Pure.
  */
-import { hashOf } from '../choose/choose-runner.js'
+import { hashOf } from '../choose/rendezvous.js'
 import type { HostAddress } from './types.js'
 
 /** Up to this many hosts every one is a relay: direct contact of all costs less than a step between. */
-const ALL_RELAYS_UP_TO = 8
+export const ALL_RELAYS_UP_TO = 8
 /** Relays that may fail at once without leaving the others to find each other anew. */
 const LEAST_RELAYS = 4
 
--- a/packages/gateway/src/orders/plan-adapters.ts
+++ b/packages/gateway/src/orders/plan-adapters.ts
@@ -2,7 +2,7 @@
  * Plans which adapters are brought ahead into places that are free, the ones that are asked for first. A runner that
  * loads a model takes no adapters for seconds, so those that are asked for go before the next model. Pure.
  */
-import { hashOf } from '../choose/choose-runner.js'
+import { pickByWeight } from '../choose/rendezvous.js'
 import type { EngineSpec } from '../config/types.js'
 import type { DemandRate } from '../members/types.js'
 
@@ -27,8 +27,8 @@
   const loads: AdapterLoad[] = []
   for (const { model, adapter } of inOrderOfDemand(engine, demand)) {
     if (held.has(adapterKey(model, adapter))) continue
-    const holders = runners.filter(({ models }) => models.includes(model))
-    const runnerId = bestHolder(adapterKey(model, adapter), holders, (id) => rooms.get(id)?.has(model) === true)
+    const holders = runners.filter(({ id, models }) => models.includes(model) && rooms.get(id)?.has(model) === true)
+    const runnerId = pickByWeight(adapterKey(model, adapter), holders)?.id
     if (runnerId === undefined) continue
     rooms.get(runnerId)?.take(model)
     loads.push({ runnerId, model, adapter })
@@ -78,19 +78,6 @@
   }
 }
 
-/** By highest random weight, as in the choice of a runner, among the runners that have room. */
-function bestHolder (key: string, holders: readonly AdapterRunner[], hasRoom: (runnerId: string) => boolean): string | undefined {
-  let best: string | undefined
-  let bestWeight = -1
-  for (const { id } of holders) {
-    const weight = hashOf(`${key}\n${id}`)
-    if (weight <= bestWeight || !hasRoom(id)) continue
-    best = id
-    bestWeight = weight
-  }
-  return best
-}
-
 function adapterKey (model: string, adapter: string): string {
   return `${model}/${adapter}`
 }
--- a/packages/gateway/src/serve/request-log.ts
+++ b/packages/gateway/src/serve/request-log.ts
@@ -3,7 +3,7 @@
  * failed or belongs to the sample. The sample goes by id, so that all hosts write the same requests.
  */
 import type { Clock, LogFields, Logger } from '@figloom/runtime'
-import { hashOf } from '../choose/choose-runner.js'
+import { hashOf } from '../choose/rendezvous.js'
 
 /** One answered request in this many is written. */
 const SAMPLE_ONE_IN = 64
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -102,7 +102,7 @@
     const nowMs = this.context.clock.monotonicMs()
     if (this.request.dueMs - nowMs < MIN_ATTEMPT_MS) return this.#onDue()
     const set = findCandidates(this.context.runners, this.#need(), nowMs)
-    const chosen = this.#choose(set.open)
+    const chosen = this.#choose(set.open, affinityKey(this.request.facts))
     if (chosen !== undefined) return this.#sendTo(chosen)
     if (set.withoutAdapter.length > 0) {
       this.#bringAdapter(set.withoutAdapter).catch((error: Error) => this.#giveUp(this.#failure(ResultCode.Internal, error.message)))
@@ -123,24 +123,21 @@
     }
   }
 
-  #choose (candidates: readonly Candidate[]): Candidate | undefined {
+  #choose (candidates: readonly Candidate[], affinity: string): Candidate | undefined {
+    const { host, random } = this.context
     return chooseRunner({
       candidates,
-      affinityKey: affinityKey(this.request.facts),
-      availabilityZone: this.context.host.availabilityZone,
-      random: this.context.random
+      affinityKey: affinity,
+      availabilityZone: host.availabilityZone,
+      hostOfOldLoads: host.hostOfOldLoads(),
+      random
     })
   }
 
   async #bringAdapter (candidates: Candidate[]): Promise<void> {
     const { model, adapter } = this.request.facts
     if (model === undefined || adapter === undefined) return
-    const chosen = chooseRunner({
-      candidates,
-      affinityKey: `${model}/${adapter}`,
-      availabilityZone: this.context.host.availabilityZone,
-      random: this.context.random
-    })
+    const chosen = this.#choose(candidates, `${model}/${adapter}`)
     if (chosen === undefined) return
     this.#log.note('adapter asked for', { runner: chosen.id, holders: candidates.length })
     const resident = await this.context.adapters.ensure(chosen.id, model, adapter, this.#timeLeftMs() * ADAPTER_WAIT_SHARE)
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -25,6 +25,8 @@
   availabilityZone: string
   /** Hosts that may use the runners, this one included. */
   hostCount: () => number
+  /** This host's name where what it knows of the others' load came over relays and is old; undefined where it is fresh. */
+  hostOfOldLoads: () => string | undefined
   /** This host is shutting down: callers should move to others. */
   isLeaving: () => boolean
 }
