--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -145,7 +145,7 @@
     log.info('gateway is leaving', { inFlight: this.#inFlight })
     await Promise.allSettled([this.#exchanger.tellRelays(), this.#lease.release()])
     this.#desk.stop()
-    await clock.sleep(LOOKUP_TTL_MS * LOOKUP_KEPT_FACTOR + this.#pace.spreadMs)
+    await clock.sleep(LOOKUP_TTL_MS * LOOKUP_KEPT_FACTOR + this.#spreadMs())
     this.#front.stopAccepting()
     while (this.#inFlight > 0 && this.#nowMs() < endMs) {
       await clock.sleep(50)
@@ -277,7 +277,7 @@
       host: {
         availabilityZone: settings.self.availabilityZone,
         hostCount: () => this.#members.sharingCount(this.#nowMs()),
-        hostOfOldLoads: () => this.#members.live(this.#nowMs()).length < ALL_RELAYS_UP_TO ? undefined : settings.self.host,
+        hostOfOldLoads: () => this.#meetsAll() ? undefined : settings.self.host,
         isLeaving: () => this.#leaving
       },
       random
@@ -302,6 +302,16 @@
     return latest?.direct.report.expectedLoads ?? []
   }
 
+  /** The hosts are so few that each is in direct contact with all others. */
+  #meetsAll (): boolean {
+    return this.#members.live(this.#nowMs()).length < ALL_RELAYS_UP_TO
+  }
+
+  /** Until all others leave this host out of their lookups. */
+  #spreadMs (): number {
+    return this.#meetsAll() ? this.#pace.directSpreadMs : this.#pace.relayedSpreadMs
+  }
+
   /** Relays read the configuration often; what one said of its last read counts while it is young. */
   #hearsOfConfig (): boolean {
     if (this.#exchanger.relay) return false
--- a/packages/gateway/src/members/contact-pace.ts
+++ b/packages/gateway/src/members/contact-pace.ts
@@ -13,8 +13,10 @@
   relayTrustMs: number
   /** A holder of the lease that was silent for this long may be gone. */
   holderSilentMs: number
-  /** Until a change at one host has reached all others over relays. */
-  spreadMs: number
+  /** Until a change that a host told at once has reached all others directly. */
+  directSpreadMs: number
+  /** The same over relays. */
+  relayedSpreadMs: number
 }
 
 /**
@@ -33,6 +35,7 @@
     silentMs: exchangeMs * 3.25,
     relayTrustMs: exchangeMs * 5,
     holderSilentMs: exchangeMs * 2.25,
-    spreadMs: exchangeMs * 3
+    directSpreadMs: exchangeMs * 1.75,
+    relayedSpreadMs: exchangeMs * 3
   }
 }
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -225,7 +225,7 @@
   if (leaving === undefined) throw new Error('all are relays')
   leaving.state.leaving = true
   leaving.exchanger.tellRelays()
-  await clock.advance(PACE.spreadMs)
+  await clock.advance(PACE.relayedSpreadMs)
   const name = network.nameOf(leaving)
   for (const host of hosts.filter((candidate) => candidate !== leaving)) t.notOk(network.readyAt(host).includes(name))
 })
