Pass the list of runners on over relays

Cause: each host read the list for itself, whoever else had read it. Why it works: a relay sends its list to the hosts that report to it as numbered changes, with the age of its own last read. Lists are compared by when they were read: what is known never goes back. Tests: with the comparison of times taken out, two tests of runners/relayed-runners fail; a follower that rests, and reads again soon, the whole list after a long rest. Lists of hosts and of runners are one module (members/change-list); translation of reports left the peer service for a module of its own.

--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -24,6 +24,8 @@
   override readConfig (): void {}
 
   override configReadAgoMs (): undefined {}
+
+  override runnersReadAgoMs (): undefined {}
 }
 
 class NoRegistry extends HostRegistry {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import { OrderDesk } from './orders/order-desk.js'
 import { SharedBudget } from './retry/shared-budget.js'
 import type { RunnerEntry } from './runners/types.js'
+import { RelayedRunners } from './runners/relayed-runners.js'
 import { RunnerTable } from './runners/runner-table.js'
 import { DemandMeter } from './serve/demand-meter.js'
 import { createRequestMetrics } from './serve/metrics.js'
@@ -54,6 +55,7 @@
   readonly #registry: Registry
   readonly #config = ConfigState.create()
   readonly #runners = RunnerTable.create()
+  readonly #relayedRunners = RelayedRunners.create()
   readonly #connections = RunnerConnections.create()
   readonly #demand = DemandMeter.create()
   readonly #peers = ConnectPeerCalls.create()
@@ -88,7 +90,9 @@
       incarnation: this.#incarnation,
       members: this.#members,
       shared: this.#shared,
-      state: () => this.#ownState()
+      state: () => this.#ownState(),
+      runners: () => this.#runners.all().map(({ entry }) => entry),
+      runnersSeen: (host) => this.#relayedRunners.seen(host)
     })
     this.#exchanger = this.#createExchanger()
     this.#lease = this.#createLease()
@@ -121,12 +125,11 @@
     platform.watch.start({
       onConfig: (config) => this.#onConfig(config),
       onRunner: (entry) => this.#onRunner(entry),
-      onRunnerGone: (id, graceMs) => {
-        log.info('runner left the list', { runner: id, graceMs: Math.round(graceMs) })
-        this.#runners.remove(id, this.#nowMs(), graceMs)
-      },
+      onRunnerGone: (id, graceMs) => this.#onRunnerGone(id, graceMs),
       onRunnerList: (ids, graceMs) => this.#runners.retain(ids, this.#nowMs(), graceMs),
-      hearsOfConfig: () => this.#hearsOfConfig()
+      onRunnersRead: () => this.#relayedRunners.onOwnRead(this.#nowMs()),
+      hearsOfConfig: () => this.#hearsOfConfig(),
+      runnersAgeMs: () => this.#exchanger.relay ? Infinity : this.#relayedRunners.ageMs(this.#nowMs())
     })
     await this.#openListeners()
     this.#exchanger.start()
@@ -185,6 +188,11 @@
     this.parts.log.info(draining ? 'runner drains' : 'runner listed', { runner: id, service, address, remainingMs })
   }
 
+  #onRunnerGone (id: string, graceMs: number): void {
+    this.parts.log.info('runner left the list', { runner: id, graceMs: Math.round(graceMs) })
+    this.#runners.remove(id, this.#nowMs(), graceMs)
+  }
+
   async #openListeners (): Promise<void> {
     const { settings, platform } = this.parts
     const { lookupWire } = platform
@@ -231,7 +239,7 @@
       pace: this.#pace,
       holdsLease: () => this.#lease.holds,
       report: (peer) => this.#reports.write(peer),
-      onReport: (report) => this.#onReport(report)
+      onReport: (report, writtenMs) => this.#onReport(report, writtenMs)
     })
   }
 
@@ -284,12 +292,23 @@
     }
   }
 
-  #onReport (report: HostReport): void {
+  #onReport (report: HostReport, writtenMs: number): void {
     const nowMs = this.#nowMs()
     const reportsHere = this.#members.group(nowMs).some(({ sender }) => sender.address.host === report.sender.address.host)
     this.#shared.hear(report, reportsHere, nowMs)
     this.#runners.setOthersUses(this.#shared.othersUses())
     if (report.configVersion > this.#config.version) this.parts.platform.watch.readConfig()
+    if (!this.#exchanger.relay) this.#takeRunners(report, writtenMs)
+  }
+
+  /** Takes over the list of runners by the word of the relay that this host reports to. */
+  #takeRunners ({ sender, runners, runnersReadAgoMs }: HostReport, writtenMs: number): void {
+    if (runners === undefined || runnersReadAgoMs === undefined) return
+    const change = this.#relayedRunners.hear({ relay: sender.address.host, update: runners, readMs: writtenMs - runnersReadAgoMs })
+    if (change === undefined) return
+    for (const entry of change.entries) this.#onRunner(entry)
+    for (const id of change.removed) this.#onRunnerGone(id, 0)
+    if (change.complete) this.#runners.retain(new Set(change.entries.map(({ id }) => id)), this.#nowMs(), 0)
   }
 
   /** Loads under way by the word of the holder of the lease, or of the relay that passed it on last. */
@@ -356,6 +375,7 @@
       relay: this.#exchanger.relay,
       configVersion: this.#config.version,
       configReadAgoMs: this.parts.platform.watch.configReadAgoMs(),
+      runnersReadAgoMs: this.parts.platform.watch.runnersReadAgoMs(),
       runnerUses: new Map(uses.map(({ entry, inFlight }) => [entry.id, inFlight])),
       demand: this.#demand.rates(this.#nowMs()),
       lease: { heldBySender: lease.held, fencingToken: lease.fencingToken, lastOrderAgoMs: lease.lastOrderAgoMs },
@@ -369,6 +389,7 @@
 
   #sweep (): void {
     this.#shared.sweep(this.#nowMs())
+    this.#relayedRunners.retain(new Set(this.#directMembers().map(({ summary }) => summary.address.host)))
     for (const id of this.#runners.sweep(this.#nowMs())) this.parts.log.info('runner is gone', { runner: id })
     this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
--- a/packages/gateway/src/members/exchanger.ts
+++ b/packages/gateway/src/members/exchanger.ts
@@ -25,8 +25,8 @@
   holdsLease: () => boolean
   /** What to tell a host; undefined where it isn't known yet. */
   report: (peer: HostReport['sender'] | undefined) => HostReport
-  /** Called with every report heard. */
-  onReport: (report: HostReport) => void
+  /** Called with every report heard, which was written at `writtenMs` or later. */
+  onReport: (report: HostReport, writtenMs: number) => void
 }
 
 type Contact = {
@@ -85,7 +85,7 @@
 
   /** Answers a report that another host sent. */
   onIncoming (report: HostReport): HostReport {
-    this.#hear(report, true)
+    this.#hear(report, true, -Infinity)
     const { sender } = report
     // An exchange tells both sides: this host needn't call before the next one is due.
     const contact = this.#contact(sender.address.peerAddress)
@@ -143,7 +143,7 @@
     const startMs = clock.monotonicMs()
     try {
       const report = await calls.exchange(address, this.parts.report(this.#known(contact)), pace.timeoutMs)
-      this.#hear(report, false)
+      this.#hear(report, false, startMs)
       this.#logContact(contact, report, clock.monotonicMs() - startMs)
       contact.answering = true
       contact.failing = false
@@ -180,9 +180,9 @@
     return contact
   }
 
-  #hear (report: HostReport, called: boolean): void {
+  #hear (report: HostReport, called: boolean, writtenMs: number): void {
     this.parts.members.hear(report, this.parts.clock.monotonicMs(), called)
-    this.parts.onReport(report)
+    this.parts.onReport(report, writtenMs)
   }
 
   #useRegistryIfDue (nowMs: number): void {
--- a/packages/gateway/src/members/member-table.ts
+++ b/packages/gateway/src/members/member-table.ts
@@ -1,7 +1,8 @@
 /** The other hosts: those in direct contact by their last word and its age, the others by the word of relays. Pure state. */
 import type { ContactPace } from './contact-pace.js'
-import { RosterView } from './roster.js'
-import type { HostAddress, HostReport, HostSummary, RosterVersion } from './types.js'
+import type { ListVersion, ListView } from './change-list.js'
+import { createHostView } from './host-list.js'
+import type { HostAddress, HostReport, HostSummary } from './types.js'
 
 /** A silent host counts for shared limits for this long, since it may still use its share. */
 const COUNTED_MS = 15_000
@@ -40,7 +41,7 @@
 
 export class MemberTable {
   readonly #contacts = new Map<string, Contact>()
-  readonly #views = new Map<string, RosterView>()
+  readonly #views = new Map<string, ListView<HostSummary>>()
   readonly #traces = new Map<string, Trace>()
   #snapshot: Snapshot | undefined
 
@@ -66,28 +67,28 @@
     const calls = called || (before?.reportsHere ?? false)
     this.#contacts.set(host, { report, heardMs: nowMs, reportsHere: calls && !report.sender.relay })
     this.#note(report.sender, nowMs)
-    this.#applyRoster(host, report, nowMs)
+    this.#applyHosts(host, report, nowMs)
     this.#snapshot = undefined
   }
 
-  #applyRoster (host: string, report: HostReport, nowMs: number): void {
-    if (report.roster === undefined) return
-    const view = this.#views.get(host) ?? RosterView.create()
+  #applyHosts (host: string, { hosts }: HostReport, nowMs: number): void {
+    if (hosts === undefined) return
+    const view = this.#views.get(host) ?? createHostView()
     this.#views.set(host, view)
-    view.apply(report.roster)
-    for (const { address, hearsay } of report.roster.hosts) {
+    view.apply(hosts)
+    for (const { address, hearsay } of hosts.items) {
       if (hearsay) this.mention(address, nowMs)
     }
   }
 
-  /** What this host has of another one's list. */
-  rosterSeen (host: string): RosterVersion | undefined {
+  /** What this host has of another one's list of hosts. */
+  hostsSeen (host: string): ListVersion | undefined {
     return this.#views.get(host)?.seen
   }
 
-  /** What another host has of this one's list, by its last report. */
-  seenBy (host: string): RosterVersion | undefined {
-    return this.#contacts.get(host)?.report.rosterSeen
+  /** Another host's last report, however old. */
+  lastReport (host: string): HostReport | undefined {
+    return this.#contacts.get(host)?.report
   }
 
   /** Hosts that are up, this one aside. */
@@ -108,7 +109,7 @@
     }
     for (const [relay, view] of this.#views) {
       if (nowMs - (this.#contacts.get(relay)?.heardMs ?? -Infinity) >= this.pace.relayTrustMs) continue
-      for (const summary of view.hosts) this.#addRelayed(found, summary)
+      for (const summary of view.items) this.#addRelayed(found, summary)
     }
     return [...found.values()]
   }
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -74,6 +74,7 @@
       relay: true,
       configVersion: 1,
       configReadAgoMs: 0,
+      runnersReadAgoMs: 0,
       runnerUses: new Map([['runner', 1]]),
       demand: [{ service: 's', model: 'm', requestsPerS: 1, slowRequestsPerS: 1, holdMs: 100 }],
       lease: { heldBySender: false, fencingToken: 0 },
@@ -86,7 +87,9 @@
       incarnation,
       members,
       shared,
-      state: () => ({ ...state, relay: host.exchanger.relay })
+      state: () => ({ ...state, relay: host.exchanger.relay }),
+      runners: () => [],
+      runnersSeen: () => undefined
     })
     const exchanger = Exchanger.create({
       clock,
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -1,16 +1,10 @@
-/** The hosts' protocol over connect-es: translation of reports, the client, and the service's routes. */
-import { create, type MessageInitShape } from '@bufbuild/protobuf'
+/** The hosts' protocol over connect-es: the client and the service's routes. */
 import { createClient, type Client, type ConnectRouter } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
-import {
-  GatewayReportSchema, GatewayService, type GatewayAddress, type GatewayReport, type HostSummary as HostSummaryMessage,
-  type RosterUpdate as RosterUpdateMessage, type RosterVersion as RosterVersionMessage, type TargetDemand
-} from '@figloom/protocol'
+import { GatewayService } from '@figloom/protocol'
 import { Agent } from 'node:http'
-import {
-  PeerCalls, type AdapterReply, type AdapterRequest, type DemandRate, type HostAddress, type HostReport, type HostSummary,
-  type RosterUpdate, type RosterVersion
-} from './types.js'
+import { fromMessage, toMessage } from './report-messages.js'
+import { PeerCalls, type AdapterReply, type AdapterRequest, type HostReport } from './types.js'
 
 const ENSURE_TIMEOUT_MS = 1_000
 /** Idle connections between hosts stay open over several exchanges. */
@@ -62,78 +56,3 @@
     return client
   }
 }
-
-function toMessage (report: HostReport): GatewayReport {
-  const init: MessageInitShape<typeof GatewayReportSchema> = {
-    sender: report.sender,
-    configVersion: BigInt(report.configVersion),
-    configReadAgoMs: report.configReadAgoMs,
-    runnerUses: [...report.runnerUses].map(([runnerId, inFlight]) => ({ runnerId, inFlight })),
-    demand: report.demand.map((rate) => ({ ...rate, adapter: rate.adapter ?? '' })),
-    expectedLoads: report.expectedLoads,
-    lease: { ...report.lease, fencingToken: BigInt(report.lease.fencingToken) },
-    sentUnixMs: BigInt(report.sentAt.getTime()),
-    speaksForAll: report.speaksForAll,
-    roster: report.roster === undefined ? undefined : { ...report.roster, to: toVersionMessage(report.roster.to) },
-    rosterSeen: report.rosterSeen === undefined ? undefined : toVersionMessage(report.rosterSeen)
-  }
-  return create(GatewayReportSchema, init)
-}
-
-function fromMessage (message: GatewayReport): HostReport {
-  return {
-    sender: toSummary(message.sender),
-    configVersion: Number(message.configVersion),
-    configReadAgoMs: message.configReadAgoMs,
-    runnerUses: new Map(message.runnerUses.map(({ runnerId, inFlight }) => [runnerId, inFlight])),
-    demand: message.demand.map(toDemandRate),
-    expectedLoads: message.expectedLoads.map(({ service, model, readyInMs }) => ({ service, model, readyInMs })),
-    lease: {
-      fencingToken: Number(message.lease?.fencingToken ?? 0n),
-      heldBySender: message.lease?.heldBySender ?? false,
-      lastOrderAgoMs: message.lease?.lastOrderAgoMs
-    },
-    sentAt: new Date(Number(message.sentUnixMs)),
-    speaksForAll: message.speaksForAll,
-    roster: message.roster === undefined ? undefined : toRosterUpdate(message.roster),
-    rosterSeen: toRosterVersion(message.rosterSeen)
-  }
-}
-
-function toVersionMessage ({ rosterId, version }: RosterVersion) {
-  return { rosterId, version: BigInt(version) }
-}
-
-function toRosterVersion (message: RosterVersionMessage | undefined): RosterVersion | undefined {
-  return message === undefined ? undefined : { rosterId: message.rosterId, version: Number(message.version) }
-}
-
-function toRosterUpdate ({ to, complete, hosts, removed }: RosterUpdateMessage): RosterUpdate {
-  return { to: toRosterVersion(to) ?? { rosterId: '', version: 0 }, complete, hosts: hosts.map(toSummary), removed }
-}
-
-function toSummary (message: HostSummaryMessage | undefined): HostSummary {
-  return {
-    address: toAddress(message?.address),
-    incarnation: message?.incarnation ?? '',
-    ready: message?.ready ?? false,
-    leaving: message?.leaving ?? false,
-    relay: message?.relay ?? false,
-    holdsLease: message?.holdsLease ?? false,
-    hearsay: message?.hearsay ?? false
-  }
-}
-
-function toDemandRate ({ service, model, adapter, requestsPerS, slowRequestsPerS, holdMs }: TargetDemand): DemandRate {
-  return { service, model, adapter: adapter === '' ? undefined : adapter, requestsPerS, slowRequestsPerS, holdMs }
-}
-
-function toAddress (message: GatewayAddress | undefined): HostAddress {
-  return {
-    host: message?.host ?? '',
-    availabilityZone: message?.availabilityZone ?? '',
-    callerAddress: message?.callerAddress ?? '',
-    peerAddress: message?.peerAddress ?? '',
-    capacityCores: message?.capacityCores ?? 0
-  }
-}
--- /dev/null
+++ b/packages/gateway/src/members/report-messages.test.ts
@@ -0,0 +1,51 @@
+import { fromBinary, toBinary } from '@bufbuild/protobuf'
+import { GatewayReportSchema } from '@figloom/protocol'
+import t from 'tap'
+import { createEntry } from '../testing/gateway-fixture.js'
+import { fromMessage, toMessage } from './report-messages.js'
+import type { HostReport, HostSummary } from './types.js'
+
+const summary: HostSummary = {
+  address: { host: 'a', availabilityZone: 'z', callerAddress: '10.0.0.1:80', peerAddress: '10.0.0.1:7380', capacityCores: 0.5 },
+  incarnation: 'life',
+  ready: true,
+  leaving: false,
+  relay: true,
+  holdsLease: true,
+  hearsay: false
+}
+
+const full: HostReport = {
+  sender: summary,
+  configVersion: 7,
+  configReadAgoMs: 12.5,
+  runnerUses: new Map([['runner', 3]]),
+  demand: [{ service: 's', model: 'm', adapter: undefined, requestsPerS: 2, slowRequestsPerS: 1, holdMs: 900 }],
+  expectedLoads: [{ service: 's', model: 'm', readyInMs: 100 }],
+  lease: { heldBySender: true, fencingToken: 9, lastOrderAgoMs: 4 },
+  sentAt: new Date(1_000),
+  speaksForAll: true,
+  hosts: { to: { listId: 'hosts', version: 3 }, complete: true, items: [{ ...summary, hearsay: true }], removed: [] },
+  hostsSeen: { listId: 'seen', version: 2 },
+  runners: {
+    to: { listId: 'runners', version: 5 },
+    complete: false,
+    items: [createEntry({ startedUnixMs: 1_700_000_000_000, remainingMs: 250, models: [{ name: 'm', version: 2, adapters: ['a1'] }], localWeights: ['n'] })],
+    removed: ['gone']
+  },
+  runnersSeen: { listId: 'other', version: 1 },
+  runnersReadAgoMs: 300
+}
+
+const overTheWire = (report: HostReport) => fromMessage(fromBinary(GatewayReportSchema, toBinary(GatewayReportSchema, toMessage(report))))
+
+t.test('a report keeps all that it says over the wire', async (t) => {
+  t.same(overTheWire(full), full)
+})
+
+t.test('what a report leaves out stays absent', async (t) => {
+  const { sender, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll } = full
+  const least = { sender, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll }
+  const came = overTheWire(least)
+  for (const absent of [came.hosts, came.hostsSeen, came.runners, came.runnersSeen, came.runnersReadAgoMs, came.configReadAgoMs]) t.equal(absent, undefined)
+})
--- /dev/null
+++ b/packages/gateway/src/members/report-messages.ts
@@ -0,0 +1,109 @@
+/** Translates reports between hosts into messages of the inner protocol and back. */
+import { create, type MessageInitShape } from '@bufbuild/protobuf'
+import {
+  GatewayReportSchema, type GatewayAddress, type GatewayReport, type HostSummary as HostSummaryMessage, type ListedRunner,
+  type ListVersion as ListVersionMessage, type TargetDemand
+} from '@figloom/protocol'
+import type { RunnerEntry } from '../runners/types.js'
+import type { ListUpdate, ListVersion } from './change-list.js'
+import type { DemandRate, HostAddress, HostReport, HostSummary } from './types.js'
+
+export function toMessage (report: HostReport): GatewayReport {
+  const init: MessageInitShape<typeof GatewayReportSchema> = {
+    sender: report.sender,
+    configVersion: BigInt(report.configVersion),
+    configReadAgoMs: report.configReadAgoMs,
+    runnerUses: [...report.runnerUses].map(([runnerId, inFlight]) => ({ runnerId, inFlight })),
+    demand: report.demand.map((rate) => ({ ...rate, adapter: rate.adapter ?? '' })),
+    expectedLoads: report.expectedLoads,
+    lease: { ...report.lease, fencingToken: BigInt(report.lease.fencingToken) },
+    sentUnixMs: BigInt(report.sentAt.getTime()),
+    speaksForAll: report.speaksForAll,
+    hosts: report.hosts && { ...toUpdateMessage(report.hosts), hosts: report.hosts.items },
+    hostsSeen: toVersionMessage(report.hostsSeen),
+    runners: report.runners && { ...toUpdateMessage(report.runners), runners: report.runners.items.map(toRunnerMessage) },
+    runnersSeen: toVersionMessage(report.runnersSeen),
+    runnersReadAgoMs: report.runnersReadAgoMs
+  }
+  return create(GatewayReportSchema, init)
+}
+
+export function fromMessage (message: GatewayReport): HostReport {
+  const { hosts, runners } = message
+  return {
+    sender: toSummary(message.sender),
+    configVersion: Number(message.configVersion),
+    configReadAgoMs: message.configReadAgoMs,
+    runnerUses: new Map(message.runnerUses.map(({ runnerId, inFlight }) => [runnerId, inFlight])),
+    demand: message.demand.map(toDemandRate),
+    expectedLoads: message.expectedLoads.map(({ service, model, readyInMs }) => ({ service, model, readyInMs })),
+    lease: {
+      fencingToken: Number(message.lease?.fencingToken ?? 0n),
+      heldBySender: message.lease?.heldBySender ?? false,
+      lastOrderAgoMs: message.lease?.lastOrderAgoMs
+    },
+    sentAt: new Date(Number(message.sentUnixMs)),
+    speaksForAll: message.speaksForAll,
+    hosts: hosts && toUpdate(hosts, hosts.hosts.map(toSummary)),
+    hostsSeen: toVersion(message.hostsSeen),
+    runners: runners && toUpdate(runners, runners.runners.map(toEntry)),
+    runnersSeen: toVersion(message.runnersSeen),
+    runnersReadAgoMs: message.runnersReadAgoMs
+  }
+}
+
+function toUpdateMessage ({ to, complete, removed }: ListUpdate<unknown>) {
+  return { to: toVersionMessage(to), complete, removed }
+}
+
+function toUpdate<Item> (message: { to?: ListVersionMessage, complete: boolean, removed: string[] }, items: Item[]): ListUpdate<Item> {
+  const { to, complete, removed } = message
+  return { to: toVersion(to) ?? { listId: '', version: 0 }, complete, items, removed }
+}
+
+function toVersionMessage (version: ListVersion | undefined) {
+  return version && { listId: version.listId, version: BigInt(version.version) }
+}
+
+function toVersion (message: ListVersionMessage | undefined): ListVersion | undefined {
+  return message && { listId: message.listId, version: Number(message.version) }
+}
+
+function toRunnerMessage (entry: RunnerEntry) {
+  const models = entry.models.map((model) => ({ ...model, version: BigInt(model.version) }))
+  const startedUnixMs = entry.startedUnixMs === undefined ? undefined : BigInt(entry.startedUnixMs)
+  return { ...entry, models, startedUnixMs }
+}
+
+function toEntry (message: ListedRunner): RunnerEntry {
+  const { id, service, address, availabilityZone, slots, draining, remainingMs, localWeights } = message
+  const models = message.models.map(({ name, version, adapters }) => ({ name, version: Number(version), adapters }))
+  const startedUnixMs = message.startedUnixMs === undefined ? undefined : Number(message.startedUnixMs)
+  return { id, service, address, availabilityZone, slots, draining, startedUnixMs, remainingMs, models, localWeights }
+}
+
+function toSummary (message: HostSummaryMessage | undefined): HostSummary {
+  return {
+    address: toAddress(message?.address),
+    incarnation: message?.incarnation ?? '',
+    ready: message?.ready ?? false,
+    leaving: message?.leaving ?? false,
+    relay: message?.relay ?? false,
+    holdsLease: message?.holdsLease ?? false,
+    hearsay: message?.hearsay ?? false
+  }
+}
+
+function toDemandRate ({ service, model, adapter, requestsPerS, slowRequestsPerS, holdMs }: TargetDemand): DemandRate {
+  return { service, model, adapter: adapter === '' ? undefined : adapter, requestsPerS, slowRequestsPerS, holdMs }
+}
+
+function toAddress (message: GatewayAddress | undefined): HostAddress {
+  return {
+    host: message?.host ?? '',
+    availabilityZone: message?.availabilityZone ?? '',
+    callerAddress: message?.callerAddress ?? '',
+    peerAddress: message?.peerAddress ?? '',
+    capacityCores: message?.capacityCores ?? 0
+  }
+}
--- a/packages/gateway/src/members/report-writer.ts
+++ b/packages/gateway/src/members/report-writer.ts
@@ -1,7 +1,9 @@
 /** Writes what a host tells another one, by what that one needs to know. */
 import type { Clock } from '@figloom/runtime'
+import type { RunnerEntry } from '../runners/types.js'
+import { ChangeList, type ListVersion } from './change-list.js'
+import { createHostList } from './host-list.js'
 import type { Member, MemberTable } from './member-table.js'
-import { Roster } from './roster.js'
 import type { SharedView } from './shared-view.js'
 import type { DemandRate, ExpectedLoad, HostAddress, HostReport, HostSummary, LeaseView } from './types.js'
 
@@ -12,6 +14,7 @@
   relay: boolean
   configVersion: number
   configReadAgoMs: number | undefined
+  runnersReadAgoMs: number | undefined
   /** Requests in flight by runner id. */
   runnerUses: Map<string, number>
   demand: DemandRate[]
@@ -28,20 +31,31 @@
   members: MemberTable
   shared: SharedView
   state: () => OwnState
+  /** Runners as this host knows them. */
+  runners: () => RunnerEntry[]
+  /** What this host has of another one's list of runners. */
+  runnersSeen: (host: string) => ListVersion | undefined
 }
 
 /** Lists of one process, told apart from those of its other lives. */
-const ListName = { Group: 'group', All: 'all' } as const
+const ListName = { Group: 'group', All: 'all', Runners: 'runners' } as const
 
 export class ReportWriter {
   /** For other relays: the hosts that report here, and relays by hearsay. */
-  readonly #groupRoster: Roster
+  readonly #groupHosts: ChangeList<HostSummary>
   /** For hosts that report here: everybody. */
-  readonly #allRoster: Roster
+  readonly #allHosts: ChangeList<HostSummary>
+  readonly #runners: ChangeList<RunnerEntry>
 
   private constructor (private readonly parts: ReportWriterParts) {
-    this.#groupRoster = Roster.create(`${parts.incarnation}/${ListName.Group}`)
-    this.#allRoster = Roster.create(`${parts.incarnation}/${ListName.All}`)
+    this.#groupHosts = createHostList(`${parts.incarnation}/${ListName.Group}`)
+    this.#allHosts = createHostList(`${parts.incarnation}/${ListName.All}`)
+    this.#runners = ChangeList.create({
+      listId: `${parts.incarnation}/${ListName.Runners}`,
+      keyOf: ({ id }) => id,
+      // An entry that says nothing new is kept as it was decoded.
+      isSame: (one, other) => one === other
+    })
   }
 
   static create (parts: ReportWriterParts): ReportWriter {
@@ -60,9 +74,9 @@
       configReadAgoMs: state.configReadAgoMs,
       lease: state.lease,
       sentAt: clock.now(),
-      rosterSeen: peer === undefined ? undefined : members.rosterSeen(peer.address.host)
+      hostsSeen: peer === undefined ? undefined : members.hostsSeen(peer.address.host)
     }
-    if (!state.relay) return { ...report, ...this.#shareOfHost(state, peer) }
+    if (!state.relay) return { ...report, runnersSeen: this.#runnersSeen(peer), ...this.#shareOfHost(state, peer) }
     return { ...report, ...(peer === undefined || peer.relay ? this.#shareOfGroup(state, live, peer) : this.#shareOfAll(state, live, peer)) }
   }
 
@@ -81,31 +95,39 @@
     const { members, shared, clock } = this.parts
     const group = members.group(clock.monotonicMs()).map(({ sender }) => sender)
     const relays = live.map(({ summary }) => summary).filter(({ relay, leaving }) => relay && !leaving)
-    this.#groupRoster.update([...relays.map((summary) => ({ ...summary, hearsay: true })), ...group])
+    this.#groupHosts.update([...relays.map((summary) => ({ ...summary, hearsay: true })), ...group])
     return {
       runnerUses: shared.groupUses(state),
       demand: peer?.holdsLease === true ? shared.groupDemand(state) : [],
       expectedLoads: state.lease.heldBySender ? state.expectedLoads : [],
       speaksForAll: false,
-      roster: this.#groupRoster.changesSince(this.#seenBy(peer))
+      hosts: this.#groupHosts.changesSince(this.#lastReport(peer)?.hostsSeen)
     }
   }
 
   /** What a relay tells a host that reports to it. */
   #shareOfAll (state: OwnState, live: readonly Member[], peer: HostSummary) {
-    const { shared } = this.parts
+    const { shared, runners } = this.parts
     const { host } = peer.address
-    this.#allRoster.update(live.map(({ summary }) => summary))
+    const last = this.#lastReport(peer)
+    this.#runners.update(runners())
+    this.#allHosts.update(live.map(({ summary }) => summary))
     return {
       runnerUses: shared.usesBut(host, state),
       demand: [],
       expectedLoads: state.expectedLoads,
       speaksForAll: true,
-      roster: this.#allRoster.changesSince(this.#seenBy(peer))
+      hosts: this.#allHosts.changesSince(last?.hostsSeen),
+      runners: this.#runners.changesSince(last?.runnersSeen),
+      runnersReadAgoMs: state.runnersReadAgoMs
     }
   }
 
-  #seenBy (peer: HostSummary | undefined) {
-    return peer === undefined ? undefined : this.parts.members.seenBy(peer.address.host)
+  #lastReport (peer: HostSummary | undefined): HostReport | undefined {
+    return peer === undefined ? undefined : this.parts.members.lastReport(peer.address.host)
+  }
+
+  #runnersSeen (peer: HostSummary | undefined): ListVersion | undefined {
+    return peer === undefined ? undefined : this.parts.runnersSeen(peer.address.host)
   }
 }
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -1,5 +1,8 @@
 /** Hosts of the gateway as they know each other, by direct contact or by a relay's word. Times are monotonic milliseconds. */
 
+import type { RunnerEntry } from '../runners/types.js'
+import type { ListUpdate, ListVersion } from './change-list.js'
+
 /** Where a host can be reached; addresses are IP:PORT. */
 export type HostAddress = {
   host: string
@@ -48,19 +51,6 @@
   hearsay: boolean
 }
 
-/** A state of one sender's list of hosts. */
-export type RosterVersion = { rosterId: string, version: number }
-
-/** A sender's list of hosts, or what changed in it. */
-export type RosterUpdate = {
-  to: RosterVersion
-  /** The whole list, not only changes since the version that the receiver named. */
-  complete: boolean
-  hosts: HostSummary[]
-  /** Names of hosts that left the list. */
-  removed: string[]
-}
-
 /** What a host says of itself and of the hosts that it speaks for. */
 export type HostReport = {
   sender: HostSummary
@@ -78,9 +68,16 @@
   sentAt: Date
   /** The sender speaks for all hosts but the receiver; otherwise for those that report to it. */
   speaksForAll: boolean
-  roster?: RosterUpdate
-  /** What the sender has of the receiver's roster. */
-  rosterSeen?: RosterVersion
+  /** Hosts that the sender vouches for or knows of; absent from hosts that aren't relays. */
+  hosts?: ListUpdate<HostSummary>
+  /** What the sender has of the receiver's list of hosts. */
+  hostsSeen?: ListVersion
+  /** Runners as the sender knows them; only to hosts that report to it. */
+  runners?: ListUpdate<RunnerEntry>
+  /** What the sender has of the receiver's list of runners. */
+  runnersSeen?: ListVersion
+  /** Time since the sender last read the list of runners from the platform; absent if it hasn't. */
+  runnersReadAgoMs?: number
 }
 
 /** Hands reports to other hosts and takes theirs. */
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -39,6 +39,10 @@
    * host may wait for one over a single call.
    */
   hearsOfConfig: () => boolean
+  /** Age of what this host knows of the list of runners, by its own reads or by others that read it; it need not read a young list. */
+  runnersAgeMs: () => number
+  /** The list of runners was read, whether anything changed in it or not. */
+  onRunnersRead: () => void
   /** The whole list was read anew: ids that aren't in it are gone. */
   onRunnerList: (ids: ReadonlySet<string>, graceMs: number) => void
 }
@@ -50,6 +54,8 @@
   abstract readConfig (): void
   /** Time since the configuration was last read; undefined before. */
   abstract configReadAgoMs (): number | undefined
+  /** Time since the list of runners was last read; undefined before. */
+  abstract runnersReadAgoMs (): number | undefined
   abstract stop (): void
 }
 
