--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,17 +1,18 @@
 /** A gateway host: its listeners and tasks, and its life from start to stop. */
 import { randomUUID } from 'node:crypto'
-import { createRegistry, Gauge, type Clock, type Logger, type Registry, type Timer } from '@figloom/runtime'
+import { createRegistry, type Clock, type Logger, type Registry, type Timer } from '@figloom/runtime'
 import { ConfigState } from './config/config-state.js'
 import { RunnerConnections } from './forward/runner-connections.js'
 import { createCallerHandler, createPathHandler, createPeerHandler } from './front/handlers.js'
 import { HttpServer } from './front/http-server.js'
+import { createGauges } from './gauges.js'
 import { InstantSource } from './lease/instant.js'
 import { LeaseKeeper } from './lease/lease-keeper.js'
 import { lookupHosts } from './lookup/lookup.js'
 import { Exchanger } from './members/exchanger.js'
 import { createContactPace, type ContactPace } from './members/contact-pace.js'
-import { MemberTable, type Member } from './members/member-table.js'
-import { ALL_RELAYS_UP_TO } from './members/relay-plan.js'
+import { HostSight } from './members/host-sight.js'
+import { MemberTable } from './members/member-table.js'
 import { ConnectPeerCalls, type PeerHandler } from './members/peer-service.js'
 import { ReportWriter, type OwnState } from './members/report-writer.js'
 import { SharedView } from './members/shared-view.js'
@@ -36,8 +37,6 @@
 /** Time before the end of the grace period by which the process is gone. */
 const EXIT_MARGIN_MS = 300
 const SWEEP_MS = 200
-/** A relay's read of the configuration is recent for this long: a read that waits, and the exchange that tells of it. */
-const CONFIG_READ_LATELY_MS = 2_000
 /** A host that started knows by then whom its seeds know. */
 const SETTLE_MS = 700
 
@@ -49,8 +48,6 @@
   random: () => number
 }
 
-type DirectMember = Member & Required<Pick<Member, 'direct'>>
-
 export class Gateway {
   readonly #registry: Registry
   readonly #config = ConfigState.create()
@@ -63,6 +60,7 @@
   readonly #startedMs: number
   readonly #pace: ContactPace
   readonly #members: MemberTable
+  readonly #sight: HostSight
   readonly #shared: SharedView
   readonly #reports: ReportWriter
   readonly #exchanger: Exchanger
@@ -83,6 +81,7 @@
     this.#startedMs = clock.monotonicMs()
     this.#pace = createContactPace(settings.contactMs)
     this.#members = MemberTable.create(settings.self.host, this.#pace)
+    this.#sight = HostSight.create(clock, this.#members, this.#pace)
     this.#shared = SharedView.create(this.#pace.relayTrustMs)
     this.#reports = ReportWriter.create({
       clock,
@@ -112,7 +111,14 @@
       this.#inFlight += 1
       await serveRequest(this.#context, request, response).finally(() => { this.#inFlight -= 1 })
     }))
-    this.#createGauges()
+    createGauges(this.#registry, {
+      inFlight: () => this.#inFlight,
+      configVersion: () => this.#config.version,
+      runners: () => this.#runners.all().length,
+      liveHosts: () => this.#members.live(this.#nowMs()).length,
+      relay: () => this.#exchanger.relay,
+      holdsLease: () => this.#lease.holds
+    })
   }
 
   static create (parts: GatewayParts): Gateway {
@@ -128,7 +134,7 @@
       onRunnerGone: (id, graceMs) => this.#onRunnerGone(id, graceMs),
       onRunnerList: (ids, graceMs) => this.#runners.retain(ids, this.#nowMs(), graceMs),
       onRunnersRead: () => this.#relayedRunners.onOwnRead(this.#nowMs()),
-      hearsOfConfig: () => this.#hearsOfConfig(),
+      hearsOfConfig: () => !this.#exchanger.relay && this.#sight.hearsOfConfig(),
       runnersAgeMs: () => this.#exchanger.relay ? Infinity : this.#relayedRunners.ageMs(this.#nowMs())
     })
     await this.#openListeners()
@@ -148,7 +154,7 @@
     log.info('gateway is leaving', { inFlight: this.#inFlight })
     await Promise.allSettled([this.#exchanger.tellRelays(), this.#lease.release()])
     this.#desk.stop()
-    await clock.sleep(LOOKUP_TTL_MS * LOOKUP_KEPT_FACTOR + this.#spreadMs())
+    await clock.sleep(LOOKUP_TTL_MS * LOOKUP_KEPT_FACTOR + this.#sight.spreadMs)
     this.#front.stopAccepting()
     while (this.#inFlight > 0 && this.#nowMs() < endMs) {
       await clock.sleep(50)
@@ -253,8 +259,8 @@
       host: settings.self.host,
       incarnation: this.#incarnation,
       orderGapMs: settings.orderGapMs,
-      holderIsLive: () => this.#holderReport() !== undefined,
-      lastOrderUnder: (fencingToken) => this.#lastOrderUnder(fencingToken),
+      holderIsLive: () => this.#sight.hearsHolder,
+      lastOrderUnder: (fencingToken) => this.#sight.lastOrderUnder(fencingToken),
       hasRestartedPeer: () => this.#members.hasRestartedHost(this.#nowMs()),
       mayHold: () => this.#config.known && !this.#leaving && this.#exchanger.ranked && this.#nowMs() - this.#startedMs > SETTLE_MS
     })
@@ -279,13 +285,13 @@
         desk: this.#desk,
         peers: this.#peers,
         mayOrder: () => this.#lease.orderToken() !== undefined,
-        holderAddress: () => this.#holder()?.summary.address.peerAddress
+        holderAddress: () => this.#sight.holderAddress()
       }),
       loads: KnownLoads.create(() => this.#expectedLoads()),
       host: {
         availabilityZone: settings.self.availabilityZone,
         hostCount: () => this.#members.sharingCount(this.#nowMs()),
-        hostOfOldLoads: () => this.#meetsAll() ? undefined : settings.self.host,
+        hostOfOldLoads: () => this.#sight.meetsAll ? undefined : settings.self.host,
         isLeaving: () => this.#leaving
       },
       random
@@ -311,59 +317,9 @@
     if (change.complete) this.#runners.retain(new Set(change.entries.map(({ id }) => id)), this.#nowMs(), 0)
   }
 
-  /** Loads under way by the word of the holder of the lease, or of the relay that passed it on last. */
+  /** Loads under way, as far as this host knows. */
   #expectedLoads (): ExpectedLoad[] {
-    if (this.#lease.orderToken() !== undefined) return this.#desk.expectedLoads()
-    const holder = this.#holderReport()
-    if (holder !== undefined) return holder.expectedLoads
-    const relayed = this.#directMembers().filter(({ direct }) => direct.report.speaksForAll)
-    const latest = relayed.reduce<DirectMember | undefined>((best, member) => (best?.direct.heardMs ?? -Infinity) < member.direct.heardMs ? member : best, undefined)
-    return latest?.direct.report.expectedLoads ?? []
-  }
-
-  /** The hosts are so few that each is in direct contact with all others. */
-  #meetsAll (): boolean {
-    return this.#members.live(this.#nowMs()).length < ALL_RELAYS_UP_TO
-  }
-
-  /** Until all others leave this host out of their lookups. */
-  #spreadMs (): number {
-    return this.#meetsAll() ? this.#pace.directSpreadMs : this.#pace.relayedSpreadMs
-  }
-
-  /** Relays read the configuration often; what one said of its last read counts while it is young. */
-  #hearsOfConfig (): boolean {
-    if (this.#exchanger.relay) return false
-    const nowMs = this.#nowMs()
-    return this.#directMembers().some(({ summary, direct }) => {
-      const { configReadAgoMs } = direct.report
-      return summary.relay && configReadAgoMs !== undefined && configReadAgoMs + nowMs - direct.heardMs < CONFIG_READ_LATELY_MS
-    })
-  }
-
-  #directMembers (): DirectMember[] {
-    return this.#members.live(this.#nowMs()).filter((member): member is DirectMember => member.direct !== undefined)
-  }
-
-  /** A host that says it holds the lease on orders, by its own word or that of a relay. */
-  #holder (): Member | undefined {
-    return this.#members.live(this.#nowMs()).find(({ summary }) => summary.holdsLease)
-  }
-
-  /** Last word of a host that says it holds the lease on orders and that this one hears itself. */
-  #holderReport (): HostReport | undefined {
-    const nowMs = this.#nowMs()
-    const holder = this.#directMembers().find(({ direct }) => direct.report.lease.heldBySender)
-    return holder !== undefined && nowMs - holder.direct.heardMs < this.#pace.holderSilentMs ? holder.direct.report : undefined
-  }
-
-  /** Time since the last order under a token, by the word of a host that gave that lease up. */
-  #lastOrderUnder (fencingToken: number): number | undefined {
-    const nowMs = this.#nowMs()
-    const direct = this.#directMembers().find(({ direct }) => direct.report.lease.fencingToken === fencingToken)?.direct
-    const lease = direct?.report.lease
-    if (direct === undefined || lease === undefined || lease.heldBySender || lease.lastOrderAgoMs === undefined) return undefined
-    return lease.lastOrderAgoMs + nowMs - direct.heardMs
+    return this.#lease.orderToken() === undefined ? this.#sight.expectedLoads() : this.#desk.expectedLoads()
   }
 
   #ownState (): OwnState {
@@ -389,23 +345,12 @@
 
   #sweep (): void {
     this.#shared.sweep(this.#nowMs())
-    this.#relayedRunners.retain(new Set(this.#directMembers().map(({ summary }) => summary.address.host)))
+    this.#relayedRunners.retain(this.#sight.directHosts())
     for (const id of this.#runners.sweep(this.#nowMs())) this.parts.log.info('runner is gone', { runner: id })
     this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
   }
 
-  #createGauges (): void {
-    const registers = [this.#registry]
-    const count = (name: string, help: string, read: () => number) => new Gauge({ name, help, registers, collect () { this.set(read()) } })
-    count('figloom_gateway_in_flight', 'Requests of callers under way at this host.', () => this.#inFlight)
-    count('figloom_gateway_config_version', 'Version of the configuration in force.', () => this.#config.version)
-    count('figloom_gateway_runners', 'Runners in the list.', () => this.#runners.all().length)
-    count('figloom_gateway_live_hosts', 'Other hosts heard of late.', () => this.#members.live(this.#nowMs()).length)
-    count('figloom_gateway_relay', '1 while this host passes on the word of others.', () => this.#exchanger.relay ? 1 : 0)
-    count('figloom_gateway_holds_lease', '1 while this host holds the lease on orders.', () => this.#lease.holds ? 1 : 0)
-  }
-
   async #destroy (): Promise<void> {
     this.#exchanger.stop()
     this.#sweepTimer?.cancel()
--- /dev/null
+++ b/packages/gateway/src/gauges.ts
@@ -0,0 +1,23 @@
+/** Gauges of a gateway host, read when the metrics page is asked for. */
+import { Gauge, type Registry } from '@figloom/runtime'
+
+/** What the gauges read. */
+export type GaugeSources = {
+  inFlight: () => number
+  configVersion: () => number
+  runners: () => number
+  liveHosts: () => number
+  relay: () => boolean
+  holdsLease: () => boolean
+}
+
+export function createGauges (registry: Registry, sources: GaugeSources): void {
+  const registers = [registry]
+  const count = (name: string, help: string, read: () => number) => new Gauge({ name, help, registers, collect () { this.set(read()) } })
+  count('figloom_gateway_in_flight', 'Requests of callers under way at this host.', sources.inFlight)
+  count('figloom_gateway_config_version', 'Version of the configuration in force.', sources.configVersion)
+  count('figloom_gateway_runners', 'Runners in the list.', sources.runners)
+  count('figloom_gateway_live_hosts', 'Other hosts that are up.', sources.liveHosts)
+  count('figloom_gateway_relay', '1 while this host passes on the word of others.', () => sources.relay() ? 1 : 0)
+  count('figloom_gateway_holds_lease', '1 while this host holds the lease on orders.', () => sources.holdsLease() ? 1 : 0)
+}
