Tell the tests' tools by the lock file in the check of the build

The check named the development dependencies of the workspace alone; the lock file marks every package that only development needs.

--- a/scripts/check-build.mjs
+++ b/scripts/check-build.mjs
@@ -69,14 +69,13 @@
   return unlisted.length === 0
 }
 
-/** Tools of the tests have no place in a build. */
+/** Packages that only development needs, by the lock file, have no place in a build. */
 function installsNoTestTools (checkout) {
-  const { devDependencies } = JSON.parse(readFileSync('package.json', 'utf8'))
-  const installed = Object.keys(devDependencies).filter((name) => existsSync(join(checkout, 'node_modules', name)))
-  // The types come along with a library that the gateway imports.
-  const tools = installed.filter((name) => !name.startsWith('@types/'))
-  if (tools.length > 0) console.log(`BUILD INSTALLS TOOLS OF THE TESTS: ${tools.join(', ')}`)
-  return tools.length === 0
+  const { packages } = JSON.parse(readFileSync('package-lock.json', 'utf8'))
+  const development = Object.keys(packages).filter((path) => packages[path].dev === true)
+  const installed = development.filter((path) => existsSync(join(checkout, path)))
+  if (installed.length > 0) console.log(`BUILD INSTALLS ${installed.length} PACKAGES OF THE TESTS: ${installed.slice(0, 5).join(', ')}`)
+  return installed.length === 0
 }
 
 /** An install that was interrupted leaves a directory that is newer than the lock file and has nothing in it. */
