--- a/packages/daemon/src/shutdown.test.ts
+++ b/packages/daemon/src/shutdown.test.ts
@@ -31,6 +31,25 @@
   await t.rejects(fetch(`${leaving?.callerUrl}/v1/models`))
 })
 
+t.test('a leaving host takes requests as long as callers may keep its address', async (t) => {
+  const ttlMs = 5_000
+  const { hosts } = await startCluster(t, { hostCount: 2, settings: { lookup: { ttlMs } } })
+  const [leaving, staying] = hosts
+  const leftMs = performance.now()
+  const stopped = leaving?.daemon.shutDown()
+  await until(async () => !(await lookup(staying?.callerUrl)).includes('host-1'), 'left lookups')
+  // Several, since a host that doesn't wait still hands its cells over before it refuses.
+  for (let index = 0; index < 40; index++) {
+    const answered = fetch(`${leaving?.callerUrl}/v1/chat/completions`, { method: 'POST', body: chat(`late ${index}`, { max_tokens: 1 }) })
+      .then(async (answer) => await answer.text() === '' ? 0 : answer.status, () => 0)
+    const status = await answered
+    // On a slow machine callers may have let go of the address meanwhile.
+    if (performance.now() - leftMs < ttlMs) t.equal(status, 200)
+    await new Promise((resolve) => setTimeout(resolve, 25))
+  }
+  await stopped
+})
+
 t.test('an answer that its caller reads slowly is not cut by the shutdown', async (t) => {
   const { hosts } = await startCluster(t)
   const [host] = hosts
