Refuse a stream that a stopping host could not finish

Cause: callers keep an address for up to 3 s, and a stopping host listens for 3.7 s; a stream of over 4 s that begins behind the third second doesn't end within the grace of 8 s. Why it works: from 2.8 s after the request to stop, new streams are refused at once, as not run, with Retry-After 0: the caller takes another host. Short requests are served on as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,8 @@
 /** Time before the end of the grace period by which the process is gone. */
 const EXIT_MARGIN_MS = 300
 const SWEEP_MS = 200
+/** A stream that begins later than this after a request to stop might be cut by the end of the process. */
+const LAST_STREAM_MS = 2_800
 /** A host that started knows by then whom its seeds know. */
 const SETTLE_MS = 700
 
@@ -72,6 +74,7 @@
   #settings: GatewaySettings
   #inFlight = 0
   #leaving = false
+  #leavingSinceMs: number | undefined
   #sweepTimer: Timer | undefined
 
   private constructor (private readonly parts: GatewayParts) {
@@ -149,6 +152,7 @@
   async stop (): Promise<void> {
     if (this.#leaving) return
     this.#leaving = true
+    this.#leavingSinceMs = this.#nowMs()
     const { clock, log } = this.parts
     const endMs = this.#nowMs() + this.#settings.graceMs - EXIT_MARGIN_MS
     log.info('gateway is leaving', { inFlight: this.#inFlight })
@@ -292,7 +296,8 @@
         availabilityZone: settings.self.availabilityZone,
         hostCount: () => this.#members.sharingCount(this.#nowMs()),
         hostOfOldLoads: () => this.#sight.meetsAll ? undefined : settings.self.host,
-        isLeaving: () => this.#leaving
+        isLeaving: () => this.#leaving,
+        isClosedToStreams: () => this.#leavingSinceMs !== undefined && this.#nowMs() - this.#leavingSinceMs > LAST_STREAM_MS
       },
       random
     }
--- a/packages/gateway/src/serve/serve-request.ts
+++ b/packages/gateway/src/serve/serve-request.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import { err, ok, type Result } from 'neverthrow'
-import type { Route, Service } from '../config/types.js'
+import { RouteKind, type Route, type Service } from '../config/types.js'
 import type { CallerFacts } from '../forward/types.js'
 import { writeFailure } from './own-answer.js'
 import { RequestRun } from './request-run.js'
@@ -49,6 +49,9 @@
   if (route === undefined) return err(createFailure(ResultCode.NoSuchRoute, 'no route has this host and path'))
   const service = config.services.get(pickService(route, context.random))
   if (service === undefined) return err(createFailure(ResultCode.NoRunner, 'the route leads to an unknown service', { retryAfterMs: NOT_READY_RETRY_MS }))
+  if (route.kind === RouteKind.Stream && context.host.isClosedToStreams()) {
+    return err(createFailure(ResultCode.Draining, 'this host is stopping and could not finish a stream', { retryAfterMs: 0 }))
+  }
   return ok({ route, service })
 }
 
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -29,6 +29,8 @@
   hostOfOldLoads: () => string | undefined
   /** This host is shutting down: callers should move to others. */
   isLeaving: () => boolean
+  /** Too little is left until the end of this process for a stream that begins now. */
+  isClosedToStreams: () => boolean
 }
 
 export type ServeContext = {
