--- a/packages/gateway/src/forward/attempt.ts
+++ b/packages/gateway/src/forward/attempt.ts
@@ -24,6 +24,8 @@
 
 /** Receives the parts of an answer in order; exactly one of `onEnd` and `onFailure` closes it. */
 export abstract class AttemptObserver {
+  /** A connection is there: the request is written next. */
+  abstract onSending (): void
   /** Head of the answer; false: the answer isn't wanted and its connection is closed. */
   abstract onHead (status: number, headers: RawHeaders): boolean
   /** A piece of the body; false: pause until `resume`. */
@@ -89,6 +91,7 @@
     }
     this.#sent = true
     this.#abort = abort
+    this.observer.onSending()
   }
 
   #onHeaders (status: number, headers: Buffer[], resume: () => void): boolean {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,11 @@
 /** A host that started knows by then whom its seeds know. */
 const SETTLE_MS = 700
 
+/** Who told of a runner, for the log. */
+type RunnerWord = { from: string, listVersion?: number, listAgeMs?: number }
+
+const OWN_READ: RunnerWord = { from: 'the platform' }
+
 export type GatewayParts = {
   settings: GatewaySettings
   platform: Platform
@@ -133,8 +138,8 @@
     const { settings, platform, log } = this.parts
     platform.watch.start({
       onConfig: (config) => this.#onConfig(config),
-      onRunner: (entry) => this.#onRunner(entry),
-      onRunnerGone: (id, graceMs) => this.#onRunnerGone(id, graceMs),
+      onRunner: (entry) => this.#onRunner(entry, OWN_READ),
+      onRunnerGone: (id, graceMs) => this.#onRunnerGone(id, graceMs, OWN_READ),
       onRunnerList: (ids, graceMs) => this.#runners.retain(ids, this.#nowMs(), graceMs),
       onRunnersRead: () => this.#relayedRunners.onOwnRead(this.#nowMs()),
       hearsOfConfig: () => !this.#exchanger.relay && this.#sight.hearsOfConfig(),
@@ -190,16 +195,19 @@
     this.parts.log.info('configuration in force', { version: config.version, before, routes: config.routes.length })
   }
 
-  #onRunner (entry: RunnerEntry): void {
+  #onRunner (entry: RunnerEntry, word: RunnerWord): void {
     const known = this.#runners.get(entry.id)?.entry
     this.#runners.upsert(entry)
     if (known?.draining === entry.draining && known.startedUnixMs === entry.startedUnixMs) return
-    const { id, service, address, draining, remainingMs } = entry
-    this.parts.log.info(draining ? 'runner drains' : 'runner listed', { runner: id, service, address, remainingMs })
+    const { id, service, address, draining, remainingMs, startedUnixMs } = entry
+    const fields = { runner: id, service, address, remainingMs, startedUnixMs, ...word }
+    const returned = known?.draining === true && known.startedUnixMs === startedUnixMs
+    if (returned) return this.parts.log.warn('runner that drained is listed again', fields)
+    this.parts.log.info(draining ? 'runner drains' : 'runner listed', fields)
   }
 
-  #onRunnerGone (id: string, graceMs: number): void {
-    this.parts.log.info('runner left the list', { runner: id, graceMs: Math.round(graceMs) })
+  #onRunnerGone (id: string, graceMs: number, word: RunnerWord): void {
+    this.parts.log.info('runner left the list', { runner: id, graceMs: Math.round(graceMs), ...word })
     this.#runners.remove(id, this.#nowMs(), graceMs)
   }
 
@@ -296,6 +304,7 @@
         availabilityZone: settings.self.availabilityZone,
         hostCount: () => this.#members.sharingCount(this.#nowMs()),
         hostOfOldLoads: () => this.#sight.meetsAll ? undefined : settings.self.host,
+        runnersAgeMs: () => this.#relayedRunners.ageMs(this.#nowMs()),
         isLeaving: () => this.#leaving,
         isClosedToStreams: () => this.#leavingSinceMs !== undefined && this.#nowMs() - this.#leavingSinceMs > LAST_STREAM_MS
       },
@@ -315,10 +324,12 @@
   /** Takes over the list of runners by the word of the relay that this host reports to. */
   #takeRunners ({ sender, runners, runnersReadAgoMs }: HostReport, writtenMs: number): void {
     if (runners === undefined || runnersReadAgoMs === undefined) return
-    const change = this.#relayedRunners.hear({ relay: sender.address.host, update: runners, readMs: writtenMs - runnersReadAgoMs })
+    const readMs = writtenMs - runnersReadAgoMs
+    const change = this.#relayedRunners.hear({ relay: sender.address.host, update: runners, readMs })
     if (change === undefined) return
-    for (const entry of change.entries) this.#onRunner(entry)
-    for (const id of change.removed) this.#onRunnerGone(id, 0)
+    const word = { from: sender.address.host, listVersion: runners.to.version, listAgeMs: Math.round(this.#nowMs() - readMs) }
+    for (const entry of change.entries) this.#onRunner(entry, word)
+    for (const id of change.removed) this.#onRunnerGone(id, 0, word)
     if (change.complete) this.#runners.retain(new Set(change.entries.map(({ id }) => id)), this.#nowMs(), 0)
   }
 
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -14,6 +14,15 @@
   whole?: { head: AnswerHead, body: Buffer }
 }
 
+export type ResultEvents = {
+  /** The request is written to its runner next. */
+  onSending: () => void
+  /** The first piece of a stream's body is there. */
+  onFirstByte: () => void
+  /** Called once. */
+  onResult: (result: AttemptResult) => void
+}
+
 /** A whole answer larger than this is given up. */
 const MAX_WHOLE_BYTES = 8 * 1024 * 1024
 
@@ -32,17 +41,17 @@
     private readonly requestId: string,
     private readonly codec: RequestCodec,
     private readonly relay: AnswerRelay,
-    private readonly report: (result: AttemptResult) => void,
-    private readonly onFirstByte: () => void
+    private readonly events: ResultEvents
   ) {
     super()
   }
 
-  static create (
-    requestId: string, codec: RequestCodec, relay: AnswerRelay,
-    report: (result: AttemptResult) => void, onFirstByte: () => void
-  ): ResultObserver {
-    return new ResultObserver(requestId, codec, relay, report, onFirstByte)
+  static create (requestId: string, codec: RequestCodec, relay: AnswerRelay, events: ResultEvents): ResultObserver {
+    return new ResultObserver(requestId, codec, relay, events)
+  }
+
+  override onSending (): void {
+    this.events.onSending()
   }
 
   override onHead (status: number, headers: RawHeaders): boolean {
@@ -83,7 +92,7 @@
   }
 
   #onStreamData (chunk: Buffer): boolean {
-    this.onFirstByte()
+    this.events.onFirstByte()
     const flows = this.relay.pushStream(chunk)
     if (flows !== StreamFault.Gap) return flows === true
     this.#finish(Outcome.Unknown, 'an event is missing or came twice')
@@ -121,6 +130,6 @@
     if (this.#done) return
     this.#done = true
     this.#chunks = []
-    this.report({ outcome, reason, facts: this.#facts, whole })
+    this.events.onResult({ outcome, reason, facts: this.#facts, whole })
   }
 }
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -55,6 +55,8 @@
   #over = false
   #sendings = 0
   #sentMs = 0
+  /** When a connection was there for the last sending; undefined while there is none. */
+  #writtenMs: number | undefined
   #adapterTries = 0
   #firstByteMs: number | undefined
   #lastReason = ''
@@ -162,13 +164,18 @@
       weightsVersion: this.#relay.begun ? this.#weightsVersion : undefined
     })
     const dispatcher = context.connections.to(id, address, connectionShare(request.service, context.host.hostCount()))
-    const observer = ResultObserver.create(request.id, context.codec, this.#relay,
-      (result) => this.#onResult(runner, result), () => this.#onFirstByte())
+    const observer = ResultObserver.create(request.id, context.codec, this.#relay, {
+      onSending: () => { this.#writtenMs = context.clock.monotonicMs() },
+      onFirstByte: () => this.#onFirstByte(),
+      onResult: (result) => this.#onResult(runner, result)
+    })
+    this.#writtenMs = undefined
     this.#log.note('sent to a runner', {
       runner: id,
       sending: this.#sendings + 1,
       inFlight: candidate.inFlight,
       slots: candidate.slots,
+      listAgeMs: Math.round(context.host.runnersAgeMs()),
       resumedAfter: this.#relay.lastEventId
     })
     this.#sendings += 1
@@ -200,6 +207,8 @@
       reason: result.reason,
       status: result.facts?.status,
       tookMs: Math.round(this.context.clock.monotonicMs() - this.#sentMs),
+      writtenAfterMs: this.#writtenMs === undefined ? undefined : Math.round(this.#writtenMs - this.#sentMs),
+      draining: runner.entry.draining,
       next: step
     })
     if (step === NextStep.Finish) return this.#finish(result)
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -27,6 +27,8 @@
   hostCount: () => number
   /** This host's name where what it knows of the others' load came over relays and is old; undefined where it is fresh. */
   hostOfOldLoads: () => string | undefined
+  /** Age of what this host knows of the list of runners. */
+  runnersAgeMs: () => number
   /** This host is shutting down: callers should move to others. */
   isLeaving: () => boolean
   /** Too little is left until the end of this process for a stream that begins now. */
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -89,7 +89,7 @@
       demand: DemandMeter.create(),
       adapters: new NoAdapters(),
       loads: KnownLoads.create(() => expectedLoads),
-      host: { availabilityZone: 'zone-1', hostCount: () => 1, hostOfOldLoads: () => undefined, isLeaving: () => false, isClosedToStreams: () => false },
+      host: { availabilityZone: 'zone-1', hostCount: () => 1, hostOfOldLoads: () => undefined, runnersAgeMs: () => 0, isLeaving: () => false, isClosedToStreams: () => false },
       random: () => 0.5
     }, expectedLoads)
     await new Promise<void>((resolve) => fixture.#server.listen(0, '127.0.0.1', resolve))
