--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -5,6 +5,7 @@
 import { RouteKind } from './config/types.js'
 import { Gateway } from './gateway.js'
 import { AppendOutcome, LeaseLog, type LeaseTail } from './lease/types.js'
+import { ConnectPeerCalls } from './members/peer-service.js'
 import { HostRegistry } from './members/types.js'
 import { FakeRunnerOrders } from './testing/fake-runner.js'
 import { createEntry, createRoute } from './testing/gateway-fixture.js'
@@ -146,6 +147,24 @@
   t.match(text, /0\r\n\r\n$/)
 })
 
+/** What a host that reports to this one is told of runners. */
+async function toldRunners ({ peers }: Host): Promise<string[]> {
+  const address = { host: 'reporting', availabilityZone: 'z', callerAddress: '127.0.0.1:1', peerAddress: '127.0.0.1:2', capacityCores: 1 }
+  const sender = { address, incarnation: 'i', ready: true, leaving: false, relay: false, holdsLease: false, hearsay: false }
+  const lease = { heldBySender: false, fencingToken: 0 }
+  const report = { sender, configVersion: 0, runnerUses: new Map(), demand: [], expectedLoads: [], lease, sentAt: new Date(), speaksForAll: false }
+  const answer = await ConnectPeerCalls.create().exchange(peers, report, 1_000)
+  return answer.runners?.items.map(({ id }) => id) ?? []
+}
+
+t.test('a runner that left while the store was away is not passed on as listed', async (t) => {
+  const host = await createHost(t, () => {})
+  configure(host)
+  host.watch.events?.onRunner(createEntry({ id: 'left' }))
+  host.watch.events?.onRunnerGone('left', 2_300)
+  t.same(await toldRunners(host), ['runner-1'])
+})
+
 /** Names in the table of metrics, without their labels. */
 async function documentedMetrics (): Promise<string[]> {
   const page = await readFile(new URL('../../../docs/OPERATIONS.md', import.meta.url), 'utf8')
--- a/packages/gateway/src/runners/relayed-runners.test.ts
+++ b/packages/gateway/src/runners/relayed-runners.test.ts
@@ -52,3 +52,17 @@
   runners.onOwnRead(350)
   t.equal(runners.ageMs(400), 50)
 })
+
+t.test('a word that was overtaken does not bring back a draining runner', async (t) => {
+  const runners = RelayedRunners.create()
+  const list = ChangeList.create<RunnerEntry>({ listId: 'relay', keyOf: ({ id }) => id, isSame: (one, other) => one === other })
+  list.update([first, second])
+  runners.hear({ relay: 'relay', update: list.changesSince(undefined), readMs: 100 })
+  const before = runners.seen('relay')
+  list.update([createEntry({ id: 'first', slots: 4 }), second])
+  const overtaken = list.changesSince(before)
+  list.update([drained, second])
+  runners.hear({ relay: 'relay', update: list.changesSince(before), readMs: 300 })
+  const change = runners.hear({ relay: 'relay', update: overtaken, readMs: 200 })
+  t.notOk(change?.entries.some(({ id, draining }) => id === 'first' && !draining))
+})
