Order what is known of runners by the platform's records, not by readers' clocks

A host knows runners by its own reads and by relays, and put the two in order by the time at which each reader took its list to be read. That time is wrong after a suspension, behind a rest, after a slow or partial read; an overtaken report of the followed relay had no order at all; and a relay passed on entries that it kept in grace as if they were listed. In each case an older word went above a newer one and a draining runner was usable again.

Relays pass on the store's records and nothing of their own grace, which each host decides by the outages that it saw itself. Ages count from the start of a read that reached the end, on a clock that counts suspensions. A host that reads again goes on behind what relays told, where it read the whole list before.

An address that another runner answers at is passed over for a while instead of dropped, since heartbeats don't list its entry again.

--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -25,8 +25,6 @@
   override readConfig (): void {}
 
   override configReadAgoMs (): undefined {}
-
-  override runnersReadAgoMs (): undefined {}
 }
 
 class NoRegistry extends HostRegistry {
@@ -78,6 +76,7 @@
       graceMs: 8_000,
       contactMs: 3_000,
       orderGapMs: 3_000,
+      drainNoticeMs: 2_000,
       maxLookupTtlMs: 5_000
     },
     platform: {
@@ -104,7 +103,7 @@
     services: new Map([['plain', { name: 'plain', maxConnections: 20 }]]),
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
   })
-  watch.events?.onRunner(createEntry({ address: runner.address }))
+  watch.events?.onRunners({ to: 1, records: [{ id: 'runner-1', position: 0, entry: createEntry({ address: runner.address }) }], ageMs: 60_000 })
 }
 
 async function status (address: string, path: string): Promise<number> {
@@ -154,14 +153,19 @@
   const lease = { heldBySender: false, fencingToken: 0 }
   const report = { sender, configVersion: 0, runnerUses: new Map(), demand: [], expectedLoads: [], lease, sentAt: new Date(), speaksForAll: false }
   const answer = await ConnectPeerCalls.create().exchange(peers, report, 1_000)
-  return answer.runners?.items.map(({ id }) => id) ?? []
+  return answer.runners?.records.map(({ id }) => id) ?? []
+}
+
+async function usedRunners ({ peers }: Host): Promise<string> {
+  return await (await fetch(`http://${peers}/metrics`)).text()
 }
 
 t.test('a runner that left while the store was away is not passed on as listed', async (t) => {
   const host = await createHost(t, () => {})
   configure(host)
-  host.watch.events?.onRunner(createEntry({ id: 'left' }))
-  host.watch.events?.onRunnerGone('left', 2_300)
+  host.watch.events?.onRunners({ since: 1, to: 2, records: [{ id: 'left', position: 1, entry: createEntry({ id: 'left' }) }], ageMs: 60_000 })
+  host.watch.events?.onRunners({ since: 2, to: 3, records: [{ id: 'left', position: 2 }], ageMs: 0 })
+  t.match(await usedRunners(host), /^figloom_gateway_runners\{.*\} 2$/m, 'kept here for the grace')
   t.same(await toldRunners(host), ['runner-1'])
 })
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,8 +21,7 @@
 import { AdapterRequests } from './orders/adapter-requests.js'
 import { OrderDesk } from './orders/order-desk.js'
 import { SharedBudget } from './retry/shared-budget.js'
-import type { RunnerEntry } from './runners/types.js'
-import { RelayedRunners } from './runners/relayed-runners.js'
+import { RunnerKnowledge } from './runners/runner-knowledge.js'
 import { RunnerTable } from './runners/runner-table.js'
 import { DemandMeter } from './serve/demand-meter.js'
 import { createRequestMetrics } from './serve/metrics.js'
@@ -39,14 +38,11 @@
 const SWEEP_MS = 200
 /** A stream that begins later than this after a request to stop might be cut by the end of the process. */
 const LAST_STREAM_MS = 2_800
+/** Source of runners' states in the log where no other host passed them on. */
+const OWN_READ = 'the platform'
 /** A host that started knows by then whom its seeds know. */
 const SETTLE_MS = 700
 
-/** Who told of a runner, for the log. */
-type RunnerWord = { from: string, listVersion?: number, listAgeMs?: number }
-
-const OWN_READ: RunnerWord = { from: 'the platform' }
-
 export type GatewayParts = {
   settings: GatewaySettings
   platform: Platform
@@ -59,7 +55,8 @@
   readonly #registry: Registry
   readonly #config = ConfigState.create()
   readonly #runners = RunnerTable.create()
-  readonly #relayedRunners = RelayedRunners.create()
+  readonly #instants: InstantSource
+  readonly #knowledge: RunnerKnowledge
   readonly #connections = RunnerConnections.create()
   readonly #demand = DemandMeter.create()
   readonly #peers = ConnectPeerCalls.create()
@@ -87,6 +84,8 @@
     this.#settings = settings
     this.#registry = createRegistry({ host: settings.self.host, availabilityZone: settings.self.availabilityZone })
     this.#startedMs = clock.monotonicMs()
+    this.#instants = InstantSource.create(clock)
+    this.#knowledge = RunnerKnowledge.create({ clock, instants: this.#instants, log, table: this.#runners, drainNoticeMs: settings.drainNoticeMs })
     this.#pace = createContactPace(settings.contactMs)
     this.#members = MemberTable.create(settings.self.host, this.#pace)
     this.#sight = HostSight.create(clock, this.#members, this.#pace)
@@ -98,8 +97,8 @@
       members: this.#members,
       shared: this.#shared,
       state: () => this.#ownState(),
-      runners: () => this.#runners.all().map(({ entry }) => entry),
-      runnersSeen: (host) => this.#relayedRunners.seen(host)
+      runnersPosition: () => this.#knowledge.position,
+      runnersSince: (position) => this.#knowledge.newsSince(position)
     })
     this.#exchanger = this.#createExchanger()
     this.#lease = this.#createLease()
@@ -138,12 +137,11 @@
     const { settings, platform, log } = this.parts
     platform.watch.start({
       onConfig: (config) => this.#onConfig(config),
-      onRunner: (entry) => this.#onRunner(entry, OWN_READ),
-      onRunnerGone: (id, graceMs) => this.#onRunnerGone(id, graceMs, OWN_READ),
-      onRunnerList: (ids, graceMs) => this.#runners.retain(ids, this.#nowMs(), graceMs),
-      onRunnersRead: () => this.#relayedRunners.onOwnRead(this.#nowMs()),
+      onRunners: (news) => this.#knowledge.hear(news, OWN_READ),
+      onRunnersAnew: () => this.#knowledge.forget(),
       hearsOfConfig: () => !this.#exchanger.relay && this.#sight.hearsOfConfig(),
-      runnersAgeMs: () => this.#exchanger.relay ? Infinity : this.#relayedRunners.ageMs(this.#nowMs())
+      hearsOfRunners: () => !this.#exchanger.relay && this.#knowledge.ageMs() < this.#knowledge.youngMs,
+      runnersPosition: () => this.#knowledge.position
     })
     await this.#openListeners()
     this.#exchanger.start()
@@ -195,22 +193,6 @@
     this.parts.log.info('configuration in force', { version: config.version, before, routes: config.routes.length })
   }
 
-  #onRunner (entry: RunnerEntry, word: RunnerWord): void {
-    const known = this.#runners.get(entry.id)?.entry
-    this.#runners.upsert(entry)
-    if (known?.draining === entry.draining && known.startedUnixMs === entry.startedUnixMs) return
-    const { id, service, address, draining, remainingMs, startedUnixMs } = entry
-    const fields = { runner: id, service, address, remainingMs, startedUnixMs, ...word }
-    const returned = known?.draining === true && known.startedUnixMs === startedUnixMs
-    if (returned) return this.parts.log.warn('runner that drained is listed again', fields)
-    this.parts.log.info(draining ? 'runner drains' : 'runner listed', fields)
-  }
-
-  #onRunnerGone (id: string, graceMs: number, word: RunnerWord): void {
-    this.parts.log.info('runner left the list', { runner: id, graceMs: Math.round(graceMs), ...word })
-    this.#runners.remove(id, this.#nowMs(), graceMs)
-  }
-
   async #openListeners (): Promise<void> {
     const { settings, platform } = this.parts
     const { lookupWire } = platform
@@ -248,6 +230,7 @@
     const { settings, clock, log, platform } = this.parts
     return Exchanger.create({
       clock,
+      instants: this.#instants,
       log,
       members: this.#members,
       calls: this.#peers,
@@ -257,7 +240,7 @@
       pace: this.#pace,
       holdsLease: () => this.#lease.holds,
       report: (peer) => this.#reports.write(peer),
-      onReport: (report, writtenMs) => this.#onReport(report, writtenMs)
+      onReport: (report, writtenAgoMs) => this.#onReport(report, writtenAgoMs)
     })
   }
 
@@ -265,7 +248,7 @@
     const { settings, clock, log, platform } = this.parts
     return LeaseKeeper.create({
       clock,
-      instants: InstantSource.create(clock),
+      instants: this.#instants,
       log,
       leaseLog: platform.leaseLog,
       host: settings.self.host,
@@ -304,7 +287,7 @@
         availabilityZone: settings.self.availabilityZone,
         hostCount: () => this.#members.sharingCount(this.#nowMs()),
         hostOfOldLoads: () => this.#sight.meetsAll ? undefined : settings.self.host,
-        runnersAgeMs: () => this.#relayedRunners.ageMs(this.#nowMs()),
+        runnersAgeMs: () => this.#knowledge.ageMs(),
         isLeaving: () => this.#leaving,
         isClosedToStreams: () => this.#leavingSinceMs !== undefined && this.#nowMs() - this.#leavingSinceMs > LAST_STREAM_MS
       },
@@ -312,25 +295,20 @@
     }
   }
 
-  #onReport (report: HostReport, writtenMs: number): void {
+  #onReport (report: HostReport, writtenAgoMs: number): void {
     const nowMs = this.#nowMs()
     const reportsHere = this.#members.group(nowMs).some(({ sender }) => sender.address.host === report.sender.address.host)
     this.#shared.hear(report, reportsHere, nowMs)
     this.#runners.setOthersUses(this.#shared.othersUses())
     if (report.configVersion > this.#config.version) this.parts.platform.watch.readConfig()
-    if (!this.#exchanger.relay) this.#takeRunners(report, writtenMs)
+    this.#takeRunners(report, writtenAgoMs)
   }
 
-  /** Takes over the list of runners by the word of the relay that this host reports to. */
-  #takeRunners ({ sender, runners, runnersReadAgoMs }: HostReport, writtenMs: number): void {
-    if (runners === undefined || runnersReadAgoMs === undefined) return
-    const readMs = writtenMs - runnersReadAgoMs
-    const change = this.#relayedRunners.hear({ relay: sender.address.host, update: runners, readMs })
-    if (change === undefined) return
-    const word = { from: sender.address.host, listVersion: runners.to.version, listAgeMs: Math.round(this.#nowMs() - readMs) }
-    for (const entry of change.entries) this.#onRunner(entry, word)
-    for (const id of change.removed) this.#onRunnerGone(id, 0, word)
-    if (change.complete) this.#runners.retain(new Set(change.entries.map(({ id }) => id)), this.#nowMs(), 0)
+  /** Takes over what a relay passes on of runners. */
+  #takeRunners ({ sender, runners }: HostReport, writtenAgoMs: number): void {
+    if (runners === undefined) return
+    const ageMs = runners.ageMs === undefined ? undefined : runners.ageMs + writtenAgoMs
+    this.#knowledge.hear({ ...runners, ageMs }, sender.address.host)
   }
 
   /** Loads under way, as far as this host knows. */
@@ -347,7 +325,6 @@
       relay: this.#exchanger.relay,
       configVersion: this.#config.version,
       configReadAgoMs: this.parts.platform.watch.configReadAgoMs(),
-      runnersReadAgoMs: this.parts.platform.watch.runnersReadAgoMs(),
       runnerUses: new Map(uses.map(({ entry, inFlight }) => [entry.id, inFlight])),
       demand: this.#demand.rates(this.#nowMs()),
       lease: { heldBySender: lease.held, fencingToken: lease.fencingToken, lastOrderAgoMs: lease.lastOrderAgoMs },
@@ -361,8 +338,7 @@
 
   #sweep (): void {
     this.#shared.sweep(this.#nowMs())
-    this.#relayedRunners.retain(this.#sight.directHosts())
-    for (const id of this.#runners.sweep(this.#nowMs())) this.parts.log.info('runner is gone', { runner: id })
+    this.#knowledge.sweep()
     this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
   }
--- a/packages/gateway/src/lease/instant.ts
+++ b/packages/gateway/src/lease/instant.ts
@@ -28,6 +28,12 @@
     return { awakeMs: this.clock.monotonicMs(), suspendedMs: this.#suspendedMs }
   }
 
+  /** The same as one number of milliseconds, from an arbitrary start. */
+  nowMs (): number {
+    const { awakeMs, suspendedMs } = this.now()
+    return awakeMs + suspendedMs
+  }
+
   /** Milliseconds since `instant` at the most. */
   elapsedMs (instant: Instant): number {
     const now = this.now()
--- a/packages/gateway/src/members/exchanger.ts
+++ b/packages/gateway/src/members/exchanger.ts
@@ -1,5 +1,6 @@
 /** Exchanges reports with other hosts, as planned: at a steady pace, and at once when a change can't wait. */
 import type { Clock, Logger, Timer } from '@figloom/runtime'
+import type { InstantSource } from '../lease/instant.js'
 import type { ContactPace } from './contact-pace.js'
 import { planContacts, type ContactPlan } from './contact-plan.js'
 import type { MemberTable } from './member-table.js'
@@ -15,6 +16,7 @@
 
 export type ExchangerParts = {
   clock: Clock
+  instants: InstantSource
   log: Logger
   pace: ContactPace
   members: MemberTable
@@ -25,8 +27,8 @@
   holdsLease: () => boolean
   /** What to tell a host; undefined where it isn't known yet. */
   report: (peer: HostReport['sender'] | undefined) => HostReport
-  /** Called with every report heard, which was written at `writtenMs` or later. */
-  onReport: (report: HostReport, writtenMs: number) => void
+  /** Called with every report heard, which was written `writtenAgoMs` ago or later. */
+  onReport: (report: HostReport, writtenAgoMs: number) => void
 }
 
 type Contact = {
@@ -85,7 +87,7 @@
 
   /** Answers a report that another host sent. */
   onIncoming (report: HostReport): HostReport {
-    this.#hear(report, true, -Infinity)
+    this.#hear(report, true, Infinity)
     const { sender } = report
     // An exchange tells both sides: this host needn't call before the next one is due.
     const contact = this.#contact(sender.address.peerAddress)
@@ -139,11 +141,12 @@
   async #exchange (address: string): Promise<void> {
     const contact = this.#contact(address)
     contact.busy = true
-    const { clock, calls, log, pace } = this.parts
+    const { clock, instants, calls, log, pace } = this.parts
     const startMs = clock.monotonicMs()
+    const startedAt = instants.now()
     try {
       const report = await calls.exchange(address, this.parts.report(this.#known(contact)), pace.timeoutMs)
-      this.#hear(report, false, startMs)
+      this.#hear(report, false, instants.elapsedMs(startedAt))
       this.#logContact(contact, report, clock.monotonicMs() - startMs)
       contact.answering = true
       contact.failing = false
@@ -180,9 +183,9 @@
     return contact
   }
 
-  #hear (report: HostReport, called: boolean, writtenMs: number): void {
+  #hear (report: HostReport, called: boolean, writtenAgoMs: number): void {
     this.parts.members.hear(report, this.parts.clock.monotonicMs(), called)
-    this.parts.onReport(report, writtenMs)
+    this.parts.onReport(report, writtenAgoMs)
   }
 
   #useRegistryIfDue (nowMs: number): void {
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap'
 import { ManualClock, silentLogger } from '@figloom/runtime'
+import { InstantSource } from '../lease/instant.js'
 import { lookupHosts } from '../lookup/lookup.js'
 import { createContactPace } from './contact-pace.js'
 import { Exchanger } from './exchanger.js'
@@ -74,7 +75,6 @@
       relay: true,
       configVersion: 1,
       configReadAgoMs: 0,
-      runnersReadAgoMs: 0,
       runnerUses: new Map([['runner', 1]]),
       demand: [{ service: 's', model: 'm', requestsPerS: 1, slowRequestsPerS: 1, holdMs: 100 }],
       lease: { heldBySender: false, fencingToken: 0 },
@@ -88,11 +88,12 @@
       members,
       shared,
       state: () => ({ ...state, relay: host.exchanger.relay }),
-      runners: () => [],
-      runnersSeen: () => undefined
+      runnersPosition: () => undefined,
+      runnersSince: () => undefined
     })
     const exchanger = Exchanger.create({
       clock,
+      instants: InstantSource.create(clock),
       log: silentLogger,
       pace: PACE,
       members,
--- a/packages/gateway/src/members/report-messages.test.ts
+++ b/packages/gateway/src/members/report-messages.test.ts
@@ -28,13 +28,19 @@
   hosts: { to: { listId: 'hosts', version: 3 }, complete: true, items: [{ ...summary, hearsay: true }], removed: [] },
   hostsSeen: { listId: 'seen', version: 2 },
   runners: {
-    to: { listId: 'runners', version: 5 },
-    complete: false,
-    items: [createEntry({ startedUnixMs: 1_700_000_000_000, remainingMs: 250, models: [{ name: 'm', version: 2, adapters: ['a1'] }], localWeights: ['n'] })],
-    removed: ['gone']
+    since: 3,
+    to: 9,
+    records: [
+      {
+        id: 'runner-1',
+        position: 5,
+        entry: createEntry({ startedUnixMs: 1_700_000_000_000, remainingMs: 250, models: [{ name: 'm', version: 2, adapters: ['a1'] }], localWeights: ['n'] })
+      },
+      { id: 'gone', position: 8, entry: undefined }
+    ],
+    ageMs: 300
   },
-  runnersSeen: { listId: 'other', version: 1 },
-  runnersReadAgoMs: 300
+  runnersPosition: 4
 }
 
 const overTheWire = (report: HostReport) => fromMessage(fromBinary(GatewayReportSchema, toBinary(GatewayReportSchema, toMessage(report))))
@@ -47,5 +53,5 @@
   const { sender, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll } = full
   const least = { sender, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll }
   const came = overTheWire(least)
-  for (const absent of [came.hosts, came.hostsSeen, came.runners, came.runnersSeen, came.runnersReadAgoMs, came.configReadAgoMs]) t.equal(absent, undefined)
+  for (const absent of [came.hosts, came.hostsSeen, came.runners, came.runnersPosition, came.configReadAgoMs]) t.equal(absent, undefined)
 })
--- a/packages/gateway/src/members/report-messages.ts
+++ b/packages/gateway/src/members/report-messages.ts
@@ -2,9 +2,9 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf'
 import {
   GatewayReportSchema, type GatewayAddress, type GatewayReport, type HostSummary as HostSummaryMessage, type ListedRunner,
-  type ListVersion as ListVersionMessage, type TargetDemand
+  type ListVersion as ListVersionMessage, type RunnerNews as RunnerNewsMessage, type TargetDemand
 } from '@figloom/protocol'
-import type { RunnerEntry } from '../runners/types.js'
+import type { RunnerEntry, RunnerNews } from '../runners/types.js'
 import type { ListUpdate, ListVersion } from './change-list.js'
 import type { DemandRate, HostAddress, HostReport, HostSummary } from './types.js'
 
@@ -21,9 +21,8 @@
     speaksForAll: report.speaksForAll,
     hosts: report.hosts && { ...toUpdateMessage(report.hosts), hosts: report.hosts.items },
     hostsSeen: toVersionMessage(report.hostsSeen),
-    runners: report.runners && { ...toUpdateMessage(report.runners), runners: report.runners.items.map(toRunnerMessage) },
-    runnersSeen: toVersionMessage(report.runnersSeen),
-    runnersReadAgoMs: report.runnersReadAgoMs
+    runners: report.runners && toNewsMessage(report.runners),
+    runnersPosition: toPositionMessage(report.runnersPosition)
   }
   return create(GatewayReportSchema, init)
 }
@@ -46,9 +45,8 @@
     speaksForAll: message.speaksForAll,
     hosts: hosts && toUpdate(hosts, hosts.hosts.map(toSummary)),
     hostsSeen: toVersion(message.hostsSeen),
-    runners: runners && toUpdate(runners, runners.runners.map(toEntry)),
-    runnersSeen: toVersion(message.runnersSeen),
-    runnersReadAgoMs: message.runnersReadAgoMs
+    runners: runners && toNews(runners),
+    runnersPosition: toPosition(message.runnersPosition)
   }
 }
 
@@ -69,6 +67,32 @@
   return message && { listId: message.listId, version: Number(message.version) }
 }
 
+function toNewsMessage ({ since, to, records, ageMs }: RunnerNews) {
+  return {
+    since: toPositionMessage(since),
+    to: BigInt(to),
+    records: records.map(({ id, position, entry }) => ({ id, position: BigInt(position), entry: entry && toRunnerMessage(entry) })),
+    ageMs
+  }
+}
+
+function toNews ({ since, to, records, ageMs }: RunnerNewsMessage): RunnerNews {
+  return {
+    since: toPosition(since),
+    to: Number(to),
+    records: records.map(({ id, position, entry }) => ({ id, position: Number(position), entry: entry && toEntry(entry) })),
+    ageMs
+  }
+}
+
+function toPositionMessage (position: number | undefined): bigint | undefined {
+  return position === undefined ? undefined : BigInt(position)
+}
+
+function toPosition (position: bigint | undefined): number | undefined {
+  return position === undefined ? undefined : Number(position)
+}
+
 function toRunnerMessage (entry: RunnerEntry) {
   const models = entry.models.map((model) => ({ ...model, version: BigInt(model.version) }))
   const startedUnixMs = entry.startedUnixMs === undefined ? undefined : BigInt(entry.startedUnixMs)
--- a/packages/gateway/src/members/report-writer.ts
+++ b/packages/gateway/src/members/report-writer.ts
@@ -1,7 +1,7 @@
 /** Writes what a host tells another one, by what that one needs to know. */
 import type { Clock } from '@figloom/runtime'
-import type { RunnerEntry } from '../runners/types.js'
-import { ChangeList, type ListVersion } from './change-list.js'
+import type { RunnerNews } from '../runners/types.js'
+import type { ChangeList } from './change-list.js'
 import { createHostList } from './host-list.js'
 import type { Member, MemberTable } from './member-table.js'
 import type { SharedView } from './shared-view.js'
@@ -14,7 +14,6 @@
   relay: boolean
   configVersion: number
   configReadAgoMs: number | undefined
-  runnersReadAgoMs: number | undefined
   /** Requests in flight by runner id. */
   runnerUses: Map<string, number>
   demand: DemandRate[]
@@ -31,31 +30,24 @@
   members: MemberTable
   shared: SharedView
   state: () => OwnState
-  /** Runners as this host knows them. */
-  runners: () => RunnerEntry[]
-  /** What this host has of another one's list of runners. */
-  runnersSeen: (host: string) => ListVersion | undefined
+  /** All records of runners before this position are known here. */
+  runnersPosition: () => number | undefined
+  /** What a host lacks that knows the records of runners before `position`. */
+  runnersSince: (position: number | undefined) => RunnerNews | undefined
 }
 
 /** Lists of one process, told apart from those of its other lives. */
-const ListName = { Group: 'group', All: 'all', Runners: 'runners' } as const
+const ListName = { Group: 'group', All: 'all' } as const
 
 export class ReportWriter {
   /** For other relays: the hosts that report here, and relays by hearsay. */
   readonly #groupHosts: ChangeList<HostSummary>
   /** For hosts that report here: everybody. */
   readonly #allHosts: ChangeList<HostSummary>
-  readonly #runners: ChangeList<RunnerEntry>
 
   private constructor (private readonly parts: ReportWriterParts) {
     this.#groupHosts = createHostList(`${parts.incarnation}/${ListName.Group}`)
     this.#allHosts = createHostList(`${parts.incarnation}/${ListName.All}`)
-    this.#runners = ChangeList.create({
-      listId: `${parts.incarnation}/${ListName.Runners}`,
-      keyOf: ({ id }) => id,
-      // An entry that says nothing new is kept as it was decoded.
-      isSame: (one, other) => one === other
-    })
   }
 
   static create (parts: ReportWriterParts): ReportWriter {
@@ -76,7 +68,7 @@
       sentAt: clock.now(),
       hostsSeen: peer === undefined ? undefined : members.hostsSeen(peer.address.host)
     }
-    if (!state.relay) return { ...report, runnersSeen: this.#runnersSeen(peer), ...this.#shareOfHost(state, peer) }
+    if (!state.relay) return { ...report, runnersPosition: this.parts.runnersPosition(), ...this.#shareOfHost(state, peer) }
     return { ...report, ...(peer === undefined || peer.relay ? this.#shareOfGroup(state, live, peer) : this.#shareOfAll(state, live, peer)) }
   }
 
@@ -107,10 +99,9 @@
 
   /** What a relay tells a host that reports to it. */
   #shareOfAll (state: OwnState, live: readonly Member[], peer: HostSummary) {
-    const { shared, runners } = this.parts
+    const { shared, runnersSince } = this.parts
     const { host } = peer.address
     const last = this.#lastReport(peer)
-    this.#runners.update(runners())
     this.#allHosts.update(live.map(({ summary }) => summary))
     return {
       runnerUses: shared.usesBut(host, state),
@@ -118,16 +109,11 @@
       expectedLoads: state.expectedLoads,
       speaksForAll: true,
       hosts: this.#allHosts.changesSince(last?.hostsSeen),
-      runners: this.#runners.changesSince(last?.runnersSeen),
-      runnersReadAgoMs: state.runnersReadAgoMs
+      runners: runnersSince(last?.runnersPosition)
     }
   }
 
   #lastReport (peer: HostSummary | undefined): HostReport | undefined {
     return peer === undefined ? undefined : this.parts.members.lastReport(peer.address.host)
   }
-
-  #runnersSeen (peer: HostSummary | undefined): ListVersion | undefined {
-    return peer === undefined ? undefined : this.parts.runnersSeen(peer.address.host)
-  }
 }
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -1,6 +1,6 @@
 /** Hosts of the gateway as they know each other, by direct contact or by a relay's word. Times are monotonic milliseconds. */
 
-import type { RunnerEntry } from '../runners/types.js'
+import type { RunnerNews } from '../runners/types.js'
 import type { ListUpdate, ListVersion } from './change-list.js'
 
 /** Where a host can be reached; addresses are IP:PORT. */
@@ -72,12 +72,10 @@
   hosts?: ListUpdate<HostSummary>
   /** What the sender has of the receiver's list of hosts. */
   hostsSeen?: ListVersion
-  /** Runners as the sender knows them; only to hosts that report to it. */
-  runners?: ListUpdate<RunnerEntry>
-  /** What the sender has of the receiver's list of runners. */
-  runnersSeen?: ListVersion
-  /** Time since the sender last read the list of runners from the platform; absent if it hasn't. */
-  runnersReadAgoMs?: number
+  /** Runners by the platform's records; only to hosts that report to the sender. */
+  runners?: RunnerNews
+  /** The sender knows all records of runners before this position; absent where it knows none. */
+  runnersPosition?: number
 }
 
 /** Hands reports to other hosts and takes theirs. */
--- a/packages/gateway/src/runners/types.ts
+++ b/packages/gateway/src/runners/types.ts
@@ -36,3 +36,23 @@
   queued: number
   startedUnixMs?: number
 }
+
+/** The newest record of a runner's entry in the platform's list. */
+export type RunnerRecord = {
+  id: string
+  /** Where the record stands in the order of the platform's records: the same for all hosts, whoever reads it or passes it on. */
+  position: number
+  /** Absent: the runner left the list. */
+  entry?: RunnerEntry
+}
+
+/** What the platform's records say of runners, as read or as passed on by another host. */
+export type RunnerNews = {
+  /** Changes since this position; absent: the whole list. */
+  since?: number
+  /** All records before this position are taken into account. */
+  to: number
+  records: RunnerRecord[]
+  /** All records that the platform had this long ago are taken into account; absent where that isn't known. */
+  ageMs?: number
+}
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -228,7 +228,8 @@
     const { facts } = result
     const { model, adapter } = this.request.facts
     if (facts?.misdirected === true) {
-      if (facts.runnerId !== undefined && facts.runnerId !== runner.entry.id) this.context.runners.remove(runner.entry.id, nowMs, 0)
+      // Its entry is about to expire, unless the answer was damaged.
+      if (facts.runnerId !== undefined && facts.runnerId !== runner.entry.id) this.context.runners.markUnreachable(runner.entry.id, nowMs)
       else if (model !== undefined) this.context.runners.markDenied(runner.entry.id, model, adapter, nowMs)
       runner.health.onNeutral(this.request.id)
       return
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -5,7 +5,7 @@
 import type { RunnerOrders } from './orders/types.js'
 import type { BudgetLimits } from './retry/shared-budget.js'
 import type { GatewayConfig } from './config/types.js'
-import type { RunnerEntry } from './runners/types.js'
+import type { RunnerNews } from './runners/types.js'
 
 /** Settings of one host. */
 export type GatewaySettings = {
@@ -24,27 +24,27 @@
   orderGapMs: number
   /** Time within which hosts in contact have to know of changes. */
   contactMs: number
+  /** Time within which a host has to know that a runner drains. */
+  drainNoticeMs: number
   /** Time to live of lookups that callers honour at the most. */
   maxLookupTtlMs: number
 }
 
-/** What the platform tells; calls come in the order of the platform's records. */
+/** What the platform tells, and what it asks before it reads. */
 export type PlatformEvents = {
   onConfig: (config: GatewayConfig) => void
-  onRunner: (entry: RunnerEntry) => void
-  /** @param graceMs after an outage of the list, the time in which entries of living runners come back; else 0 */
-  onRunnerGone: (id: string, graceMs: number) => void
+  onRunners: (news: RunnerNews) => void
+  /** The platform's history of runners starts anew: positions told before mean nothing. */
+  onRunnersAnew: () => void
   /**
    * Whether another host is in contact that reads the configuration often and would tell of a newer one, so that this
    * host may wait for one over a single call.
    */
   hearsOfConfig: () => boolean
-  /** Age of what this host knows of the list of runners, by its own reads or by others that read it; it need not read a young list. */
-  runnersAgeMs: () => number
-  /** The list of runners was read, whether anything changed in it or not. */
-  onRunnersRead: () => void
-  /** The whole list was read anew: ids that aren't in it are gone. */
-  onRunnerList: (ids: ReadonlySet<string>, graceMs: number) => void
+  /** Others read the list of runners for this host, which knows a young one. */
+  hearsOfRunners: () => boolean
+  /** All records of runners before this position are known here, whoever read them; undefined where none are. */
+  runnersPosition: () => number | undefined
 }
 
 /** Follows the platform's configuration and list of runners. */
@@ -54,8 +54,6 @@
   abstract readConfig (): void
   /** Time since the configuration was last read; undefined before. */
   abstract configReadAgoMs (): number | undefined
-  /** Time since the list of runners was last read; undefined before. */
-  abstract runnersReadAgoMs (): number | undefined
   abstract stop (): void
 }
 
