Look again at the runner when a connection for a request is there

A request is chosen for a runner and may wait for a connection (0.7 s each, behind other requests longer); it was then written whatever had become of the runner meanwhile.

--- a/packages/gateway/src/forward/attempt.ts
+++ b/packages/gateway/src/forward/attempt.ts
@@ -15,6 +15,8 @@
 export const FailedAt = {
   /** No byte was sent: the runner can't have run it. */
   Connect: 'connect',
+  /** Taken back when a connection was there; no byte was sent. */
+  Withdrawn: 'withdrawn',
   /** Sent, no answer. */
   Sent: 'sent',
   /** The answer broke off. */
@@ -24,8 +26,8 @@
 
 /** Receives the parts of an answer in order; exactly one of `onEnd` and `onFailure` closes it. */
 export abstract class AttemptObserver {
-  /** A connection is there: the request is written next. */
-  abstract onSending (): void
+  /** A connection is there: the request is written next, or not at all where this gives false. */
+  abstract onSending (): boolean
   /** Head of the answer; false: the answer isn't wanted and its connection is closed. */
   abstract onHead (status: number, headers: RawHeaders): boolean
   /** A piece of the body; false: pause until `resume`. */
@@ -39,6 +41,7 @@
   #abort: ((error: Error) => void) | undefined
   #resume: (() => void) | undefined
   #sent = false
+  #withdrawn = false
   #headSeen = false
   #closed = false
 
@@ -89,9 +92,13 @@
       abort(new Error('attempt canceled'))
       return
     }
+    if (!this.observer.onSending()) {
+      this.#withdrawn = true
+      abort(new Error('attempt withdrawn'))
+      return
+    }
     this.#sent = true
     this.#abort = abort
-    this.observer.onSending()
   }
 
   #onHeaders (status: number, headers: Buffer[], resume: () => void): boolean {
@@ -110,6 +117,7 @@
   }
 
   #failedAt (): FailedAt {
+    if (this.#withdrawn) return FailedAt.Withdrawn
     if (!this.#sent) return FailedAt.Connect
     return this.#headSeen ? FailedAt.Answer : FailedAt.Sent
   }
--- a/packages/gateway/src/runners/runner-table.ts
+++ b/packages/gateway/src/runners/runner-table.ts
@@ -95,6 +95,11 @@
     return this.all().filter((state) => state.entry.service === service && !state.entry.draining)
   }
 
+  /** Whether a runner that was chosen may still be sent work. */
+  mayUse (state: RunnerState): boolean {
+    return !state.entry.draining && this.#runners.get(state.entry.id) === state
+  }
+
   /** Requests at a runner from all hosts, as far as this host knows. */
   totalInFlight (state: RunnerState): number {
     return state.inFlight + (this.#othersUses.get(state.entry.id) ?? 0)
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -15,8 +15,8 @@
 }
 
 export type ResultEvents = {
-  /** The request is written to its runner next. */
-  onSending: () => void
+  /** The request is written to its runner next; false: it isn't. */
+  onSending: () => boolean
   /** The first piece of a stream's body is there. */
   onFirstByte: () => void
   /** Called once. */
@@ -26,6 +26,13 @@
 /** A whole answer larger than this is given up. */
 const MAX_WHOLE_BYTES = 8 * 1024 * 1024
 
+const FAILURE_OUTCOMES: Record<FailedAt, Outcome> = {
+  [FailedAt.Connect]: Outcome.Unreached,
+  [FailedAt.Withdrawn]: Outcome.Withdrawn,
+  [FailedAt.Sent]: Outcome.Unknown,
+  [FailedAt.Answer]: Outcome.Unknown
+}
+
 const Mode = { Waiting: 'waiting', Whole: 'whole', Stream: 'stream', Ignored: 'ignored' } as const
 type Mode = (typeof Mode)[keyof typeof Mode]
 
@@ -50,8 +57,8 @@
     return new ResultObserver(requestId, codec, relay, events)
   }
 
-  override onSending (): void {
-    this.events.onSending()
+  override onSending (): boolean {
+    return this.events.onSending()
   }
 
   override onHead (status: number, headers: RawHeaders): boolean {
@@ -87,8 +94,7 @@
   }
 
   override onFailure (at: FailedAt, error: Error): void {
-    const outcome = at === FailedAt.Connect ? Outcome.Unreached : Outcome.Unknown
-    this.#finish(outcome, `${at}: ${error.message}`)
+    this.#finish(FAILURE_OUTCOMES[at], `${at}: ${error.message}`)
   }
 
   #onStreamData (chunk: Buffer): boolean {
--- a/packages/gateway/src/serve/outcome.ts
+++ b/packages/gateway/src/serve/outcome.ts
@@ -6,6 +6,8 @@
   Answered: 'answered',
   /** No connection: the runner never saw the request. */
   Unreached: 'unreached',
+  /** The runner was to be left before the request was written. */
+  Withdrawn: 'withdrawn',
   /** The runner saw the request and certainly did not run it. */
   NotRun: 'not-run',
   /** It may have run; no whole answer came. */
@@ -33,11 +35,16 @@
 /** Decides after an attempt; the budget is asked separately when the answer is to send again. */
 export function decideNext (route: Route, outcome: Outcome, progress: Progress): NextStep {
   if (outcome === Outcome.Answered) return NextStep.Finish
-  if (outcome === Outcome.NotRun || outcome === Outcome.Unreached) return progress.notRuns < MAX_NOT_RUN ? NextStep.SendAgain : NextStep.GiveUp
+  if (neverRan(outcome)) return progress.notRuns < MAX_NOT_RUN ? NextStep.SendAgain : NextStep.GiveUp
   if (!mayRunAgain(route, progress)) return NextStep.GiveUp
   return progress.runs < route.maxAttempts ? NextStep.SendAgain : NextStep.GiveUp
 }
 
+/** The attempt certainly did not run the request. */
+export function neverRan (outcome: Outcome): boolean {
+  return outcome === Outcome.NotRun || outcome === Outcome.Unreached || outcome === Outcome.Withdrawn
+}
+
 function mayRunAgain (route: Route, progress: Progress): boolean {
   if (route.kind === RouteKind.Idempotent) return !progress.answerBegun
   return route.kind === RouteKind.Stream && route.resumable
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -10,7 +10,7 @@
 import type { RunnerState } from '../runners/runner-table.js'
 import { AnswerRelay } from './answer-relay.js'
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
-import { decideNext, NextStep, Outcome, type Progress } from './outcome.js'
+import { decideNext, neverRan, NextStep, Outcome, type Progress } from './outcome.js'
 import { writeFailure } from './own-answer.js'
 import { affinityKey, promisesNotRun, urgencyOf } from './request-hints.js'
 import { RequestLog } from './request-log.js'
@@ -165,7 +165,7 @@
     })
     const dispatcher = context.connections.to(id, address, connectionShare(request.service, context.host.hostCount()))
     const observer = ResultObserver.create(request.id, context.codec, this.#relay, {
-      onSending: () => { this.#writtenMs = context.clock.monotonicMs() },
+      onSending: () => this.#onSending(runner),
       onFirstByte: () => this.#onFirstByte(),
       onResult: (result) => this.#onResult(runner, result)
     })
@@ -187,6 +187,12 @@
     this.#attempt = Attempt.start(dispatcher, { method, target, headers, body }, observer)
   }
 
+  /** A runner may have begun to drain while the request waited for a connection. */
+  #onSending (runner: RunnerState): boolean {
+    this.#writtenMs = this.context.clock.monotonicMs()
+    return this.context.runners.mayUse(runner)
+  }
+
   #onFirstByte (): void {
     if (this.#firstByteMs !== undefined) return
     this.#firstByteMs = this.context.clock.monotonicMs()
@@ -235,7 +241,7 @@
       return
     }
     if (result.outcome === Outcome.Answered) this.#learnAnswered(runner, nowMs)
-    else if (facts?.notRun === true) runner.health.onNeutral(this.request.id)
+    else if (facts?.notRun === true || result.outcome === Outcome.Withdrawn) runner.health.onNeutral(this.request.id)
     else if (result.outcome === Outcome.Unreached) this.context.runners.markUnreachable(runner.entry.id, nowMs)
     else runner.health.onFailure(this.request.id, nowMs)
     if (facts?.weightsVersion !== undefined) this.#weightsVersion ??= facts.weightsVersion
@@ -248,7 +254,7 @@
   }
 
   #count (result: AttemptResult): void {
-    if (result.outcome === Outcome.NotRun || result.outcome === Outcome.Unreached) this.#progress.notRuns += 1
+    if (neverRan(result.outcome)) this.#progress.notRuns += 1
     else {
       this.#progress.runs += 1
       this.#mayHaveRun = true
@@ -260,7 +266,7 @@
     const { budget, clock, host, metrics } = this.context
     if (host.isLeaving() && this.#relay.begun) return false
     // The budget is for what runners have to bear.
-    if (result.outcome === Outcome.Unreached) return true
+    if (result.outcome === Outcome.Unreached || result.outcome === Outcome.Withdrawn) return true
     const granted = budget.take(this.request.service.name, host.hostCount(), clock.monotonicMs())
     if (granted) metrics.repeats.inc({ reason: result.outcome })
     else this.#log.note('repeat refused by the budget', { service: this.request.service.name, hosts: host.hostCount() })
