Open a connection to a runner for each request that finds none idle

A pool of connections to a runner kept the bound that this host's share had when the pool was made. When hosts left and the share grew, requests were chosen up to the new share and waited in the pool behind streams, for seconds. How many requests run at a runner is limited where it is chosen (connectionShare); the pool needs no second bound.

--- a/packages/gateway/src/forward/runner-connections.ts
+++ b/packages/gateway/src/forward/runner-connections.ts
@@ -1,4 +1,4 @@
-/** Connections to runners: one bounded pool for each runner, dropped when the runner is gone. */
+/** Connections to runners: one pool for each runner, dropped when the runner is gone. */
 import type { Socket } from 'node:net'
 import { buildConnector, Pool, type Dispatcher } from 'undici'
 
@@ -27,13 +27,12 @@
     return new RunnerConnections()
   }
 
-  /** Dispatcher for a runner; `maxConnections` holds from the pool's creation on. */
-  to (runnerId: string, address: string, maxConnections: number): Dispatcher {
+  /** Dispatcher for a runner. It opens a connection for each request that finds none idle: how many run is for the caller to limit. */
+  to (runnerId: string, address: string): Dispatcher {
     const known = this.#pools.get(runnerId)
     if (known?.address === address) return known.pool
     if (known !== undefined) this.drop(runnerId)
     const pool = new Pool(`http://${address}`, {
-      connections: Math.max(1, maxConnections),
       pipelining: 1,
       connect: createConnector(),
       headersTimeout: 0,
--- a/packages/gateway/src/serve/late-drain.test.ts
+++ b/packages/gateway/src/serve/late-drain.test.ts
@@ -1,3 +1,4 @@
+import type { Dispatcher } from 'undici'
 import t from 'tap'
 import { createEntry, createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
 import type { RawExchange } from '../testing/raw-runner.js'
@@ -10,27 +11,69 @@
   while (!isTrue()) await new Promise((resolve) => setTimeout(resolve, 5))
 }
 
+/** Keeps requests for connections until they are let go. */
+function holdConnections ({ context: { connections } }: GatewayFixture): () => void {
+  const waiting: (() => void)[] = []
+  let open = false
+  const connect = connections.to.bind(connections)
+  connections.to = (id, address) => {
+    const dispatcher = connect(id, address)
+    const dispatch: Dispatcher['dispatch'] = (options, handler) => {
+      if (open) return dispatcher.dispatch(options, handler)
+      waiting.push(() => dispatcher.dispatch(options, handler))
+      return true
+    }
+    return { dispatch } as Dispatcher
+  }
+  return () => {
+    open = true
+    for (const send of waiting) send()
+  }
+}
+
 t.test('a request that waited for a connection is not written to a runner that drains by then', async (t) => {
+  const fixture = await GatewayFixture.create([createRoute({})])
+  t.teardown(() => fixture.close())
+  const { runners } = fixture.context
+  const leaving = await fixture.addRunner('leaving', answer)
+  const letGo = holdConnections(fixture)
+  const reply = fixture.call({})
+  await until(() => runners.get('leaving')?.inFlight === 1)
+  runners.upsert(createEntry({ id: 'leaving', address: leaving.address, draining: true }))
+  const staying = await fixture.addRunner('staying', answer)
+  letGo()
+  t.equal((await reply).status, 200)
+  t.equal(leaving.requests.length, 0)
+  t.equal(staying.requests.length, 1)
+})
+
+t.test('a request for a runner that left is refused as not run where no other is there', async (t) => {
+  const fixture = await GatewayFixture.create([createRoute({})])
+  t.teardown(() => fixture.close())
+  const { runners } = fixture.context
+  const leaving = await fixture.addRunner('leaving', answer)
+  const letGo = holdConnections(fixture)
+  const reply = fixture.call({})
+  await until(() => runners.get('leaving')?.inFlight === 1)
+  runners.remove('leaving', 0, 0)
+  letGo()
+  t.equal((await reply).status, 503)
+  t.equal(leaving.requests.length, 0)
+})
+
+t.test('requests wait for no connection when the share of a host has grown', async (t) => {
   const fixture = await GatewayFixture.create([createRoute({})])
   t.teardown(() => fixture.close())
   const { runners, host } = fixture.context
-  const seen: string[] = []
   const held: RawExchange[] = []
-  const leaving = await fixture.addRunner('leaving', (exchange) => {
-    seen.push(exchange.requestId)
-    held.push(exchange)
-  })
-  // The share of connections that this host may use grows when other hosts go.
+  await fixture.addRunner('runner', (exchange) => { held.push(exchange) })
   host.hostCount = () => 1_000
   const first = fixture.call({ id: 'first' })
   await until(() => held.length === 1)
   host.hostCount = () => 1
   const second = fixture.call({ id: 'second' })
-  await until(() => runners.get('leaving')?.inFlight === 2)
-  runners.upsert(createEntry({ id: 'leaving', address: leaving.address, draining: true }))
-  await fixture.addRunner('staying', answer)
+  await until(() => runners.get('runner')?.inFlight === 2)
+  await until(() => held.length === 2)
   held.forEach(answer)
-  t.equal((await first).status, 200)
-  t.equal((await second).status, 200)
-  t.same(seen, ['first'])
+  t.same([(await first).status, (await second).status], [200, 200])
 })
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -3,7 +3,7 @@
 import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
 import type { Route, Service } from '../config/types.js'
 import { LoadWait } from './load-wait.js'
-import { findCandidates, connectionShare, type CandidateSet, type Need } from '../choose/candidates.js'
+import { findCandidates, type CandidateSet, type Need } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { Attempt } from '../forward/attempt.js'
 import type { CallerFacts, RawHeaders } from '../forward/types.js'
@@ -163,7 +163,7 @@
       lastEventId: this.#relay.lastEventId ?? request.facts.lastEventId,
       weightsVersion: this.#relay.begun ? this.#weightsVersion : undefined
     })
-    const dispatcher = context.connections.to(id, address, connectionShare(request.service, context.host.hostCount()))
+    const dispatcher = context.connections.to(id, address)
     const observer = ResultObserver.create(request.id, context.codec, this.#relay, {
       onSending: () => this.#onSending(runner),
       onFirstByte: () => this.#onFirstByte(),
