Pass over reports of hosts that were overtaken

Two hosts that call each other at the same time hear reports in another order than they were written: an answer under way while the other's call comes in. The older one replaced the newer one until the next exchange (0.4 s here), so a host that had said it leaves was named to callers again, and its leases and loads went back. Reports carry a number that grows in the life of a process; one with a lower number changes nothing. members.test, 'an overtaken report of a host that leaves does not bring it back', fails with the check taken out.

--- a/packages/gateway/src/members/exchanger.ts
+++ b/packages/gateway/src/members/exchanger.ts
@@ -27,7 +27,7 @@
   holdsLease: () => boolean
   /** What to tell a host; undefined where it isn't known yet. */
   report: (peer: HostReport['sender'] | undefined) => HostReport
-  /** Called with every report heard, which was written `writtenAgoMs` ago or later. */
+  /** Called with every report that wasn't overtaken, which was written `writtenAgoMs` ago or later. */
   onReport: (report: HostReport, writtenAgoMs: number) => void
 }
 
@@ -184,8 +184,7 @@
   }
 
   #hear (report: HostReport, called: boolean, writtenAgoMs: number): void {
-    this.parts.members.hear(report, this.parts.clock.monotonicMs(), called)
-    this.parts.onReport(report, writtenAgoMs)
+    if (this.parts.members.hear(report, this.parts.clock.monotonicMs(), called)) this.parts.onReport(report, writtenAgoMs)
   }
 
   #useRegistryIfDue (nowMs: number): void {
--- a/packages/gateway/src/members/member-table.ts
+++ b/packages/gateway/src/members/member-table.ts
@@ -59,16 +59,21 @@
     else this.#traces.set(address.host, { address, mentionedMs: nowMs, relay: false })
   }
 
-  /** Takes over a host's report; `called`: the host sent it by a call of its own. */
-  hear (report: HostReport, nowMs: number, called: boolean): void {
+  /**
+   * Takes over a host's report; `called`: the host sent it by a call of its own.
+   * @returns false where a later report of the same process was heard before: it changes nothing
+   */
+  hear (report: HostReport, nowMs: number, called: boolean): boolean {
     const { host } = report.sender.address
-    if (host === this.self) return
+    if (host === this.self) return false
     const before = this.#contacts.get(host)
+    if (before !== undefined && wasOvertaken(report, before.report)) return false
     const calls = called || (before?.reportsHere ?? false)
     this.#contacts.set(host, { report, heardMs: nowMs, reportsHere: calls && !report.sender.relay })
     this.#note(report.sender, nowMs)
     this.#applyHosts(host, report, nowMs)
     this.#snapshot = undefined
+    return true
   }
 
   #applyHosts (host: string, { hosts }: HostReport, nowMs: number): void {
@@ -182,3 +187,8 @@
     this.#traces.set(address.host, { address, incarnation, upMs: nowMs, mentionedMs: nowMs, restartedMs, relay })
   }
 }
+
+/** Reports of one host cross: an answer to a call of this host, and a call of the other. */
+function wasOvertaken (report: HostReport, heard: HostReport): boolean {
+  return report.sender.incarnation === heard.sender.incarnation && report.number < heard.number
+}
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -20,6 +20,7 @@
   const sender = { address: address(host), incarnation: host, ready: true, leaving: false, relay: true, holdsLease: false, hearsay: false, ...changes }
   return {
     sender,
+    number: 1,
     configVersion: 1,
     runnerUses: new Map(),
     demand: [],
@@ -196,6 +197,22 @@
   t.same(network.readyAt(host), [])
 })
 
+t.test('an overtaken report of a host that leaves does not bring it back', async (t) => {
+  const members = MemberTable.create('a', PACE)
+  const early = { ...report('b'), number: 4 }
+  const late = { ...report('b', { leaving: true }), number: 5 }
+  t.equal(members.hear(late, 1_000, true), true)
+  t.equal(members.hear(early, 1_010, false), false)
+  t.same(members.ready(1_100), [])
+})
+
+t.test('a host that starts anew is heard again from its first report on', async (t) => {
+  const members = MemberTable.create('a', PACE)
+  members.hear({ ...report('b', { leaving: true }), number: 50 }, 1_000, true)
+  t.equal(members.hear({ ...report('b', { incarnation: 'next' }), number: 1 }, 1_500, true), true)
+  t.equal(members.ready(1_600).length, 1)
+})
+
 t.test('of many hosts few are relays, and all know all', async (t) => {
   const clock = ManualClock.create()
   const network = Network.create(clock)
--- a/packages/gateway/src/members/report-messages.test.ts
+++ b/packages/gateway/src/members/report-messages.test.ts
@@ -17,6 +17,7 @@
 
 const full: HostReport = {
   sender: summary,
+  number: 12,
   configVersion: 7,
   configReadAgoMs: 12.5,
   runnerUses: new Map([['runner', 3]]),
@@ -50,8 +51,8 @@
 })
 
 t.test('what a report leaves out stays absent', async (t) => {
-  const { sender, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll } = full
-  const least = { sender, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll }
+  const { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll } = full
+  const least = { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll }
   const came = overTheWire(least)
   for (const absent of [came.hosts, came.hostsSeen, came.runners, came.runnersPosition, came.configReadAgoMs]) t.equal(absent, undefined)
 })
--- a/packages/gateway/src/members/report-messages.ts
+++ b/packages/gateway/src/members/report-messages.ts
@@ -11,6 +11,7 @@
 export function toMessage (report: HostReport): GatewayReport {
   const init: MessageInitShape<typeof GatewayReportSchema> = {
     sender: report.sender,
+    number: BigInt(report.number),
     configVersion: BigInt(report.configVersion),
     configReadAgoMs: report.configReadAgoMs,
     runnerUses: [...report.runnerUses].map(([runnerId, inFlight]) => ({ runnerId, inFlight })),
@@ -31,6 +32,7 @@
   const { hosts, runners } = message
   return {
     sender: toSummary(message.sender),
+    number: Number(message.number),
     configVersion: Number(message.configVersion),
     configReadAgoMs: message.configReadAgoMs,
     runnerUses: new Map(message.runnerUses.map(({ runnerId, inFlight }) => [runnerId, inFlight])),
--- a/packages/gateway/src/members/report-writer.ts
+++ b/packages/gateway/src/members/report-writer.ts
@@ -44,6 +44,7 @@
   readonly #groupHosts: ChangeList<HostSummary>
   /** For hosts that report here: everybody. */
   readonly #allHosts: ChangeList<HostSummary>
+  #number = 0
 
   private constructor (private readonly parts: ReportWriterParts) {
     this.#groupHosts = createHostList(`${parts.incarnation}/${ListName.Group}`)
@@ -60,8 +61,10 @@
     const state = this.parts.state()
     const nowMs = clock.monotonicMs()
     const live = members.live(nowMs)
+    this.#number += 1
     const report = {
       sender: this.#summary(state),
+      number: this.#number,
       configVersion: state.configVersion,
       configReadAgoMs: state.configReadAgoMs,
       lease: state.lease,
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -54,6 +54,8 @@
 /** What a host says of itself and of the hosts that it speaks for. */
 export type HostReport = {
   sender: HostSummary
+  /** Grows with each report that the sender's incarnation writes: a report with a lower number was overtaken. */
+  number: number
   configVersion: number
   /** Time since the sender last read the configuration from the platform; absent if it hasn't. */
   configReadAgoMs?: number
