Pass the configuration on to hosts that can't read it

A host that started while the store was away knew no configuration until the store was back: it refused every request and took no callers, though its neighbours had the configuration and passed on the runners.

--- a/packages/gateway/src/config/config-state.ts
+++ b/packages/gateway/src/config/config-state.ts
@@ -4,6 +4,7 @@
 
 export class ConfigState {
   #config: GatewayConfig | undefined
+  #encoded = new Uint8Array()
   #routes = RouteTable.create([])
 
   private constructor () {}
@@ -12,14 +13,23 @@
     return new ConfigState()
   }
 
-  /** Puts a configuration into force; false if it isn't newer than the one in force. */
-  adopt (config: GatewayConfig): boolean {
+  /**
+   * Puts a configuration into force; false if it isn't newer than the one in force.
+   * @param encoded the platform's form of it, for hosts that can't read it there
+   */
+  adopt (config: GatewayConfig, encoded: Uint8Array = new Uint8Array()): boolean {
     if (this.#config !== undefined && config.version <= this.#config.version) return false
     this.#config = config
+    this.#encoded = Uint8Array.from(encoded)
     this.#routes = RouteTable.create(config.routes)
     return true
   }
 
+  /** The platform's form of the configuration in force; empty while none is known. */
+  get encoded (): Uint8Array {
+    return this.#encoded
+  }
+
   /** 0 while no configuration is known. */
   get version (): number {
     return this.#config?.version ?? 0
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -2,7 +2,7 @@
 import { createServer, type AddressInfo } from 'node:net'
 import t, { type Test } from 'tap'
 import { silentLogger, SystemClock } from '@figloom/runtime'
-import { RouteKind } from './config/types.js'
+import { RouteKind, type GatewayConfig } from './config/types.js'
 import { Gateway } from './gateway.js'
 import { AppendOutcome, LeaseLog, type LeaseTail } from './lease/types.js'
 import { ConnectPeerCalls } from './members/peer-service.js'
@@ -24,6 +24,10 @@
 
   override readConfig (): void {}
 
+  override decodeConfig (encoded: Uint8Array): GatewayConfig {
+    return createConfig(Number(Buffer.from(encoded).toString()))
+  }
+
   override configReadAgoMs (): undefined {}
 }
 
@@ -56,7 +60,7 @@
 type Host = { gateway: Gateway, watch: FixedWatch, callers: string, lookup: string, readiness: string, peers: string, runner: RawRunner }
 
 /** A host with one runner; `answer` gets each of its requests. */
-async function createHost (t: Test, answer: (exchange: RawExchange) => void): Promise<Host> {
+async function createHost (t: Test, answer: (exchange: RawExchange) => void, seedPeerAddresses: string[] = []): Promise<Host> {
   const [callers, lookup, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()])
   const clock = SystemClock.create()
   const runner = await RawRunner.create(answer)
@@ -66,12 +70,12 @@
     log: silentLogger,
     random: () => 0.5,
     settings: {
-      self: { host: 'a', availabilityZone: 'z', callerAddress: callers, peerAddress: peers, capacityCores: 1 },
+      self: { host: `host-${callers}`, availabilityZone: 'z', callerAddress: callers, peerAddress: peers, capacityCores: 1 },
       callerListener: callers,
       readinessListener: readiness,
       lookupListener: lookup,
       peerListener: peers,
-      seedPeerAddresses: [],
+      seedPeerAddresses,
       budget: { ratio: 0.2, slack: 50, windowMs: 10_000 },
       graceMs: 8_000,
       contactMs: 3_000,
@@ -96,13 +100,21 @@
   return { gateway, watch, callers, lookup, readiness, peers, runner }
 }
 
-function configure ({ watch, runner }: Host): void {
-  watch.events?.onConfig({
-    version: 3,
+function createConfig (version: number): GatewayConfig {
+  return {
+    version,
     routes: [createRoute({ pathPrefix: '/stream/', kind: RouteKind.Stream, timeoutMs: 20_000 })],
     services: new Map([['plain', { name: 'plain', maxConnections: 20 }]]),
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
-  })
+  }
+}
+
+function configure (host: Host): void {
+  host.watch.events?.onConfig(createConfig(3), Buffer.from('3'))
+  listRunner(host)
+}
+
+function listRunner ({ watch, runner }: Host): void {
   watch.events?.onRunners({ to: 1, records: [{ id: 'runner-1', position: 0, entry: createEntry({ address: runner.address }) }], ageMs: 60_000 })
 }
 
@@ -146,6 +158,16 @@
   t.match(text, /0\r\n\r\n$/)
 })
 
+t.test('a host that can not read the configuration gets it from another one', async (t) => {
+  const host = await createHost(t, () => {})
+  configure(host)
+  const restarted = await createHost(t, () => {}, [host.peers])
+  listRunner(restarted)
+  t.equal(await status(restarted.readiness, '/ready'), 503)
+  while (await status(restarted.readiness, '/ready') !== 200) await new Promise((resolve) => setTimeout(resolve, 50))
+  t.match(await metricsOf(restarted), /^figloom_gateway_config_version\{.*\} 3$/m)
+})
+
 /** What a host that reports to this one is told of runners. */
 async function toldRunners ({ peers }: Host): Promise<string[]> {
   const address = { host: 'reporting', availabilityZone: 'z', callerAddress: '127.0.0.1:1', peerAddress: '127.0.0.1:2', capacityCores: 1 }
@@ -156,7 +178,7 @@
   return answer.runners?.records.map(({ id }) => id) ?? []
 }
 
-async function usedRunners ({ peers }: Host): Promise<string> {
+async function metricsOf ({ peers }: Host): Promise<string> {
   return await (await fetch(`http://${peers}/metrics`)).text()
 }
 
@@ -165,7 +187,7 @@
   configure(host)
   host.watch.events?.onRunners({ since: 1, to: 2, records: [{ id: 'left', position: 1, entry: createEntry({ id: 'left' }) }], ageMs: 60_000 })
   host.watch.events?.onRunners({ since: 2, to: 3, records: [{ id: 'left', position: 2 }], ageMs: 0 })
-  t.match(await usedRunners(host), /^figloom_gateway_runners\{.*\} 2$/m, 'kept here for the grace')
+  t.match(await metricsOf(host), /^figloom_gateway_runners\{.*\} 2$/m, 'kept here for the grace')
   t.same(await toldRunners(host), ['runner-1'])
 })
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,9 @@
 /** A gateway host: its listeners and tasks, and its life from start to stop. */
 import { randomUUID } from 'node:crypto'
 import { createRegistry, type Clock, type Logger, type Registry, type Timer } from '@figloom/runtime'
+import { ConfigPassing } from './config/config-passing.js'
 import { ConfigState } from './config/config-state.js'
+import type { GatewayConfig } from './config/types.js'
 import { RunnerConnections } from './forward/runner-connections.js'
 import { createCallerHandler, createPathHandler, createPeerHandler } from './front/handlers.js'
 import { HttpServer } from './front/http-server.js'
@@ -60,6 +62,7 @@
   readonly #connections = RunnerConnections.create()
   readonly #demand = DemandMeter.create()
   readonly #peers = ConnectPeerCalls.create()
+  readonly #configPassing: ConfigPassing
   readonly #incarnation = randomUUID()
   readonly #startedMs: number
   readonly #pace: ContactPace
@@ -86,6 +89,14 @@
     this.#startedMs = clock.monotonicMs()
     this.#instants = InstantSource.create(clock)
     this.#knowledge = RunnerKnowledge.create({ clock, instants: this.#instants, log, table: this.#runners, drainNoticeMs: settings.drainNoticeMs })
+    this.#configPassing = ConfigPassing.create({
+      clock,
+      log,
+      config: this.#config,
+      peers: this.#peers,
+      decode: (encoded) => parts.platform.watch.decodeConfig(encoded),
+      onConfig: (config, encoded) => this.#onConfig(config, encoded)
+    })
     this.#pace = createContactPace(settings.contactMs)
     this.#members = MemberTable.create(settings.self.host, this.#pace)
     this.#sight = HostSight.create(clock, this.#members, this.#pace)
@@ -136,7 +147,7 @@
   async start (): Promise<void> {
     const { settings, platform, log } = this.parts
     platform.watch.start({
-      onConfig: (config) => this.#onConfig(config),
+      onConfig: (config, encoded) => this.#onConfig(config, encoded),
       onRunners: (news) => this.#knowledge.hear(news, OWN_READ),
       onRunnersAnew: () => this.#knowledge.forget(),
       hearsOfConfig: () => !this.#exchanger.relay && this.#sight.hearsOfConfig(),
@@ -186,9 +197,10 @@
     return this.parts.clock.monotonicMs()
   }
 
-  #onConfig (config: Parameters<ConfigState['adopt']>[0]): void {
+  #onConfig (config: GatewayConfig, encoded: Uint8Array): void {
     const before = this.#config.version
-    if (!this.#config.adopt(config)) return
+    if (!this.#config.adopt(config, encoded)) return
+    this.#configPassing.onAdopted()
     this.#front.setLimits(config.limits)
     this.parts.log.info('configuration in force', { version: config.version, before, routes: config.routes.length })
   }
@@ -222,7 +234,8 @@
   #peerHandler (): PeerHandler {
     return {
       onReport: (report) => this.#exchanger.onIncoming(report),
-      onAdapterRequest: (request) => this.#desk.ensureAdapter(request)
+      onAdapterRequest: (request) => this.#desk.ensureAdapter(request),
+      onConfigRequest: () => this.#config.encoded
     }
   }
 
@@ -301,6 +314,7 @@
     this.#shared.hear(report, reportsHere, nowMs)
     this.#runners.setOthersUses(this.#shared.othersUses())
     if (report.configVersion > this.#config.version) this.parts.platform.watch.readConfig()
+    this.#configPassing.onVersion(report.configVersion, report.sender.address.peerAddress)
     this.#takeRunners(report, writtenAgoMs)
   }
 
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -61,6 +61,10 @@
     return host.exchanger.onIncoming(sent)
   }
 
+  override async readConfig (): Promise<Uint8Array> {
+    return new Uint8Array()
+  }
+
   override async ensureAdapter (): Promise<AdapterReply> {
     return { accepted: false, readyInMs: 0 }
   }
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -7,6 +7,8 @@
 import { PeerCalls, type AdapterReply, type AdapterRequest, type HostReport } from './types.js'
 
 const ENSURE_TIMEOUT_MS = 1_000
+/** Large configurations take a while over the narrowest links. */
+const CONFIG_TIMEOUT_MS = 2_000
 /** Idle connections between hosts stay open over several exchanges. */
 const KEEP_ALIVE_MS = 5_000
 
@@ -14,12 +16,15 @@
 export abstract class PeerHandler {
   abstract onReport (report: HostReport): HostReport
   abstract onAdapterRequest (request: AdapterRequest): Promise<AdapterReply>
+  /** The configuration in force here, in the platform's form; empty where none is known. */
+  abstract onConfigRequest (): Uint8Array
 }
 
 export function registerPeerService (router: ConnectRouter, handler: PeerHandler): void {
   router.service(GatewayService, {
     exchange: (message) => toMessage(handler.onReport(fromMessage(message))),
-    ensureAdapter: (message) => handler.onAdapterRequest(message)
+    ensureAdapter: (message) => handler.onAdapterRequest(message),
+    readConfig: () => ({ encoded: handler.onConfigRequest() })
   })
 }
 
@@ -41,6 +46,11 @@
     return { accepted: answer.accepted, readyInMs: answer.readyInMs }
   }
 
+  override async readConfig (peerAddress: string): Promise<Uint8Array> {
+    const { encoded } = await this.#client(peerAddress).readConfig({}, { timeoutMs: CONFIG_TIMEOUT_MS })
+    return encoded
+  }
+
   #client (peerAddress: string): Client<typeof GatewayService> {
     const known = this.#clients.get(peerAddress)
     if (known !== undefined) return known
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -85,6 +85,8 @@
   /** Sends a report to the host at `peerAddress` and returns its own. */
   abstract exchange (peerAddress: string, report: HostReport, timeoutMs: number): Promise<HostReport>
   abstract ensureAdapter (peerAddress: string, request: AdapterRequest): Promise<AdapterReply>
+  /** The configuration in force at a host, in the platform's form; empty where it knows none. */
+  abstract readConfig (peerAddress: string): Promise<Uint8Array>
 }
 
 /** Wish for an adapter on a runner, sent to whoever may order it. */
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -32,7 +32,8 @@
 
 /** What the platform tells, and what it asks before it reads. */
 export type PlatformEvents = {
-  onConfig: (config: GatewayConfig) => void
+  /** @param encoded the platform's own form, to be passed on to hosts that can't read it themselves */
+  onConfig: (config: GatewayConfig, encoded: Uint8Array) => void
   onRunners: (news: RunnerNews) => void
   /** The platform's history of runners starts anew: positions told before mean nothing. */
   onRunnersAnew: () => void
@@ -52,6 +53,8 @@
   abstract start (events: PlatformEvents): void
   /** Reads the configuration at once: another host knows of a newer one. */
   abstract readConfig (): void
+  /** Decodes a configuration that another host passed on; undefined where it can't be read. */
+  abstract decodeConfig (encoded: Uint8Array): GatewayConfig | undefined
   /** Time since the configuration was last read; undefined before. */
   abstract configReadAgoMs (): number | undefined
   abstract stop (): void
