--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,8 +5,9 @@
 import { ConfigState } from './config/config-state.js'
 import type { GatewayConfig } from './config/types.js'
 import { RunnerConnections } from './forward/runner-connections.js'
-import { createCallerHandler, createPathHandler, createPeerHandler } from './front/handlers.js'
+import { createCallerHandler } from './front/handlers.js'
 import { HttpServer } from './front/http-server.js'
+import { SideListeners } from './front/side-listeners.js'
 import { createGauges } from './gauges.js'
 import { InstantSource } from './lease/instant.js'
 import { LeaseKeeper } from './lease/lease-keeper.js'
@@ -15,7 +16,7 @@
 import { createContactPace, type ContactPace } from './members/contact-pace.js'
 import { HostSight } from './members/host-sight.js'
 import { MemberTable } from './members/member-table.js'
-import { ConnectPeerCalls, type PeerHandler } from './members/peer-service.js'
+import { ConnectPeerCalls } from './members/peer-service.js'
 import { ReportWriter, type OwnState } from './members/report-writer.js'
 import { SharedView } from './members/shared-view.js'
 import type { DemandRate, ExpectedLoad, HostReport } from './members/types.js'
@@ -75,7 +76,7 @@
   readonly #desk: OrderDesk
   readonly #context: ServeContext
   readonly #front: HttpServer
-  readonly #others: HttpServer[] = []
+  readonly #sideListeners: SideListeners
   #settings: GatewaySettings
   #inFlight = 0
   #leaving = false
@@ -129,6 +130,7 @@
       this.#inFlight += 1
       await serveRequest(this.#context, request, response).finally(() => { this.#inFlight -= 1 })
     }))
+    this.#sideListeners = this.#createListeners()
     createGauges(this.#registry, {
       inFlight: () => this.#inFlight,
       configVersion: () => this.#config.version,
@@ -154,7 +156,8 @@
       hearsOfRunners: () => !this.#exchanger.relay && this.#knowledge.ageMs() < this.#knowledge.youngMs,
       runnersPosition: () => this.#knowledge.position
     })
-    await this.#openListeners()
+    await this.#sideListeners.open()
+    await this.#front.listen(settings.callerListener)
     this.#exchanger.start()
     this.#lease.start()
     this.#desk.start()
@@ -205,38 +208,26 @@
     this.parts.log.info('configuration in force', { version: config.version, before, routes: config.routes.length })
   }
 
-  async #openListeners (): Promise<void> {
+  #createListeners (): SideListeners {
     const { settings, platform } = this.parts
-    const { lookupWire } = platform
-    await this.#listen(createPeerHandler(this.#peerHandler(), this.#registry), settings.peerListener)
-    const readiness = createPathHandler(lookupWire.readinessPath, () => textAnswer(this.ready))
-    if (settings.readinessListener !== undefined) await this.#listen(readiness, settings.readinessListener)
-    const lookup = createPathHandler(lookupWire.lookupPath, () => this.#answerLookup())
-    if (settings.lookupListener !== undefined) await this.#listen(lookup, settings.lookupListener)
-    await this.#front.listen(settings.callerListener)
-  }
-
-  async #listen (handler: Parameters<typeof HttpServer.create>[0], address: string): Promise<void> {
-    const server = HttpServer.create(handler)
-    this.#others.push(server)
-    await server.listen(address)
+    return SideListeners.create({
+      settings,
+      wire: platform.lookupWire,
+      registry: this.#registry,
+      ready: () => this.ready,
+      lookup: () => this.#lookupAddresses(),
+      lookupTtlMs: () => Math.min(LOOKUP_TTL_MS, this.#settings.maxLookupTtlMs),
+      peers: {
+        onReport: (report) => this.#exchanger.onIncoming(report),
+        onAdapterRequest: (request) => this.#desk.ensureAdapter(request),
+        onConfigRequest: () => this.#config.encoded
+      }
+    })
   }
 
-  #answerLookup () {
-    const { platform } = this.parts
+  #lookupAddresses (): string[] {
     const ownAddress = this.ready ? this.#settings.self.callerAddress : undefined
-    const addresses = lookupHosts({ members: this.#members, self: this.#settings.self.host, ownAddress, nowMs: this.#nowMs() })
-    if (addresses.length === 0) return textAnswer(false)
-    const ttlMs = Math.min(LOOKUP_TTL_MS, this.#settings.maxLookupTtlMs)
-    return { status: 200, body: platform.lookupWire.formatLookup(addresses, ttlMs), contentType: 'application/json' }
-  }
-
-  #peerHandler (): PeerHandler {
-    return {
-      onReport: (report) => this.#exchanger.onIncoming(report),
-      onAdapterRequest: (request) => this.#desk.ensureAdapter(request),
-      onConfigRequest: () => this.#config.encoded
-    }
+    return lookupHosts({ members: this.#members, self: this.#settings.self.host, ownAddress, nowMs: this.#nowMs() })
   }
 
   #createExchanger (): Exchanger {
@@ -362,11 +353,7 @@
     this.#sweepTimer?.cancel()
     this.parts.platform.watch.stop()
     this.#front.destroy()
-    for (const server of this.#others) server.destroy()
+    this.#sideListeners.destroy()
     await this.#connections.destroy()
   }
 }
-
-function textAnswer (good: boolean) {
-  return { status: good ? 200 : 503, body: good ? 'ready\n' : 'not ready\n', contentType: 'text/plain' }
-}
--- /dev/null
+++ b/packages/gateway/src/serve/learn-from-attempt.ts
@@ -0,0 +1,41 @@
+/** What an attempt tells of its runner: its health, what it holds, whether it can be reached. */
+import type { RunnerState } from '../runners/runner-table.js'
+import type { AttemptResult } from './attempt-result.js'
+import { Outcome } from './outcome.js'
+import type { AcceptedRequest, ServeContext } from './types.js'
+
+export type EndedAttempt = {
+  request: AcceptedRequest
+  runner: RunnerState
+  result: AttemptResult
+  /** Monotonic time at which it began. */
+  sentMs: number
+}
+
+export function learnFromAttempt (context: ServeContext, attempt: EndedAttempt): void {
+  const { request, runner, result } = attempt
+  const { facts, outcome } = result
+  const nowMs = context.clock.monotonicMs()
+  if (facts?.misdirected === true) return learnMisdirected(context, attempt, nowMs)
+  if (outcome === Outcome.Answered) learnAnswered(context, attempt, nowMs)
+  else if (facts?.notRun === true || outcome === Outcome.Withdrawn) runner.health.onNeutral(request.id)
+  else if (outcome === Outcome.Unreached) context.runners.markUnreachable(runner.entry.id, nowMs)
+  else runner.health.onFailure(request.id, nowMs)
+}
+
+/** Another runner answers at the address, or this one doesn't hold what was asked for. */
+function learnMisdirected ({ runners }: ServeContext, { request, runner, result }: EndedAttempt, nowMs: number): void {
+  const { model, adapter } = request.facts
+  const answeredBy = result.facts?.runnerId
+  const { id } = runner.entry
+  // The runner's entry is about to expire, unless the answer was damaged.
+  if (answeredBy !== undefined && answeredBy !== id) runners.markUnreachable(id, nowMs)
+  else if (model !== undefined) runners.markDenied(id, model, adapter, nowMs)
+  runner.health.onNeutral(request.id)
+}
+
+function learnAnswered ({ demand }: ServeContext, { request, runner, sentMs }: EndedAttempt, nowMs: number): void {
+  const { service, facts } = request
+  runner.health.onSuccess()
+  if (service.engine !== undefined && facts.model !== undefined) demand.observeHold(service.name, facts.model, nowMs - sentMs)
+}
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -1,12 +1,10 @@
 /** One request from its arrival to its final answer: choosing, sending, sending again, and giving up. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
-import type { Route, Service } from '../config/types.js'
 import { LoadWait } from './load-wait.js'
 import { findCandidates, type CandidateSet, type Need } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { Attempt } from '../forward/attempt.js'
-import type { CallerFacts, RawHeaders } from '../forward/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
 import { AnswerRelay } from './answer-relay.js'
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
@@ -14,23 +12,9 @@
 import { writeFailure } from './own-answer.js'
 import { affinityKey, promisesNotRun, urgencyOf } from './request-hints.js'
 import { RequestLog } from './request-log.js'
-import { retryAfterFull, retryAfterMissing } from './retry-after.js'
-import type { ServeContext } from './types.js'
-
-/** A request whose head and body are read and whose route is known. */
-export type AcceptedRequest = {
-  id: string
-  method: string
-  target: string
-  headers: RawHeaders
-  body: Buffer | undefined
-  facts: CallerFacts
-  route: Route
-  service: Service
-  arrivedMs: number
-  /** Monotonic time by which the final answer is due. */
-  dueMs: number
-}
+import { learnFromAttempt } from './learn-from-attempt.js'
+import { retryWhenLoaded, retryWhenRoom } from './retry-advice.js'
+import type { AcceptedRequest, ServeContext } from './types.js'
 
 /** Part of the time left within which an adapter has to arrive. */
 const ADAPTER_WAIT_SHARE = 0.3
@@ -146,7 +130,7 @@
     if (this.#over) return
     this.#adapterTries += 1
     if (!resident) this.#excluded.add(chosen.id)
-    if (!resident && this.#adapterTries >= MAX_ADAPTER_TRIES) return this.#giveUp(this.#failure(ResultCode.NoRunner, 'the adapter could not be made resident', this.#fullRetryMs()))
+    if (!resident && this.#adapterTries >= MAX_ADAPTER_TRIES) return this.#giveUp(this.#failure(ResultCode.NoRunner, 'the adapter could not be made resident', retryWhenRoom(this.context, this.#timeLeftMs())))
     this.#send()
   }
 
@@ -202,7 +186,8 @@
   #onResult (runner: RunnerState, result: AttemptResult): void {
     this.#release()
     if (this.#over) return
-    this.#learn(runner, result)
+    learnFromAttempt(this.context, { request: this.request, runner, result, sentMs: this.#sentMs })
+    if (result.facts?.misdirected !== true) this.#weightsVersion ??= result.facts?.weightsVersion
     this.#count(result)
     this.#excluded.add(runner.entry.id)
     this.#lastReason = result.reason
@@ -228,31 +213,6 @@
     this.#runner = undefined
   }
 
-  /** Takes from the attempt what it tells of its runner. */
-  #learn (runner: RunnerState, result: AttemptResult): void {
-    const nowMs = this.context.clock.monotonicMs()
-    const { facts } = result
-    const { model, adapter } = this.request.facts
-    if (facts?.misdirected === true) {
-      // Its entry is about to expire, unless the answer was damaged.
-      if (facts.runnerId !== undefined && facts.runnerId !== runner.entry.id) this.context.runners.markUnreachable(runner.entry.id, nowMs)
-      else if (model !== undefined) this.context.runners.markDenied(runner.entry.id, model, adapter, nowMs)
-      runner.health.onNeutral(this.request.id)
-      return
-    }
-    if (result.outcome === Outcome.Answered) this.#learnAnswered(runner, nowMs)
-    else if (facts?.notRun === true || result.outcome === Outcome.Withdrawn) runner.health.onNeutral(this.request.id)
-    else if (result.outcome === Outcome.Unreached) this.context.runners.markUnreachable(runner.entry.id, nowMs)
-    else runner.health.onFailure(this.request.id, nowMs)
-    if (facts?.weightsVersion !== undefined) this.#weightsVersion ??= facts.weightsVersion
-  }
-
-  #learnAnswered (runner: RunnerState, nowMs: number): void {
-    runner.health.onSuccess()
-    const { service, facts } = this.request
-    if (service.engine !== undefined && facts.model !== undefined) this.context.demand.observeHold(service.name, facts.model, nowMs - this.#sentMs)
-  }
-
   #count (result: AttemptResult): void {
     if (neverRan(result.outcome)) this.#progress.notRuns += 1
     else {
@@ -288,7 +248,7 @@
       return this.#end('runner_failed', result.reason)
     }
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, result.reason))
-    this.#giveUp(this.#failure(ResultCode.Overloaded, result.reason, this.#fullRetryMs()))
+    this.#giveUp(this.#failure(ResultCode.Overloaded, result.reason, retryWhenRoom(this.context, this.#timeLeftMs())))
   }
 
   /** Looks again in a moment if the model is being loaded and will be there in time. */
@@ -311,8 +271,8 @@
     this.#log.note('no runner can take the request', { full: set.fullCount, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
     if (this.#relay.begun) return this.#breakOff('no runner to resume the stream')
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastReason}; no other runner is free`))
-    if (set.fullCount > 0) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'all runners that could serve the request are full', this.#fullRetryMs()))
-    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no live runner can serve the request', this.#missingRetryMs()))
+    if (set.fullCount > 0) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'all runners that could serve the request are full', retryWhenRoom(this.context, this.#timeLeftMs())))
+    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no live runner can serve the request', retryWhenLoaded(this.context, this.request, this.#timeLeftMs())))
   }
 
   /** The route's timeout or the caller's deadline is reached. */
@@ -323,7 +283,7 @@
     if (this.#relay.begun) return this.#breakOff('timeout within the stream')
     const ran = sent || this.#mayHaveRun
     if (ran) return this.#giveUp(this.#failure(ResultCode.BackendTimeout, 'no answer within the time of the request'))
-    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no runner could be reached in time', this.#missingRetryMs()))
+    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no runner could be reached in time', retryWhenLoaded(this.context, this.request, this.#timeLeftMs())))
   }
 
   #onCallerGone (): void {
@@ -344,18 +304,6 @@
     return createFailure(code, message, { ran: this.#mayHaveRun ? Ran.Unknown : code.ran, retryAfterMs })
   }
 
-  #fullRetryMs (): number {
-    return retryAfterFull({ timeLeftMs: this.#timeLeftMs(), random: this.context.random })
-  }
-
-  #missingRetryMs (): number {
-    const { service, facts } = this.request
-    const model = facts.model === undefined ? undefined : service.engine?.models.get(facts.model)
-    const onDisk = model !== undefined && this.context.runners.usable(service.name).some(({ entry }) => entry.localWeights.includes(model.name))
-    const readyInMs = model === undefined ? undefined : this.context.loads.readyInMs(service.name, model.name)
-    return retryAfterMissing(model, onDisk, readyInMs, { timeLeftMs: this.#timeLeftMs(), random: this.context.random })
-  }
-
   #timeLeftMs (): number {
     return this.request.dueMs - this.context.clock.monotonicMs()
   }
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -1,13 +1,29 @@
 /** What serving a request needs of the rest of the gateway. */
 import type { Clock, Logger } from '@figloom/runtime'
 import type { ConfigState } from '../config/config-state.js'
+import type { Route, Service } from '../config/types.js'
 import type { RunnerConnections } from '../forward/runner-connections.js'
-import type { RequestCodec } from '../forward/types.js'
+import type { CallerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
 import type { SharedBudget } from '../retry/shared-budget.js'
 import type { RunnerTable } from '../runners/runner-table.js'
 import type { DemandMeter } from './demand-meter.js'
 import type { RequestMetrics } from './metrics.js'
 
+/** A request whose head and body are read and whose route is known. */
+export type AcceptedRequest = {
+  id: string
+  method: string
+  target: string
+  headers: RawHeaders
+  body: Buffer | undefined
+  facts: CallerFacts
+  route: Route
+  service: Service
+  arrivedMs: number
+  /** Monotonic time by which the final answer is due. */
+  dueMs: number
+}
+
 /** Makes adapters resident, through whichever host may give orders. */
 export abstract class AdapterLoader {
   /** Resolves true when the runner holds the adapter, false when it can't be brought there in time. */
