Keep lapsed runners no longer than the bound for contact allows

A host that lost the store keeps runners whose entries disappeared meanwhile for 2.3 s behind its first read: in an outage of the store entries of living runners expire and come back.

The time counts from the start of the last read that failed, the first moment at which the path may have been back, and ends a second before the bound for contact; a gap without a failed read (suspension, stall, rest) is no outage.

Evidence: runners/leaving-runners plays 14 hosts over relays on a manual clock, with cuts of the store, suspensions and crossing reports, and holds each host in contact against the bound.

--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -186,6 +186,7 @@
   const host = await createHost(t, () => {})
   configure(host)
   host.watch.events?.onRunners({ since: 1, to: 2, records: [{ id: 'left', position: 1, entry: createEntry({ id: 'left' }) }], ageMs: 60_000 })
+  host.watch.events?.onRunnersUnread(100)
   host.watch.events?.onRunners({ since: 2, to: 3, records: [{ id: 'left', position: 2 }], ageMs: 0 })
   t.match(await metricsOf(host), /^figloom_gateway_runners\{.*\} 2$/m, 'kept here for the grace')
   t.same(await toldRunners(host), ['runner-1'])
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -89,7 +89,7 @@
     this.#registry = createRegistry({ host: settings.self.host, availabilityZone: settings.self.availabilityZone })
     this.#startedMs = clock.monotonicMs()
     this.#instants = InstantSource.create(clock)
-    this.#knowledge = RunnerKnowledge.create({ clock, instants: this.#instants, log, table: this.#runners, drainNoticeMs: settings.drainNoticeMs })
+    this.#knowledge = RunnerKnowledge.create({ clock, instants: this.#instants, log, table: this.#runners, drainNoticeMs: settings.drainNoticeMs, contactMs: settings.contactMs })
     this.#configPassing = ConfigPassing.create({
       clock,
       log,
@@ -151,6 +151,7 @@
     platform.watch.start({
       onConfig: (config, encoded) => this.#onConfig(config, encoded),
       onRunners: (news) => this.#knowledge.hear(news, OWN_READ),
+      onRunnersUnread: (startedAgoMs) => this.#knowledge.onUnread(startedAgoMs),
       onRunnersAnew: () => this.#knowledge.forget(),
       hearsOfConfig: () => !this.#exchanger.relay && this.#sight.hearsOfConfig(),
       hearsOfRunners: () => !this.#exchanger.relay && this.#knowledge.ageMs() < this.#knowledge.youngMs,
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -1,20 +1,9 @@
 import t from 'tap'
-import { ManualClock, silentLogger } from '@figloom/runtime'
-import { InstantSource } from '../lease/instant.js'
+import { ManualClock } from '@figloom/runtime'
 import { lookupHosts } from '../lookup/lookup.js'
-import { createContactPace } from './contact-pace.js'
-import { Exchanger } from './exchanger.js'
+import { addressOf as address, CONTACT_MS, HostNetwork as Network, PACE } from '../testing/host-network.js'
 import { MemberTable } from './member-table.js'
-import { ReportWriter, type OwnState } from './report-writer.js'
-import { SharedView } from './shared-view.js'
-import { HostRegistry, PeerCalls, type AdapterReply, type HostAddress, type HostReport, type HostSummary } from './types.js'
-
-const CONTACT_MS = 3_000
-const PACE = createContactPace(CONTACT_MS)
-
-function address (host: string): HostAddress {
-  return { host, availabilityZone: 'z', callerAddress: `${host}:80`, peerAddress: `${host}:7380`, capacityCores: 1 }
-}
+import type { HostReport, HostSummary } from './types.js'
 
 function report (host: string, changes: Partial<HostSummary> = {}): HostReport {
   const sender = { address: address(host), incarnation: host, ready: true, leaving: false, relay: true, holdsLease: false, hearsay: false, ...changes }
@@ -31,133 +20,6 @@
   }
 }
 
-type Host = { exchanger: Exchanger, members: MemberTable, shared: SharedView, state: OwnState, incarnation: string }
-
-/** Hosts that exchange reports without sockets; calls are counted. */
-class Network extends PeerCalls {
-  readonly hosts = new Map<string, Host>()
-  readonly down = new Set<string>()
-  /** Hosts on this side and the others don't reach each other. */
-  readonly farSide = new Set<string>()
-  readonly registered: HostAddress[] = []
-  calls = 0
-  #lives = 0
-
-  private constructor (private readonly clock: ManualClock) {
-    super()
-  }
-
-  static create (clock = ManualClock.create()): Network {
-    return new Network(clock)
-  }
-
-  override async exchange (peerAddress: string, sent: HostReport): Promise<HostReport> {
-    const name = peerAddress.split(':')[0] ?? ''
-    const host = this.hosts.get(name)
-    const sender = sent.sender.address.host
-    const cut = this.farSide.has(name) !== this.farSide.has(sender)
-    this.calls += 1
-    if (host === undefined || this.down.has(name) || this.down.has(sender) || cut) throw new Error('no answer')
-    return host.exchanger.onIncoming(sent)
-  }
-
-  override async readConfig (): Promise<Uint8Array> {
-    return new Uint8Array()
-  }
-
-  override async ensureAdapter (): Promise<AdapterReply> {
-    return { accepted: false, readyInMs: 0 }
-  }
-
-  start (name: string, seeds: string[]): Host {
-    const { clock } = this
-    const members = MemberTable.create(name, PACE)
-    const shared = SharedView.create(PACE.relayTrustMs)
-    this.#lives += 1
-    const state: OwnState = {
-      ready: true,
-      leaving: false,
-      relay: true,
-      configVersion: 1,
-      configReadAgoMs: 0,
-      runnerUses: new Map([['runner', 1]]),
-      demand: [{ service: 's', model: 'm', requestsPerS: 1, slowRequestsPerS: 1, holdMs: 100 }],
-      lease: { heldBySender: false, fencingToken: 0 },
-      expectedLoads: []
-    }
-    const incarnation = `${name}-${this.#lives}`
-    const writer = ReportWriter.create({
-      clock,
-      self: address(name),
-      incarnation,
-      members,
-      shared,
-      state: () => ({ ...state, relay: host.exchanger.relay }),
-      runnersPosition: () => undefined,
-      runnersSince: () => undefined
-    })
-    const exchanger = Exchanger.create({
-      clock,
-      instants: InstantSource.create(clock),
-      log: silentLogger,
-      pace: PACE,
-      members,
-      calls: this,
-      registry: new TestRegistry(this.registered),
-      self: address(name),
-      seedPeerAddresses: seeds.map((seed) => `${seed}:7380`),
-      holdsLease: () => state.lease.heldBySender,
-      report: (peer) => writer.write(peer),
-      onReport: (heard) => {
-        const nowMs = clock.monotonicMs()
-        const reportsHere = members.group(nowMs).some(({ sender }) => sender.address.host === heard.sender.address.host)
-        shared.hear(heard, reportsHere, nowMs)
-      }
-    })
-    const host = { exchanger, members, shared, state, incarnation }
-    this.hosts.set(name, host)
-    exchanger.start()
-    return host
-  }
-
-  startMany (count: number): Host[] {
-    return Array.from({ length: count }, (_, index) => this.start(`h${index}`, ['h0', 'h1', 'h2']))
-  }
-
-  /** Names of the hosts that a host takes for ready. */
-  readyAt ({ members }: Host): string[] {
-    return members.ready(this.clock.monotonicMs()).map(({ summary }) => summary.address.host).sort()
-  }
-
-  relays (): Host[] {
-    return [...this.hosts.values()].filter(({ exchanger }) => exchanger.relay)
-  }
-
-  /** Takes a host away without a word. */
-  kill (host: Host): void {
-    host.exchanger.stop()
-    this.down.add(this.nameOf(host))
-  }
-
-  nameOf (host: Host): string {
-    return [...this.hosts].find(([, candidate]) => candidate === host)?.[0] ?? ''
-  }
-}
-
-class TestRegistry extends HostRegistry {
-  constructor (private readonly registered: HostAddress[]) {
-    super()
-  }
-
-  override async announce (entry: HostAddress): Promise<void> {
-    this.registered.push(entry)
-  }
-
-  override async list (): Promise<HostAddress[]> {
-    return this.registered
-  }
-}
-
 t.test('hosts find each other over seeds and by word of others', async (t) => {
   const clock = ManualClock.create()
   const network = Network.create(clock)
--- /dev/null
+++ b/packages/gateway/src/runners/leaving-runners.test.ts
@@ -0,0 +1,170 @@
+import t from 'tap'
+import { ManualClock } from '@figloom/runtime'
+import { createEntry } from '../testing/gateway-fixture.js'
+import { CONTACT_MS, DRAIN_NOTICE_MS, HostNetwork, type NetworkHost } from '../testing/host-network.js'
+import { SuspendableClock } from '../testing/suspendable-clock.js'
+import type { RunnerRecord } from './types.js'
+
+const HOSTS = 14
+const RUNNERS = 12
+const READ_PAUSE_MS = 500
+const HEARTBEAT_MS = 1_200
+const CALL_TIMEOUT_MS = 800
+const STEP_MS = 50
+const RUN_MS = 40_000
+/** Time in which a host that was disturbed need not know yet. */
+const DISTURBED_MS = CONTACT_MS
+
+function createRandom (seed: number): () => number {
+  let state = seed
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
+    return state / 2 ** 32
+  }
+}
+
+type Platform = { records: RunnerRecord[], leftAtMs: Map<string, number> }
+type Node = { host: NetworkHost, clock: SuspendableClock, cut: boolean, disturbedMs: number }
+
+/** Hosts that read a platform's list and tell each other of it, under random trouble. */
+class Fleet {
+  readonly base = ManualClock.create()
+  readonly network = HostNetwork.create(this.base)
+  readonly platform: Platform = { records: [], leftAtMs: new Map() }
+  readonly nodes: Node[] = []
+  readonly #random: () => number
+
+  private constructor (seed: number) {
+    this.#random = createRandom(seed)
+    this.network.delayMs = () => 1 + this.#random() * 40
+    for (let index = 0; index < RUNNERS; index++) this.write(`r${index}`, false)
+    for (let index = 0; index < HOSTS; index++) this.#startNode(`h${index}`)
+  }
+
+  static create (seed: number): Fleet {
+    return new Fleet(seed)
+  }
+
+  write (id: string, draining: boolean): void {
+    this.platform.records.push({ id, position: this.platform.records.length, entry: createEntry({ id, draining }) })
+    if (draining) this.platform.leftAtMs.set(id, this.base.monotonicMs())
+  }
+
+  drop (id: string): void {
+    this.platform.records.push({ id, position: this.platform.records.length, entry: undefined })
+    this.platform.leftAtMs.set(id, this.base.monotonicMs())
+  }
+
+  /** Random trouble of one step. */
+  async disturb (): Promise<void> {
+    const { platform, nodes } = this
+    if (this.#happens(0.4)) this.#leaveOne()
+    if (this.#happens(0.5)) this.#trouble(this.#pick(nodes.filter(({ host }) => host.exchanger.relay)))
+    if (this.#happens(0.3)) this.#trouble(this.#pick(nodes))
+    if (this.base.monotonicMs() % HEARTBEAT_MS < STEP_MS) {
+      const last = new Map(platform.records.map((record) => [record.id, record]))
+      for (const { id, entry } of last.values()) if (entry !== undefined) platform.records.push({ id, position: platform.records.length, entry })
+    }
+    await this.base.advance(STEP_MS)
+  }
+
+  /** Runners that a host still uses though it had to know that they leave. */
+  late (): string[] {
+    const nowMs = this.base.monotonicMs()
+    const due = [...this.platform.leftAtMs].filter(([, leftMs]) => nowMs - leftMs > DRAIN_NOTICE_MS).map(([id]) => id)
+    const calm = this.nodes.filter(({ disturbedMs }) => nowMs - disturbedMs > DISTURBED_MS)
+    return calm.flatMap(({ host }) => {
+      const used = new Set(host.runners.usable('plain').map(({ entry }) => entry.id))
+      return due.filter((id) => used.has(id)).map((id) => `${this.network.nameOf(host)} uses ${id} at ${nowMs}`)
+    })
+  }
+
+  /** Hosts that know no runner at all. */
+  blind (): number {
+    return this.nodes.filter(({ host }) => host.runners.all().length === 0).length
+  }
+
+  #happens (perS: number): boolean {
+    return this.#random() < perS * STEP_MS / 1_000
+  }
+
+  #pick<Item> (items: readonly Item[]): Item | undefined {
+    return items[Math.floor(this.#random() * items.length)]
+  }
+
+  #leaveOne (): void {
+    const staying = [...new Set(this.platform.records.map(({ id }) => id))].filter((id) => !this.platform.leftAtMs.has(id))
+    const id = staying.length > 3 ? this.#pick(staying) : undefined
+    if (id === undefined) return
+    if (this.#random() < 0.5) this.write(id, true)
+    else this.drop(id)
+  }
+
+  #trouble (node: Node | undefined): void {
+    if (node === undefined || this.base.monotonicMs() - node.disturbedMs < DISTURBED_MS) return
+    const forMs = 500 + this.#random() * 6_000
+    const name = this.network.nameOf(node.host)
+    const suspended = this.#random() < 0.4
+    node.disturbedMs = Infinity
+    node.cut = !suspended
+    if (suspended) {
+      node.clock.suspend()
+      this.network.suspended.add(name)
+    }
+    this.base.setTimer(forMs, () => {
+      node.cut = false
+      node.clock.wake()
+      this.network.suspended.delete(name)
+      node.disturbedMs = this.base.monotonicMs()
+    })
+  }
+
+  #startNode (name: string): void {
+    const clock = SuspendableClock.create(this.base)
+    const host = this.network.start(name, ['h0', 'h1', 'h2'], clock)
+    const node = { host, clock, cut: false, disturbedMs: -Infinity }
+    this.nodes.push(node)
+    clock.setTimer(this.#random() * READ_PAUSE_MS, () => { this.#follow(node) })
+  }
+
+  /** Reads as the follower of a topic does. */
+  async #follow (node: Node): Promise<void> {
+    const { knowledge, exchanger } = node.host
+    const rests = !exchanger.relay && knowledge.ageMs() < knowledge.youngMs
+    if (!rests) await this.#read(node)
+    node.clock.setTimer(rests ? 150 : READ_PAUSE_MS, () => { this.#follow(node) })
+    node.host.knowledge.sweep()
+  }
+
+  async #read (node: Node): Promise<void> {
+    const { knowledge, clock } = node.host
+    if (node.cut) {
+      await clock.sleep(CALL_TIMEOUT_MS)
+      return knowledge.onUnread(CALL_TIMEOUT_MS)
+    }
+    const since = knowledge.position
+    const startMs = this.base.monotonicMs()
+    await clock.sleep(2 + this.#random() * 60)
+    const records = this.platform.records.slice(since ?? 0)
+    const to = this.platform.records.length
+    await clock.sleep(2 + this.#random() * 200)
+    const news = since === undefined ? [...new Map(records.map((record) => [record.id, record])).values()] : records
+    knowledge.hear({ since, to, records: news, ageMs: this.base.monotonicMs() - startMs }, 'the platform')
+  }
+}
+
+for (const seed of [1, 2, 3, 4]) {
+  t.test(`hosts in contact stop using runners that leave in time, seed ${seed}`, async (t) => {
+    const fleet = Fleet.create(seed)
+    await fleet.base.advance(4_000)
+    t.equal(fleet.blind(), 0)
+    const late: string[] = []
+    while (fleet.base.monotonicMs() < RUN_MS) {
+      await fleet.disturb()
+      late.push(...fleet.late())
+    }
+    t.same(late.slice(0, 3), [])
+    t.ok(fleet.platform.leftAtMs.size >= 5, `${fleet.platform.leftAtMs.size} runners left`)
+    t.ok(fleet.network.relays().length < HOSTS, 'not every host is a relay')
+  })
+}
--- a/packages/gateway/src/runners/runner-knowledge.ts
+++ b/packages/gateway/src/runners/runner-knowledge.ts
@@ -16,6 +16,8 @@
   table: RunnerTable
   /** Time within which a host has to know that a runner drains. */
   drainNoticeMs: number
+  /** Time after which a host whose path to the platform is back has to act on what it says. */
+  contactMs: number
 }
 
 /** Who told, for the log. */
@@ -26,7 +28,7 @@
   readonly #grace: OutageGrace
 
   private constructor (private readonly parts: RunnerKnowledgeParts) {
-    this.#grace = OutageGrace.create(this.youngMs)
+    this.#grace = OutageGrace.create({ restMs: this.youngMs, contactMs: parts.contactMs })
   }
 
   static create (parts: RunnerKnowledgeParts): RunnerKnowledge {
@@ -58,11 +60,16 @@
     const nowMs = this.parts.instants.nowMs()
     const beforeMs = this.#list.asOfMs
     const changed = this.#list.apply(news, nowMs)
-    this.#grace.onKnown(beforeMs, this.#list.asOfMs, nowMs)
+    this.#grace.onKnown(beforeMs, this.#list.asOfMs)
     const listAgeMs = Number.isFinite(news.ageMs) ? Math.round(news.ageMs ?? 0) : undefined
     for (const record of changed) this.#follow(record, { from, position: record.position, listAgeMs })
   }
 
+  /** A read of the list that began this long ago failed. */
+  onUnread (startedAgoMs: number): void {
+    this.#grace.onFailed(this.parts.instants.nowMs() - startedAgoMs)
+  }
+
   /** The platform's history starts anew: positions of before mean nothing. */
   forget (): void {
     this.#list.clear()
--- /dev/null
+++ b/packages/gateway/src/testing/host-network.ts
@@ -0,0 +1,176 @@
+/** Many hosts on a manual clock that exchange reports without sockets. */
+import { silentLogger, ManualClock, type Clock } from '@figloom/runtime'
+import { InstantSource } from '../lease/instant.js'
+import { createContactPace } from '../members/contact-pace.js'
+import { Exchanger } from '../members/exchanger.js'
+import { MemberTable } from '../members/member-table.js'
+import { ReportWriter, type OwnState } from '../members/report-writer.js'
+import { SharedView } from '../members/shared-view.js'
+import { HostRegistry, PeerCalls, type AdapterReply, type HostAddress, type HostReport } from '../members/types.js'
+import { RunnerKnowledge } from '../runners/runner-knowledge.js'
+import { RunnerTable } from '../runners/runner-table.js'
+
+export const CONTACT_MS = 3_000
+export const PACE = createContactPace(CONTACT_MS)
+/** Time within which a host has to know that a runner drains. */
+export const DRAIN_NOTICE_MS = 3_000
+const STANDSTILL_LOOK_MS = 50
+
+/** Address of a host by its name. */
+export function addressOf (host: string): HostAddress {
+  return { host, availabilityZone: 'z', callerAddress: `${host}:80`, peerAddress: `${host}:7380`, capacityCores: 1 }
+}
+
+/** A host of the network; its runners are those that it knows of by others and by `knowledge.hear`. */
+export type NetworkHost = { exchanger: Exchanger, members: MemberTable, shared: SharedView, state: OwnState, incarnation: string, clock: Clock, knowledge: RunnerKnowledge, runners: RunnerTable }
+
+/** Hosts that exchange reports without sockets; calls are counted. */
+export class HostNetwork extends PeerCalls {
+  readonly hosts = new Map<string, NetworkHost>()
+  readonly down = new Set<string>()
+  /** Hosts on this side and the others don't reach each other. */
+  readonly farSide = new Set<string>()
+  readonly registered: HostAddress[] = []
+  calls = 0
+  /** Hosts that stand still: whoever calls them hears nothing. */
+  readonly suspended = new Set<string>()
+  /** Time that a message takes. */
+  delayMs = () => 0
+  #lives = 0
+
+  private constructor (private readonly clock: ManualClock) {
+    super()
+  }
+
+  static create (clock = ManualClock.create()): HostNetwork {
+    return new HostNetwork(clock)
+  }
+
+  override async exchange (peerAddress: string, sent: HostReport, timeoutMs: number): Promise<HostReport> {
+    const answer = this.#answer(peerAddress, sent)
+    if (this.suspended.size === 0 && this.delayMs() === 0) return await answer
+    const late = this.clock.sleep(timeoutMs).then(() => { throw new Error('no answer in time') })
+    return await Promise.race([answer, late])
+  }
+
+  async #answer (peerAddress: string, sent: HostReport): Promise<HostReport> {
+    const name = peerAddress.split(':')[0] ?? ''
+    await this.#travel(name)
+    const host = this.hosts.get(name)
+    const sender = sent.sender.address.host
+    const cut = this.farSide.has(name) !== this.farSide.has(sender)
+    this.calls += 1
+    if (host === undefined || this.down.has(name) || this.down.has(sender) || cut) throw new Error('no answer')
+    const answer = host.exchanger.onIncoming(sent)
+    await this.#travel(sender)
+    return answer
+  }
+
+  /** Until a message is there; a host that stands still takes it when it goes on. */
+  async #travel (to: string): Promise<void> {
+    const delayMs = this.delayMs()
+    if (delayMs > 0) await this.clock.sleep(delayMs)
+    while (this.suspended.has(to)) await this.clock.sleep(STANDSTILL_LOOK_MS)
+  }
+
+  override async readConfig (): Promise<Uint8Array> {
+    return new Uint8Array()
+  }
+
+  override async ensureAdapter (): Promise<AdapterReply> {
+    return { accepted: false, readyInMs: 0 }
+  }
+
+  /** Starts a host; `clock`: its own one, where it may be suspended. */
+  start (name: string, seeds: string[], clock: Clock = this.clock): NetworkHost {
+    const instants = InstantSource.create(clock)
+    const runners = RunnerTable.create()
+    const knowledge = RunnerKnowledge.create({ clock, instants, log: silentLogger, table: runners, drainNoticeMs: DRAIN_NOTICE_MS, contactMs: CONTACT_MS })
+    const members = MemberTable.create(name, PACE)
+    const shared = SharedView.create(PACE.relayTrustMs)
+    this.#lives += 1
+    const state: OwnState = {
+      ready: true,
+      leaving: false,
+      relay: true,
+      configVersion: 1,
+      configReadAgoMs: 0,
+      runnerUses: new Map([['runner', 1]]),
+      demand: [{ service: 's', model: 'm', requestsPerS: 1, slowRequestsPerS: 1, holdMs: 100 }],
+      lease: { heldBySender: false, fencingToken: 0 },
+      expectedLoads: []
+    }
+    const incarnation = `${name}-${this.#lives}`
+    const writer = ReportWriter.create({
+      clock,
+      self: addressOf(name),
+      incarnation,
+      members,
+      shared,
+      state: () => ({ ...state, relay: host.exchanger.relay }),
+      runnersPosition: () => knowledge.position,
+      runnersSince: (position) => knowledge.newsSince(position)
+    })
+    const exchanger = Exchanger.create({
+      clock,
+      instants,
+      log: silentLogger,
+      pace: PACE,
+      members,
+      calls: this,
+      registry: new TestRegistry(this.registered),
+      self: addressOf(name),
+      seedPeerAddresses: seeds.map((seed) => `${seed}:7380`),
+      holdsLease: () => state.lease.heldBySender,
+      report: (peer) => writer.write(peer),
+      onReport: (heard, writtenAgoMs) => {
+        const nowMs = clock.monotonicMs()
+        const reportsHere = members.group(nowMs).some(({ sender }) => sender.address.host === heard.sender.address.host)
+        shared.hear(heard, reportsHere, nowMs)
+        const { runners: news, sender } = heard
+        if (news !== undefined) knowledge.hear({ ...news, ageMs: news.ageMs === undefined ? undefined : news.ageMs + writtenAgoMs }, sender.address.host)
+      }
+    })
+    const host = { exchanger, members, shared, state, incarnation, clock, knowledge, runners }
+    this.hosts.set(name, host)
+    exchanger.start()
+    return host
+  }
+
+  startMany (count: number): NetworkHost[] {
+    return Array.from({ length: count }, (_, index) => this.start(`h${index}`, ['h0', 'h1', 'h2']))
+  }
+
+  /** Names of the hosts that a host takes for ready. */
+  readyAt ({ members }: NetworkHost): string[] {
+    return members.ready(this.clock.monotonicMs()).map(({ summary }) => summary.address.host).sort()
+  }
+
+  relays (): NetworkHost[] {
+    return [...this.hosts.values()].filter(({ exchanger }) => exchanger.relay)
+  }
+
+  /** Takes a host away without a word. */
+  kill (host: NetworkHost): void {
+    host.exchanger.stop()
+    this.down.add(this.nameOf(host))
+  }
+
+  nameOf (host: NetworkHost): string {
+    return [...this.hosts].find(([, candidate]) => candidate === host)?.[0] ?? ''
+  }
+}
+
+class TestRegistry extends HostRegistry {
+  constructor (private readonly registered: HostAddress[]) {
+    super()
+  }
+
+  override async announce (entry: HostAddress): Promise<void> {
+    this.registered.push(entry)
+  }
+
+  override async list (): Promise<HostAddress[]> {
+    return this.registered
+  }
+}
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -35,6 +35,8 @@
   /** @param encoded the platform's own form, to be passed on to hosts that can't read it themselves */
   onConfig: (config: GatewayConfig, encoded: Uint8Array) => void
   onRunners: (news: RunnerNews) => void
+  /** A read of the list of runners that began this long ago failed. */
+  onRunnersUnread: (startedAgoMs: number) => void
   /** The platform's history of runners starts anew: positions told before mean nothing. */
   onRunnersAnew: () => void
   /**
