--- a/packages/gateway/src/serve/outcome.ts
+++ b/packages/gateway/src/serve/outcome.ts
@@ -23,26 +23,31 @@
 export type Progress = {
   /** Runners that may have run the request. */
   runs: number
-  /** Sendings that certainly didn't run. */
+  /** Sendings that a runner refused. */
   notRuns: number
+  /** Sendings of which no byte left this host. */
+  unsent: number
   /** Bytes of an answer have gone to the caller. */
   answerBegun: boolean
 }
 
 /** Sendings that may be refused before the caller is told to come back. */
 const MAX_NOT_RUN = 3
+/** Runners that may turn out to be gone: finding that out takes a moment and costs no runner anything. */
+const MAX_UNSENT = 8
 
 /** Decides after an attempt; the budget is asked separately when the answer is to send again. */
 export function decideNext (route: Route, outcome: Outcome, progress: Progress): NextStep {
   if (outcome === Outcome.Answered) return NextStep.Finish
-  if (neverRan(outcome)) return progress.notRuns < MAX_NOT_RUN ? NextStep.SendAgain : NextStep.GiveUp
+  if (wasNotSent(outcome)) return progress.unsent < MAX_UNSENT ? NextStep.SendAgain : NextStep.GiveUp
+  if (outcome === Outcome.NotRun) return progress.notRuns < MAX_NOT_RUN ? NextStep.SendAgain : NextStep.GiveUp
   if (!mayRunAgain(route, progress)) return NextStep.GiveUp
   return progress.runs < route.maxAttempts ? NextStep.SendAgain : NextStep.GiveUp
 }
 
-/** The attempt certainly did not run the request. */
-export function neverRan (outcome: Outcome): boolean {
-  return outcome === Outcome.NotRun || outcome === Outcome.Unreached || outcome === Outcome.Withdrawn
+/** No byte of the request has left this host. */
+export function wasNotSent (outcome: Outcome): boolean {
+  return outcome === Outcome.Unreached || outcome === Outcome.Withdrawn
 }
 
 function mayRunAgain (route: Route, progress: Progress): boolean {
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -8,7 +8,7 @@
 import type { RunnerState } from '../runners/runner-table.js'
 import { AnswerRelay } from './answer-relay.js'
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
-import { decideNext, neverRan, NextStep, Outcome, type Progress } from './outcome.js'
+import { decideNext, NextStep, Outcome, wasNotSent, type Progress } from './outcome.js'
 import { writeFailure } from './own-answer.js'
 import { affinityKey, promisesNotRun, urgencyOf } from './request-hints.js'
 import { RequestLog } from './request-log.js'
@@ -26,7 +26,7 @@
   readonly #relay: AnswerRelay
   readonly #log: RequestLog
   readonly #excluded = new Set<string>()
-  readonly #progress: Progress = { runs: 0, notRuns: 0, answerBegun: false }
+  readonly #progress: Progress = { runs: 0, notRuns: 0, unsent: 0, answerBegun: false }
   readonly #finished: Promise<void>
   #resolveFinished: () => void = () => {}
   #attempt: Attempt | undefined
@@ -214,7 +214,8 @@
   }
 
   #count (result: AttemptResult): void {
-    if (neverRan(result.outcome)) this.#progress.notRuns += 1
+    if (wasNotSent(result.outcome)) this.#progress.unsent += 1
+    else if (result.outcome === Outcome.NotRun) this.#progress.notRuns += 1
     else {
       this.#progress.runs += 1
       this.#mayHaveRun = true
@@ -226,7 +227,7 @@
     const { budget, clock, host, metrics } = this.context
     if (host.isLeaving() && this.#relay.begun) return false
     // The budget is for what runners have to bear.
-    if (result.outcome === Outcome.Unreached || result.outcome === Outcome.Withdrawn) return true
+    if (wasNotSent(result.outcome)) return true
     const granted = budget.take(this.request.service.name, host.hostCount(), clock.monotonicMs())
     if (granted) metrics.repeats.inc({ reason: result.outcome })
     else this.#log.note('repeat refused by the budget', { service: this.request.service.name, hosts: host.hostCount() })
--- a/packages/gateway/src/serve/unreachable-runners.test.ts
+++ b/packages/gateway/src/serve/unreachable-runners.test.ts
@@ -15,6 +15,19 @@
   return address
 }
 
+t.test('a request gets past many runners that are gone to the one that lives', async (t) => {
+  const fixture = await GatewayFixture.create([createRoute({ kind: RouteKind.NonIdempotent, maxAttempts: 1 })])
+  t.teardown(() => fixture.close())
+  const address = await closedAddress(fixture)
+  const { runners } = fixture.context
+  for (const id of ['one', 'two', 'three', 'four', 'five']) runners.upsert(createEntry({ id, address }))
+  runners.remove('closed', 0, 0)
+  const live = await fixture.addRunner('live', answer)
+  runners.upsert(createEntry({ id: 'live', address: live.address, availabilityZone: 'far', slots: 1 }))
+  const reply = await fixture.call({ method: 'POST' })
+  t.equal(reply.status, 200)
+})
+
 t.test('a runner that accepts no connection costs nothing of the budget', async (t) => {
   const fixture = await GatewayFixture.create([createRoute({ kind: RouteKind.NonIdempotent, maxAttempts: 1 })])
   t.teardown(() => fixture.close())
