--- a/packages/gateway/src/members/host-sight.ts
+++ b/packages/gateway/src/members/host-sight.ts
@@ -29,11 +29,6 @@
     return this.meetsAll ? this.pace.directSpreadMs : this.pace.relayedSpreadMs
   }
 
-  /** Names of the hosts in direct contact. */
-  directHosts (): Set<string> {
-    return new Set(this.#directMembers().map(({ summary }) => summary.address.host))
-  }
-
   /** Whether a relay in contact reads the configuration often and would tell of a newer one. */
   hearsOfConfig (): boolean {
     const nowMs = this.#nowMs()
--- a/packages/gateway/src/runners/runner-table.ts
+++ b/packages/gateway/src/runners/runner-table.ts
@@ -68,13 +68,6 @@
     state.goneAtMs ??= nowMs + graceMs
   }
 
-  /** Keeps only the listed ids; for a list that was read anew as a whole. */
-  retain (ids: ReadonlySet<string>, nowMs: number, graceMs: number): void {
-    for (const id of this.#runners.keys()) {
-      if (!ids.has(id)) this.remove(id, nowMs, graceMs)
-    }
-  }
-
   /** Drops runners whose time to return is over; gives their ids. */
   sweep (nowMs: number): string[] {
     const gone = [...this.#runners.values()].filter((state) => state.goneAtMs !== undefined && state.goneAtMs <= nowMs)
--- a/packages/gateway/src/serve/late-drain.test.ts
+++ b/packages/gateway/src/serve/late-drain.test.ts
@@ -1,5 +1,5 @@
 import type { Dispatcher } from 'undici'
-import t from 'tap'
+import t, { type Test } from 'tap'
 import { createEntry, createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
 import type { RawExchange } from '../testing/raw-runner.js'
 
@@ -31,7 +31,8 @@
   }
 }
 
-t.test('a request that waited for a connection is not written to a runner that drains by then', async (t) => {
+/** A request that was chosen for the runner `leaving` and waits for a connection. */
+async function startWaiting (t: Test) {
   const fixture = await GatewayFixture.create([createRoute({})])
   t.teardown(() => fixture.close())
   const { runners } = fixture.context
@@ -39,6 +40,11 @@
   const letGo = holdConnections(fixture)
   const reply = fixture.call({})
   await until(() => runners.get('leaving')?.inFlight === 1)
+  return { fixture, runners, leaving, letGo, reply }
+}
+
+t.test('a request that waited for a connection is not written to a runner that drains by then', async (t) => {
+  const { fixture, runners, leaving, letGo, reply } = await startWaiting(t)
   runners.upsert(createEntry({ id: 'leaving', address: leaving.address, draining: true }))
   const staying = await fixture.addRunner('staying', answer)
   letGo()
@@ -48,13 +54,7 @@
 })
 
 t.test('a request for a runner that left is refused as not run where no other is there', async (t) => {
-  const fixture = await GatewayFixture.create([createRoute({})])
-  t.teardown(() => fixture.close())
-  const { runners } = fixture.context
-  const leaving = await fixture.addRunner('leaving', answer)
-  const letGo = holdConnections(fixture)
-  const reply = fixture.call({})
-  await until(() => runners.get('leaving')?.inFlight === 1)
+  const { runners, leaving, letGo, reply } = await startWaiting(t)
   runners.remove('leaving', 0, 0)
   letGo()
   t.equal((await reply).status, 503)
--- a/packages/gateway/src/serve/outcome.ts
+++ b/packages/gateway/src/serve/outcome.ts
@@ -33,7 +33,7 @@
 
 /** Sendings that may be refused before the caller is told to come back. */
 const MAX_NOT_RUN = 3
-/** Runners that may turn out to be gone: finding that out takes a moment and costs no runner anything. */
+/** Runners that may turn out to be gone: finding that out takes a connection's timeout at most, and costs no runner anything. */
 const MAX_UNSENT = 8
 
 /** Decides after an attempt; the budget is asked separately when the answer is to send again. */
