--- a/packages/gateway/src/forward/types.ts
+++ b/packages/gateway/src/forward/types.ts
@@ -30,6 +30,21 @@
   weightsVersion?: number
 }
 
+/** What an answer says of a limit on the requests that its runner takes. */
+export const LimitWord = {
+  /** It names none. */
+  None: 'none',
+  Named: 'named',
+  /** It names something that is no rate, or several. */
+  Unreadable: 'unreadable'
+} as const
+
+/** The limit that an answer names; `requestsPerS` counts those of all hosts together. */
+export type AnswerLimit =
+  { word: typeof LimitWord.None } |
+  { word: typeof LimitWord.Named, requestsPerS: number } |
+  { word: typeof LimitWord.Unreadable, text: string }
+
 /** What the head of a runner's answer says. */
 export type AnswerFacts = {
   status: number
@@ -46,6 +61,7 @@
   encoded: boolean
   isEventStream: boolean
   weightsVersion?: number
+  limit: AnswerLimit
   /** The runner closes the connection behind this answer. */
   closes: boolean
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import { createGauges } from './gauges.js'
 import { InstantSource } from './lease/instant.js'
 import { LeaseKeeper } from './lease/lease-keeper.js'
+import { RunnerLimits } from './limits/runner-limits.js'
 import { lookupHosts } from './lookup/lookup.js'
 import { Exchanger } from './members/exchanger.js'
 import { createContactPace, type ContactPace } from './members/contact-pace.js'
@@ -60,6 +61,7 @@
   readonly #runners = RunnerTable.create()
   readonly #instants: InstantSource
   readonly #knowledge: RunnerKnowledge
+  readonly #limits: RunnerLimits
   readonly #connections = RunnerConnections.create()
   readonly #demand = DemandMeter.create()
   readonly #peers = ConnectPeerCalls.create()
@@ -90,6 +92,7 @@
     this.#startedMs = clock.monotonicMs()
     this.#instants = InstantSource.create(clock)
     this.#knowledge = RunnerKnowledge.create({ clock, instants: this.#instants, log, table: this.#runners, drainNoticeMs: settings.drainNoticeMs, contactMs: settings.contactMs })
+    this.#limits = RunnerLimits.create({ instants: this.#instants, log, origin: this.#incarnation })
     this.#configPassing = ConfigPassing.create({
       clock,
       log,
@@ -137,7 +140,8 @@
       runners: () => this.#runners.all().length,
       liveHosts: () => this.#members.live(this.#nowMs()).length,
       relay: () => this.#exchanger.relay,
-      holdsLease: () => this.#lease.holds
+      holdsLease: () => this.#lease.holds,
+      runnerLimits: () => this.#limits.inForce()
     })
   }
 
@@ -270,11 +274,13 @@
     const { settings, clock, log, platform, random } = this.parts
     return {
       clock,
+      instants: this.#instants,
       log,
       metrics: createRequestMetrics(this.#registry),
       codec: platform.codec,
       config: this.#config,
       runners: this.#runners,
+      limits: this.#limits,
       connections: this.#connections,
       budget: SharedBudget.create(settings.budget),
       demand: this.#demand,
@@ -345,6 +351,7 @@
   #sweep (): void {
     this.#shared.sweep(this.#nowMs())
     this.#knowledge.sweep()
+    this.#limits.sweep()
     this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
   }
--- a/packages/gateway/src/gauges.ts
+++ b/packages/gateway/src/gauges.ts
@@ -9,6 +9,8 @@
   liveHosts: () => number
   relay: () => boolean
   holdsLease: () => boolean
+  /** Limits in force by runner id. */
+  runnerLimits: () => Map<string, number>
 }
 
 export function createGauges (registry: Registry, sources: GaugeSources): void {
@@ -20,4 +22,19 @@
   count('figloom_gateway_live_hosts', 'Other hosts that are up.', sources.liveHosts)
   count('figloom_gateway_relay', '1 while this host passes on the word of others.', () => sources.relay() ? 1 : 0)
   count('figloom_gateway_holds_lease', '1 while this host holds the lease on orders.', () => sources.holdsLease() ? 1 : 0)
+  createLimitGauge(registry, sources.runnerLimits)
+}
+
+/** Only runners with a limit have a series. */
+function createLimitGauge (registry: Registry, read: () => Map<string, number>): Gauge {
+  return new Gauge({
+    name: 'figloom_gateway_runner_limit_per_second',
+    help: 'Requests a second that a runner takes from all hosts, where it names a limit.',
+    labelNames: ['runner'],
+    registers: [registry],
+    collect () {
+      this.reset()
+      for (const [runner, requestsPerS] of read()) this.set({ runner }, requestsPerS)
+    }
+  })
 }
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -17,6 +17,8 @@
 export type ResultEvents = {
   /** The request is written to its runner next; false: it isn't. */
   onSending: () => boolean
+  /** The head of an answer to this request is there. */
+  onHead: (facts: AnswerFacts) => void
   /** The first piece of a stream's body is there. */
   onFirstByte: () => void
   /** Called once. */
@@ -66,6 +68,7 @@
     this.#facts = facts
     this.#head = createHead(status, headers)
     if (facts.requestId !== this.requestId) return this.#reject('the answer belongs to another request')
+    this.events.onHead(facts)
     if (facts.notRun || facts.misdirected) return this.#ignore(Outcome.NotRun, facts.misdirected ? 'misdirected' : 'refused by the runner')
     if (facts.encoded) return this.#reject('the answer is encoded')
     if (!facts.signed) return this.#reject('the answer is not signed')
--- a/packages/gateway/src/serve/learn-from-attempt.ts
+++ b/packages/gateway/src/serve/learn-from-attempt.ts
@@ -1,4 +1,5 @@
 /** What an attempt tells of its runner: its health, what it holds, whether it can be reached. */
+import { LimitWord, type AnswerFacts } from '../forward/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
 import type { AttemptResult } from './attempt-result.js'
 import { Outcome } from './outcome.js'
@@ -23,6 +24,20 @@
   else runner.health.onFailure(request.id, nowMs)
 }
 
+export type AnswerHeard = {
+  runner: RunnerState
+  facts: AnswerFacts
+  /** When its request was written, on the clock that counts suspensions. */
+  askedMs: number
+}
+
+/** Any answer to a request may name its runner's limit; that there is none says only an answer that the runner vouches for. */
+export function learnLimit ({ runners, limits }: ServeContext, { runner, facts, askedMs }: AnswerHeard): void {
+  if (facts.misdirected || runners.get(runner.entry.id) !== runner) return
+  if (facts.limit.word === LimitWord.None && !facts.signed) return
+  limits.onAnswer(runner.entry, facts.limit, askedMs)
+}
+
 /** Another runner answers at the address, or this one doesn't hold what was asked for. */
 function learnMisdirected ({ runners }: ServeContext, { request, runner, result }: EndedAttempt, nowMs: number): void {
   const { model, adapter } = request.facts
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -1,6 +1,6 @@
 /** One request from its arrival to its final answer: choosing, sending, sending again, and giving up. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
+import { createFailure, Ran, ResultCode, type Failure, type LogFields, type ResultCodeInfo, type Timer } from '@figloom/runtime'
 import { LoadWait } from './load-wait.js'
 import { findCandidates, type CandidateSet, type Need } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
@@ -12,7 +12,7 @@
 import { writeFailure } from './own-answer.js'
 import { affinityKey, promisesNotRun, urgencyOf } from './request-hints.js'
 import { RequestLog } from './request-log.js'
-import { learnFromAttempt } from './learn-from-attempt.js'
+import { learnFromAttempt, learnLimit } from './learn-from-attempt.js'
 import { retryWhenLoaded, retryWhenRoom } from './retry-advice.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
 
@@ -41,6 +41,8 @@
   #sentMs = 0
   /** When a connection was there for the last sending; undefined while there is none. */
   #writtenMs: number | undefined
+  /** The same on the clock that counts suspensions. */
+  #askedMs = 0
   #adapterTries = 0
   #firstByteMs: number | undefined
   #lastReason = ''
@@ -150,6 +152,7 @@
     const dispatcher = context.connections.to(id, address)
     const observer = ResultObserver.create(request.id, context.codec, this.#relay, {
       onSending: () => this.#onSending(runner),
+      onHead: (facts) => learnLimit(context, { runner, facts, askedMs: this.#askedMs }),
       onFirstByte: () => this.#onFirstByte(),
       onResult: (result) => this.#onResult(runner, result)
     })
@@ -160,6 +163,7 @@
       inFlight: candidate.inFlight,
       slots: candidate.slots,
       listAgeMs: Math.round(context.host.runnersAgeMs()),
+      ...this.#limitFields(runner),
       resumedAfter: this.#relay.lastEventId
     })
     this.#sendings += 1
@@ -171,10 +175,20 @@
     this.#attempt = Attempt.start(dispatcher, { method, target, headers, body }, observer)
   }
 
+  /** What was known of the runner's limit, for the log. */
+  #limitFields ({ entry }: RunnerState): LogFields {
+    const limit = this.context.limits.limitOf(entry)
+    return limit === undefined ? {} : { limitPerS: limit.requestsPerS, limitFrom: limit.origin, limitHeardAgoMs: Math.round(limit.heardAgoMs) }
+  }
+
   /** A runner may have begun to drain while the request waited for a connection. */
   #onSending (runner: RunnerState): boolean {
-    this.#writtenMs = this.context.clock.monotonicMs()
-    return this.context.runners.mayUse(runner)
+    const { clock, instants, limits, metrics, runners } = this.context
+    this.#writtenMs = clock.monotonicMs()
+    this.#askedMs = instants.nowMs()
+    if (!runners.mayUse(runner)) return false
+    if (limits.limitOf(runner.entry) !== undefined) metrics.limitedSendings.inc()
+    return true
   }
 
   #onFirstByte (): void {
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -4,6 +4,8 @@
 import type { Route, Service } from '../config/types.js'
 import type { RunnerConnections } from '../forward/runner-connections.js'
 import type { CallerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
+import type { InstantSource } from '../lease/instant.js'
+import type { RunnerLimits } from '../limits/runner-limits.js'
 import type { SharedBudget } from '../retry/shared-budget.js'
 import type { RunnerTable } from '../runners/runner-table.js'
 import type { DemandMeter } from './demand-meter.js'
@@ -53,11 +55,13 @@
 
 export type ServeContext = {
   clock: Clock
+  instants: InstantSource
   log: Logger
   metrics: RequestMetrics
   codec: RequestCodec
   config: ConfigState
   runners: RunnerTable
+  limits: RunnerLimits
   connections: RunnerConnections
   budget: SharedBudget
   demand: DemandMeter
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -4,6 +4,8 @@
 import { Registry, silentLogger, SystemClock } from '@figloom/runtime'
 import { ConfigState } from '../config/config-state.js'
 import { RouteKind, type Route, type Service } from '../config/types.js'
+import { InstantSource } from '../lease/instant.js'
+import { RunnerLimits } from '../limits/runner-limits.js'
 import type { ExpectedLoad } from '../members/types.js'
 import { KnownLoads } from '../orders/known-loads.js'
 import { RunnerConnections } from '../forward/runner-connections.js'
@@ -70,6 +72,7 @@
   static async create (routes: Route[], service = SERVICE): Promise<GatewayFixture> {
     const expectedLoads: ExpectedLoad[] = []
     const clock = SystemClock.create()
+    const instants = InstantSource.create(clock)
     const config = ConfigState.create()
     config.adopt({
       version: 1,
@@ -79,11 +82,13 @@
     })
     const fixture = new GatewayFixture({
       clock,
+      instants,
       log: silentLogger,
       metrics: createRequestMetrics(new Registry()),
       codec: TestCodec.create(),
       config,
       runners: RunnerTable.create(),
+      limits: RunnerLimits.create({ instants, log: silentLogger, origin: 'host' }),
       connections: RunnerConnections.create(),
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -1,5 +1,5 @@
 /** Plain header names for tests: the platform's own live in its adapter. */
-import { RequestCodec, type AnswerFacts, type CallerFacts, type ForwardFields, type RawHeaders } from '../forward/types.js'
+import { LimitWord, RequestCodec, type AnswerLimit, type AnswerFacts, type CallerFacts, type ForwardFields, type RawHeaders } from '../forward/types.js'
 
 const CONNECTION_HEADERS = ['connection', 'keep-alive', 'transfer-encoding', 'content-length']
 
@@ -38,6 +38,7 @@
       runnerId: valueOf(headers, 'runner-id'),
       encoded: valueOf(headers, 'content-encoding') !== undefined,
       isEventStream: valueOf(headers, 'content-type') === 'text/event-stream',
+      limit: limitOf(valueOf(headers, 'limit-per-s')),
       closes: false
     }
   }
@@ -47,6 +48,12 @@
   }
 }
 
+function limitOf (value: string | undefined): AnswerLimit {
+  if (value === undefined) return { word: LimitWord.None }
+  const requestsPerS = Number(value)
+  return Number.isFinite(requestsPerS) ? { word: LimitWord.Named, requestsPerS } : { word: LimitWord.Unreadable, text: value }
+}
+
 function valueOf (headers: RawHeaders, name: string): string | undefined {
   const at = headers.findIndex((part, index) => index % 2 === 0 && part.toLowerCase() === name)
   return at < 0 ? undefined : headers[at + 1]
