Tests: listeners take ports that no connection is given

"a host that can not read the configuration gets it from another one" failed once with EADDRINUSE (seen 2026-12-04): the port that was found free was given to an outgoing connection before the listener opened.

--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -1,5 +1,4 @@
 import { readFile } from 'node:fs/promises'
-import { createServer, type AddressInfo } from 'node:net'
 import t, { type Test } from 'tap'
 import { silentLogger, SystemClock } from '@figloom/runtime'
 import { RouteKind, type GatewayConfig } from './config/types.js'
@@ -8,6 +7,7 @@
 import { ConnectPeerCalls } from './members/peer-service.js'
 import { HostRegistry } from './members/types.js'
 import { FakeRunnerOrders } from './testing/fake-runner.js'
+import { freeAddress } from './testing/free-address.js'
 import { createEntry, createRoute } from './testing/gateway-fixture.js'
 import { RawRunner, type RawExchange } from './testing/raw-runner.js'
 import { TestCodec } from './testing/test-codec.js'
@@ -49,14 +49,6 @@
   }
 }
 
-async function freeAddress (): Promise<string> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise((resolve) => server.close(resolve))
-  return `127.0.0.1:${port}`
-}
-
 type Host = { gateway: Gateway, watch: FixedWatch, callers: string, lookup: string, readiness: string, peers: string, runner: RawRunner }
 
 /** A host with one runner; `answer` gets each of its requests. */
