--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -1,113 +1,29 @@
 import { readFile } from 'node:fs/promises'
 import t, { type Test } from 'tap'
-import { silentLogger, SystemClock } from '@figloom/runtime'
-import { RouteKind, type GatewayConfig } from './config/types.js'
-import { Gateway } from './gateway.js'
-import { AppendOutcome, LeaseLog, type LeaseTail } from './lease/types.js'
 import { ConnectPeerCalls } from './members/peer-service.js'
-import { HostRegistry } from './members/types.js'
-import { FakeRunnerOrders } from './testing/fake-runner.js'
-import { freeAddress } from './testing/free-address.js'
-import { createEntry, createRoute } from './testing/gateway-fixture.js'
+import { createEntry } from './testing/gateway-fixture.js'
+import { configure as configureHost, listRunners, startHost, type TestHost } from './testing/gateway-host.js'
 import { RawRunner, type RawExchange } from './testing/raw-runner.js'
-import { TestCodec } from './testing/test-codec.js'
-import { PlatformWatch, type PlatformEvents } from './types.js'
 
-class FixedWatch extends PlatformWatch {
-  events: PlatformEvents | undefined
-
-  override start (events: PlatformEvents): void {
-    this.events = events
-  }
-
-  override stop (): void {}
-
-  override readConfig (): void {}
-
-  override decodeConfig (encoded: Uint8Array): GatewayConfig {
-    return createConfig(Number(Buffer.from(encoded).toString()))
-  }
-
-  override configReadAgoMs (): undefined {}
-}
-
-class NoRegistry extends HostRegistry {
-  override async announce (): Promise<void> {}
-
-  override async list (): Promise<never[]> {
-    return []
-  }
-}
-
-class NoLeases extends LeaseLog {
-  override async readTail (): Promise<LeaseTail> {
-    throw new Error('no log')
-  }
-
-  override async append (): Promise<AppendOutcome> {
-    return AppendOutcome.Unknown
-  }
-}
-
-type Host = { gateway: Gateway, watch: FixedWatch, callers: string, lookup: string, readiness: string, peers: string, runner: RawRunner }
+type Host = TestHost & { runner: RawRunner }
 
 /** A host with one runner; `answer` gets each of its requests. */
 async function createHost (t: Test, answer: (exchange: RawExchange) => void, seedPeerAddresses: string[] = []): Promise<Host> {
-  const [callers, lookup, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()])
-  const clock = SystemClock.create()
   const runner = await RawRunner.create(answer)
-  const watch = new FixedWatch()
-  const gateway = Gateway.create({
-    clock,
-    log: silentLogger,
-    random: () => 0.5,
-    settings: {
-      self: { host: `host-${callers}`, availabilityZone: 'z', callerAddress: callers, peerAddress: peers, capacityCores: 1 },
-      callerListener: callers,
-      readinessListener: readiness,
-      lookupListener: lookup,
-      peerListener: peers,
-      seedPeerAddresses,
-      budget: { ratio: 0.2, slack: 50, windowMs: 10_000 },
-      graceMs: 8_000,
-      contactMs: 3_000,
-      orderGapMs: 3_000,
-      drainNoticeMs: 2_000,
-      maxLookupTtlMs: 5_000
-    },
-    platform: {
-      codec: TestCodec.create(),
-      watch,
-      registry: new NoRegistry(),
-      leaseLog: new NoLeases(),
-      orders: FakeRunnerOrders.create([], clock, () => 'carried'),
-      lookupWire: { lookupPath: '/hosts', readinessPath: '/ready', formatLookup: (addresses) => JSON.stringify(addresses) }
-    }
-  })
-  await gateway.start()
+  const host = await startHost(seedPeerAddresses)
   t.teardown(async () => {
-    await gateway.stop()
+    await host.gateway.stop()
     await runner.close()
   })
-  return { gateway, watch, callers, lookup, readiness, peers, runner }
-}
-
-function createConfig (version: number): GatewayConfig {
-  return {
-    version,
-    routes: [createRoute({ pathPrefix: '/stream/', kind: RouteKind.Stream, timeoutMs: 20_000 })],
-    services: new Map([['plain', { name: 'plain', maxConnections: 20 }]]),
-    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
-  }
+  return { ...host, runner }
 }
 
 function configure (host: Host): void {
-  host.watch.events?.onConfig(createConfig(3), Buffer.from('3'))
-  listRunner(host)
+  configureHost(host, [host.runner])
 }
 
-function listRunner ({ watch, runner }: Host): void {
-  watch.events?.onRunners({ to: 1, records: [{ id: 'runner-1', position: 0, entry: createEntry({ address: runner.address }) }], ageMs: 60_000 })
+function listRunner (host: Host): void {
+  listRunners(host, [host.runner])
 }
 
 async function status (address: string, path: string): Promise<number> {
--- /dev/null
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -0,0 +1,112 @@
+/** Whole gateway hosts over loopback, on a platform that says what the test tells it. */
+import { silentLogger, SystemClock } from '@figloom/runtime'
+import { RouteKind, type GatewayConfig } from '../config/types.js'
+import { Gateway } from '../gateway.js'
+import { AppendOutcome, LeaseLog, type LeaseTail } from '../lease/types.js'
+import { HostRegistry } from '../members/types.js'
+import { PlatformWatch, type PlatformEvents } from '../types.js'
+import { FakeRunnerOrders } from './fake-runner.js'
+import { freeAddress } from './free-address.js'
+import { createEntry, createRoute } from './gateway-fixture.js'
+import type { RawRunner } from './raw-runner.js'
+import { TestCodec } from './test-codec.js'
+
+class FixedWatch extends PlatformWatch {
+  events: PlatformEvents | undefined
+
+  override start (events: PlatformEvents): void {
+    this.events = events
+  }
+
+  override stop (): void {}
+
+  override readConfig (): void {}
+
+  override decodeConfig (encoded: Uint8Array): GatewayConfig {
+    return createConfig(Number(Buffer.from(encoded).toString()))
+  }
+
+  override configReadAgoMs (): undefined {}
+}
+
+class NoRegistry extends HostRegistry {
+  override async announce (): Promise<void> {}
+
+  override async list (): Promise<never[]> {
+    return []
+  }
+}
+
+class NoLeases extends LeaseLog {
+  override async readTail (): Promise<LeaseTail> {
+    throw new Error('no log')
+  }
+
+  override async append (): Promise<AppendOutcome> {
+    return AppendOutcome.Unknown
+  }
+}
+
+export type TestHost = { gateway: Gateway, watch: FixedWatch, callers: string, lookup: string, readiness: string, peers: string }
+
+/** Starts a host that knows neither a configuration nor runners yet; whoever starts it stops it. */
+export async function startHost (seedPeerAddresses: string[] = []): Promise<TestHost> {
+  const [callers, lookup, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()])
+  const clock = SystemClock.create()
+  const watch = new FixedWatch()
+  const gateway = Gateway.create({
+    clock,
+    log: silentLogger,
+    random: Math.random,
+    settings: {
+      self: { host: `host-${callers}`, availabilityZone: 'z', callerAddress: callers, peerAddress: peers, capacityCores: 1 },
+      callerListener: callers,
+      readinessListener: readiness,
+      lookupListener: lookup,
+      peerListener: peers,
+      seedPeerAddresses,
+      budget: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+      graceMs: 8_000,
+      contactMs: 3_000,
+      orderGapMs: 3_000,
+      drainNoticeMs: 2_000,
+      maxLookupTtlMs: 5_000
+    },
+    platform: {
+      codec: TestCodec.create(),
+      watch,
+      registry: new NoRegistry(),
+      leaseLog: new NoLeases(),
+      orders: FakeRunnerOrders.create([], clock, () => 'carried'),
+      lookupWire: { lookupPath: '/hosts', readinessPath: '/ready', formatLookup: (addresses) => JSON.stringify(addresses) }
+    }
+  })
+  await gateway.start()
+  return { gateway, watch, callers, lookup, readiness, peers }
+}
+
+export function createConfig (version: number): GatewayConfig {
+  return {
+    version,
+    routes: [
+      createRoute({ pathPrefix: '/stream/', kind: RouteKind.Stream, timeoutMs: 20_000 }),
+      createRoute({ pathPrefix: '/plain/', kind: RouteKind.Idempotent, timeoutMs: 5_000 })
+    ],
+    services: new Map([['plain', { name: 'plain', maxConnections: 200 }]]),
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+  }
+}
+
+/** Tells a host a configuration and the runners `runner-1`, `runner-2` and so on. */
+export function configure (host: TestHost, runners: readonly RawRunner[]): void {
+  host.watch.events?.onConfig(createConfig(3), Buffer.from('3'))
+  listRunners(host, runners)
+}
+
+export function listRunners ({ watch }: TestHost, runners: readonly RawRunner[]): void {
+  const records = runners.map(({ address }, index) => {
+    const id = `runner-${index + 1}`
+    return { id, position: 0, entry: createEntry({ id, address }) }
+  })
+  watch.events?.onRunners({ to: 1, records, ageMs: 60_000 })
+}
--- a/packages/gateway/src/testing/raw-runner.ts
+++ b/packages/gateway/src/testing/raw-runner.ts
@@ -5,6 +5,8 @@
 
 export class RawRunner {
   readonly requests: string[] = []
+  /** When each request arrived, in milliseconds of the steady clock. */
+  readonly arrivalsMs: number[] = []
   readonly #sockets = new Set<Socket>()
   #connections = 0
 
@@ -27,6 +29,14 @@
     return this.#connections
   }
 
+  /** The most requests that arrived in any span of this length, among those that ended later than `fromMs`. */
+  mostWithin (windowMs: number, fromMs: number): number {
+    const counts = this.arrivalsMs.map((endMs) => {
+      return endMs < fromMs ? 0 : this.arrivalsMs.filter((atMs) => atMs <= endMs && atMs > endMs - windowMs).length
+    })
+    return Math.max(0, ...counts)
+  }
+
   async close (): Promise<void> {
     for (const socket of this.#sockets) socket.destroy()
     await new Promise((resolve) => this.server.close(resolve))
@@ -42,6 +52,7 @@
       const requestId = /request-id: (\S+)/i.exec(text)?.[1]
       if (requestId === undefined) return
       this.requests.push(text)
+      this.arrivalsMs.push(performance.now())
       answer({ requestId, text, socket, number: this.requests.length })
     })
   }
