Hold all hosts together to the limits that runners name

Cause: its word was read by nobody.

A request to a runner with a limit needs a permit. One host shares out a runner's limit, chosen by hash among the hosts that are up, from a bucket that fills at the limit; other hosts ask it, wait out a refusal, and take another runner or refuse the caller at once with the time at which to come back. What was sent before the limit was known is told to the host that shares it out. A permit is looked at again when the request is written. What is believed of a limit goes over the reports that hosts exchange anyway; a word that is told again doesn't become younger.

Equal parts and parts by use were weighed: 1.1 a second over 80 hosts is one in 73 s a host, and word of use is 0.4 to 1.6 s old, in which time 80 hosts overshoot by what callers want. Asking costs a call for each request to a limited runner, and few while it refuses.

--- a/packages/gateway/src/choose/candidates.ts
+++ b/packages/gateway/src/choose/candidates.ts
@@ -1,5 +1,6 @@
 /** Which runners may take a request now, and why the others may not. */
 import type { Service } from '../config/types.js'
+import { GateState, type LimitGate, type RunnerProcess } from '../limits/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
 import type { Candidate } from './choose-runner.js'
 
@@ -14,6 +15,8 @@
   hostCount: number
   /** Time to the first byte that the caller was promised. */
   targetLatencyMs: number
+  /** Whether a runner's own limit lets requests through. */
+  gate: (runner: RunnerProcess) => LimitGate
 }
 
 export type CandidateSet = {
@@ -21,6 +24,8 @@
   open: Candidate[]
   /** Runners that hold what is needed but are full. */
   fullCount: number
+  /** Time until the first of the runners that are closed by their own limits may open; undefined if none is. */
+  limitOpensInMs?: number
   /** Runners that hold the model, but not the adapter. */
   withoutAdapter: Candidate[]
 }
@@ -49,7 +54,12 @@
     if (need.excluded.has(state.entry.id)) continue
     if (healthyOnly && !state.health.accepts(nowMs)) continue
     if (need.model !== undefined && !table.holds(state, need.model, undefined, nowMs)) continue
-    const candidate = toCandidate(table, state)
+    const gate = need.gate(state.entry)
+    if (gate.state === GateState.Closed) {
+      set.limitOpensInMs = Math.min(set.limitOpensInMs ?? Infinity, gate.opensInMs)
+      continue
+    }
+    const candidate = toCandidate(table, state, gate)
     if (isFull(candidate, state, need)) {
       set.fullCount += 1
       continue
@@ -62,13 +72,14 @@
   return set
 }
 
-function toCandidate (table: RunnerTable, state: RunnerState): Candidate {
+function toCandidate (table: RunnerTable, state: RunnerState, gate: LimitGate): Candidate {
   const { entry } = state
   return {
     id: entry.id,
     slots: Math.max(1, entry.slots),
     inFlight: table.totalInFlight(state),
-    availabilityZone: entry.availabilityZone
+    availabilityZone: entry.availabilityZone,
+    needsPermit: gate.state === GateState.NeedsPermit
   }
 }
 
--- a/packages/gateway/src/choose/choose-runner.ts
+++ b/packages/gateway/src/choose/choose-runner.ts
@@ -13,6 +13,8 @@
   /** Requests there from all hosts. */
   inFlight: number
   availabilityZone: string
+  /** It names a limit: a request needs a permit to go there. */
+  needsPermit: boolean
 }
 
 export type ChoiceInput = {
@@ -30,9 +32,11 @@
   affinityAllowance: number
   /** The same for runners of the host's own availability zone. */
   zoneAllowance: number
+  /** Part of its places by which a runner counts as more loaded that says it is in need. */
+  limitPenalty: number
 }
 
-export const DEFAULT_CHOICE_OPTIONS: ChoiceOptions = { affinityAllowance: 0.2, zoneAllowance: 0.02 }
+export const DEFAULT_CHOICE_OPTIONS: ChoiceOptions = { affinityAllowance: 0.2, zoneAllowance: 0.02, limitPenalty: 0.5 }
 
 /** Chooses among candidates that all may take the request; undefined if there is none. */
 export function chooseRunner (input: ChoiceInput, options: ChoiceOptions = DEFAULT_CHOICE_OPTIONS): Candidate | undefined {
@@ -60,6 +64,7 @@
   const occupation = (candidate.inFlight + 1) / candidate.slots
   const affinity = isPreferred ? options.affinityAllowance : 0
   const zone = candidate.availabilityZone === input.availabilityZone ? options.zoneAllowance : 0
+  const limit = candidate.needsPermit ? options.limitPenalty : 0
   const tieBreak = input.random() * 0.01
-  return occupation - affinity - zone + tieBreak
+  return occupation - affinity - zone + limit + tieBreak
 }
--- a/packages/gateway/src/choose/choose.test.ts
+++ b/packages/gateway/src/choose/choose.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap'
 import type { Service } from '../config/types.js'
 import { RunnerTable } from '../runners/runner-table.js'
+import { GateState } from '../limits/types.js'
 import { createEntry } from '../testing/gateway-fixture.js'
 import { findCandidates, type Need } from './candidates.js'
 import { chooseRunner, type Candidate } from './choose-runner.js'
@@ -12,7 +13,7 @@
 }
 
 function candidate (id: string, inFlight: number, zone = 'z'): Candidate {
-  return { id, slots: 10, inFlight, availabilityZone: zone }
+  return { id, slots: 10, inFlight, availabilityZone: zone, needsPermit: false }
 }
 
 function choose (candidates: Candidate[], affinityKey = ''): string | undefined {
@@ -20,7 +21,7 @@
 }
 
 function need (changes: Partial<Need> = {}): Need {
-  return { service: engine, excluded: new Set(), hostCount: 1, targetLatencyMs: 500, ...changes }
+  return { service: engine, excluded: new Set(), hostCount: 1, targetLatencyMs: 500, gate: () => ({ state: GateState.Open }), ...changes }
 }
 
 function tableOf (...entries: Parameters<typeof createEntry>[0][]): RunnerTable {
@@ -78,3 +79,15 @@
   t.equal(findCandidates(table, need({ hostCount: 10 }), 0).open.length, 0)
   t.equal(findCandidates(table, need({ hostCount: 2 }), 0).open.length, 1)
 })
+
+t.test('a runner with a limit is taken where it is much less loaded, and another one otherwise', async (t) => {
+  const limited = (inFlight: number) => ({ ...candidate('limited', inFlight), needsPermit: true })
+  t.equal(choose([limited(0), candidate('other', 4)]), 'other')
+  t.equal(choose([limited(0), candidate('other', 7)]), 'limited')
+})
+
+t.test('runners that are closed by their limits are no candidates and are told apart from full ones', async (t) => {
+  const table = tableOf({ id: 'a', service: 'plain' }, { id: 'b', service: 'plain' })
+  const set = findCandidates(table, need({ gate: ({ id }) => ({ state: GateState.Closed, opensInMs: id === 'a' ? 300 : 200 }) }), 0)
+  t.match(set, { open: [], fullCount: 0, limitOpensInMs: 200 })
+})
--- a/packages/gateway/src/choose/old-loads.test.ts
+++ b/packages/gateway/src/choose/old-loads.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import { createRandom } from '../testing/seeded-random.js'
 import { chooseRunner, type Candidate } from './choose-runner.js'
 
 const SLOTS = 16
@@ -12,14 +13,6 @@
 /** What a host knows of the others is this old at the most. */
 const OLD_MS = 1_000
 
-function createRandom (seed: number): () => number {
-  let state = seed
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
-    return state / 0x1_0000_0000
-  }
-}
-
 /** One host's knowledge: what others had at each runner at its last exchange, and its own requests. */
 type Knowledge = { others: number[], own: number[][] }
 
@@ -49,7 +42,7 @@
     for (due += ARRIVALS_A_STEP; due >= 1; due -= 1) {
       const index = Math.floor(random() * HOSTS)
       const host = hosts[index] ?? createKnowledge()
-      const candidates: Candidate[] = host.others.map((others, runner) => ({ id: `${runner}`, slots: SLOTS, inFlight: others + (host.own[runner]?.length ?? 0), availabilityZone: 'z' }))
+      const candidates: Candidate[] = host.others.map((others, runner) => ({ id: `${runner}`, slots: SLOTS, inFlight: others + (host.own[runner]?.length ?? 0), availabilityZone: 'z', needsPermit: false }))
       const chosen = Number(chooseRunner({ candidates, affinityKey: '', availabilityZone: 'z', hostOfOldLoads: narrow ? `host-${index}` : undefined, random })?.id)
       sent += 1
       if ((endsMs[chosen]?.length ?? 0) >= SLOTS) {
--- a/packages/gateway/src/config/config-passing.test.ts
+++ b/packages/gateway/src/config/config-passing.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap'
 import { ManualClock, silentLogger } from '@figloom/runtime'
+import type { PermitReply } from '../limits/types.js'
 import { PeerCalls, type AdapterReply, type HostReport } from '../members/types.js'
 import { ConfigPassing } from './config-passing.js'
 import { ConfigState } from './config-state.js'
@@ -18,6 +19,10 @@
     throw new Error('not used')
   }
 
+  override async takePermits (): Promise<PermitReply> {
+    throw new Error('not used')
+  }
+
   override async readConfig (peerAddress: string): Promise<Uint8Array> {
     this.asked.push(peerAddress)
     if (this.answer === undefined) throw new Error('no answer')
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,7 +11,7 @@
 import { createGauges } from './gauges.js'
 import { InstantSource } from './lease/instant.js'
 import { LeaseKeeper } from './lease/lease-keeper.js'
-import { RunnerLimits } from './limits/runner-limits.js'
+import { LimitControl } from './limits/limit-control.js'
 import { lookupHosts } from './lookup/lookup.js'
 import { Exchanger } from './members/exchanger.js'
 import { createContactPace, type ContactPace } from './members/contact-pace.js'
@@ -61,7 +61,7 @@
   readonly #runners = RunnerTable.create()
   readonly #instants: InstantSource
   readonly #knowledge: RunnerKnowledge
-  readonly #limits: RunnerLimits
+  readonly #limits: LimitControl
   readonly #connections = RunnerConnections.create()
   readonly #demand = DemandMeter.create()
   readonly #peers = ConnectPeerCalls.create()
@@ -92,7 +92,6 @@
     this.#startedMs = clock.monotonicMs()
     this.#instants = InstantSource.create(clock)
     this.#knowledge = RunnerKnowledge.create({ clock, instants: this.#instants, log, table: this.#runners, drainNoticeMs: settings.drainNoticeMs, contactMs: settings.contactMs })
-    this.#limits = RunnerLimits.create({ instants: this.#instants, log, origin: this.#incarnation })
     this.#configPassing = ConfigPassing.create({
       clock,
       log,
@@ -103,6 +102,17 @@
     })
     this.#pace = createContactPace(settings.contactMs)
     this.#members = MemberTable.create(settings.self.host, this.#pace)
+    this.#limits = LimitControl.create({
+      clock,
+      instants: this.#instants,
+      log,
+      self: settings.self,
+      incarnation: this.#incarnation,
+      members: this.#members,
+      calls: this.#peers,
+      isLeaving: () => this.#leaving,
+      random: parts.random
+    })
     this.#sight = HostSight.create(clock, this.#members, this.#pace)
     this.#shared = SharedView.create(this.#pace.relayTrustMs)
     this.#reports = ReportWriter.create({
@@ -225,6 +235,7 @@
       peers: {
         onReport: (report) => this.#exchanger.onIncoming(report),
         onAdapterRequest: (request) => this.#desk.ensureAdapter(request),
+        onPermitRequest: (request) => this.#limits.onPermitRequest(request),
         onConfigRequest: () => this.#config.encoded
       }
     })
@@ -314,6 +325,8 @@
     if (report.configVersion > this.#config.version) this.parts.platform.watch.readConfig()
     this.#configPassing.onVersion(report.configVersion, report.sender.address.peerAddress)
     this.#takeRunners(report, writtenAgoMs)
+    // A call of another host is given up by it after the timeout.
+    this.#limits.hear(report.limitReports, Math.min(writtenAgoMs, this.#pace.timeoutMs))
   }
 
   /** Takes over what a relay passes on of runners. */
@@ -340,7 +353,8 @@
       runnerUses: new Map(uses.map(({ entry, inFlight }) => [entry.id, inFlight])),
       demand: this.#demand.rates(this.#nowMs()),
       lease: { heldBySender: lease.held, fencingToken: lease.fencingToken, lastOrderAgoMs: lease.lastOrderAgoMs },
-      expectedLoads: this.#expectedLoads()
+      expectedLoads: this.#expectedLoads(),
+      limitReports: this.#limits.reports()
     }
   }
 
--- a/packages/gateway/src/limits/runner-limits.ts
+++ b/packages/gateway/src/limits/runner-limits.ts
@@ -3,25 +3,24 @@
 import { LimitWord, type AnswerLimit } from '../forward/types.js'
 import type { InstantSource } from '../lease/instant.js'
 import { LimitBelief } from './limit-belief.js'
-import type { LimitReport, RunnerLimit } from './types.js'
+import type { LimitReport, RunnerLimit, RunnerProcess } from './types.js'
 
 /** Pause between two lines on a runner whose limit can't be read. */
 const UNREADABLE_LOG_MS = 10_000
 
-/** One start of a runner. */
-export type RunnerProcess = { id: string, startedUnixMs?: number }
-
 export type RunnerLimitsParts = {
   instants: InstantSource
   log: Logger
   /** Incarnation of this host. */
   origin: string
+  /** Called when the limit in force at a runner is another one than before; `before`: requests a second, absent where there was none. */
+  onChange: (runner: RunnerProcess, before: number | undefined) => void
 }
 
 export class RunnerLimits {
   readonly #beliefs = new Map<string, LimitBelief>()
-  /** Last limit that was written to the log, by runner. */
-  readonly #logged = new Map<string, number>()
+  /** Limit in force when last looked at, by runner. */
+  readonly #inForce = new Map<string, number>()
   readonly #unreadableMs = new Map<string, number>()
   #number = 0
 
@@ -53,7 +52,7 @@
     const nowMs = this.parts.instants.nowMs()
     for (const report of reports) {
       this.#belief(report)?.hear({ ...report, askedAgoMs: report.askedAgoMs + transitMs }, nowMs)
-      this.#logChange(report.runnerId, nowMs)
+      this.#noteChange(report.runnerId, nowMs)
     }
   }
 
@@ -83,7 +82,7 @@
   sweep (): void {
     const nowMs = this.parts.instants.nowMs()
     for (const [id, belief] of this.#beliefs) {
-      this.#logChange(id, nowMs)
+      this.#noteChange(id, nowMs)
       if (belief.reports(nowMs).length === 0) this.#beliefs.delete(id)
     }
     for (const [id, loggedMs] of this.#unreadableMs) {
@@ -101,12 +100,14 @@
     return belief
   }
 
-  #logChange (runnerId: string, nowMs: number): void {
-    const limit = this.#beliefs.get(runnerId)?.limit(nowMs)
-    const before = this.#logged.get(runnerId)
+  #noteChange (runnerId: string, nowMs: number): void {
+    const belief = this.#beliefs.get(runnerId)
+    const limit = belief?.limit(nowMs)
+    const before = this.#inForce.get(runnerId)
     if (limit?.requestsPerS === before) return
-    if (limit === undefined) this.#logged.delete(runnerId)
-    else this.#logged.set(runnerId, limit.requestsPerS)
+    if (limit === undefined) this.#inForce.delete(runnerId)
+    else this.#inForce.set(runnerId, limit.requestsPerS)
+    this.parts.onChange({ id: runnerId, startedUnixMs: belief?.startedUnixMs }, before)
     const fields = { runner: runnerId, requestsPerS: limit?.requestsPerS, before, from: limit?.origin, heardAgoMs: limit && Math.round(limit.heardAgoMs) }
     if (before === undefined) this.parts.log.info('runner names a limit', fields)
     else this.parts.log.info(limit === undefined ? 'limit of a runner ended' : 'limit of a runner changed', fields)
--- a/packages/gateway/src/limits/types.ts
+++ b/packages/gateway/src/limits/types.ts
@@ -24,3 +24,42 @@
   origin: string
   heardAgoMs: number
 }
+
+/** One start of a runner. */
+export type RunnerProcess = { id: string, startedUnixMs?: number }
+
+/** Leave to write one request to a runner with a limit. */
+export type Permit = {
+  runnerId: string
+  /** It is void behind this time, in milliseconds of the instants. */
+  untilMs: number
+}
+
+/** A host's wish for permits, sent to the host that shares out the runner's limit. */
+export type PermitRequest = {
+  host: string
+  runner: RunnerProcess
+  wanted: number
+  /** Requests that the host sent to the runner within the last window without permits. */
+  unpermitted: number
+  limitReports: LimitReport[]
+}
+
+export type PermitReply = {
+  granted: number
+  /** Until it is worth while to ask again; 0 where all were granted. */
+  retryAfterMs: number
+  limitReports: LimitReport[]
+}
+
+/** Whether a request may go to a runner. */
+export const GateState = { Open: 'open', NeedsPermit: 'needs-permit', Closed: 'closed' } as const
+
+export type LimitGate =
+  { state: typeof GateState.Open } |
+  { state: typeof GateState.NeedsPermit } |
+  /** Permits are not worth asking for until `opensInMs` have passed. */
+  { state: typeof GateState.Closed, opensInMs: number }
+
+/** Requests of this span are counted together where a limit is shared out. */
+export const LIMIT_WINDOW_MS = 4_000
--- /dev/null
+++ b/packages/gateway/src/members/limit-messages.ts
@@ -0,0 +1,48 @@
+/** Translates what hosts tell each other of runners' limits into messages of the inner protocol and back. */
+import { create, type MessageInitShape } from '@bufbuild/protobuf'
+import {
+  LimitReportSchema, TakePermitsRequestSchema, TakePermitsResponseSchema,
+  type LimitReport as LimitReportMessage, type TakePermitsRequest, type TakePermitsResponse
+} from '@figloom/protocol'
+import type { LimitReport, PermitReply, PermitRequest } from '../limits/types.js'
+
+export function toLimitMessage (report: LimitReport): MessageInitShape<typeof LimitReportSchema> {
+  return { ...report, number: BigInt(report.number), startedUnixMs: toUnixMessage(report.startedUnixMs) }
+}
+
+export function toLimitReport (message: LimitReportMessage): LimitReport {
+  const { runnerId, startedUnixMs, origin, number, requestsPerS, askedAgoMs, heardAgoMs } = message
+  return { runnerId, startedUnixMs: toUnix(startedUnixMs), origin, number: Number(number), requestsPerS, askedAgoMs, heardAgoMs }
+}
+
+export function toPermitMessage ({ host, runner, wanted, unpermitted, limitReports }: PermitRequest): TakePermitsRequest {
+  return create(TakePermitsRequestSchema, {
+    host,
+    runnerId: runner.id,
+    startedUnixMs: toUnixMessage(runner.startedUnixMs),
+    wanted,
+    unpermitted,
+    limitReports: limitReports.map(toLimitMessage)
+  })
+}
+
+export function toPermitRequest (message: TakePermitsRequest): PermitRequest {
+  const { host, runnerId, startedUnixMs, wanted, unpermitted, limitReports } = message
+  return { host, runner: { id: runnerId, startedUnixMs: toUnix(startedUnixMs) }, wanted, unpermitted, limitReports: limitReports.map(toLimitReport) }
+}
+
+export function toPermitReplyMessage ({ granted, retryAfterMs, limitReports }: PermitReply): TakePermitsResponse {
+  return create(TakePermitsResponseSchema, { granted, retryAfterMs, limitReports: limitReports.map(toLimitMessage) })
+}
+
+export function toPermitReply ({ granted, retryAfterMs, limitReports }: TakePermitsResponse): PermitReply {
+  return { granted, retryAfterMs, limitReports: limitReports.map(toLimitReport) }
+}
+
+function toUnixMessage (unixMs: number | undefined): bigint | undefined {
+  return unixMs === undefined ? undefined : BigInt(unixMs)
+}
+
+function toUnix (unixMs: bigint | undefined): number | undefined {
+  return unixMs === undefined ? undefined : Number(unixMs)
+}
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -16,7 +16,8 @@
     expectedLoads: [],
     lease: { heldBySender: false, fencingToken: 0 },
     sentAt: new Date(0),
-    speaksForAll: false
+    speaksForAll: false,
+    limitReports: []
   }
 }
 
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -3,6 +3,8 @@
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { GatewayService } from '@figloom/protocol'
 import { Agent } from 'node:http'
+import type { PermitReply, PermitRequest } from '../limits/types.js'
+import { toPermitMessage, toPermitReply, toPermitReplyMessage, toPermitRequest } from './limit-messages.js'
 import { fromMessage, toMessage } from './report-messages.js'
 import { PeerCalls, type AdapterReply, type AdapterRequest, type HostReport } from './types.js'
 
@@ -16,6 +18,7 @@
 export abstract class PeerHandler {
   abstract onReport (report: HostReport): HostReport
   abstract onAdapterRequest (request: AdapterRequest): Promise<AdapterReply>
+  abstract onPermitRequest (request: PermitRequest): PermitReply
   /** The configuration in force here, in the platform's form; empty where none is known. */
   abstract onConfigRequest (): Uint8Array
 }
@@ -24,6 +27,7 @@
   router.service(GatewayService, {
     exchange: (message) => toMessage(handler.onReport(fromMessage(message))),
     ensureAdapter: (message) => handler.onAdapterRequest(message),
+    takePermits: (message) => toPermitReplyMessage(handler.onPermitRequest(toPermitRequest(message))),
     readConfig: () => ({ encoded: handler.onConfigRequest() })
   })
 }
@@ -46,6 +50,10 @@
     return { accepted: answer.accepted, readyInMs: answer.readyInMs }
   }
 
+  override async takePermits (peerAddress: string, request: PermitRequest, timeoutMs: number): Promise<PermitReply> {
+    return toPermitReply(await this.#client(peerAddress).takePermits(toPermitMessage(request), { timeoutMs }))
+  }
+
   override async readConfig (peerAddress: string): Promise<Uint8Array> {
     const { encoded } = await this.#client(peerAddress).readConfig({}, { timeoutMs: CONFIG_TIMEOUT_MS })
     return encoded
--- a/packages/gateway/src/members/report-messages.test.ts
+++ b/packages/gateway/src/members/report-messages.test.ts
@@ -41,7 +41,11 @@
     ],
     ageMs: 300
   },
-  runnersPosition: 4
+  runnersPosition: 4,
+  limitReports: [
+    { runnerId: 'runner-1', startedUnixMs: 1_700_000_000_000, origin: 'life', number: 3, requestsPerS: 1.1, askedAgoMs: 40.5, heardAgoMs: 20 },
+    { runnerId: 'runner-2', startedUnixMs: undefined, origin: 'life', number: 4, requestsPerS: undefined, askedAgoMs: 4, heardAgoMs: 2 }
+  ]
 }
 
 const overTheWire = (report: HostReport) => fromMessage(fromBinary(GatewayReportSchema, toBinary(GatewayReportSchema, toMessage(report))))
@@ -51,8 +55,8 @@
 })
 
 t.test('what a report leaves out stays absent', async (t) => {
-  const { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll } = full
-  const least = { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll }
+  const { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll, limitReports } = full
+  const least = { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll, limitReports }
   const came = overTheWire(least)
   for (const absent of [came.hosts, came.hostsSeen, came.runners, came.runnersPosition, came.configReadAgoMs]) t.equal(absent, undefined)
 })
--- a/packages/gateway/src/members/report-messages.ts
+++ b/packages/gateway/src/members/report-messages.ts
@@ -5,6 +5,7 @@
   type ListVersion as ListVersionMessage, type RunnerNews as RunnerNewsMessage, type TargetDemand
 } from '@figloom/protocol'
 import type { RunnerEntry, RunnerNews } from '../runners/types.js'
+import { toLimitMessage, toLimitReport } from './limit-messages.js'
 import type { ListUpdate, ListVersion } from './change-list.js'
 import type { DemandRate, HostAddress, HostReport, HostSummary } from './types.js'
 
@@ -23,7 +24,8 @@
     hosts: report.hosts && { ...toUpdateMessage(report.hosts), hosts: report.hosts.items },
     hostsSeen: toVersionMessage(report.hostsSeen),
     runners: report.runners && toNewsMessage(report.runners),
-    runnersPosition: toPositionMessage(report.runnersPosition)
+    runnersPosition: toPositionMessage(report.runnersPosition),
+    limitReports: report.limitReports.map(toLimitMessage)
   }
   return create(GatewayReportSchema, init)
 }
@@ -48,7 +50,8 @@
     hosts: hosts && toUpdate(hosts, hosts.hosts.map(toSummary)),
     hostsSeen: toVersion(message.hostsSeen),
     runners: runners && toNews(runners),
-    runnersPosition: toPosition(message.runnersPosition)
+    runnersPosition: toPosition(message.runnersPosition),
+    limitReports: message.limitReports.map(toLimitReport)
   }
 }
 
--- a/packages/gateway/src/members/report-writer.ts
+++ b/packages/gateway/src/members/report-writer.ts
@@ -1,5 +1,6 @@
 /** Writes what a host tells another one, by what that one needs to know. */
 import type { Clock } from '@figloom/runtime'
+import type { LimitReport } from '../limits/types.js'
 import type { RunnerNews } from '../runners/types.js'
 import type { ChangeList } from './change-list.js'
 import { createHostList } from './host-list.js'
@@ -20,6 +21,8 @@
   lease: LeaseView
   /** Loads that the holder of the lease has under way, by what this host knows. */
   expectedLoads: ExpectedLoad[]
+  /** What is known of runners' limits. */
+  limitReports: LimitReport[]
 }
 
 export type ReportWriterParts = {
@@ -69,6 +72,7 @@
       configReadAgoMs: state.configReadAgoMs,
       lease: state.lease,
       sentAt: clock.now(),
+      limitReports: state.limitReports,
       hostsSeen: peer === undefined ? undefined : members.hostsSeen(peer.address.host)
     }
     if (!state.relay) return { ...report, runnersPosition: this.parts.runnersPosition(), ...this.#shareOfHost(state, peer) }
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -1,5 +1,6 @@
 /** Hosts of the gateway as they know each other, by direct contact or by a relay's word. Times are monotonic milliseconds. */
 
+import type { LimitReport, PermitReply, PermitRequest } from '../limits/types.js'
 import type { RunnerNews } from '../runners/types.js'
 import type { ListUpdate, ListVersion } from './change-list.js'
 
@@ -78,6 +79,8 @@
   runners?: RunnerNews
   /** The sender knows all records of runners before this position; absent where it knows none. */
   runnersPosition?: number
+  /** What the sender knows of runners' limits, by whomever. */
+  limitReports: LimitReport[]
 }
 
 /** Hands reports to other hosts and takes theirs. */
@@ -85,6 +88,8 @@
   /** Sends a report to the host at `peerAddress` and returns its own. */
   abstract exchange (peerAddress: string, report: HostReport, timeoutMs: number): Promise<HostReport>
   abstract ensureAdapter (peerAddress: string, request: AdapterRequest): Promise<AdapterReply>
+  /** Asks the host that shares out a runner's limit. */
+  abstract takePermits (peerAddress: string, request: PermitRequest, timeoutMs: number): Promise<PermitReply>
   /** The configuration in force at a host, in the platform's form; empty where it knows none. */
   abstract readConfig (peerAddress: string): Promise<Uint8Array>
 }
--- a/packages/gateway/src/runners/leaving-runners.test.ts
+++ b/packages/gateway/src/runners/leaving-runners.test.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from '@figloom/runtime'
 import { createEntry } from '../testing/gateway-fixture.js'
 import { CONTACT_MS, DRAIN_NOTICE_MS, HostNetwork, type NetworkHost } from '../testing/host-network.js'
+import { createRandom } from '../testing/seeded-random.js'
 import { SuspendableClock } from '../testing/suspendable-clock.js'
 import type { RunnerRecord } from './types.js'
 
@@ -15,14 +16,6 @@
 /** Time in which a host that was disturbed need not know yet. */
 const DISTURBED_MS = CONTACT_MS
 
-function createRandom (seed: number): () => number {
-  let state = seed
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
-    return state / 2 ** 32
-  }
-}
-
 type Platform = { records: RunnerRecord[], leftAtMs: Map<string, number> }
 type Node = { host: NetworkHost, clock: SuspendableClock, cut: boolean, disturbedMs: number }
 
--- a/packages/gateway/src/serve/metrics.ts
+++ b/packages/gateway/src/serve/metrics.ts
@@ -5,6 +5,7 @@
   requests: Counter<'route' | 'result'>
   repeats: Counter<'reason'>
   limitedSendings: Counter
+  passedOver: Counter
   firstByteSeconds: Histogram<'route'>
   totalSeconds: Histogram<'route'>
 }
@@ -17,6 +18,7 @@
     requests: new Counter({ name: 'figloom_gateway_requests_total', help: 'Requests that ended, by route and result type.', labelNames: ['route', 'result'], registers }),
     repeats: new Counter({ name: 'figloom_gateway_repeats_total', help: 'Sendings of a request beyond its first, by outcome of the one before.', labelNames: ['reason'], registers }),
     limitedSendings: new Counter({ name: 'figloom_gateway_limited_sendings_total', help: 'Requests sent to runners that name a limit.', registers }),
+    passedOver: new Counter({ name: 'figloom_gateway_passed_over_for_limit_total', help: 'Choices of a runner that found no permit under its limit.', registers }),
     firstByteSeconds: new Histogram({ name: 'figloom_gateway_first_byte_seconds', help: 'Time from the request to the first byte of its answer.', labelNames: ['route'], buckets: BUCKETS_S, registers }),
     totalSeconds: new Histogram({ name: 'figloom_gateway_total_seconds', help: 'Time from the request to the end of its answer.', labelNames: ['route'], buckets: BUCKETS_S, registers })
   }
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -5,6 +5,7 @@
 import { findCandidates, type CandidateSet, type Need } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { Attempt } from '../forward/attempt.js'
+import type { Permit } from '../limits/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
 import { AnswerRelay } from './answer-relay.js'
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
@@ -13,7 +14,7 @@
 import { affinityKey, promisesNotRun, urgencyOf } from './request-hints.js'
 import { RequestLog } from './request-log.js'
 import { learnFromAttempt, learnLimit } from './learn-from-attempt.js'
-import { retryWhenLoaded, retryWhenRoom } from './retry-advice.js'
+import { retryWhenLoaded, retryWhenOpen, retryWhenRoom } from './retry-advice.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
 
 /** Part of the time left within which an adapter has to arrive. */
@@ -91,6 +92,7 @@
     if (this.request.dueMs - nowMs < MIN_ATTEMPT_MS) return this.#onDue()
     const set = findCandidates(this.context.runners, this.#need(), nowMs)
     const chosen = this.#choose(set.open, affinityKey(this.request.facts))
+    if (chosen?.needsPermit === true) return this.#sendWithPermit(chosen)
     if (chosen !== undefined) return this.#sendTo(chosen)
     if (set.withoutAdapter.length > 0) {
       this.#bringAdapter(set.withoutAdapter).catch((error: Error) => this.#giveUp(this.#failure(ResultCode.Internal, error.message)))
@@ -107,7 +109,8 @@
       adapter: facts.adapter,
       excluded: this.#excluded,
       hostCount: this.context.host.hostCount(),
-      targetLatencyMs: this.request.route.targetLatencyMs
+      targetLatencyMs: this.request.route.targetLatencyMs,
+      gate: (runner) => this.context.limits.gate(runner)
     }
   }
 
@@ -136,7 +139,21 @@
     this.#send()
   }
 
-  #sendTo (candidate: Candidate): void {
+  /** The runner names a limit, which all hosts share. Without a permit the request looks for another runner at once. */
+  #sendWithPermit (candidate: Candidate): void {
+    const { limits, metrics, runners } = this.context
+    const runner = runners.get(candidate.id)
+    if (runner === undefined) return this.#send()
+    limits.takePermit(runner.entry).then((permit) => {
+      if (this.#over) return
+      if (permit !== undefined) return this.#sendTo(candidate, permit)
+      metrics.passedOver.inc()
+      this.#log.note('runner passed over for its limit', { runner: candidate.id, ...this.#limitFields(runner) })
+      this.#send()
+    }).catch((error: Error) => this.#giveUp(this.#failure(ResultCode.Internal, error.message)))
+  }
+
+  #sendTo (candidate: Candidate, permit?: Permit): void {
     const runner = this.context.runners.get(candidate.id)
     if (runner === undefined) return this.#refuse({ open: [], fullCount: 0, withoutAdapter: [] })
     const { request, context } = this
@@ -151,7 +168,7 @@
     })
     const dispatcher = context.connections.to(id, address)
     const observer = ResultObserver.create(request.id, context.codec, this.#relay, {
-      onSending: () => this.#onSending(runner),
+      onSending: () => this.#onSending(runner, permit),
       onHead: (facts) => learnLimit(context, { runner, facts, askedMs: this.#askedMs }),
       onFirstByte: () => this.#onFirstByte(),
       onResult: (result) => this.#onResult(runner, result)
@@ -181,13 +198,14 @@
     return limit === undefined ? {} : { limitPerS: limit.requestsPerS, limitFrom: limit.origin, limitHeardAgoMs: Math.round(limit.heardAgoMs) }
   }
 
-  /** A runner may have begun to drain while the request waited for a connection. */
-  #onSending (runner: RunnerState): boolean {
+  /** A runner may have begun to drain, or named a limit, while the request waited for a connection. */
+  #onSending (runner: RunnerState, permit: Permit | undefined): boolean {
     const { clock, instants, limits, metrics, runners } = this.context
     this.#writtenMs = clock.monotonicMs()
     this.#askedMs = instants.nowMs()
     if (!runners.mayUse(runner)) return false
-    if (limits.limitOf(runner.entry) !== undefined) metrics.limitedSendings.inc()
+    if (!limits.onSending(runner.entry, permit)) return false
+    if (permit !== undefined) metrics.limitedSendings.inc()
     return true
   }
 
@@ -283,10 +301,11 @@
   #refuse (set: CandidateSet): void {
     const mayWait = !this.#relay.begun && !this.#mayHaveRun && set.fullCount === 0
     if (mayWait && this.#waitForLoad()) return
-    this.#log.note('no runner can take the request', { full: set.fullCount, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
+    this.#log.note('no runner can take the request', { full: set.fullCount, limitOpensInMs: set.limitOpensInMs, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
     if (this.#relay.begun) return this.#breakOff('no runner to resume the stream')
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastReason}; no other runner is free`))
     if (set.fullCount > 0) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'all runners that could serve the request are full', retryWhenRoom(this.context, this.#timeLeftMs())))
+    if (set.limitOpensInMs !== undefined) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'the runners that could serve the request take no more by the limits that they name', retryWhenOpen(this.context, set.limitOpensInMs, this.#timeLeftMs())))
     this.#giveUp(this.#failure(ResultCode.NoRunner, 'no live runner can serve the request', retryWhenLoaded(this.context, this.request, this.#timeLeftMs())))
   }
 
--- a/packages/gateway/src/serve/retry-advice.ts
+++ b/packages/gateway/src/serve/retry-advice.ts
@@ -1,5 +1,5 @@
 /** When a caller whose request could not be served is told to come back. */
-import { retryAfterFull, retryAfterMissing } from './retry-after.js'
+import { retryAfterFull, retryAfterLimited, retryAfterMissing } from './retry-after.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
 
 /** All runners that could serve it are full. */
@@ -7,6 +7,11 @@
   return retryAfterFull({ timeLeftMs, random })
 }
 
+/** All runners that could serve it are closed by the limits that they name; the first may open in `opensInMs`. */
+export function retryWhenOpen ({ random }: ServeContext, opensInMs: number, timeLeftMs: number): number {
+  return retryAfterLimited(opensInMs, { timeLeftMs, random })
+}
+
 /** No runner holds its model: behind the load that is under way, or that may be ordered next. */
 export function retryWhenLoaded ({ runners, loads, random }: ServeContext, { service, facts }: AcceptedRequest, timeLeftMs: number): number {
   const model = facts.model === undefined ? undefined : service.engine?.models.get(facts.model)
--- a/packages/gateway/src/serve/retry-after.ts
+++ b/packages/gateway/src/serve/retry-after.ts
@@ -25,6 +25,11 @@
   return bounded(FULL_MIN_MS + random() * (FULL_MAX_MS - FULL_MIN_MS), timeLeftMs)
 }
 
+/** Callers of runners that are closed by the limits that they name; the first may open in `opensInMs`. */
+export function retryAfterLimited (opensInMs: number, { timeLeftMs, random }: RetryAfterInput): number {
+  return bounded(opensInMs + random() * SPREAD_MS, timeLeftMs)
+}
+
 /**
  * No runner holds what the request needs.
  * @param model the model, if one was named that the configuration knows
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -5,7 +5,7 @@
 import type { RunnerConnections } from '../forward/runner-connections.js'
 import type { CallerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
 import type { InstantSource } from '../lease/instant.js'
-import type { RunnerLimits } from '../limits/runner-limits.js'
+import type { LimitControl } from '../limits/limit-control.js'
 import type { SharedBudget } from '../retry/shared-budget.js'
 import type { RunnerTable } from '../runners/runner-table.js'
 import type { DemandMeter } from './demand-meter.js'
@@ -61,7 +61,7 @@
   codec: RequestCodec
   config: ConfigState
   runners: RunnerTable
-  limits: RunnerLimits
+  limits: LimitControl
   connections: RunnerConnections
   budget: SharedBudget
   demand: DemandMeter
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -1,11 +1,14 @@
 /** The request path of a gateway before raw runners, without membership, store or orders. */
 import { createServer, type Server } from 'node:http'
 import { connect, type AddressInfo } from 'node:net'
-import { Registry, silentLogger, SystemClock } from '@figloom/runtime'
+import { Registry, silentLogger, SystemClock, type Clock } from '@figloom/runtime'
 import { ConfigState } from '../config/config-state.js'
 import { RouteKind, type Route, type Service } from '../config/types.js'
 import { InstantSource } from '../lease/instant.js'
-import { RunnerLimits } from '../limits/runner-limits.js'
+import { LimitControl } from '../limits/limit-control.js'
+import { createContactPace } from '../members/contact-pace.js'
+import { MemberTable } from '../members/member-table.js'
+import { ConnectPeerCalls } from '../members/peer-service.js'
 import type { ExpectedLoad } from '../members/types.js'
 import { KnownLoads } from '../orders/known-loads.js'
 import { RunnerConnections } from '../forward/runner-connections.js'
@@ -57,6 +60,22 @@
   }
 }
 
+/** Limits of a host that knows no other. */
+function createLimits (clock: Clock, instants: InstantSource): LimitControl {
+  const self = { host: 'host', availabilityZone: 'zone-1', callerAddress: '', peerAddress: '', capacityCores: 1 }
+  return LimitControl.create({
+    clock,
+    instants,
+    log: silentLogger,
+    self,
+    incarnation: 'host-1',
+    members: MemberTable.create(self.host, createContactPace(3_000)),
+    calls: ConnectPeerCalls.create(),
+    isLeaving: () => false,
+    random: () => 0.5
+  })
+}
+
 /** What a caller read from its connection. */
 export type RawAnswer = { text: string, status: number, ended: boolean, headers: string, body: string }
 
@@ -88,7 +107,7 @@
       codec: TestCodec.create(),
       config,
       runners: RunnerTable.create(),
-      limits: RunnerLimits.create({ instants, log: silentLogger, origin: 'host' }),
+      limits: createLimits(clock, instants),
       connections: RunnerConnections.create(),
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
--- a/packages/gateway/src/testing/host-network.ts
+++ b/packages/gateway/src/testing/host-network.ts
@@ -1,6 +1,8 @@
 /** Many hosts on a manual clock that exchange reports without sockets. */
 import { silentLogger, ManualClock, type Clock } from '@figloom/runtime'
 import { InstantSource } from '../lease/instant.js'
+import { LimitControl } from '../limits/limit-control.js'
+import type { PermitReply, PermitRequest } from '../limits/types.js'
 import { createContactPace } from '../members/contact-pace.js'
 import { Exchanger } from '../members/exchanger.js'
 import { MemberTable } from '../members/member-table.js'
@@ -22,7 +24,7 @@
 }
 
 /** A host of the network; its runners are those that it knows of by others and by `knowledge.hear`. */
-export type NetworkHost = { exchanger: Exchanger, members: MemberTable, shared: SharedView, state: OwnState, incarnation: string, clock: Clock, knowledge: RunnerKnowledge, runners: RunnerTable }
+export type NetworkHost = { exchanger: Exchanger, members: MemberTable, shared: SharedView, state: OwnState, incarnation: string, clock: Clock, knowledge: RunnerKnowledge, runners: RunnerTable, limits: LimitControl }
 
 /** Hosts that exchange reports without sockets; calls are counted. */
 export class HostNetwork extends PeerCalls {
@@ -36,6 +38,7 @@
   readonly suspended = new Set<string>()
   /** Time that a message takes. */
   delayMs = () => 0
+  random = () => 0.5
   #lives = 0
 
   private constructor (private readonly clock: ManualClock) {
@@ -47,21 +50,21 @@
   }
 
   override async exchange (peerAddress: string, sent: HostReport, timeoutMs: number): Promise<HostReport> {
-    const answer = this.#answer(peerAddress, sent)
+    const answer = this.#reach(peerAddress, sent.sender.address.host, (host) => host.exchanger.onIncoming(sent))
     if (this.suspended.size === 0 && this.delayMs() === 0) return await answer
     const late = this.clock.sleep(timeoutMs).then(() => { throw new Error('no answer in time') })
     return await Promise.race([answer, late])
   }
 
-  async #answer (peerAddress: string, sent: HostReport): Promise<HostReport> {
+  /** Brings a call to a host and its answer back. */
+  async #reach<Answer> (peerAddress: string, sender: string, onCall: (host: NetworkHost) => Answer): Promise<Answer> {
     const name = peerAddress.split(':')[0] ?? ''
     await this.#travel(name)
     const host = this.hosts.get(name)
-    const sender = sent.sender.address.host
     const cut = this.farSide.has(name) !== this.farSide.has(sender)
     this.calls += 1
     if (host === undefined || this.down.has(name) || this.down.has(sender) || cut) throw new Error('no answer')
-    const answer = host.exchanger.onIncoming(sent)
+    const answer = onCall(host)
     await this.#travel(sender)
     return answer
   }
@@ -73,6 +76,13 @@
     while (this.suspended.has(to)) await this.clock.sleep(STANDSTILL_LOOK_MS)
   }
 
+  override async takePermits (peerAddress: string, request: PermitRequest, timeoutMs: number): Promise<PermitReply> {
+    const answer = this.#reach(peerAddress, request.host, (host) => host.limits.onPermitRequest(request))
+    if (this.suspended.size === 0 && this.delayMs() === 0) return await answer
+    const late = this.clock.sleep(timeoutMs).then(() => { throw new Error('no answer in time') })
+    return await Promise.race([answer, late])
+  }
+
   override async readConfig (): Promise<Uint8Array> {
     return new Uint8Array()
   }
@@ -98,16 +108,28 @@
       runnerUses: new Map([['runner', 1]]),
       demand: [{ service: 's', model: 'm', requestsPerS: 1, slowRequestsPerS: 1, holdMs: 100 }],
       lease: { heldBySender: false, fencingToken: 0 },
-      expectedLoads: []
+      expectedLoads: [],
+      limitReports: []
     }
     const incarnation = `${name}-${this.#lives}`
+    const limits = LimitControl.create({
+      clock,
+      instants,
+      log: silentLogger,
+      self: addressOf(name),
+      incarnation,
+      members,
+      calls: this,
+      isLeaving: () => state.leaving,
+      random: this.random
+    })
     const writer = ReportWriter.create({
       clock,
       self: addressOf(name),
       incarnation,
       members,
       shared,
-      state: () => ({ ...state, relay: host.exchanger.relay }),
+      state: () => ({ ...state, relay: host.exchanger.relay, limitReports: limits.reports() }),
       runnersPosition: () => knowledge.position,
       runnersSince: (position) => knowledge.newsSince(position)
     })
@@ -127,11 +149,12 @@
         const nowMs = clock.monotonicMs()
         const reportsHere = members.group(nowMs).some(({ sender }) => sender.address.host === heard.sender.address.host)
         shared.hear(heard, reportsHere, nowMs)
+        limits.hear(heard.limitReports, Math.min(writtenAgoMs, PACE.timeoutMs))
         const { runners: news, sender } = heard
         if (news !== undefined) knowledge.hear({ ...news, ageMs: news.ageMs === undefined ? undefined : news.ageMs + writtenAgoMs }, sender.address.host)
       }
     })
-    const host = { exchanger, members, shared, state, incarnation, clock, knowledge, runners }
+    const host = { exchanger, members, shared, state, incarnation, clock, knowledge, runners, limits }
     this.hosts.set(name, host)
     exchanger.start()
     return host
