Plan a copy at a runner with a limit as the places that the limit fills

A model whose only copy is at a runner that takes one request a second had all its callers beyond that refused, and the planner saw a copy with all its places. It counts now with its share: the demand left over brings a further copy elsewhere. Two tests in orders/plan-models; both fail with the share counted as 1.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -136,7 +136,8 @@
       host: settings.self.host,
       orderToken: () => this.#lease.orderToken(),
       onOrder: () => this.#lease.onOrder(),
-      demand: () => this.#allDemand()
+      demand: () => this.#allDemand(),
+      limitPerS: (runner) => this.#limits.limitOf(runner)?.requestsPerS
     })
     this.#context = this.#createContext()
     this.#front = HttpServer.create(createCallerHandler(async (request, response) => {
--- a/packages/gateway/src/orders/copy-values.ts
+++ b/packages/gateway/src/orders/copy-values.ts
@@ -14,6 +14,18 @@
 /** The last copy of a model that nobody asks for now may be asked for soon. */
 const LAST_COPY_PLACES = 0.4
 
+/** Less than this part of a copy is none: what sums of parts leave over. */
+const LEAST_SHARE = 0.001
+
+/**
+ * Part of a copy's places that a runner serves which takes so many requests a second.
+ * @param holdMs how long a request holds its place, on average
+ */
+export function copyShareOf (engine: EngineSpec, requestsPerS: number, holdMs: number): number {
+  const places = requestsPerS * holdMs / 1_000
+  return Math.max(LEAST_SHARE, Math.min(1, places / (engine.slots * TARGET_OCCUPATION)))
+}
+
 const NO_DEMAND: ModelDemand = { nowPlaces: 0, comingPlaces: 0 }
 
 export class CopyValues {
@@ -42,18 +54,19 @@
     return this.#coming(model) > 0
   }
 
-  /** What one more copy adds. */
-  gain (model: string): number {
+  /** What one more copy adds; `share`: the part of a copy's places that its runner serves. */
+  gain (model: string, share = 1): number {
     const copies = this.copies(model)
-    return this.#value(model, this.#coming(model), copies + 1) - this.#value(model, this.#coming(model), copies)
+    return this.#value(model, this.#coming(model), copies + share) - this.#value(model, this.#coming(model), copies)
   }
 
   /** What is lost with one copy; demand that falls is still there while a copy goes. */
-  loss (model: string): number {
+  loss (model: string, share = 1): number {
     const copies = this.copies(model)
+    const rest = copies - share < LEAST_SHARE ? 0 : copies - share
     const places = Math.max(this.#coming(model), this.#of(model).nowPlaces)
-    const last = copies === 1 ? LAST_COPY_PLACES : 0
-    return last + this.#value(model, places, copies) - this.#value(model, places, copies - 1)
+    const last = rest === 0 ? LAST_COPY_PLACES : 0
+    return last + this.#value(model, places, copies) - this.#value(model, places, rest)
   }
 
   /** Places that each copy of a model has to serve. */
--- a/packages/gateway/src/orders/missing-copies.test.ts
+++ b/packages/gateway/src/orders/missing-copies.test.ts
@@ -2,7 +2,7 @@
 import { MissingCopies } from './missing-copies.js'
 
 const asked = new Map([['a', { nowPlaces: 1, comingPlaces: 1 }]])
-const holder = { id: 'r', models: ['a'], busy: false, usedMb: 1, localWeights: [] }
+const holder = { id: 'r', models: ['a'], busy: false, usedMb: 1, localWeights: [], copyShare: 1 }
 
 t.test('the time without a copy grows until one is there', async (t) => {
   const missing = MissingCopies.create()
--- a/packages/gateway/src/orders/order-desk.test.ts
+++ b/packages/gateway/src/orders/order-desk.test.ts
@@ -44,7 +44,8 @@
       host: 'host',
       orderToken: () => this.token,
       onOrder: () => {},
-      demand: () => this.demand
+      demand: () => this.demand,
+      limitPerS: () => undefined
     })
     this.#list()
     this.desk.start()
--- a/packages/gateway/src/orders/order-desk.ts
+++ b/packages/gateway/src/orders/order-desk.ts
@@ -2,8 +2,10 @@
 import type { Clock, Logger, Timer } from '@figloom/runtime'
 import type { ConfigState } from '../config/config-state.js'
 import type { EngineSpec, Service } from '../config/types.js'
+import type { RunnerProcess } from '../limits/types.js'
 import type { AdapterReply, AdapterRequest, DemandRate, ExpectedLoad } from '../members/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
+import { copyShareOf } from './copy-values.js'
 import { forecastDemand } from './demand-forecast.js'
 import { planAdapters, type AdapterLoad } from './plan-adapters.js'
 import { PlacementLog } from './placement-log.js'
@@ -18,6 +20,8 @@
 const REPORT_PAUSE_MS = 400
 /** Time that an adapter takes until it serves, from the weight store. */
 const ADAPTER_LOAD_MS = 60
+/** How long a request holds its place while nothing is known of it. */
+const USUAL_HOLD_MS = 1_000
 /** A model order that isn't seen done after this many times its usual length is looked up in a report. */
 const OVERDUE_FACTOR = 1.5
 const OVERDUE_MARGIN_MS = 1_500
@@ -35,6 +39,8 @@
   onOrder: () => void
   /** Demand at all hosts. */
   demand: () => DemandRate[]
+  /** Requests a second that a runner takes by the limit that it names; undefined where it names none. */
+  limitPerS: (runner: RunnerProcess) => number | undefined
 }
 
 type RunnerDesk = {
@@ -144,7 +150,8 @@
     const nowMs = this.parts.clock.monotonicMs()
     const rates = this.parts.demand().filter(({ service }) => service === name)
     this.#bringAdaptersAhead(known, engine, rates)
-    const runners = known.map((state) => this.#planned(state, engine))
+    const holdMs = meanHoldMs(rates)
+    const runners = known.map((state) => this.#planned(state, engine, holdMs))
     const demand = forecastDemand(rates, name)
     const plan = planModels({
       engine,
@@ -180,16 +187,18 @@
     this.#giveUnasked(desk, () => this.#send(state, desk, { kind: OrderKind.Load, model, adapter }, ADAPTER_LOAD_MS))
   }
 
-  #planned (state: RunnerState, engine: EngineSpec): PlannedRunner {
+  #planned (state: RunnerState, engine: EngineSpec, holdMs: number): PlannedRunner {
     const { book, waiting } = this.#desk(state)
     const { pending } = book
+    const limitPerS = this.parts.limitPerS(state.entry)
     return {
       id: state.entry.id,
       models: book.models,
       loading: pending?.kind === OrderKind.Load ? pending.model : undefined,
       busy: pending !== undefined || waiting > 0,
       usedMb: book.usedMb(engine),
-      localWeights: state.entry.localWeights
+      localWeights: state.entry.localWeights,
+      copyShare: limitPerS === undefined ? 1 : copyShareOf(engine, limitPerS, holdMs)
     }
   }
 
@@ -292,6 +301,14 @@
   }
 }
 
+/** How long a request holds its place, on average over all that are asked for. */
+function meanHoldMs (rates: readonly DemandRate[]): number {
+  const models = rates.filter(({ adapter }) => adapter === undefined)
+  const perS = models.reduce((sum, { slowRequestsPerS }) => sum + slowRequestsPerS, 0)
+  if (perS === 0) return USUAL_HOLD_MS
+  return models.reduce((sum, { slowRequestsPerS, holdMs }) => sum + slowRequestsPerS * holdMs, 0) / perS
+}
+
 function oldestAdapter (copies: readonly AdapterCopy[]): AdapterCopy | undefined {
   return copies.reduce<AdapterCopy | undefined>((oldest, copy) => oldest === undefined || copy.usedMs < oldest.usedMs ? copy : oldest, undefined)
 }
--- a/packages/gateway/src/orders/plan-models.test.ts
+++ b/packages/gateway/src/orders/plan-models.test.ts
@@ -11,7 +11,7 @@
 }
 
 function runner (id: string, models: string[], changes: Partial<PlannedRunner> = {}): PlannedRunner {
-  return { id, models, busy: false, usedMb: models.length * 70, localWeights: [], ...changes }
+  return { id, models, busy: false, usedMb: models.length * 70, localWeights: [], copyShare: 1, ...changes }
 }
 
 function plan (changes: Partial<PlanInput>) {
@@ -68,3 +68,14 @@
   const orders = plan({ runners: [runner('r1', ['a', 'b'], { usedMb: 215 })], demand: asked({ c: 5 }) })
   t.notOk(orders.some(({ kind }) => kind === 'load'))
 })
+
+t.test('a model whose only copy is at a runner with a limit gets a further one', async (t) => {
+  const runners = (copyShare: number) => [runner('limited', ['a'], { copyShare }), runner('other', ['b'])]
+  t.match(plan({ runners: runners(0.05), demand: asked({ a: 8, b: 1 }) })[0], { runnerId: 'other', kind: 'load', model: 'a' })
+  t.notMatch(plan({ runners: runners(1), demand: asked({ a: 8, b: 1 }) })[0], { model: 'a' })
+})
+
+t.test('no further copy goes to a runner with a limit while others have room', async (t) => {
+  const orders = plan({ runners: [runner('limited', [], { copyShare: 0.05 }), runner('other', ['b'])], demand: asked({ a: 8, b: 8 }) })
+  t.match(orders[0], { runnerId: 'other', model: 'a' })
+})
--- a/packages/gateway/src/orders/plan-models.ts
+++ b/packages/gateway/src/orders/plan-models.ts
@@ -20,6 +20,8 @@
   usedMb: number
   /** Models whose weights it has on its disk or in its memory. */
   localWeights: readonly string[]
+  /** Part of a copy's places that it serves; less than 1 where it names a limit. */
+  copyShare: number
 }
 
 export type PlanInput = {
@@ -68,7 +70,7 @@
     this.#values = CopyValues.create(input.engine, input.demand, input.missingMs)
     for (const runner of input.runners) {
       this.#held.set(runner.id, new Set(copiesOf(runner)))
-      for (const model of copiesOf(runner)) this.#values.change(model, 1)
+      for (const model of copiesOf(runner)) this.#values.change(model, runner.copyShare)
     }
   }
 
@@ -108,23 +110,23 @@
   #optionsAt (runner: PlannedRunner, model: ModelSpec): Option[] {
     const fromStore = !runner.localWeights.includes(model.name)
     if (this.#holds(runner, model.name) || (fromStore && this.#storeLoads < 1)) return []
-    const gain = this.#values.gain(model.name) - this.#occupation(runner) * OCCUPATION_COST_PLACES
+    const gain = this.#values.gain(model.name, runner.copyShare) - this.#occupation(runner) * OCCUPATION_COST_PLACES
     const loadMs = fromStore ? model.loadMs : model.diskLoadMs
     if (this.#fits(runner, model)) return [{ model, runner, fromStore, net: gain * timeliness(loadMs) }]
     return runner.models.filter((victim) => !this.#victims.has(victim)).map((victim) => {
-      const net = gain * timeliness(loadMs + this.#unloadMs(victim)) - this.#values.loss(victim)
+      const net = gain * timeliness(loadMs + this.#unloadMs(victim)) - this.#values.loss(victim, runner.copyShare)
       return { model, runner, victim, fromStore, net }
     })
   }
 
   #take ({ model, runner, victim, fromStore }: Option): void {
-    this.#values.change(model.name, 1)
+    this.#values.change(model.name, runner.copyShare)
     if (fromStore) this.#storeLoads -= 1
     if (victim === undefined) {
       this.#order(runner, { kind: OrderKind.Load, model: model.name }, fromStore)
       return
     }
-    this.#values.change(victim, -1)
+    this.#values.change(victim, -runner.copyShare)
     // The next round sees whether more of it may go.
     this.#victims.add(victim)
     this.#order(runner, { kind: OrderKind.Unload, model: victim }, false)
@@ -163,7 +165,7 @@
     const fromStore = !runner.localWeights.includes(model.name)
     if (fromStore && this.#storeLoads < 1) return
     if (fromStore) this.#storeLoads -= 1
-    this.#values.change(model.name, 1)
+    this.#values.change(model.name, runner.copyShare)
     this.#order(runner, { kind: OrderKind.Load, model: model.name }, fromStore)
   }
 
--- a/packages/gateway/src/orders/testing/placement-replay.ts
+++ b/packages/gateway/src/orders/testing/placement-replay.ts
@@ -275,7 +275,8 @@
     loading,
     busy: pending !== undefined,
     usedMb: weights.size * MODEL_MB,
-    localWeights: runner.disk
+    localWeights: runner.disk,
+    copyShare: 1
   }
 }
 
