Contain unexpected errors in the request or the process that meets them

An entry with an address that nothing can be sent to (10.0.0.1:99999, from another writer) raised an exception while a request was being sent; from a timer or behind another attempt nobody caught it and the process ended with all streams on it.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 /** figloomd: runs one entry host until it gets SIGTERM or SIGINT; a second signal ends it at once. */
 import meow from 'meow'
-import { createLogger, RandomIdSource, startTraces, SystemClock } from '@figloom/runtime'
+import { createLogger, ProcessGuard, RandomIdSource, startTraces, SystemClock } from '@figloom/runtime'
 import { formatIssue, loadDaemonSettings, type DaemonSettings } from '@figloom/settings'
 import { Daemon } from './app.js'
 import { PROGRAM } from './program.js'
@@ -55,6 +55,7 @@
   }
   process.on('SIGTERM', onSignal)
   process.on('SIGINT', onSignal)
+  ProcessGuard.create({ process, clock, log: logger, stop: onSignal })
   const addresses = await daemon.start()
   process.stdout.write(JSON.stringify({ listening: { host: host.name, ...addresses } }) + '\n')
 }
--- a/packages/gateway/src/forward/runner-connections.ts
+++ b/packages/gateway/src/forward/runner-connections.ts
@@ -1,5 +1,7 @@
 /** Connections to runners: one pool for each runner, dropped when the runner is gone. */
 import type { Socket } from 'node:net'
+import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
+import { err, ok, type Result } from 'neverthrow'
 import { buildConnector, Pool, type Dispatcher } from 'undici'
 
 /** A runner that accepts no connection in this time is taken as unreachable. */
@@ -28,24 +30,14 @@
   }
 
   /** Dispatcher for a runner. It opens a connection for each request that finds none idle: how many run is for the caller to limit. */
-  to (runnerId: string, address: string): Dispatcher {
+  to (runnerId: string, address: string): Result<Dispatcher, Failure> {
     const known = this.#pools.get(runnerId)
-    if (known?.address === address) return known.pool
+    if (known?.address === address) return ok(known.pool)
     if (known !== undefined) this.drop(runnerId)
-    const pool = new Pool(`http://${address}`, {
-      pipelining: 1,
-      connect: createConnector(),
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      keepAliveTimeout: IDLE_MS,
-      keepAliveMaxTimeout: MAX_IDLE_MS,
-      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-      maxHeaderSize: MAX_HEADER_BYTES
+    return createPool(address).map((pool) => {
+      this.#pools.set(runnerId, { pool, address })
+      return pool
     })
-    // Errors of connections reach the requests on them; the pool repeats them for nobody.
-    pool.on('connectionError', () => {})
-    this.#pools.set(runnerId, { pool, address })
-    return pool
   }
 
   /** Lets requests under way end, then closes the connections of a runner that left the list. */
@@ -71,6 +63,28 @@
   }
 }
 
+const POOL_OPTIONS: Pool.Options = {
+  pipelining: 1,
+  connect: createConnector(),
+  headersTimeout: 0,
+  bodyTimeout: 0,
+  keepAliveTimeout: IDLE_MS,
+  keepAliveMaxTimeout: MAX_IDLE_MS,
+  keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+  maxHeaderSize: MAX_HEADER_BYTES
+}
+
+/** Errors of its connections reach the requests on them; the pool repeats them for nobody. */
+function createPool (address: string): Result<Pool, Failure> {
+  try {
+    const pool = new Pool(`http://${address}`, POOL_OPTIONS)
+    pool.on('connectionError', () => {})
+    return ok(pool)
+  } catch (error) {
+    return err(createFailure(ResultCode.BackendUnreachable, `${address}: ${(error as Error).message}`))
+  }
+}
+
 /**
  * Connects so that a reset is told from an end. The library takes an answer without a length for complete when its
  * connection is reset with this one code; under another code it is a failure.
--- a/packages/gateway/src/serve/late-drain.test.ts
+++ b/packages/gateway/src/serve/late-drain.test.ts
@@ -1,3 +1,4 @@
+import { ok } from 'neverthrow'
 import type { Dispatcher } from 'undici'
 import t, { type Test } from 'tap'
 import { createEntry, createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
@@ -17,13 +18,13 @@
   let open = false
   const connect = connections.to.bind(connections)
   connections.to = (id, address) => {
-    const dispatcher = connect(id, address)
+    const dispatcher = connect(id, address)._unsafeUnwrap()
     const dispatch: Dispatcher['dispatch'] = (options, handler) => {
       if (open) return dispatcher.dispatch(options, handler)
       waiting.push(() => dispatcher.dispatch(options, handler))
       return true
     }
-    return { dispatch } as Dispatcher
+    return ok({ dispatch } as Dispatcher)
   }
   return () => {
     open = true
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -61,16 +61,16 @@
   /** Serves the request; resolves when its final answer is written or its caller is gone. */
   static serve (context: ServeContext, request: AcceptedRequest, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     const run = new RequestRun(context, request, response)
-    run.#start(incoming)
+    run.#contain(() => run.#start(incoming))
     return run.#finished
   }
 
   #start (incoming: IncomingMessage): void {
     const { clock, budget } = this.context
-    this.response.on('close', () => this.#onCallerGone())
-    this.response.on('drain', () => this.#attempt?.resume())
+    this.response.on('close', () => this.#contain(() => this.#onCallerGone()))
+    this.response.on('drain', () => this.#contain(() => this.#attempt?.resume()))
     if (incoming.socket.destroyed) return this.#onCallerGone()
-    this.#timer = clock.setTimer(this.request.dueMs - clock.monotonicMs(), () => this.#onDue())
+    this.#timer = clock.setTimer(this.request.dueMs - clock.monotonicMs(), () => this.#contain(() => this.#onDue()))
     budget.onRequest(this.request.service.name, clock.monotonicMs())
     const { route, service, facts, dueMs, arrivedMs } = this.request
     this.#log.note('request accepted', {
@@ -95,7 +95,7 @@
     if (chosen?.needsPermit === true) return this.#sendWithPermit(chosen)
     if (chosen !== undefined) return this.#sendTo(chosen)
     if (set.withoutAdapter.length > 0) {
-      this.#bringAdapter(set.withoutAdapter).catch((error: Error) => this.#giveUp(this.#failure(ResultCode.Internal, error.message)))
+      this.#bringAdapter(set.withoutAdapter).catch((error: Error) => this.#onUnexpected(error))
       return
     }
     this.#refuse(set)
@@ -150,7 +150,7 @@
       metrics.passedOver.inc()
       this.#log.note('runner passed over for its limit', { runner: candidate.id, ...this.#limitFields(runner) })
       this.#send()
-    }).catch((error: Error) => this.#giveUp(this.#failure(ResultCode.Internal, error.message)))
+    }).catch((error: Error) => this.#onUnexpected(error))
   }
 
   #sendTo (candidate: Candidate, permit?: Permit): void {
@@ -167,11 +167,12 @@
       weightsVersion: this.#relay.begun ? this.#weightsVersion : undefined
     })
     const dispatcher = context.connections.to(id, address)
+    if (dispatcher.isErr()) return this.#onUnusable(runner, dispatcher.error)
     const observer = ResultObserver.create(request.id, context.codec, this.#relay, {
-      onSending: () => this.#onSending(runner, permit),
-      onHead: (facts) => learnLimit(context, { runner, facts, askedMs: this.#askedMs }),
-      onFirstByte: () => this.#onFirstByte(),
-      onResult: (result) => this.#onResult(runner, result)
+      onSending: () => this.#contain(() => this.#onSending(runner, permit)) ?? false,
+      onHead: (facts) => this.#contain(() => learnLimit(context, { runner, facts, askedMs: this.#askedMs })),
+      onFirstByte: () => this.#contain(() => this.#onFirstByte()),
+      onResult: (result) => this.#contain(() => this.#onResult(runner, result))
     })
     this.#writtenMs = undefined
     this.#log.note('sent to a runner', {
@@ -189,7 +190,15 @@
     runner.inFlight += 1
     runner.health.onSent(request.id)
     const { method, target, body } = request
-    this.#attempt = Attempt.start(dispatcher, { method, target, headers, body }, observer)
+    this.#attempt = Attempt.start(dispatcher.value, { method, target, headers, body }, observer)
+  }
+
+  /** The platform lists an address that nothing can be sent to. */
+  #onUnusable ({ entry }: RunnerState, failure: Failure): void {
+    this.#log.note('runner has an unusable address', { runner: entry.id, address: entry.address, reason: failure.message })
+    this.context.runners.markUnreachable(entry.id, this.context.clock.monotonicMs())
+    this.#excluded.add(entry.id)
+    this.#send()
   }
 
   /** What was known of the runner's limit, for the log. */
@@ -294,7 +303,7 @@
     const lookMs = this.#loadWait.nextLookMs(clock.monotonicMs())
     if (lookMs === undefined) return false
     if (isFirstLook) this.#log.note('waits for a load', { model: facts.model, readyInMs: loads.readyInMs(service.name, facts.model) })
-    this.#lookTimer = clock.setTimer(lookMs, () => this.#send())
+    this.#lookTimer = clock.setTimer(lookMs, () => this.#contain(() => this.#send()))
     return true
   }
 
@@ -334,6 +343,24 @@
     attempt?.cancel()
   }
 
+  /** Runs what timers and connections call for: an unexpected error ends this request and nothing else. */
+  #contain<Value> (step: () => Value): Value | undefined {
+    try {
+      return step()
+    } catch (error) {
+      this.#onUnexpected(error as Error)
+      return undefined
+    }
+  }
+
+  #onUnexpected (error: Error): void {
+    this.context.log.error('request met an unexpected error', { requestId: this.request.id, reason: error.message, stack: error.stack })
+    if (this.#over) return
+    this.#cancelAttempt()
+    if (this.#relay.begun) this.#breakOff(error.message)
+    else this.#giveUp(this.#failure(ResultCode.Internal, error.message))
+  }
+
   #failure (code: ResultCodeInfo, message: string, retryAfterMs?: number): Failure {
     return createFailure(code, message, { ran: this.#mayHaveRun ? Ran.Unknown : code.ran, retryAfterMs })
   }
