Move a stalled stream to another runner; never cut one that may go on

A stream whose runner fell silent, or sent bytes that never became a whole event, kept its caller until the route's timeout or until the caller left. Operators' longest pause between events is read now (it was on the wire and nobody read it); a resumable stream without a whole event for four of them, a second at least, goes on at another runner behind its last event, if one is free, attempts are left and the budget of repeats allows it. Otherwise it stays: silence alone cuts nothing.

--- a/packages/gateway/src/config/types.ts
+++ b/packages/gateway/src/config/types.ts
@@ -32,6 +32,8 @@
   maxAttempts: number
   /** A broken stream may go on at another runner behind its last event. */
   resumable: boolean
+  /** Longest pause between events for which a stream counts as on time. */
+  maxPauseMs: number
 }
 
 /** A model as the weight store offers it. */
--- a/packages/gateway/src/retry/shared-budget.ts
+++ b/packages/gateway/src/retry/shared-budget.ts
@@ -57,12 +57,17 @@
 
   /** Takes one repeat; false if this host's share is used up. */
   take (service: string, hostCount: number, nowMs: number): boolean {
+    if (!this.mayTake(service, hostCount, nowMs)) return false
+    this.#window(service).count(this.#index(nowMs), 'repeats')
+    return true
+  }
+
+  /** Whether a repeat would be granted now. */
+  mayTake (service: string, hostCount: number, nowMs: number): boolean {
     const window = this.#window(service)
     const index = this.#index(nowMs)
     const allowed = USED_SHARE * (this.limits.ratio * window.total(index, 'requests') + this.limits.slack / Math.max(1, hostCount))
-    if (window.total(index, 'repeats') + 1 > allowed) return false
-    window.count(index, 'repeats')
-    return true
+    return window.total(index, 'repeats') + 1 <= allowed
   }
 
   #index (nowMs: number): number {
--- a/packages/gateway/src/serve/answer-relay.ts
+++ b/packages/gateway/src/serve/answer-relay.ts
@@ -31,6 +31,7 @@
   readonly #splitter = EventSplitter.create()
   #head: AnswerHead | undefined
   #begun = false
+  #eventCount = 0
   #lastEventId: number | undefined
 
   private constructor (
@@ -48,6 +49,11 @@
     return this.#begun
   }
 
+  /** Whole events that went to the caller. */
+  get eventCount (): number {
+    return this.#eventCount
+  }
+
   /** Id of the last event that went to the caller. */
   get lastEventId (): number | undefined {
     return this.#lastEventId
@@ -78,6 +84,7 @@
       if (!this.#follows(event.id)) return StreamFault.Gap
       if (event.id !== undefined) this.#lastEventId = event.id
       this.#begin()
+      this.#eventCount += 1
       flows = this.response.write(event.bytes) && flows
     }
     return flows
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -21,6 +21,8 @@
   onHead: (facts: AnswerFacts) => void
   /** The first piece of a stream's body is there. */
   onFirstByte: () => void
+  /** Whole events of a stream have gone on to the caller. */
+  onEvents: () => void
   /** Called once. */
   onResult: (result: AttemptResult) => void
 }
@@ -102,7 +104,9 @@
 
   #onStreamData (chunk: Buffer): boolean {
     this.events.onFirstByte()
+    const before = this.relay.eventCount
     const flows = this.relay.pushStream(chunk)
+    if (this.relay.eventCount > before) this.events.onEvents()
     if (flows !== StreamFault.Gap) return flows === true
     this.#finish(Outcome.Unknown, 'an event is missing or came twice')
     return true
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -1,5 +1,6 @@
 /** One request from its arrival to its final answer: choosing, sending, sending again, and giving up. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { RouteKind } from '../config/types.js'
 import { createFailure, Ran, ResultCode, type Failure, type LogFields, type ResultCodeInfo, type Timer } from '@figloom/runtime'
 import { LoadWait } from './load-wait.js'
 import { findCandidates, type CandidateSet, type Need } from '../choose/candidates.js'
@@ -13,6 +14,7 @@
 import { writeFailure } from './own-answer.js'
 import { affinityKey, promisesNotRun, urgencyOf } from './request-hints.js'
 import { RequestLog } from './request-log.js'
+import { StallWatch } from './stall-watch.js'
 import { learnFromAttempt, learnLimit } from './learn-from-attempt.js'
 import { retryWhenLoaded, retryWhenOpen, retryWhenRoom } from './retry-advice.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
@@ -35,6 +37,7 @@
   #timer: Timer | undefined
   #lookTimer: Timer | undefined
   #loadWait: LoadWait | undefined
+  #stallWatch: StallWatch | undefined
   #weightsVersion: number | undefined
   #mayHaveRun = false
   #over = false
@@ -71,6 +74,7 @@
     this.response.on('drain', () => this.#contain(() => this.#attempt?.resume()))
     if (incoming.socket.destroyed) return this.#onCallerGone()
     this.#timer = clock.setTimer(this.request.dueMs - clock.monotonicMs(), () => this.#contain(() => this.#onDue()))
+    if (this.request.route.kind === RouteKind.Stream && this.request.route.resumable) this.#stallWatch = this.#createStallWatch()
     budget.onRequest(this.request.service.name, clock.monotonicMs())
     const { route, service, facts, dueMs, arrivedMs } = this.request
     this.#log.note('request accepted', {
@@ -172,6 +176,7 @@
       onSending: () => this.#contain(() => this.#onSending(runner, permit)) ?? false,
       onHead: (facts) => this.#contain(() => learnLimit(context, { runner, facts, askedMs: this.#askedMs })),
       onFirstByte: () => this.#contain(() => this.#onFirstByte()),
+      onEvents: () => this.#contain(() => this.#stallWatch?.onProgress()),
       onResult: (result) => this.#contain(() => this.#onResult(runner, result))
     })
     this.#writtenMs = undefined
@@ -248,6 +253,32 @@
     this.#finishFailed(result)
   }
 
+  #createStallWatch (): StallWatch {
+    return StallWatch.create({
+      clock: this.context.clock,
+      maxPauseMs: this.request.route.maxPauseMs,
+      callerIsSlow: () => this.response.writableNeedDrain,
+      onStall: (silentMs) => this.#contain(() => this.#onStall(silentMs))
+    })
+  }
+
+  /** A stalled stream goes on at another runner where one is free; where none is, its runner may still recover. */
+  #onStall (silentMs: number): void {
+    const runner = this.#runner
+    if (runner === undefined || this.#over) return
+    const { runners, budget, host, clock } = this.context
+    const nowMs = clock.monotonicMs()
+    const excluded = new Set([...this.#excluded, runner.entry.id])
+    const { open } = findCandidates(runners, { ...this.#need(), excluded }, nowMs)
+    const mayRepeat = this.#progress.runs + 1 < this.request.route.maxAttempts && !host.isLeaving() &&
+      budget.mayTake(this.request.service.name, host.hostCount(), nowMs)
+    const mayMove = mayRepeat && open.some(({ needsPermit }) => !needsPermit)
+    this.#log.note('stream stalled', { runner: runner.entry.id, silentMs: Math.round(silentMs), lastEventId: this.#relay.lastEventId, open: open.length, mayRepeat, mayMove })
+    if (!mayMove) return
+    this.#attempt?.cancel()
+    this.#onResult(runner, { outcome: Outcome.Unknown, reason: 'the stream stalled' })
+  }
+
   #release (): void {
     if (this.#runner === undefined) return
     this.#runner.inFlight -= 1
@@ -385,6 +416,7 @@
     this.#over = true
     this.#timer?.cancel()
     this.#lookTimer?.cancel()
+    this.#stallWatch?.stop()
     this.#logEnd(result, reason)
     this.#resolveFinished()
   }
--- a/packages/gateway/src/serve/streams.test.ts
+++ b/packages/gateway/src/serve/streams.test.ts
@@ -135,3 +135,79 @@
   await closed
   t.pass('the runner saw its connection close')
 })
+
+/** Gives events 0 and 1, then bytes of an event that never becomes whole. */
+function trickle (exchange: RawExchange): void {
+  writeHead(exchange)
+  writeEvents(exchange, 0, 1)
+  const timer = setInterval(() => writeChunk(exchange, ':'), 100)
+  exchange.socket.on('close', () => clearInterval(timer))
+}
+
+t.test('a stream that stalls while bytes trickle goes on at another runner', async (t) => {
+  const fixture = await createFixture(t)
+  let first = true
+  let closed = false
+  const answer = (exchange: RawExchange) => {
+    if (!first) {
+      writeHead(exchange, 'second')
+      writeEvents(exchange, 2, 4)
+      exchange.socket.write('0\r\n\r\n')
+      return
+    }
+    first = false
+    exchange.socket.on('close', () => { closed = true })
+    trickle(exchange)
+  }
+  await fixture.addRunner('runner-1', answer)
+  await fixture.addRunner('runner-2', answer)
+  const startMs = performance.now()
+  const { text } = await fixture.call({ method: 'POST', path: '/resume/1' })
+  t.same(idsOf(text), [0, 1, 2, 3, 4])
+  t.ok(performance.now() - startMs < 2_000, 'before callers give up')
+  t.ok(closed, 'the stalled runner is told')
+})
+
+t.test('a stalled stream that has no other runner is not cut', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', (exchange) => {
+    writeHead(exchange)
+    writeEvents(exchange, 0, 1)
+    setTimeout(() => {
+      writeEvents(exchange, 2, 4)
+      exchange.socket.write('0\r\n\r\n')
+    }, 1_700)
+  })
+  const { text } = await fixture.call({ method: 'POST', path: '/resume/1' })
+  t.same(idsOf(text), [0, 1, 2, 3, 4])
+})
+
+t.test('a slow stream that goes on is not moved', async (t) => {
+  const fixture = await createFixture(t)
+  const answer = (exchange: RawExchange) => {
+    writeHead(exchange)
+    for (let id = 0; id < 5; id += 1) setTimeout(() => writeEvents(exchange, id, id), 700 * id)
+    setTimeout(() => exchange.socket.write('0\r\n\r\n'), 700 * 5)
+  }
+  const runners = [await fixture.addRunner('runner-1', answer), await fixture.addRunner('runner-2', answer)]
+  const { text } = await fixture.call({ method: 'POST', path: '/resume/1' })
+  t.same(idsOf(text), [0, 1, 2, 3, 4])
+  t.equal(runners.reduce((sum, { requests }) => sum + requests.length, 0), 1)
+})
+
+t.test('a stalled stream stays where the budget of repeats is used up', async (t) => {
+  const fixture = await createFixture(t)
+  fixture.context.budget.setLimits({ ratio: 0, slack: 0, windowMs: 10_000 })
+  const answer = (exchange: RawExchange) => {
+    writeHead(exchange)
+    writeEvents(exchange, 0, 1)
+    setTimeout(() => {
+      writeEvents(exchange, 2, 4)
+      exchange.socket.write('0\r\n\r\n')
+    }, 1_700)
+  }
+  await fixture.addRunner('runner-1', answer)
+  await fixture.addRunner('runner-2', answer)
+  const { text } = await fixture.call({ method: 'POST', path: '/resume/1' })
+  t.same(idsOf(text), [0, 1, 2, 3, 4])
+})
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -42,6 +42,7 @@
     services: [{ service: 'plain', weight: 1 }],
     maxAttempts: 2,
     resumable: false,
+    maxPauseMs: 300,
     ...changes
   }
 }
