--- /dev/null
+++ b/scripts/gateway-soak.mjs
@@ -0,0 +1,29 @@
+#!/usr/bin/env node
+/** Runs real hosts on the users' platform under random troubles and checks their promises. */
+import meow from 'meow'
+import { runSoak } from './gateway-soak/app.mjs'
+
+const cli = meow(`
+  Usage
+    $ node scripts/gateway-soak.mjs [--seed N] [--seeds COUNT] [--seconds N] [--hosts N] [--verbose]
+
+  Prints a line of JSON for each seed; exits with 1 if a promise was broken.
+`, {
+  importMeta: import.meta,
+  flags: {
+    seed: { type: 'number', default: 1 },
+    seeds: { type: 'number', default: 1 },
+    seconds: { type: 'number', default: 20 },
+    hosts: { type: 'number', default: 4 },
+    verbose: { type: 'boolean', default: false }
+  }
+})
+
+const { seed, seeds, seconds, hosts, verbose } = cli.flags
+let brokenCount = 0
+for (let each = seed; each < seed + seeds; each += 1) {
+  const report = await runSoak({ seed: each, seconds, hostCount: hosts, verbose })
+  brokenCount += report.broken.length
+  console.log(JSON.stringify(report))
+}
+process.exitCode = brokenCount === 0 ? 0 : 1
--- /dev/null
+++ b/scripts/gateway-soak/hosts.mjs
@@ -0,0 +1,101 @@
+/** Entry hosts as real processes, each before a store of its own path. */
+import { spawn } from 'node:child_process'
+import { createWriteStream } from 'node:fs'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { SoakProxy } from './proxy.mjs'
+
+const MAIN = fileURLToPath(new URL('../../platform/dist/main.js', import.meta.url))
+/** Ports are the same on all hosts; each has a loopback address of its own. */
+const Port = { Front: 20_001, Ready: 20_002, Directory: 20_003, Control: 20_004, Inner: 20_005 }
+
+export const BOUNDS = { contactMs: 3000, drainTimeoutMs: 2000, graceS: 8, retryBudgetRatio: 0.2, budgetWindowS: 10, retrySlack: 50, leaseTtlMs: 3000, ttl_max_s: 5 }
+
+export class SoakHost {
+  /** Times until which the host counts as disturbed. */
+  disturbedUntilMs = 0
+  /** Spans in which it was disturbed or had yet to settle. */
+  disturbances = []
+  starts = 0
+  unexpectedEnds = 0
+
+  /** @param network first three numbers of the loopback addresses */
+  static async create (network, index, store, folder) {
+    const host = new SoakHost()
+    const proxy = await SoakProxy.create(store.address)
+    Object.assign(host, { name: `host-${index}`, index, ip: `${network}.${index + 1}`, proxy, folder })
+    return host
+  }
+
+  get front () {
+    return `${this.ip}:${Port.Front}`
+  }
+
+  get ready () {
+    return `${this.ip}:${Port.Ready}`
+  }
+
+  get directory () {
+    return `${this.ip}:${Port.Directory}`
+  }
+
+  get inner () {
+    return `${this.ip}:${Port.Inner}`
+  }
+
+  /** @param seeds hosts that may be up */
+  async start (seeds) {
+    this.settingsFile ??= join(this.folder, `${this.name}.json`)
+    await writeFile(this.settingsFile, JSON.stringify(this.#settings(seeds)))
+    this.starts += 1
+    const log = createWriteStream(join(this.folder, `${this.name}-${this.starts}.log`))
+    const child = spawn(process.execPath, [MAIN], { stdio: ['ignore', 'pipe', 'pipe'], env: { FIGLOOM_SETTINGS: this.settingsFile, PATH: process.env.PATH } })
+    child.stdout.pipe(log)
+    child.stderr.pipe(log)
+    this.child = child
+    this.ending = false
+    this.exited = new Promise((resolve) => child.once('exit', resolve))
+    child.once('exit', () => { if (!this.ending) this.unexpectedEnds += 1 })
+  }
+
+  get up () {
+    return this.child?.exitCode === null && this.child.signalCode === null
+  }
+
+  /** Sends a signal that ends the process. */
+  async end (signal) {
+    this.ending = true
+    if (this.up) this.child.kill(signal)
+    await this.exited
+  }
+
+  pause () {
+    this.child.kill('SIGSTOP')
+  }
+
+  goOn () {
+    this.child.kill('SIGCONT')
+  }
+
+  #settings (seeds) {
+    return {
+      nodeName: this.name,
+      ip: this.ip,
+      zone: `zone-${this.index % 3}`,
+      listen: { front: this.front, ready: this.ready, directory: this.directory },
+      internalPorts: [Port.Inner, Port.Inner],
+      seedNodes: seeds.map(({ ip }) => `${ip}:${Port.Control}`),
+      limits: { cpuShare: 1, cpuCores: 1 },
+      bounds: BOUNDS,
+      platform: { address: this.proxy.address }
+    }
+  }
+}
+
+/** A folder for settings and logs; `keep` leaves it behind. */
+export async function createFolder (seed) {
+  const folder = await mkdtemp(join(tmpdir(), `figloom-soak-${seed}-`))
+  return { folder, remove: () => rm(folder, { recursive: true, force: true }) }
+}
