--- a/packages/cli/src/logs/logs.test.ts
+++ b/packages/cli/src/logs/logs.test.ts
@@ -159,3 +159,17 @@
 t.test('a request that no line names', async (t) => {
   t.equal(tellStory([line(0, 'a', 'gateway started')], 'r1'), undefined)
 })
+
+t.test('a refusal for the limit of a runner names the limit and whose word it was', async (t) => {
+  const causes = findCauses(story([
+    line(200, 'b', 'runner names a limit', { runner: 'r', requestsPerS: 1.1 }),
+    ...request(1_000, 'a', [
+      [0, 'request accepted', { model: 'm' }],
+      [0, 'no runner can take the request', { full: 0, closed: 1, listed: 3 }],
+      [0, 'runner closed by its limit', { runner: 'r', limitPerS: 1.1, limitHeardAgoMs: 300, opensInMs: 800 }],
+      [0, 'request not answered', { result: 'overloaded' }]
+    ])
+  ]))
+  t.match(causes[0], /r takes 1\.1 requests a second .* heard 0\.3 s before/)
+  t.match(causes[1], /Runner names a limit: r, 0\.8 s before the end/)
+})
--- a/packages/cli/src/logs/request-cause.ts
+++ b/packages/cli/src/logs/request-cause.ts
@@ -56,10 +56,17 @@
 function overloadCauses (story: RequestStory, own: readonly StoryLine[], end: LogLine): string[] {
   const choice = lastOf(own, 'no runner can take the request')
   const full = choice === undefined ? 0 : numberOf(choice, 'full') ?? 0
+  const closed = own.filter(({ line }) => line.message === 'runner closed by its limit')
+  if (full === 0 && closed.length > 0) return [...closed.map(({ line }) => limitCause(line)), ...runnerEvents(story), ...placementCauses(story)]
   if (full === 0) return [`Turned away without having run: ${textOf(end, 'reason')}.`, ...runnerEvents(story)]
   return [`All ${full} runners that hold what was asked for were full.`, ...placementCauses(story)]
 }
 
+function limitCause (line: LogLine): string {
+  const heardAgoS = ((numberOf(line, 'limitHeardAgoMs') ?? 0) / 1000).toFixed(1)
+  return `${textOf(line, 'runner')} takes ${numberOf(line, 'limitPerS')} requests a second from all hosts by its own word, heard ${heardAgoS} s before; no permit was left.`
+}
+
 /** What was known of the model's copies, and the last order for it. */
 function placementCauses (story: RequestStory): string[] {
   const before = story.lines.filter(({ own, atUnixMs }) => !own && atUnixMs <= story.endUnixMs)
@@ -102,7 +109,7 @@
   return [`Ended as ${result} at ${runner}: ${reason}.`, ...unknown, ...budget, ...runnerEvents(story)]
 }
 
-const RUNNER_EVENTS: readonly string[] = ['runner left the list', 'runner drains', 'runner is gone', 'runner gave no report']
+const RUNNER_EVENTS: readonly string[] = ['runner left the list', 'runner drains', 'runner is gone', 'runner gave no report', 'runner names a limit', 'limit of a runner changed', 'limit of a runner ended']
 
 function runnerEvents (story: RequestStory): string[] {
   const seen = new Set<string>()
--- a/packages/gateway/src/choose/candidates.ts
+++ b/packages/gateway/src/choose/candidates.ts
@@ -19,13 +19,16 @@
   gate: (runner: RunnerProcess) => LimitGate
 }
 
+/** A runner that takes nothing more for now, and when it may again. */
+export type ClosedRunner = { id: string, opensInMs: number }
+
 export type CandidateSet = {
   /** Runners that may take the request. */
   open: Candidate[]
   /** Runners that hold what is needed but are full. */
   fullCount: number
-  /** Time until the first of the runners that are closed by their own limits may open; undefined if none is. */
-  limitOpensInMs?: number
+  /** Runners that are closed by the limits that they name. */
+  closed: ClosedRunner[]
   /** Runners that hold the model, but not the adapter. */
   withoutAdapter: Candidate[]
 }
@@ -49,14 +52,14 @@
 }
 
 function collect (table: RunnerTable, need: Need, nowMs: number, healthyOnly: boolean): CandidateSet {
-  const set: CandidateSet = { open: [], fullCount: 0, withoutAdapter: [] }
+  const set: CandidateSet = { open: [], fullCount: 0, closed: [], withoutAdapter: [] }
   for (const state of table.usable(need.service.name)) {
     if (need.excluded.has(state.entry.id)) continue
     if (healthyOnly && !state.health.accepts(nowMs)) continue
     if (need.model !== undefined && !table.holds(state, need.model, undefined, nowMs)) continue
     const gate = need.gate(state.entry)
     if (gate.state === GateState.Closed) {
-      set.limitOpensInMs = Math.min(set.limitOpensInMs ?? Infinity, gate.opensInMs)
+      set.closed.push({ id: state.entry.id, opensInMs: gate.opensInMs })
       continue
     }
     const candidate = toCandidate(table, state, gate)
--- a/packages/gateway/src/choose/choose.test.ts
+++ b/packages/gateway/src/choose/choose.test.ts
@@ -89,5 +89,5 @@
 t.test('runners that are closed by their limits are no candidates and are told apart from full ones', async (t) => {
   const table = tableOf({ id: 'a', service: 'plain' }, { id: 'b', service: 'plain' })
   const set = findCandidates(table, need({ gate: ({ id }) => ({ state: GateState.Closed, opensInMs: id === 'a' ? 300 : 200 }) }), 0)
-  t.match(set, { open: [], fullCount: 0, limitOpensInMs: 200 })
+  t.match(set, { open: [], fullCount: 0, closed: [{ id: 'a', opensInMs: 300 }, { id: 'b', opensInMs: 200 }] })
 })
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -22,6 +22,8 @@
 /** Part of the time left within which an adapter has to arrive. */
 const ADAPTER_WAIT_SHARE = 0.3
 const MAX_ADAPTER_TRIES = 4
+/** Runners that are named in the log where all are closed by their limits. */
+const MAX_CLOSED_LINES = 3
 /** A sending with less time than this can't be answered. */
 const MIN_ATTEMPT_MS = 5
 
@@ -159,7 +161,7 @@
 
   #sendTo (candidate: Candidate, permit?: Permit): void {
     const runner = this.context.runners.get(candidate.id)
-    if (runner === undefined) return this.#refuse({ open: [], fullCount: 0, withoutAdapter: [] })
+    if (runner === undefined) return this.#refuse({ open: [], fullCount: 0, closed: [], withoutAdapter: [] })
     const { request, context } = this
     const nowMs = context.clock.monotonicMs()
     const { id, address } = runner.entry
@@ -341,14 +343,20 @@
   #refuse (set: CandidateSet): void {
     const mayWait = !this.#relay.begun && !this.#mayHaveRun && set.fullCount === 0
     if (mayWait && this.#waitForLoad()) return
-    this.#log.note('no runner can take the request', { full: set.fullCount, limitOpensInMs: set.limitOpensInMs, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
+    this.#log.note('no runner can take the request', { full: set.fullCount, closed: set.closed.length, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
+    for (const { id, opensInMs } of set.closed.slice(0, MAX_CLOSED_LINES)) this.#noteClosed(id, opensInMs)
     if (this.#relay.begun) return this.#breakOff('no runner to resume the stream')
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastReason}; no other runner is free`))
     if (set.fullCount > 0) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'all runners that could serve the request are full', retryWhenRoom(this.context, this.#timeLeftMs())))
-    if (set.limitOpensInMs !== undefined) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'the runners that could serve the request take no more by the limits that they name', retryWhenOpen(this.context, set.limitOpensInMs, this.#timeLeftMs())))
+    if (set.closed.length > 0) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'the runners that could serve the request take no more by the limits that they name', retryWhenOpen(this.context, set.closed, this.#timeLeftMs())))
     this.#giveUp(this.#failure(ResultCode.NoRunner, 'no live runner can serve the request', retryWhenLoaded(this.context, this.request, this.#timeLeftMs())))
   }
 
+  #noteClosed (id: string, opensInMs: number): void {
+    const runner = this.context.runners.get(id)
+    if (runner !== undefined) this.#log.note('runner closed by its limit', { runner: id, opensInMs: Math.round(opensInMs), ...this.#limitFields(runner) })
+  }
+
   /** The route's timeout or the caller's deadline is reached. */
   #onDue (): void {
     if (this.#over) return
--- a/packages/gateway/src/serve/retry-advice.ts
+++ b/packages/gateway/src/serve/retry-advice.ts
@@ -1,4 +1,5 @@
 /** When a caller whose request could not be served is told to come back. */
+import type { ClosedRunner } from '../choose/candidates.js'
 import { retryAfterFull, retryAfterLimited, retryAfterMissing } from './retry-after.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
 
@@ -7,8 +8,9 @@
   return retryAfterFull({ timeLeftMs, random })
 }
 
-/** All runners that could serve it are closed by the limits that they name; the first may open in `opensInMs`. */
-export function retryWhenOpen ({ random }: ServeContext, opensInMs: number, timeLeftMs: number): number {
+/** All runners that could serve it are closed by the limits that they name: when the first may open. */
+export function retryWhenOpen ({ random }: ServeContext, closed: readonly ClosedRunner[], timeLeftMs: number): number {
+  const opensInMs = Math.min(...closed.map((runner) => runner.opensInMs))
   return retryAfterLimited(opensInMs, { timeLeftMs, random })
 }
 
--- a/packages/gateway/src/serve/serve-request.ts
+++ b/packages/gateway/src/serve/serve-request.ts
@@ -9,6 +9,8 @@
 import type { ServeContext } from './types.js'
 
 const NOT_READY_RETRY_MS = 500
+/** Colon, space and line end of a header. */
+const HEADER_LINE_EXTRA_BYTES = 4
 /** Longest wait of a caller that names none. */
 const DEFAULT_DEADLINE_MS = 60_000
 
@@ -18,6 +20,9 @@
 export async function serveRequest (context: ServeContext, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
   const arrivedMs = context.clock.monotonicMs()
   const facts = context.codec.decodeRequest(incoming.rawHeaders)
+  if (headerBytes(incoming) > (context.config.limits?.maxHeaderBytes ?? Infinity)) {
+    return refuse(context, response, facts, createFailure(ResultCode.HeadersTooLarge, 'the headers exceed the limit'))
+  }
   const destination = findDestination(context, incoming)
   if (destination.isErr()) return refuse(context, response, facts, destination.error)
   const body = await readBody(incoming, context.config.limits?.maxBodyBytes ?? Infinity)
@@ -72,6 +77,12 @@
   if (facts.adapter !== undefined) context.demand.count(service.name, facts.model, facts.adapter, nowMs)
 }
 
+/** Size of the headers as they came, without the request line. */
+function headerBytes ({ rawHeaders }: IncomingMessage): number {
+  const texts = rawHeaders.reduce((sum, text) => sum + text.length, 0)
+  return texts + rawHeaders.length / 2 * HEADER_LINE_EXTRA_BYTES
+}
+
 /** Reads the whole body, so that the request can be sent again; undefined where there is none. */
 async function readBody (incoming: IncomingMessage, maxBytes: number): Promise<Result<Buffer | undefined, Failure>> {
   const hasBody = incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
--- a/packages/gateway/src/serve/unexpected-errors.test.ts
+++ b/packages/gateway/src/serve/unexpected-errors.test.ts
@@ -36,3 +36,12 @@
   t.equal(status, 500)
   t.match(text, /"code":9001/)
 })
+
+t.test('headers beyond the limit of the configuration are refused', async (t) => {
+  const fixture = await GatewayFixture.create([createRoute({})])
+  t.teardown(() => fixture.close())
+  const runner = await fixture.addRunner('live', answer)
+  t.equal((await fixture.call({ headers: [`Long: ${'x'.repeat(17_000)}`] })).status, 431)
+  t.equal((await fixture.call({ headers: [`Long: ${'x'.repeat(15_000)}`] })).status, 200)
+  t.equal(runner.requests.length > 0, true)
+})
