--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -1,11 +1,12 @@
 /** One request from its arrival to its final answer: choosing, sending, sending again, and giving up. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { RouteKind } from '../config/types.js'
-import { createFailure, Ran, ResultCode, type Failure, type LogFields, type ResultCodeInfo, type Timer } from '@figloom/runtime'
+import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
 import { LoadWait } from './load-wait.js'
-import { findCandidates, type CandidateSet, type Need } from '../choose/candidates.js'
+import { findCandidates, type CandidateSet } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
+import { RouteKind } from '../config/types.js'
 import { Attempt } from '../forward/attempt.js'
+import { limitFields } from '../limits/limit-fields.js'
 import type { Permit } from '../limits/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
 import { AnswerRelay } from './answer-relay.js'
@@ -13,10 +14,13 @@
 import { decideNext, NextStep, Outcome, wasNotSent, type Progress } from './outcome.js'
 import { writeFailure } from './own-answer.js'
 import { affinityKey, promisesNotRun, urgencyOf } from './request-hints.js'
+import { ANSWERED, reportEnd } from './request-end.js'
 import { RequestLog } from './request-log.js'
 import { StallWatch } from './stall-watch.js'
 import { learnFromAttempt, learnLimit } from './learn-from-attempt.js'
-import { retryWhenLoaded, retryWhenOpen, retryWhenRoom } from './retry-advice.js'
+import { createNeed, moveOutlook } from './request-need.js'
+import { refusalOf } from './refusal.js'
+import { retryWhenLoaded, retryWhenRoom } from './retry-advice.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
 
 /** Part of the time left within which an adapter has to arrive. */
@@ -96,7 +100,7 @@
     if (this.#over) return
     const nowMs = this.context.clock.monotonicMs()
     if (this.request.dueMs - nowMs < MIN_ATTEMPT_MS) return this.#onDue()
-    const set = findCandidates(this.context.runners, this.#need(), nowMs)
+    const set = findCandidates(this.context.runners, createNeed(this.context, this.request, this.#excluded), nowMs)
     const chosen = this.#choose(set.open, affinityKey(this.request.facts))
     if (chosen?.needsPermit === true) return this.#sendWithPermit(chosen)
     if (chosen !== undefined) return this.#sendTo(chosen)
@@ -107,19 +111,6 @@
     this.#refuse(set)
   }
 
-  #need (): Need {
-    const { facts, service } = this.request
-    return {
-      service,
-      model: service.engine === undefined ? undefined : facts.model,
-      adapter: facts.adapter,
-      excluded: this.#excluded,
-      hostCount: this.context.host.hostCount(),
-      targetLatencyMs: this.request.route.targetLatencyMs,
-      gate: (runner) => this.context.limits.gate(runner)
-    }
-  }
-
   #choose (candidates: readonly Candidate[], affinity: string): Candidate | undefined {
     const { host, random } = this.context
     return chooseRunner({
@@ -154,7 +145,7 @@
       if (this.#over) return
       if (permit !== undefined) return this.#sendTo(candidate, permit)
       metrics.passedOver.inc()
-      this.#log.note('runner passed over for its limit', { runner: candidate.id, ...this.#limitFields(runner) })
+      this.#log.note('runner passed over for its limit', { runner: candidate.id, ...limitFields(this.context.limits, runner.entry) })
       this.#send()
     }).catch((error: Error) => this.#onUnexpected(error))
   }
@@ -188,7 +179,7 @@
       inFlight: candidate.inFlight,
       slots: candidate.slots,
       listAgeMs: Math.round(context.host.runnersAgeMs()),
-      ...this.#limitFields(runner),
+      ...limitFields(this.context.limits, runner.entry),
       resumedAfter: this.#relay.lastEventId
     })
     this.#sendings += 1
@@ -208,12 +199,6 @@
     this.#send()
   }
 
-  /** What was known of the runner's limit, for the log. */
-  #limitFields ({ entry }: RunnerState): LogFields {
-    const limit = this.context.limits.limitOf(entry)
-    return limit === undefined ? {} : { limitPerS: limit.requestsPerS, limitFrom: limit.origin, limitHeardAgoMs: Math.round(limit.heardAgoMs) }
-  }
-
   /** A runner may have begun to drain, or named a limit, while the request waited for a connection. */
   #onSending (runner: RunnerState, permit: Permit | undefined): boolean {
     const { clock, instants, limits, metrics, runners } = this.context
@@ -268,15 +253,9 @@
   #onStall (silentMs: number): void {
     const runner = this.#runner
     if (runner === undefined || this.#over) return
-    const { runners, budget, host, clock } = this.context
-    const nowMs = clock.monotonicMs()
-    const excluded = new Set([...this.#excluded, runner.entry.id])
-    const { open } = findCandidates(runners, { ...this.#need(), excluded }, nowMs)
-    const mayRepeat = this.#progress.runs + 1 < this.request.route.maxAttempts && !host.isLeaving() &&
-      budget.mayTake(this.request.service.name, host.hostCount(), nowMs)
-    const mayMove = mayRepeat && open.some(({ needsPermit }) => !needsPermit)
-    this.#log.note('stream stalled', { runner: runner.entry.id, silentMs: Math.round(silentMs), lastEventId: this.#relay.lastEventId, open: open.length, mayRepeat, mayMove })
-    if (!mayMove) return
+    const outlook = moveOutlook(this.context, this.request, new Set([...this.#excluded, runner.entry.id]), this.#progress)
+    this.#log.note('stream stalled', { runner: runner.entry.id, silentMs: Math.round(silentMs), lastEventId: this.#relay.lastEventId, ...outlook })
+    if (!outlook.mayMove) return
     this.#attempt?.cancel()
     this.#onResult(runner, { outcome: Outcome.Unknown, reason: 'the stream stalled' })
   }
@@ -313,7 +292,7 @@
       this.#onFirstByte()
       this.#relay.sendWhole(result.whole.head, result.whole.body)
     }
-    this.#end('answered', result.reason)
+    this.#end(ANSWERED, result.reason)
   }
 
   #finishFailed (result: AttemptResult): void {
@@ -347,14 +326,13 @@
     for (const { id, opensInMs } of set.closed.slice(0, MAX_CLOSED_LINES)) this.#noteClosed(id, opensInMs)
     if (this.#relay.begun) return this.#breakOff('no runner to resume the stream')
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastReason}; no other runner is free`))
-    if (set.fullCount > 0) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'all runners that could serve the request are full', retryWhenRoom(this.context, this.#timeLeftMs())))
-    if (set.closed.length > 0) return this.#giveUp(this.#failure(ResultCode.Overloaded, 'the runners that could serve the request take no more by the limits that they name', retryWhenOpen(this.context, set.closed, this.#timeLeftMs())))
-    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no live runner can serve the request', retryWhenLoaded(this.context, this.request, this.#timeLeftMs())))
+    const { code, message, retryAfterMs } = refusalOf(this.context, this.request, set, this.#timeLeftMs())
+    this.#giveUp(this.#failure(code, message, retryAfterMs))
   }
 
   #noteClosed (id: string, opensInMs: number): void {
     const runner = this.context.runners.get(id)
-    if (runner !== undefined) this.#log.note('runner closed by its limit', { runner: id, opensInMs: Math.round(opensInMs), ...this.#limitFields(runner) })
+    if (runner !== undefined) this.#log.note('runner closed by its limit', { runner: id, opensInMs: Math.round(opensInMs), ...limitFields(this.context.limits, runner.entry) })
   }
 
   /** The route's timeout or the caller's deadline is reached. */
@@ -425,26 +403,7 @@
     this.#timer?.cancel()
     this.#lookTimer?.cancel()
     this.#stallWatch?.stop()
-    this.#logEnd(result, reason)
+    reportEnd(this.context, this.request, this.#log, { result, reason, sendings: this.#sendings, runs: this.#progress.runs, firstByteMs: this.#firstByteMs })
     this.#resolveFinished()
   }
-
-  #logEnd (result: string, reason: string): void {
-    const { request, context } = this
-    const totalMs = context.clock.monotonicMs() - request.arrivedMs
-    context.metrics.requests.inc({ route: request.route.name, result })
-    context.metrics.totalSeconds.observe({ route: request.route.name }, totalMs / 1000)
-    const fields = {
-      route: request.route.name,
-      result,
-      reason,
-      sendings: this.#sendings,
-      runs: this.#progress.runs,
-      totalMs: Math.round(totalMs),
-      firstByteMs: this.#firstByteMs === undefined ? undefined : Math.round(this.#firstByteMs - request.arrivedMs)
-    }
-    const answered = result === 'answered'
-    this.#log.note(answered ? 'request answered' : 'request not answered', fields)
-    this.#log.end(!answered)
-  }
 }
