--- a/packages/gateway/src/serve/streams.test.ts
+++ b/packages/gateway/src/serve/streams.test.ts
@@ -144,6 +144,16 @@
   exchange.socket.on('close', () => clearInterval(timer))
 }
 
+/** Stalls for longer than the watch allows, then gives the rest. */
+function recoverLate (exchange: RawExchange): void {
+  writeHead(exchange)
+  writeEvents(exchange, 0, 1)
+  setTimeout(() => {
+    writeEvents(exchange, 2, 4)
+    exchange.socket.write('0\r\n\r\n')
+  }, 1_700)
+}
+
 t.test('a stream that stalls while bytes trickle goes on at another runner', async (t) => {
   const fixture = await createFixture(t)
   let first = true
@@ -170,14 +180,7 @@
 
 t.test('a stalled stream that has no other runner is not cut', async (t) => {
   const fixture = await createFixture(t)
-  await fixture.addRunner('runner-1', (exchange) => {
-    writeHead(exchange)
-    writeEvents(exchange, 0, 1)
-    setTimeout(() => {
-      writeEvents(exchange, 2, 4)
-      exchange.socket.write('0\r\n\r\n')
-    }, 1_700)
-  })
+  await fixture.addRunner('runner-1', recoverLate)
   const { text } = await fixture.call({ method: 'POST', path: '/resume/1' })
   t.same(idsOf(text), [0, 1, 2, 3, 4])
 })
@@ -198,16 +201,8 @@
 t.test('a stalled stream stays where the budget of repeats is used up', async (t) => {
   const fixture = await createFixture(t)
   fixture.context.budget.setLimits({ ratio: 0, slack: 0, windowMs: 10_000 })
-  const answer = (exchange: RawExchange) => {
-    writeHead(exchange)
-    writeEvents(exchange, 0, 1)
-    setTimeout(() => {
-      writeEvents(exchange, 2, 4)
-      exchange.socket.write('0\r\n\r\n')
-    }, 1_700)
-  }
-  await fixture.addRunner('runner-1', answer)
-  await fixture.addRunner('runner-2', answer)
+  await fixture.addRunner('runner-1', recoverLate)
+  await fixture.addRunner('runner-2', recoverLate)
   const { text } = await fixture.call({ method: 'POST', path: '/resume/1' })
   t.same(idsOf(text), [0, 1, 2, 3, 4])
 })
