--- a/packages/cli/src/logs/logs.test.ts
+++ b/packages/cli/src/logs/logs.test.ts
@@ -166,7 +166,7 @@
     ...request(1_000, 'a', [
       [0, 'request accepted', { model: 'm' }],
       [0, 'no runner can take the request', { full: 0, closed: 1, listed: 3 }],
-      [0, 'runner closed by its limit', { runner: 'r', limitPerS: 1.1, limitHeardAgoMs: 300, opensInMs: 800 }],
+      [0, 'runner is closed', { runner: 'r', by: 'limit', limitPerS: 1.1, limitHeardAgoMs: 300, opensInMs: 800 }],
       [0, 'request not answered', { result: 'overloaded' }]
     ])
   ]))
--- a/packages/cli/src/logs/request-cause.ts
+++ b/packages/cli/src/logs/request-cause.ts
@@ -56,12 +56,18 @@
 function overloadCauses (story: RequestStory, own: readonly StoryLine[], end: LogLine): string[] {
   const choice = lastOf(own, 'no runner can take the request')
   const full = choice === undefined ? 0 : numberOf(choice, 'full') ?? 0
-  const closed = own.filter(({ line }) => line.message === 'runner closed by its limit')
-  if (full === 0 && closed.length > 0) return [...closed.map(({ line }) => limitCause(line)), ...runnerEvents(story), ...placementCauses(story)]
+  const closed = own.filter(({ line }) => line.message === 'runner is closed')
+  if (full === 0 && closed.length > 0) return [...closed.map(({ line }) => closedCause(line)), ...runnerEvents(story), ...placementCauses(story)]
   if (full === 0) return [`Turned away without having run: ${textOf(end, 'reason')}.`, ...runnerEvents(story)]
   return [`All ${full} runners that hold what was asked for were full.`, ...placementCauses(story)]
 }
 
+function closedCause (line: LogLine): string {
+  if (textOf(line, 'by') === 'limit') return limitCause(line)
+  const opensInS = ((numberOf(line, 'opensInMs') ?? 0) / 1000).toFixed(1)
+  return `${textOf(line, 'runner')} had refused a request of this host and wanted nothing more for another ${opensInS} s.`
+}
+
 function limitCause (line: LogLine): string {
   const heardAgoS = ((numberOf(line, 'limitHeardAgoMs') ?? 0) / 1000).toFixed(1)
   return `${textOf(line, 'runner')} takes ${numberOf(line, 'limitPerS')} requests a second from all hosts by its own word, heard ${heardAgoS} s before; no permit was left.`
@@ -109,7 +115,7 @@
   return [`Ended as ${result} at ${runner}: ${reason}.`, ...unknown, ...budget, ...runnerEvents(story)]
 }
 
-const RUNNER_EVENTS: readonly string[] = ['runner left the list', 'runner drains', 'runner is gone', 'runner gave no report', 'runner names a limit', 'limit of a runner changed', 'limit of a runner ended']
+const RUNNER_EVENTS: readonly string[] = ['runner left the list', 'runner drains', 'runner is gone', 'runner gave no report', 'runner says that it leaves', 'runner asks for a pause', 'runner names a limit', 'limit of a runner changed', 'limit of a runner ended']
 
 function runnerEvents (story: RequestStory): string[] {
   const seen = new Set<string>()
--- a/packages/gateway/src/choose/candidates.ts
+++ b/packages/gateway/src/choose/candidates.ts
@@ -1,6 +1,6 @@
 /** Which runners may take a request now, and why the others may not. */
 import type { Service } from '../config/types.js'
-import { GateState, type LimitGate, type RunnerProcess } from '../limits/types.js'
+import { ClosedBy, GateState, type LocatedRunner, type RunnerGate } from '../closures/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
 import type { Candidate } from './choose-runner.js'
 
@@ -15,19 +15,19 @@
   hostCount: number
   /** Time to the first byte that the caller was promised. */
   targetLatencyMs: number
-  /** Whether a runner's own limit lets requests through. */
-  gate: (runner: RunnerProcess) => LimitGate
+  /** Whether a runner is closed by what it said itself. */
+  gate: (runner: LocatedRunner) => RunnerGate
 }
 
 /** A runner that takes nothing more for now, and when it may again. */
-export type ClosedRunner = { id: string, opensInMs: number }
+export type ClosedRunner = { id: string, by: ClosedBy, opensInMs: number }
 
 export type CandidateSet = {
   /** Runners that may take the request. */
   open: Candidate[]
   /** Runners that hold what is needed but are full. */
   fullCount: number
-  /** Runners that are closed by the limits that they name. */
+  /** Runners that hold what is needed and are closed by what they said, but open again. */
   closed: ClosedRunner[]
   /** Runners that hold the model, but not the adapter. */
   withoutAdapter: Candidate[]
@@ -54,14 +54,14 @@
 function collect (table: RunnerTable, need: Need, nowMs: number, healthyOnly: boolean): CandidateSet {
   const set: CandidateSet = { open: [], fullCount: 0, closed: [], withoutAdapter: [] }
   for (const state of table.usable(need.service.name)) {
-    if (need.excluded.has(state.entry.id)) continue
-    if (healthyOnly && !state.health.accepts(nowMs)) continue
     if (need.model !== undefined && !table.holds(state, need.model, undefined, nowMs)) continue
     const gate = need.gate(state.entry)
     if (gate.state === GateState.Closed) {
-      set.closed.push({ id: state.entry.id, opensInMs: gate.opensInMs })
+      set.closed.push({ id: state.entry.id, by: gate.by, opensInMs: gate.opensInMs })
       continue
     }
+    if (need.excluded.has(state.entry.id)) continue
+    if (healthyOnly && !state.health.accepts(nowMs)) continue
     const candidate = toCandidate(table, state, gate)
     if (isFull(candidate, state, need)) {
       set.fullCount += 1
@@ -75,7 +75,7 @@
   return set
 }
 
-function toCandidate (table: RunnerTable, state: RunnerState, gate: LimitGate): Candidate {
+function toCandidate (table: RunnerTable, state: RunnerState, gate: RunnerGate): Candidate {
   const { entry } = state
   return {
     id: entry.id,
--- a/packages/gateway/src/choose/choose.test.ts
+++ b/packages/gateway/src/choose/choose.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap'
 import type { Service } from '../config/types.js'
 import { RunnerTable } from '../runners/runner-table.js'
-import { GateState } from '../limits/types.js'
+import { ClosedBy, GateState } from '../closures/types.js'
 import { createEntry } from '../testing/gateway-fixture.js'
 import { findCandidates, type Need } from './candidates.js'
 import { chooseRunner, type Candidate } from './choose-runner.js'
@@ -88,6 +88,6 @@
 
 t.test('runners that are closed by their limits are no candidates and are told apart from full ones', async (t) => {
   const table = tableOf({ id: 'a', service: 'plain' }, { id: 'b', service: 'plain' })
-  const set = findCandidates(table, need({ gate: ({ id }) => ({ state: GateState.Closed, opensInMs: id === 'a' ? 300 : 200 }) }), 0)
+  const set = findCandidates(table, need({ gate: ({ id }) => ({ state: GateState.Closed, by: ClosedBy.Limit, opensInMs: id === 'a' ? 300 : 200 }) }), 0)
   t.match(set, { open: [], fullCount: 0, closed: [{ id: 'a', opensInMs: 300 }, { id: 'b', opensInMs: 200 }] })
 })
--- /dev/null
+++ b/packages/gateway/src/closures/closures.test.ts
@@ -0,0 +1,171 @@
+import t from 'tap'
+import { ManualClock, Registry, silentLogger } from '@figloom/runtime'
+import { PauseWord, type AnswerPause } from '../forward/types.js'
+import { InstantSource } from '../lease/instant.js'
+import { HostNetwork, type NetworkHost } from '../testing/host-network.js'
+import { createClosureMetrics } from './closure-metrics.js'
+import { LeavingRunners } from './leaving-runners.js'
+import { RunnerClosures } from './runner-closures.js'
+import { MAX_PAUSE_MS } from './runner-pauses.js'
+import { ClosedBy, GateState, type LocatedRunner } from './types.js'
+
+const RUNNER: LocatedRunner = { id: 'runner', address: '10.0.0.1:80', startedUnixMs: 5 }
+const PAUSE_MS = 2_000
+
+function createHost (clock = ManualClock.create()) {
+  const network = HostNetwork.create()
+  const [{ limits }] = network.startMany(1) as [NetworkHost]
+  const closures = RunnerClosures.create({
+    clock,
+    instants: InstantSource.create(clock),
+    log: silentLogger,
+    metrics: createClosureMetrics(new Registry()),
+    host: 'host-1',
+    limits,
+    leaving: LeavingRunners.create()
+  })
+  const say = (pause: AnswerPause, requestId = 'first') => closures.onAnswer({ runner: RUNNER, requestId, words: { leaving: false, pause } })
+  const askPause = (pauseMs = PAUSE_MS, requestId?: string) => say({ word: PauseWord.Named, pauseMs }, requestId)
+  const leave = () => closures.onAnswer({ runner: RUNNER, requestId: 'first', words: { leaving: true, pause: { word: PauseWord.None } } })
+  const state = (runner = RUNNER) => closures.gate(runner).state
+  return { clock, closures, say, askPause, leave, state }
+}
+
+t.test('a runner is closed for as long as it asks, and says when it opens', async (t) => {
+  const { clock, closures, askPause, state } = createHost()
+  askPause()
+  t.same(closures.gate(RUNNER), { state: GateState.Closed, by: ClosedBy.Pause, opensInMs: PAUSE_MS })
+  await clock.advance(PAUSE_MS - 1)
+  t.equal(state(), GateState.Closed)
+  t.notOk(closures.mayWrite(RUNNER, 'second'))
+  await clock.advance(1)
+  t.equal(state(), GateState.Open)
+})
+
+t.test('a shorter pause does not end a longer one', async (t) => {
+  const { clock, askPause, state } = createHost()
+  askPause()
+  askPause(100)
+  await clock.advance(500)
+  t.equal(state(), GateState.Closed)
+})
+
+t.test('a pause is bounded', async (t) => {
+  const { closures, askPause } = createHost()
+  askPause(Infinity)
+  t.match(closures.gate(RUNNER), { opensInMs: MAX_PAUSE_MS })
+})
+
+t.test('a pause that can not be read closes a runner for a moment', async (t) => {
+  const { clock, say, state } = createHost()
+  say({ word: PauseWord.Unreadable, text: 'later' })
+  t.equal(state(), GateState.Closed)
+  await clock.advance(1_500)
+  t.equal(state(), GateState.Open)
+})
+
+t.test('neither steps of the time of day nor suspensions cut a pause short', async (t) => {
+  const { clock, askPause, state } = createHost()
+  askPause()
+  clock.stepTimeOfDay(60_000)
+  await clock.advance(PAUSE_MS - 1)
+  t.equal(state(), GateState.Closed)
+})
+
+t.test('behind a pause one request tries, the rest waits for its answer', async (t) => {
+  const { clock, closures, askPause, say, state } = createHost()
+  askPause()
+  await clock.advance(PAUSE_MS)
+  closures.onChosen(RUNNER, 'second')
+  t.equal(state(), GateState.Closed)
+  t.ok(closures.mayWrite(RUNNER, 'second'))
+  t.notOk(closures.mayWrite(RUNNER, 'third'))
+  say({ word: PauseWord.None }, 'second')
+  t.equal(state(), GateState.Open)
+  t.ok(closures.mayWrite(RUNNER, 'third'))
+})
+
+t.test('a request that is refused as it tries closes the runner again', async (t) => {
+  const { clock, closures, askPause, state } = createHost()
+  askPause()
+  await clock.advance(PAUSE_MS)
+  closures.onChosen(RUNNER, 'second')
+  askPause(PAUSE_MS, 'second')
+  await clock.advance(PAUSE_MS - 1)
+  t.equal(state(), GateState.Closed)
+})
+
+t.test('where the request that tries ends without an answer, another one may try', async (t) => {
+  const { clock, closures, askPause, state } = createHost()
+  askPause()
+  await clock.advance(PAUSE_MS)
+  closures.onChosen(RUNNER, 'second')
+  closures.onEnded(RUNNER, 'second')
+  t.equal(state(), GateState.Open)
+  closures.onChosen(RUNNER, 'third')
+  t.equal(state(), GateState.Closed)
+})
+
+t.test('a silent runner does not keep the rest waiting for long', async (t) => {
+  const { clock, closures, askPause, state } = createHost()
+  askPause()
+  await clock.advance(PAUSE_MS)
+  closures.onChosen(RUNNER, 'second')
+  await clock.advance(600)
+  t.equal(state(), GateState.Open)
+})
+
+t.test('an answer from before the pause does not end it', async (t) => {
+  const { askPause, say, state } = createHost()
+  askPause()
+  say({ word: PauseWord.None }, 'earlier')
+  t.equal(state(), GateState.Closed)
+})
+
+t.test('a new process at the address has asked for nothing and stays', async (t) => {
+  const { askPause, leave, state } = createHost()
+  askPause()
+  leave()
+  t.equal(state({ ...RUNNER, startedUnixMs: 6 }), GateState.Open)
+  t.equal(state({ ...RUNNER, id: 'renamed' }), GateState.Closed)
+  t.equal(state({ ...RUNNER, address: '10.0.0.1:81' }), GateState.Open)
+})
+
+t.test('a word on an older process does not replace that on the present one', async (t) => {
+  const { closures, leave, state } = createHost()
+  leave()
+  closures.hear([{ runnerId: 'runner', address: RUNNER.address, startedUnixMs: 4, origin: 'host-2', heardAgoMs: 0 }], 0)
+  t.equal(state(), GateState.Closed)
+})
+
+t.test('other hosts are told of a runner that leaves, and keep to it', async (t) => {
+  const first = createHost()
+  const second = createHost()
+  first.leave()
+  await first.clock.advance(200)
+  const reports = first.closures.leavingReports()
+  t.match(reports, [{ runnerId: 'runner', origin: 'host-1', heardAgoMs: 200 }])
+  second.closures.hear(reports, 50)
+  t.match(second.closures.gate(RUNNER), { state: GateState.Closed, by: ClosedBy.Leaving, opensInMs: Infinity })
+  t.notOk(second.closures.mayWrite(RUNNER, 'second'))
+  t.match(second.closures.leavingReports(), [{ origin: 'host-1', heardAgoMs: 250 }])
+})
+
+t.test('hosts stop telling each other of a runner that left long ago, and still keep to it', async (t) => {
+  const { clock, closures, leave, state } = createHost()
+  leave()
+  await clock.advance(60_000)
+  closures.sweep()
+  t.same(closures.leavingReports(), [])
+  t.equal(state(), GateState.Closed)
+})
+
+t.test('runners that leave or pause take no orders', async (t) => {
+  const { clock, closures, askPause, leave } = createHost()
+  askPause()
+  t.notOk(closures.takesOrders(RUNNER))
+  await clock.advance(PAUSE_MS)
+  t.ok(closures.takesOrders(RUNNER))
+  leave()
+  t.notOk(closures.takesOrders(RUNNER))
+})
--- a/packages/gateway/src/forward/types.ts
+++ b/packages/gateway/src/forward/types.ts
@@ -45,6 +45,19 @@
   { word: typeof LimitWord.Named, requestsPerS: number } |
   { word: typeof LimitWord.Unreadable, text: string }
 
+/** What an answer says of a time in which its runner wants nothing from this host. */
+export const PauseWord = {
+  None: 'none',
+  Named: 'named',
+  /** It names something that is no duration. */
+  Unreadable: 'unreadable'
+} as const
+
+export type AnswerPause =
+  { word: typeof PauseWord.None } |
+  { word: typeof PauseWord.Named, pauseMs: number } |
+  { word: typeof PauseWord.Unreadable, text: string }
+
 /** What the head of a runner's answer says. */
 export type AnswerFacts = {
   status: number
@@ -62,6 +75,9 @@
   isEventStream: boolean
   weightsVersion?: number
   limit: AnswerLimit
+  /** The runner says that it leaves. */
+  leaving: boolean
+  pause: AnswerPause
   /** The runner closes the connection behind this answer. */
   closes: boolean
 }
--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -81,7 +81,7 @@
   const address = { host: 'reporting', availabilityZone: 'z', callerAddress: '127.0.0.1:1', peerAddress: '127.0.0.1:2', capacityCores: 1 }
   const sender = { address, incarnation: 'i', ready: true, leaving: false, relay: false, holdsLease: false, hearsay: false }
   const lease = { heldBySender: false, fencingToken: 0 }
-  const report = { sender, number: 1, configVersion: 0, runnerUses: new Map(), demand: [], expectedLoads: [], lease, sentAt: new Date(), speaksForAll: false, limitReports: [] }
+  const report = { sender, number: 1, configVersion: 0, runnerUses: new Map(), demand: [], expectedLoads: [], lease, sentAt: new Date(), speaksForAll: false, limitReports: [], leavingReports: [] }
   const answer = await ConnectPeerCalls.create().exchange(peers, report, 1_000)
   return answer.runners?.records.map(({ id }) => id) ?? []
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,9 @@
 /** A gateway host: its listeners and tasks, and its life from start to stop. */
 import { randomUUID } from 'node:crypto'
 import { createRegistry, type Clock, type Logger, type Registry, type Timer } from '@figloom/runtime'
+import { createClosureMetrics } from './closures/closure-metrics.js'
+import { LeavingRunners } from './closures/leaving-runners.js'
+import { RunnerClosures } from './closures/runner-closures.js'
 import { ConfigPassing } from './config/config-passing.js'
 import { ConfigState } from './config/config-state.js'
 import type { GatewayConfig } from './config/types.js'
@@ -58,10 +61,12 @@
 export class Gateway {
   readonly #registry: Registry
   readonly #config = ConfigState.create()
-  readonly #runners = RunnerTable.create()
+  readonly #leavingRunners = LeavingRunners.create()
+  readonly #runners = RunnerTable.create(this.#leavingRunners)
   readonly #instants: InstantSource
   readonly #knowledge: RunnerKnowledge
   readonly #limits: LimitControl
+  readonly #closures: RunnerClosures
   readonly #connections = RunnerConnections.create()
   readonly #demand = DemandMeter.create()
   readonly #peers = ConnectPeerCalls.create()
@@ -113,6 +118,15 @@
       isLeaving: () => this.#leaving,
       random: parts.random
     })
+    this.#closures = RunnerClosures.create({
+      clock,
+      instants: this.#instants,
+      log,
+      metrics: createClosureMetrics(this.#registry),
+      host: settings.self.host,
+      limits: this.#limits,
+      leaving: this.#leavingRunners
+    })
     this.#sight = HostSight.create(clock, this.#members, this.#pace)
     this.#shared = SharedView.create(this.#pace.relayTrustMs)
     this.#reports = ReportWriter.create({
@@ -137,7 +151,8 @@
       orderToken: () => this.#lease.orderToken(),
       onOrder: () => this.#lease.onOrder(),
       demand: () => this.#allDemand(),
-      limitPerS: (runner) => this.#limits.limitOf(runner)?.requestsPerS
+      limitPerS: (runner) => this.#limits.limitOf(runner)?.requestsPerS,
+      takesOrders: (runner) => this.#closures.takesOrders(runner)
     })
     this.#context = this.#createContext()
     this.#front = HttpServer.create(createCallerHandler(async (request, response) => {
@@ -172,6 +187,7 @@
       hearsOfRunners: () => !this.#exchanger.relay && this.#knowledge.ageMs() < this.#knowledge.youngMs,
       runnersPosition: () => this.#knowledge.position
     })
+    platform.orders.onWords((runner, words) => this.#closures.onAnswer({ runner, requestId: '', words }))
     await this.#sideListeners.open()
     await this.#front.listen(settings.callerListener)
     this.#exchanger.start()
@@ -293,6 +309,7 @@
       config: this.#config,
       runners: this.#runners,
       limits: this.#limits,
+      closures: this.#closures,
       connections: this.#connections,
       budget: SharedBudget.create(settings.budget),
       demand: this.#demand,
@@ -327,7 +344,9 @@
     this.#configPassing.onVersion(report.configVersion, report.sender.address.peerAddress)
     this.#takeRunners(report, writtenAgoMs)
     // A call of another host is given up by it after the timeout.
-    this.#limits.hear(report.limitReports, Math.min(writtenAgoMs, this.#pace.timeoutMs))
+    const transitMs = Math.min(writtenAgoMs, this.#pace.timeoutMs)
+    this.#limits.hear(report.limitReports, transitMs)
+    this.#closures.hear(report.leavingReports, transitMs)
   }
 
   /** Takes over what a relay passes on of runners. */
@@ -355,7 +374,8 @@
       demand: this.#demand.rates(this.#nowMs()),
       lease: { heldBySender: lease.held, fencingToken: lease.fencingToken, lastOrderAgoMs: lease.lastOrderAgoMs },
       expectedLoads: this.#expectedLoads(),
-      limitReports: this.#limits.reports()
+      limitReports: this.#limits.reports(),
+      leavingReports: this.#closures.leavingReports()
     }
   }
 
@@ -367,6 +387,7 @@
     this.#shared.sweep(this.#nowMs())
     this.#knowledge.sweep()
     this.#limits.sweep()
+    this.#closures.sweep()
     this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** Entry host in front of runners that a platform lists: routes, lookup, membership and model orders. */
 export * from './types.js'
 export * from './gateway.js'
+export * from './closures/types.js'
 export * from './config/types.js'
 export * from './runners/types.js'
 export * from './forward/types.js'
--- a/packages/gateway/src/limits/limit-control.ts
+++ b/packages/gateway/src/limits/limit-control.ts
@@ -3,6 +3,7 @@
  * part in sharing a limit out. A request needs a permit from the moment at which its runner's limit is known here.
  */
 import type { Clock, Logger } from '@figloom/runtime'
+import { ClosedBy, GateState, type RunnerGate } from '../closures/types.js'
 import { pickByWeight } from '../choose/rendezvous.js'
 import type { AnswerLimit } from '../forward/types.js'
 import type { InstantSource } from '../lease/instant.js'
@@ -12,7 +13,7 @@
 import { PermitQueue } from './permit-queue.js'
 import { RunnerLimits } from './runner-limits.js'
 import { SendingWindow } from './sending-window.js'
-import { GateState, type LimitGate, type LimitReport, type Permit, type PermitReply, type PermitRequest, type RunnerLimit, type RunnerProcess } from './types.js'
+import type { LimitReport, Permit, PermitReply, PermitRequest, RunnerLimit, RunnerProcess } from './types.js'
 
 /** A permit that takes longer than this is of no use to a request for a plain service. */
 const ASK_TIMEOUT_MS = 200
@@ -75,10 +76,11 @@
     return this.#limits.inForce()
   }
 
-  gate (runner: RunnerProcess): LimitGate {
+  /** Whether the runner's limit lets a request through; where it is closed, permits are not worth asking for yet. */
+  gate (runner: RunnerProcess): RunnerGate {
     if (this.#limits.limitOf(runner) === undefined) return { state: GateState.Open }
     const opensInMs = this.#queues.get(runner.id)?.opensInMs ?? 0
-    return opensInMs > 0 ? { state: GateState.Closed, opensInMs } : { state: GateState.NeedsPermit }
+    return opensInMs > 0 ? { state: GateState.Closed, by: ClosedBy.Limit, opensInMs } : { state: GateState.NeedsPermit }
   }
 
   /** Asks for leave to send one request; undefined where there is none now. */
--- a/packages/gateway/src/limits/permits.test.ts
+++ b/packages/gateway/src/limits/permits.test.ts
@@ -1,9 +1,10 @@
 import t from 'tap'
+import { GateState } from '../closures/types.js'
 import { LimitWord } from '../forward/types.js'
 import { HostNetwork, type NetworkHost } from '../testing/host-network.js'
 import { bucketDepth } from './rate-bucket.js'
 import { PermitDesk } from './permit-desk.js'
-import { GateState, type PermitRequest } from './types.js'
+import type { PermitRequest } from './types.js'
 
 const RUNNER = { id: 'runner', startedUnixMs: 1 }
 const LIMIT_PER_S = 10
--- a/packages/gateway/src/limits/types.ts
+++ b/packages/gateway/src/limits/types.ts
@@ -52,14 +52,5 @@
   limitReports: LimitReport[]
 }
 
-/** Whether a request may go to a runner. */
-export const GateState = { Open: 'open', NeedsPermit: 'needs-permit', Closed: 'closed' } as const
-
-export type LimitGate =
-  { state: typeof GateState.Open } |
-  { state: typeof GateState.NeedsPermit } |
-  /** Permits are not worth asking for until `opensInMs` have passed. */
-  { state: typeof GateState.Closed, opensInMs: number }
-
 /** Requests of this span are counted together where a limit is shared out. */
 export const LIMIT_WINDOW_MS = 4_000
--- a/packages/gateway/src/members/limit-messages.ts
+++ b/packages/gateway/src/members/limit-messages.ts
@@ -39,10 +39,10 @@
   return { granted, retryAfterMs, limitReports: limitReports.map(toLimitReport) }
 }
 
-function toUnixMessage (unixMs: number | undefined): bigint | undefined {
+export function toUnixMessage (unixMs: number | undefined): bigint | undefined {
   return unixMs === undefined ? undefined : BigInt(unixMs)
 }
 
-function toUnix (unixMs: bigint | undefined): number | undefined {
+export function toUnix (unixMs: bigint | undefined): number | undefined {
   return unixMs === undefined ? undefined : Number(unixMs)
 }
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -17,7 +17,8 @@
     lease: { heldBySender: false, fencingToken: 0 },
     sentAt: new Date(0),
     speaksForAll: false,
-    limitReports: []
+    limitReports: [],
+    leavingReports: []
   }
 }
 
--- a/packages/gateway/src/members/report-messages.test.ts
+++ b/packages/gateway/src/members/report-messages.test.ts
@@ -45,6 +45,10 @@
   limitReports: [
     { runnerId: 'runner-1', startedUnixMs: 1_700_000_000_000, origin: 'life', number: 3, requestsPerS: 1.1, askedAgoMs: 40.5, heardAgoMs: 20 },
     { runnerId: 'runner-2', startedUnixMs: undefined, origin: 'life', number: 4, requestsPerS: undefined, askedAgoMs: 4, heardAgoMs: 2 }
+  ],
+  leavingReports: [
+    { runnerId: 'runner-1', address: '10.0.0.1:80', startedUnixMs: 1_700_000_000_000, origin: 'host-1', heardAgoMs: 20.5 },
+    { runnerId: 'runner-2', address: '10.0.0.2:80', startedUnixMs: undefined, origin: 'host-2', heardAgoMs: 0 }
   ]
 }
 
@@ -55,8 +59,8 @@
 })
 
 t.test('what a report leaves out stays absent', async (t) => {
-  const { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll, limitReports } = full
-  const least = { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll, limitReports }
+  const { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll, limitReports, leavingReports } = full
+  const least = { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll, limitReports, leavingReports }
   const came = overTheWire(least)
   for (const absent of [came.hosts, came.hostsSeen, came.runners, came.runnersPosition, came.configReadAgoMs]) t.equal(absent, undefined)
 })
--- a/packages/gateway/src/members/report-messages.ts
+++ b/packages/gateway/src/members/report-messages.ts
@@ -5,6 +5,7 @@
   type ListVersion as ListVersionMessage, type RunnerNews as RunnerNewsMessage, type TargetDemand
 } from '@figloom/protocol'
 import type { RunnerEntry, RunnerNews } from '../runners/types.js'
+import { toLeavingMessage, toLeavingReport } from './leaving-messages.js'
 import { toLimitMessage, toLimitReport } from './limit-messages.js'
 import type { ListUpdate, ListVersion } from './change-list.js'
 import type { DemandRate, HostAddress, HostReport, HostSummary } from './types.js'
@@ -25,7 +26,8 @@
     hostsSeen: toVersionMessage(report.hostsSeen),
     runners: report.runners && toNewsMessage(report.runners),
     runnersPosition: toPositionMessage(report.runnersPosition),
-    limitReports: report.limitReports.map(toLimitMessage)
+    limitReports: report.limitReports.map(toLimitMessage),
+    leavingReports: report.leavingReports.map(toLeavingMessage)
   }
   return create(GatewayReportSchema, init)
 }
@@ -51,7 +53,8 @@
     hostsSeen: toVersion(message.hostsSeen),
     runners: runners && toNews(runners),
     runnersPosition: toPosition(message.runnersPosition),
-    limitReports: message.limitReports.map(toLimitReport)
+    limitReports: message.limitReports.map(toLimitReport),
+    leavingReports: message.leavingReports.map(toLeavingReport)
   }
 }
 
--- a/packages/gateway/src/members/report-writer.ts
+++ b/packages/gateway/src/members/report-writer.ts
@@ -1,5 +1,6 @@
 /** Writes what a host tells another one, by what that one needs to know. */
 import type { Clock } from '@figloom/runtime'
+import type { LeavingReport } from '../closures/types.js'
 import type { LimitReport } from '../limits/types.js'
 import type { RunnerNews } from '../runners/types.js'
 import type { ChangeList } from './change-list.js'
@@ -23,6 +24,8 @@
   expectedLoads: ExpectedLoad[]
   /** What is known of runners' limits. */
   limitReports: LimitReport[]
+  /** Runners that said of late that they leave. */
+  leavingReports: LeavingReport[]
 }
 
 export type ReportWriterParts = {
@@ -73,6 +76,7 @@
       lease: state.lease,
       sentAt: clock.now(),
       limitReports: state.limitReports,
+      leavingReports: state.leavingReports,
       hostsSeen: peer === undefined ? undefined : members.hostsSeen(peer.address.host)
     }
     if (!state.relay) return { ...report, runnersPosition: this.parts.runnersPosition(), ...this.#shareOfHost(state, peer) }
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -1,5 +1,6 @@
 /** Hosts of the gateway as they know each other, by direct contact or by a relay's word. Times are monotonic milliseconds. */
 
+import type { LeavingReport } from '../closures/types.js'
 import type { LimitReport, PermitReply, PermitRequest } from '../limits/types.js'
 import type { RunnerNews } from '../runners/types.js'
 import type { ListUpdate, ListVersion } from './change-list.js'
@@ -81,6 +82,8 @@
   runnersPosition?: number
   /** What the sender knows of runners' limits, by whomever. */
   limitReports: LimitReport[]
+  /** Runners that said of late that they leave. */
+  leavingReports: LeavingReport[]
 }
 
 /** Hands reports to other hosts and takes theirs. */
--- a/packages/gateway/src/orders/order-desk.test.ts
+++ b/packages/gateway/src/orders/order-desk.test.ts
@@ -25,6 +25,7 @@
   readonly desk: OrderDesk
   demand: DemandRate[] = []
   token: number | undefined = 1
+  takesOrders = true
 
   private constructor (held: string[][], fate: () => Fate) {
     this.runners = held.map((models, index) => FakeRunner.create(`r${index}`, engine, this.clock, models))
@@ -45,7 +46,8 @@
       orderToken: () => this.token,
       onOrder: () => {},
       demand: () => this.demand,
-      limitPerS: () => undefined
+      limitPerS: () => undefined,
+      takesOrders: () => this.takesOrders
     })
     this.#list()
     this.desk.start()
@@ -70,6 +72,19 @@
   }
 }
 
+t.test('a runner that wants a pause is given no order until its end', async (t) => {
+  const desk = Desk.create([['a', 'b']])
+  desk.ask('e', 5)
+  desk.takesOrders = false
+  await desk.clock.advance(6_000)
+  t.notOk(desk.isResident('e'))
+  t.same(await desk.desk.ensureAdapter({ runnerId: 'r0', model: 'a', adapter: 'x' }), { accepted: false, readyInMs: 0 })
+  t.equal(desk.runners[0]?.orders.length, 0)
+  desk.takesOrders = true
+  await desk.clock.advance(10_000)
+  t.ok(desk.isResident('e'))
+})
+
 t.test('a model that is asked for becomes resident', async (t) => {
   const desk = Desk.create([['a', 'b'], ['a', 'c']])
   desk.ask('d', 1)
--- a/packages/gateway/src/orders/order-desk.ts
+++ b/packages/gateway/src/orders/order-desk.ts
@@ -2,6 +2,7 @@
 import type { Clock, Logger, Timer } from '@figloom/runtime'
 import type { ConfigState } from '../config/config-state.js'
 import type { EngineSpec, Service } from '../config/types.js'
+import type { LocatedRunner } from '../closures/types.js'
 import type { RunnerProcess } from '../limits/types.js'
 import type { AdapterReply, AdapterRequest, DemandRate, ExpectedLoad } from '../members/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
@@ -41,6 +42,8 @@
   demand: () => DemandRate[]
   /** Requests a second that a runner takes by the limit that it names; undefined where it names none. */
   limitPerS: (runner: RunnerProcess) => number | undefined
+  /** Whether a runner may be asked or ordered now, by what it said itself. */
+  takesOrders: (runner: LocatedRunner) => boolean
 }
 
 type RunnerDesk = {
@@ -100,6 +103,7 @@
     const state = this.parts.runners.get(request.runnerId)
     const engine = state === undefined ? undefined : this.#engineOf(state)
     if (state === undefined || engine === undefined || this.parts.orderToken() === undefined) return refused
+    if (!this.parts.takesOrders(state.entry)) return refused
     const desk = this.#desk(state)
     // While a model is loaded or unloaded a runner takes no other order.
     if (desk.book.pending !== undefined) return refused
@@ -173,7 +177,7 @@
         id: state.entry.id,
         models: book.models,
         adapters: book.adapters.map(({ model, adapter }) => `${model}/${adapter}`),
-        busy: book.pending !== undefined || waiting > 0,
+        busy: book.pending !== undefined || waiting > 0 || !this.parts.takesOrders(state.entry),
         usedMb: book.usedMb(engine)
       }
     })
@@ -195,7 +199,7 @@
       id: state.entry.id,
       models: book.models,
       loading: pending?.kind === OrderKind.Load ? pending.model : undefined,
-      busy: pending !== undefined || waiting > 0,
+      busy: pending !== undefined || waiting > 0 || !this.parts.takesOrders(state.entry),
       usedMb: book.usedMb(engine),
       localWeights: state.entry.localWeights,
       copyShare: limitPerS === undefined ? 1 : copyShareOf(engine, limitPerS, holdMs)
@@ -208,7 +212,7 @@
     desk.book.applyEntry(state.entry)
     const nowMs = this.parts.clock.monotonicMs()
     const uncertain = desk.book.acceptedOrders === undefined || this.#isOverdue(desk.book, engine, nowMs)
-    if (!uncertain || desk.reporting || nowMs - desk.reportedMs < REPORT_PAUSE_MS) return
+    if (!uncertain || !this.parts.takesOrders(state.entry) || desk.reporting || nowMs - desk.reportedMs < REPORT_PAUSE_MS) return
     this.#readReport(state, desk).catch((error: Error) => {
       this.parts.log.warn('runner gave no report', { runner: state.entry.id, reason: error.message })
     })
@@ -252,6 +256,7 @@
       desk.book.touchAdapter(model, adapter, nowMs)
       return { accepted: true, readyInMs: Math.max(0, Math.ceil(known.residentFromMs - nowMs)) }
     }
+    if (!this.parts.takesOrders(state.entry)) return { accepted: false, readyInMs: 0 }
     if (desk.book.acceptedOrders === undefined) await this.#readReport(state, desk)
     if (!desk.book.models.includes(model)) return { accepted: false, readyInMs: 0 }
     if (!await this.#makeAdapterRoom(state, engine, desk, model)) return { accepted: false, readyInMs: 0 }
@@ -274,7 +279,7 @@
   async #send (state: RunnerState, desk: RunnerDesk, target: OrderTarget, adapterLoadMs: number): Promise<OrderAnswer> {
     const fencingToken = this.parts.orderToken()
     const expectedOrders = desk.book.acceptedOrders
-    if (fencingToken === undefined || expectedOrders === undefined) return OrderAnswer.Conflict
+    if (fencingToken === undefined || expectedOrders === undefined || !this.parts.takesOrders(state.entry)) return OrderAnswer.Conflict
     const { kind, model, adapter } = target
     this.parts.onOrder()
     const answer = await this.parts.orders.send(state.entry, { kind, model, adapter, expectedOrders, holder: this.parts.host, fencingToken })
--- a/packages/gateway/src/orders/types.ts
+++ b/packages/gateway/src/orders/types.ts
@@ -1,4 +1,5 @@
 /** Orders to runners: what to hold in memory. */
+import type { LocatedRunner, RunnerWords } from '../closures/types.js'
 import type { RunnerEntry, RunnerReport } from '../runners/types.js'
 
 export const OrderKind = { Load: 'load', Unload: 'unload' } as const
@@ -29,9 +30,13 @@
 } as const
 export type OrderAnswer = (typeof OrderAnswer)[keyof typeof OrderAnswer]
 
+export type WordsListener = (runner: LocatedRunner, words: RunnerWords) => void
+
 /** Speaks to runners about what they hold. */
 export abstract class RunnerOrders {
   /** Rejects if the runner can't be asked. */
   abstract report (runner: RunnerEntry): Promise<RunnerReport>
   abstract send (runner: RunnerEntry, order: RunnerOrder): Promise<OrderAnswer>
+  /** Names who is told what answers to reports and orders say of their runners. */
+  abstract onWords (listener: WordsListener): void
 }
--- a/packages/gateway/src/runners/runner-table.test.ts
+++ b/packages/gateway/src/runners/runner-table.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import { LeavingRunners } from '../closures/leaving-runners.js'
 import { createEntry } from '../testing/gateway-fixture.js'
 import { RunnerTable } from './runner-table.js'
 
@@ -74,3 +75,13 @@
   t.equal(table.get('a')?.health.accepts(1_100), false)
   t.ok((table.get('a')?.unreachableUntilMs ?? 0) > 1_100)
 })
+
+t.test('a runner that said that it leaves is no runner to plan with', async (t) => {
+  const leaving = LeavingRunners.create()
+  const table = RunnerTable.create(leaving)
+  const entry = createEntry({ id: 'runner-1' })
+  table.upsert(entry)
+  t.equal(table.usable('plain').length, 1)
+  leaving.hear(entry, { origin: 'host', heardMs: 0 })
+  t.equal(table.usable('plain').length, 0)
+})
--- a/packages/gateway/src/runners/runner-table.ts
+++ b/packages/gateway/src/runners/runner-table.ts
@@ -3,6 +3,7 @@
  * Pure state; times are monotonic milliseconds.
  */
 import { RunnerHealth } from '@figloom/routing'
+import { LeavingRunners } from '../closures/leaving-runners.js'
 import type { ResidentModel, RunnerEntry } from './types.js'
 
 /** A model or adapter that a runner denied holding is not asked for again in this time, whatever its entry says. */
@@ -36,10 +37,11 @@
   readonly #runners = new Map<string, RunnerState>()
   #othersUses: ReadonlyMap<string, number> = new Map()
 
-  private constructor () {}
+  private constructor (private readonly leaving: LeavingRunners) {}
 
-  static create (): RunnerTable {
-    return new RunnerTable()
+  /** @param leaving runners that said that they leave, whatever their entries say */
+  static create (leaving = LeavingRunners.create()): RunnerTable {
+    return new RunnerTable(leaving)
   }
 
   /** Takes over an entry of the list. */
@@ -85,12 +87,16 @@
 
   /** Runners of a service that take new work. */
   usable (service: string): RunnerState[] {
-    return this.all().filter((state) => state.entry.service === service && !state.entry.draining)
+    return this.all().filter((state) => state.entry.service === service && this.#takesWork(state))
   }
 
   /** Whether a runner that was chosen may still be sent work. */
   mayUse (state: RunnerState): boolean {
-    return !state.entry.draining && this.#runners.get(state.entry.id) === state
+    return this.#takesWork(state) && this.#runners.get(state.entry.id) === state
+  }
+
+  #takesWork ({ entry }: RunnerState): boolean {
+    return !entry.draining && !this.leaving.isLeaving(entry)
   }
 
   /** Requests at a runner from all hosts, as far as this host knows. */
--- a/packages/gateway/src/serve/late-drain.test.ts
+++ b/packages/gateway/src/serve/late-drain.test.ts
@@ -1,37 +1,12 @@
-import { ok } from 'neverthrow'
-import type { Dispatcher } from 'undici'
 import t, { type Test } from 'tap'
 import { createEntry, createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
+import { holdConnections, until } from '../testing/held-connections.js'
 import type { RawExchange } from '../testing/raw-runner.js'
 
 function answer ({ requestId, socket }: RawExchange): void {
   socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: s\r\nContent-Length: 2\r\n\r\nok`)
 }
 
-async function until (isTrue: () => boolean): Promise<void> {
-  while (!isTrue()) await new Promise((resolve) => setTimeout(resolve, 5))
-}
-
-/** Keeps requests for connections until they are let go. */
-function holdConnections ({ context: { connections } }: GatewayFixture): () => void {
-  const waiting: (() => void)[] = []
-  let open = false
-  const connect = connections.to.bind(connections)
-  connections.to = (id, address) => {
-    const dispatcher = connect(id, address)._unsafeUnwrap()
-    const dispatch: Dispatcher['dispatch'] = (options, handler) => {
-      if (open) return dispatcher.dispatch(options, handler)
-      waiting.push(() => dispatcher.dispatch(options, handler))
-      return true
-    }
-    return ok({ dispatch } as Dispatcher)
-  }
-  return () => {
-    open = true
-    for (const send of waiting) send()
-  }
-}
-
 /** A request that was chosen for the runner `leaving` and waits for a connection. */
 async function startWaiting (t: Test) {
   const fixture = await GatewayFixture.create([createRoute({})])
--- a/packages/gateway/src/serve/learn-from-attempt.ts
+++ b/packages/gateway/src/serve/learn-from-attempt.ts
@@ -25,15 +25,25 @@
 }
 
 export type AnswerHeard = {
+  requestId: string
   runner: RunnerState
   facts: AnswerFacts
   /** When its request was written, on the clock that counts suspensions. */
   askedMs: number
 }
 
+/** Takes over what the head of an answer says of its runner, whatever comes of the answer. */
+export function learnFromHead (context: ServeContext, heard: AnswerHeard): void {
+  const { requestId, runner: { entry }, facts } = heard
+  const isOfAnother = facts.misdirected && facts.runnerId !== entry.id
+  if (isOfAnother) return
+  context.closures.onAnswer({ runner: entry, requestId, words: facts })
+  if (!facts.misdirected) learnLimit(context, heard)
+}
+
 /** Any answer to a request may name its runner's limit; that there is none says only an answer that the runner vouches for. */
-export function learnLimit ({ runners, limits }: ServeContext, { runner, facts, askedMs }: AnswerHeard): void {
-  if (facts.misdirected || runners.get(runner.entry.id) !== runner) return
+function learnLimit ({ runners, limits }: ServeContext, { runner, facts, askedMs }: AnswerHeard): void {
+  if (runners.get(runner.entry.id) !== runner) return
   if (facts.limit.word === LimitWord.None && !facts.signed) return
   limits.onAnswer(runner.entry, facts.limit, askedMs)
 }
--- /dev/null
+++ b/packages/gateway/src/serve/pauses.test.ts
@@ -0,0 +1,94 @@
+import { connect } from 'node:net'
+import t, { type Test } from 'tap'
+import { createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
+import { holdConnections, until } from '../testing/held-connections.js'
+import type { RawExchange } from '../testing/raw-runner.js'
+
+const PAUSE_MS = 400
+
+function refuse ({ requestId, socket }: RawExchange, seconds = PAUSE_MS / 1_000): void {
+  socket.write(`HTTP/1.1 503 Full\r\nRequest-Id: ${requestId}\r\nNot-Run: 1\r\nRetry-After: ${seconds}\r\nContent-Length: 0\r\n\r\n`)
+}
+
+function answer ({ requestId, socket }: RawExchange): void {
+  socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: s\r\nContent-Length: 2\r\n\r\nok`)
+}
+
+async function createFixture (t: Test): Promise<GatewayFixture> {
+  const fixture = await GatewayFixture.create([createRoute({})])
+  t.teardown(() => fixture.close())
+  return fixture
+}
+
+function sleep (durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs))
+}
+
+t.test('a runner that asks for a pause gets nothing until its end', async (t) => {
+  const fixture = await createFixture(t)
+  const runner = await fixture.addRunner('runner-1', (exchange) => exchange.number === 1 ? refuse(exchange) : answer(exchange))
+  const first = await fixture.call({})
+  t.equal(first.status, 503)
+  const statuses = await Promise.all(['2', '3', '4'].map(async (id) => (await fixture.call({ id })).status))
+  t.same(statuses, [503, 503, 503])
+  t.equal(runner.requests.length, 1)
+  await sleep(PAUSE_MS)
+  t.equal((await fixture.call({ id: '5' })).status, 200)
+})
+
+t.test('callers of a runner that pauses are told when it opens', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', refuse)
+  await fixture.call({})
+  const { headers } = await fixture.call({ id: '2' })
+  const seconds = Number(/Retry-After: (\S+)/i.exec(headers)?.[1])
+  t.ok(seconds > 0.1 && seconds < 1.5, `${seconds} s`)
+})
+
+t.test('one request tries a runner at the end of its pause, before the rest', async (t) => {
+  const fixture = await createFixture(t)
+  const waiting: RawExchange[] = []
+  const runner = await fixture.addRunner('runner-1', (exchange) => exchange.number === 1 ? refuse(exchange) : waiting.push(exchange))
+  await fixture.call({})
+  await sleep(PAUSE_MS + 20)
+  const calls = ['2', '3', '4', '5'].map((id) => fixture.call({ id }))
+  await until(() => waiting.length > 0)
+  await sleep(100)
+  t.equal(runner.requests.length, 2)
+  for (const exchange of waiting) answer(exchange)
+  const statuses = (await Promise.all(calls)).map(({ status }) => status)
+  t.same(statuses.sort(), [200, 503, 503, 503])
+  const after = fixture.call({ id: '6' })
+  await until(() => waiting.length > 1)
+  answer(waiting[1] as RawExchange)
+  t.equal((await after).status, 200)
+})
+
+t.test('requests that waited for a connection are not written to a runner that pauses by then', async (t) => {
+  const fixture = await createFixture(t)
+  const runner = await fixture.addRunner('runner-1', (exchange) => refuse(exchange, 5))
+  const letGo = holdConnections(fixture)
+  const calls = ['1', '2', '3', '4'].map((id) => fixture.call({ id }))
+  await until(() => fixture.context.runners.get('runner-1')?.inFlight === 4)
+  const entry = fixture.context.runners.get('runner-1')?.entry
+  if (entry !== undefined) fixture.context.closures.onAnswer({ runner: entry, requestId: 'before', words: { leaving: false, pause: { word: 'named', pauseMs: 5_000 } } })
+  letGo()
+  t.same((await Promise.all(calls)).map(({ status }) => status), [503, 503, 503, 503])
+  t.equal(runner.requests.length, 0)
+})
+
+t.test('where the caller of the request that tries leaves, the next one tries', async (t) => {
+  const fixture = await createFixture(t)
+  const runner = await fixture.addRunner('runner-1', (exchange) => {
+    if (exchange.number === 1) refuse(exchange)
+    if (exchange.number === 3) answer(exchange)
+  })
+  await fixture.call({})
+  await sleep(PAUSE_MS + 20)
+  const caller = connect(fixture.port, '127.0.0.1')
+  caller.write('GET / HTTP/1.1\r\nHost: test\r\nRequest-Id: 2\r\n\r\n')
+  await until(() => runner.requests.length === 2)
+  caller.destroy()
+  await until(() => fixture.context.runners.get('runner-1')?.inFlight === 0)
+  t.equal((await fixture.call({ id: '3' })).status, 200)
+})
--- a/packages/gateway/src/serve/refusal.ts
+++ b/packages/gateway/src/serve/refusal.ts
@@ -11,7 +11,7 @@
     return { code: ResultCode.Overloaded, message: 'all runners that could serve the request are full', retryAfterMs: retryWhenRoom(context, timeLeftMs) }
   }
   if (set.closed.length > 0) {
-    const message = 'the runners that could serve the request take no more by the limits that they name'
+    const message = 'the runners that could serve the request take no more for now'
     return { code: ResultCode.Overloaded, message, retryAfterMs: retryWhenOpen(context, set.closed, timeLeftMs) }
   }
   return { code: ResultCode.NoRunner, message: 'no live runner can serve the request', retryAfterMs: retryWhenLoaded(context, request, timeLeftMs) }
--- a/packages/gateway/src/serve/request-need.ts
+++ b/packages/gateway/src/serve/request-need.ts
@@ -12,7 +12,7 @@
     excluded,
     hostCount: context.host.hostCount(),
     targetLatencyMs: route.targetLatencyMs,
-    gate: (runner) => context.limits.gate(runner)
+    gate: (runner) => context.closures.gate(runner)
   }
 }
 
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
 import { LoadWait } from './load-wait.js'
-import { findCandidates, type CandidateSet } from '../choose/candidates.js'
+import { findCandidates, type CandidateSet, type ClosedRunner } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { RouteKind } from '../config/types.js'
 import { Attempt } from '../forward/attempt.js'
@@ -17,7 +17,7 @@
 import { ANSWERED, reportEnd } from './request-end.js'
 import { RequestLog } from './request-log.js'
 import { StallWatch } from './stall-watch.js'
-import { learnFromAttempt, learnLimit } from './learn-from-attempt.js'
+import { learnFromAttempt, learnFromHead } from './learn-from-attempt.js'
 import { createNeed, moveOutlook } from './request-need.js'
 import { refusalOf } from './refusal.js'
 import { retryWhenLoaded, retryWhenRoom } from './retry-advice.js'
@@ -26,7 +26,7 @@
 /** Part of the time left within which an adapter has to arrive. */
 const ADAPTER_WAIT_SHARE = 0.3
 const MAX_ADAPTER_TRIES = 4
-/** Runners that are named in the log where all are closed by their limits. */
+/** Runners that are named in the log where all are closed. */
 const MAX_CLOSED_LINES = 3
 /** A sending with less time than this can't be answered. */
 const MIN_ATTEMPT_MS = 5
@@ -167,7 +167,7 @@
     if (dispatcher.isErr()) return this.#onUnusable(runner, dispatcher.error)
     const observer = ResultObserver.create(request.id, context.codec, this.#relay, {
       onSending: () => this.#contain(() => this.#onSending(runner, permit)) ?? false,
-      onHead: (facts) => this.#contain(() => learnLimit(context, { runner, facts, askedMs: this.#askedMs })),
+      onHead: (facts) => this.#contain(() => learnFromHead(context, { requestId: request.id, runner, facts, askedMs: this.#askedMs })),
       onFirstByte: () => this.#contain(() => this.#onFirstByte()),
       onEvents: () => this.#contain(() => this.#stallWatch?.onProgress()),
       onResult: (result) => this.#contain(() => this.#onResult(runner, result))
@@ -187,6 +187,7 @@
     this.#runner = runner
     runner.inFlight += 1
     runner.health.onSent(request.id)
+    context.closures.onChosen(runner.entry, request.id)
     const { method, target, body } = request
     this.#attempt = Attempt.start(dispatcher.value, { method, target, headers, body }, observer)
   }
@@ -199,12 +200,13 @@
     this.#send()
   }
 
-  /** A runner may have begun to drain, or named a limit, while the request waited for a connection. */
+  /** A runner may have begun to drain, or been closed by what it said, while the request waited for a connection. */
   #onSending (runner: RunnerState, permit: Permit | undefined): boolean {
-    const { clock, instants, limits, metrics, runners } = this.context
+    const { clock, closures, instants, limits, metrics, runners } = this.context
     this.#writtenMs = clock.monotonicMs()
     this.#askedMs = instants.nowMs()
     if (!runners.mayUse(runner)) return false
+    if (!closures.mayWrite(runner.entry, this.request.id)) return false
     if (!limits.onSending(runner.entry, permit)) return false
     if (permit !== undefined) metrics.limitedSendings.inc()
     return true
@@ -262,6 +264,7 @@
 
   #release (): void {
     if (this.#runner === undefined) return
+    this.context.closures.onEnded(this.#runner.entry, this.request.id)
     this.#runner.inFlight -= 1
     this.#runner = undefined
   }
@@ -323,16 +326,16 @@
     const mayWait = !this.#relay.begun && !this.#mayHaveRun && set.fullCount === 0
     if (mayWait && this.#waitForLoad()) return
     this.#log.note('no runner can take the request', { full: set.fullCount, closed: set.closed.length, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
-    for (const { id, opensInMs } of set.closed.slice(0, MAX_CLOSED_LINES)) this.#noteClosed(id, opensInMs)
+    for (const closed of set.closed.slice(0, MAX_CLOSED_LINES)) this.#noteClosed(closed)
     if (this.#relay.begun) return this.#breakOff('no runner to resume the stream')
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastReason}; no other runner is free`))
     const { code, message, retryAfterMs } = refusalOf(this.context, this.request, set, this.#timeLeftMs())
     this.#giveUp(this.#failure(code, message, retryAfterMs))
   }
 
-  #noteClosed (id: string, opensInMs: number): void {
+  #noteClosed ({ id, by, opensInMs }: ClosedRunner): void {
     const runner = this.context.runners.get(id)
-    if (runner !== undefined) this.#log.note('runner closed by its limit', { runner: id, opensInMs: Math.round(opensInMs), ...limitFields(this.context.limits, runner.entry) })
+    if (runner !== undefined) this.#log.note('runner is closed', { runner: id, by, opensInMs: Math.round(opensInMs), ...limitFields(this.context.limits, runner.entry) })
   }
 
   /** The route's timeout or the caller's deadline is reached. */
--- a/packages/gateway/src/serve/retry-advice.ts
+++ b/packages/gateway/src/serve/retry-advice.ts
@@ -8,7 +8,7 @@
   return retryAfterFull({ timeLeftMs, random })
 }
 
-/** All runners that could serve it are closed by the limits that they name: when the first may open. */
+/** All runners that could serve it are closed by what they said: when the first may open. */
 export function retryWhenOpen ({ random }: ServeContext, closed: readonly ClosedRunner[], timeLeftMs: number): number {
   const opensInMs = Math.min(...closed.map((runner) => runner.opensInMs))
   return retryAfterLimited(opensInMs, { timeLeftMs, random })
--- a/packages/gateway/src/serve/retry-after.ts
+++ b/packages/gateway/src/serve/retry-after.ts
@@ -25,7 +25,7 @@
   return bounded(FULL_MIN_MS + random() * (FULL_MAX_MS - FULL_MIN_MS), timeLeftMs)
 }
 
-/** Callers of runners that are closed by the limits that they name; the first may open in `opensInMs`. */
+/** Callers of runners that are closed by what they said; the first may open in `opensInMs`. */
 export function retryAfterLimited (opensInMs: number, { timeLeftMs, random }: RetryAfterInput): number {
   return bounded(opensInMs + random() * SPREAD_MS, timeLeftMs)
 }
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -1,5 +1,6 @@
 /** What serving a request needs of the rest of the gateway. */
 import type { Clock, Logger } from '@figloom/runtime'
+import type { RunnerClosures } from '../closures/runner-closures.js'
 import type { ConfigState } from '../config/config-state.js'
 import type { Route, Service } from '../config/types.js'
 import type { RunnerConnections } from '../forward/runner-connections.js'
@@ -62,6 +63,7 @@
   config: ConfigState
   runners: RunnerTable
   limits: LimitControl
+  closures: RunnerClosures
   connections: RunnerConnections
   budget: SharedBudget
   demand: DemandMeter
--- a/packages/gateway/src/testing/fake-runner.ts
+++ b/packages/gateway/src/testing/fake-runner.ts
@@ -104,6 +104,8 @@
     return new FakeRunnerOrders(new Map(runners.map((runner) => [runner.id, runner])), clock, fate)
   }
 
+  override onWords (): void {}
+
   override async report (runner: RunnerEntry): Promise<RunnerReport> {
     const known = this.runners.get(runner.id)
     if (known === undefined) throw new Error('no such runner')
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -2,6 +2,9 @@
 import { createServer, type Server } from 'node:http'
 import { connect, type AddressInfo } from 'node:net'
 import { Registry, silentLogger, SystemClock, type Clock } from '@figloom/runtime'
+import { createClosureMetrics } from '../closures/closure-metrics.js'
+import { LeavingRunners } from '../closures/leaving-runners.js'
+import { RunnerClosures } from '../closures/runner-closures.js'
 import { ConfigState } from '../config/config-state.js'
 import { RouteKind, type Route, type Service } from '../config/types.js'
 import { InstantSource } from '../lease/instant.js'
@@ -100,6 +103,8 @@
       services: new Map([[service.name, service]]),
       limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
     })
+    const limits = createLimits(clock, instants)
+    const leaving = LeavingRunners.create()
     const fixture = new GatewayFixture({
       clock,
       instants,
@@ -107,8 +112,9 @@
       metrics: createRequestMetrics(new Registry()),
       codec: TestCodec.create(),
       config,
-      runners: RunnerTable.create(),
-      limits: createLimits(clock, instants),
+      runners: RunnerTable.create(leaving),
+      limits,
+      closures: RunnerClosures.create({ clock, instants, log: silentLogger, metrics: createClosureMetrics(new Registry()), host: 'host', limits, leaving }),
       connections: RunnerConnections.create(),
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
--- a/packages/gateway/src/testing/host-network.ts
+++ b/packages/gateway/src/testing/host-network.ts
@@ -109,7 +109,8 @@
       demand: [{ service: 's', model: 'm', requestsPerS: 1, slowRequestsPerS: 1, holdMs: 100 }],
       lease: { heldBySender: false, fencingToken: 0 },
       expectedLoads: [],
-      limitReports: []
+      limitReports: [],
+      leavingReports: []
     }
     const incarnation = `${name}-${this.#lives}`
     const limits = LimitControl.create({
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -1,5 +1,5 @@
 /** Plain header names for tests: the platform's own live in its adapter. */
-import { LimitWord, RequestCodec, type AnswerLimit, type AnswerFacts, type CallerFacts, type ForwardFields, type RawHeaders } from '../forward/types.js'
+import { LimitWord, PauseWord, RequestCodec, type AnswerLimit, type AnswerFacts, type AnswerPause, type CallerFacts, type ForwardFields, type RawHeaders } from '../forward/types.js'
 
 const CONNECTION_HEADERS = ['connection', 'keep-alive', 'transfer-encoding', 'content-length']
 
@@ -39,6 +39,8 @@
       encoded: valueOf(headers, 'content-encoding') !== undefined,
       isEventStream: valueOf(headers, 'content-type') === 'text/event-stream',
       limit: limitOf(valueOf(headers, 'limit-per-s')),
+      leaving: valueOf(headers, 'leaving') !== undefined,
+      pause: pauseOf(valueOf(headers, 'retry-after')),
       closes: false
     }
   }
@@ -54,6 +56,10 @@
   return Number.isFinite(requestsPerS) ? { word: LimitWord.Named, requestsPerS } : { word: LimitWord.Unreadable, text: value }
 }
 
+function pauseOf (seconds: string | undefined): AnswerPause {
+  return seconds === undefined ? { word: PauseWord.None } : { word: PauseWord.Named, pauseMs: Number(seconds) * 1_000 }
+}
+
 function valueOf (headers: RawHeaders, name: string): string | undefined {
   const at = headers.findIndex((part, index) => index % 2 === 0 && part.toLowerCase() === name)
   return at < 0 ? undefined : headers[at + 1]
