Close connections of runners that send without end

What callers saw: answers, refusals, reasons, interim answers, chunk lines, events and bytes behind an answer that never end were read on for as long as the runner sent, after the caller had its answer or until the route's timeout; 256 MB and more for one request, time growing with the square of an event's length. Cause: a finished result kept reading; the library bounds heads and trailers only; unfinished events were joined with every chunk. A warning and a counter name the runner. Why it works: every byte is either progress that its reader bounds, or counted against the connection's bound.

--- a/packages/gateway/src/forward/attempt.ts
+++ b/packages/gateway/src/forward/attempt.ts
@@ -1,4 +1,5 @@
 /** One sending of a request to one runner, and what came back. */
+import type { Clock, Timer } from '@figloom/runtime'
 import type { Dispatcher } from 'undici'
 import type { RawHeaders } from './types.js'
 
@@ -24,18 +25,34 @@
 } as const
 export type FailedAt = (typeof FailedAt)[keyof typeof FailedAt]
 
-/** Receives the parts of an answer in order; exactly one of `onEnd` and `onFailure` closes it. */
+/** What becomes of the rest of an answer. */
+export const Flow = {
+  Continue: 'continue',
+  /** Until `resume`. */
+  Pause: 'pause',
+  /** The rest isn't wanted. It is read within bounds, so that the connection stays in use; the observer hears nothing of it. */
+  Skip: 'skip',
+  /** The connection is closed; the observer hears nothing more. */
+  Close: 'close'
+} as const
+export type Flow = (typeof Flow)[keyof typeof Flow]
+
+/** Receives the parts of an answer in order; exactly one of `onEnd` and `onFailure` closes it, unless its rest isn't wanted. */
 export abstract class AttemptObserver {
   /** A connection is there: the request is written next, or not at all where this gives false. */
   abstract onSending (): boolean
-  /** Head of the answer; false: the answer isn't wanted and its connection is closed. */
-  abstract onHead (status: number, headers: RawHeaders): boolean
-  /** A piece of the body; false: pause until `resume`. */
-  abstract onData (chunk: Buffer): boolean
+  abstract onHead (status: number, headers: RawHeaders): Flow
+  /** A piece of the body. */
+  abstract onData (chunk: Buffer): Flow
   abstract onEnd (): void
   abstract onFailure (at: FailedAt, error: Error): void
 }
 
+/** Bytes of an unwanted answer that are read so that its connection stays in use. */
+const MAX_SKIPPED_BYTES = 65_536
+/** The same in time. */
+const MAX_SKIP_MS = 1_000
+
 /** Handle of an attempt under way. */
 export class Attempt {
   #abort: ((error: Error) => void) | undefined
@@ -44,12 +61,14 @@
   #withdrawn = false
   #headSeen = false
   #closed = false
+  #skipTimer: Timer | undefined
+  #skippedBytes = 0
 
-  private constructor (private readonly observer: AttemptObserver) {}
+  private constructor (private readonly observer: AttemptObserver, private readonly clock: Clock) {}
 
   /** Sends the request; everything that follows reaches the observer. */
-  static start (dispatcher: Dispatcher, request: AttemptRequest, observer: AttemptObserver): Attempt {
-    const attempt = new Attempt(observer)
+  static start (dispatcher: Dispatcher, request: AttemptRequest, observer: AttemptObserver, clock: Clock): Attempt {
+    const attempt = new Attempt(observer, clock)
     const options = {
       method: request.method as Dispatcher.HttpMethod,
       path: request.target,
@@ -69,6 +88,7 @@
   cancel (): void {
     if (this.#closed) return
     this.#closed = true
+    this.#skipTimer?.cancel()
     this.#abort?.(new Error('attempt canceled'))
   }
 
@@ -81,7 +101,7 @@
     return {
       onConnect: (abort) => this.#onConnect(abort),
       onHeaders: (status, headers, resume) => this.#onHeaders(status, headers, resume),
-      onData: (chunk) => this.#closed ? true : this.observer.onData(chunk),
+      onData: (chunk) => this.#onData(chunk),
       onComplete: () => this.#finish(() => this.observer.onEnd()),
       onError: (error) => this.#finish(() => this.observer.onFailure(this.#failedAt(), error))
     }
@@ -105,14 +125,28 @@
     if (status < 200 || this.#closed) return true
     this.#headSeen = true
     this.#resume = resume
-    const wanted = this.observer.onHead(status, headers.map((part) => part.toString('latin1')))
-    if (!wanted) this.cancel()
+    return this.#go(this.observer.onHead(status, headers.map((part) => part.toString('latin1'))))
+  }
+
+  #onData (chunk: Buffer): boolean {
+    if (this.#closed) return true
+    if (this.#skipTimer === undefined) return this.#go(this.observer.onData(chunk))
+    this.#skippedBytes += chunk.length
+    if (this.#skippedBytes > MAX_SKIPPED_BYTES) this.cancel()
     return true
   }
 
+  /** Tells the library whether to go on reading. */
+  #go (flow: Flow): boolean {
+    if (flow === Flow.Close) this.cancel()
+    if (flow === Flow.Skip) this.#skipTimer = this.clock.setTimer(MAX_SKIP_MS, () => this.cancel())
+    return flow !== Flow.Pause
+  }
+
   #finish (report: () => void): void {
     if (this.#closed) return
     this.#closed = true
+    this.#skipTimer?.cancel()
     report()
   }
 
--- a/packages/gateway/src/forward/event-splitter.test.ts
+++ b/packages/gateway/src/forward/event-splitter.test.ts
@@ -23,3 +23,19 @@
 t.test('an event without an id passes', async (t) => {
   t.same(split('data: a\n\n').ids, [undefined])
 })
+
+t.test('a blank line cut into single bytes ends its event', async (t) => {
+  for (const text of ['id: 1\r\ndata: a\r\n\r\n', 'id: 1\ndata: a\n\n']) t.same(split(...text).texts, [text])
+})
+
+t.test('an event that grows without end takes time in proportion, and is told', async (t) => {
+  const piece = Buffer.alloc(256, 'x')
+  const splitter = EventSplitter.create()
+  for (let bytes = 0; bytes < 1_048_576; bytes += piece.length) splitter.push(piece)
+  t.notOk(splitter.overlong)
+  splitter.push(piece)
+  t.ok(splitter.overlong)
+  const startMs = performance.now()
+  for (let count = 0; count < 40_000; count += 1) splitter.push(piece)
+  t.ok(performance.now() - startMs < 2_000)
+})
--- a/packages/gateway/src/forward/event-splitter.ts
+++ b/packages/gateway/src/forward/event-splitter.ts
@@ -7,8 +7,15 @@
 const CARRIAGE_RETURN = 0x0d
 const ID_LINE = /^id: ?(\d+)\r?$/m
 
+/** Events are a few tokens; a larger one is damaged. */
+const MAX_EVENT_BYTES = 1_048_576
+/** Bytes of a blank line that may stand before a cut. */
+const SPLIT_LINE_BYTES = 2
+
 export class EventSplitter {
+  /** Holds an event that isn't whole yet in its first `#restBytes`. */
   #rest: Buffer = Buffer.alloc(0)
+  #restBytes = 0
 
   private constructor () {}
 
@@ -16,27 +23,54 @@
     return new EventSplitter()
   }
 
-  /** Adds bytes and returns the events that became whole. */
+  /** Adds bytes and returns the events that became whole. Takes time in proportion to the bytes added, whatever came before. */
   push (chunk: Buffer): WholeEvent[] {
-    const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk])
+    const scanFrom = Math.max(0, this.#restBytes - SPLIT_LINE_BYTES)
+    const continues = this.#restBytes > 0
+    if (continues) this.#append(chunk)
+    const bytes = continues ? this.#rest.subarray(0, this.#restBytes) : chunk
     const events: WholeEvent[] = []
     let start = 0
-    for (let end = findEnd(bytes, start); end > 0; end = findEnd(bytes, start)) {
-      events.push(toEvent(bytes.subarray(start, end)))
+    for (let end = findEnd(bytes, scanFrom); end > 0; end = findEnd(bytes, start)) {
+      // The buffer is written again while the event may still wait for its caller.
+      events.push(toEvent(continues ? Buffer.from(bytes.subarray(start, end)) : bytes.subarray(start, end)))
       start = end
     }
-    this.#rest = bytes.subarray(start)
+    if (!continues || start > 0) this.#keep(bytes.subarray(start))
     return events
   }
 
+  /** The event that isn't whole yet is longer than any sound one. */
+  get overlong (): boolean {
+    return this.#restBytes > MAX_EVENT_BYTES
+  }
+
   /** Bytes of an event that isn't whole yet. */
   get rest (): Buffer {
-    return this.#rest
+    return this.#rest.subarray(0, this.#restBytes)
   }
 
   /** Forgets an event that its runner left unfinished. */
   reset (): void {
     this.#rest = Buffer.alloc(0)
+    this.#restBytes = 0
+  }
+
+  #keep (bytes: Buffer): void {
+    const kept = Buffer.from(bytes)
+    this.#rest = kept
+    this.#restBytes = kept.length
+  }
+
+  #append (chunk: Buffer): void {
+    const needed = this.#restBytes + chunk.length
+    if (needed > this.#rest.length) {
+      const grown = Buffer.alloc(Math.max(needed, this.#rest.length * 2))
+      this.#rest.copy(grown, 0, 0, this.#restBytes)
+      this.#rest = grown
+    }
+    chunk.copy(this.#rest, this.#restBytes)
+    this.#restBytes = needed
   }
 }
 
--- a/packages/gateway/src/forward/runner-connections.ts
+++ b/packages/gateway/src/forward/runner-connections.ts
@@ -1,8 +1,9 @@
-/** Connections to runners: one pool for each runner, dropped when the runner is gone. */
+/** Connections to runners: one pool for each runner, dropped when the runner is gone. What they read is bounded. */
 import type { Socket } from 'node:net'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import { err, ok, type Result } from 'neverthrow'
 import { buildConnector, Pool, type Dispatcher } from 'undici'
+import { BoundedClient } from './bounded-client.js'
 
 /** A runner that accepts no connection in this time is taken as unreachable. */
 const CONNECT_TIMEOUT_MS = 700
@@ -20,13 +21,21 @@
 
 type RunnerPool = { pool: Pool, address: string }
 
+export type OverlongListener = (runnerId: string, reason: string) => void
+
 export class RunnerConnections {
   readonly #pools = new Map<string, RunnerPool>()
 
-  private constructor () {}
+  private constructor (private readonly listener: OverlongListener) {}
+
+  /** @param listener told of runners that send without end, when their connection is closed for it */
+  static create (listener: OverlongListener): RunnerConnections {
+    return new RunnerConnections(listener)
+  }
 
-  static create (): RunnerConnections {
-    return new RunnerConnections()
+  /** A runner sends without end. */
+  onOverlong (runnerId: string, reason: string): void {
+    this.listener(runnerId, reason)
   }
 
   /** Dispatcher for a runner. It opens a connection for each request that finds none idle: how many run is for the caller to limit. */
@@ -34,7 +43,7 @@
     const known = this.#pools.get(runnerId)
     if (known?.address === address) return ok(known.pool)
     if (known !== undefined) this.drop(runnerId)
-    return createPool(address).map((pool) => {
+    return createPool(address, (reason) => this.listener(runnerId, reason)).map((pool) => {
       this.#pools.set(runnerId, { pool, address })
       return pool
     })
@@ -65,7 +74,6 @@
 
 const POOL_OPTIONS: Pool.Options = {
   pipelining: 1,
-  connect: createConnector(),
   headersTimeout: 0,
   bodyTimeout: 0,
   keepAliveTimeout: IDLE_MS,
@@ -75,9 +83,10 @@
 }
 
 /** Errors of its connections reach the requests on them; the pool repeats them for nobody. */
-function createPool (address: string): Result<Pool, Failure> {
+function createPool (address: string, onOverlong: (reason: string) => void): Result<Pool, Failure> {
   try {
-    const pool = new Pool(`http://${address}`, POOL_OPTIONS)
+    const factory = (origin: URL, options: object) => BoundedClient.create(origin, { ...options, connect: createConnector() }, onOverlong)
+    const pool = new Pool(`http://${address}`, { ...POOL_OPTIONS, factory })
     pool.on('connectionError', () => {})
     return ok(pool)
   } catch (error) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,7 +31,7 @@
 import { RunnerKnowledge } from './runners/runner-knowledge.js'
 import { RunnerTable } from './runners/runner-table.js'
 import { DemandMeter } from './serve/demand-meter.js'
-import { createRequestMetrics } from './serve/metrics.js'
+import { createOverlongCounter, createRequestMetrics } from './serve/metrics.js'
 import { serveRequest } from './serve/serve-request.js'
 import type { ServeContext } from './serve/types.js'
 import type { GatewaySettings, Platform } from './types.js'
@@ -67,7 +67,7 @@
   readonly #knowledge: RunnerKnowledge
   readonly #limits: LimitControl
   readonly #closures: RunnerClosures
-  readonly #connections = RunnerConnections.create()
+  readonly #connections: RunnerConnections
   readonly #demand = DemandMeter.create()
   readonly #peers = ConnectPeerCalls.create()
   readonly #configPassing: ConfigPassing
@@ -127,6 +127,11 @@
       limits: this.#limits,
       leaving: this.#leavingRunners
     })
+    const overlong = createOverlongCounter(this.#registry)
+    this.#connections = RunnerConnections.create((runner, reason) => {
+      overlong.inc()
+      log.warn('runner sends without end; its connection is closed', { runner, reason })
+    })
     this.#sight = HostSight.create(clock, this.#members, this.#pace)
     this.#shared = SharedView.create(this.#pace.relayTrustMs)
     this.#reports = ReportWriter.create({
--- a/packages/gateway/src/serve/answer-relay.ts
+++ b/packages/gateway/src/serve/answer-relay.ts
@@ -23,7 +23,9 @@
   /** The runner left an event or part of one out. */
   Gap: 'gap',
   /** It sent something that isn't an event behind the last one. */
-  Unfinished: 'unfinished'
+  Unfinished: 'unfinished',
+  /** An event goes on beyond any sound length. */
+  Overlong: 'overlong'
 } as const
 export type StreamFault = (typeof StreamFault)[keyof typeof StreamFault]
 
@@ -76,7 +78,7 @@
 
   /**
    * Passes on the events that became whole.
-   * @returns a fault if an event is missing or comes twice; false if the caller reads more slowly than the runner sends
+   * @returns a fault if an event is missing, comes twice or has no end; false if the caller reads more slowly than the runner sends
    */
   pushStream (chunk: Buffer): StreamFault | boolean {
     let flows = true
@@ -87,7 +89,7 @@
       this.#eventCount += 1
       flows = this.response.write(event.bytes) && flows
     }
-    return flows
+    return this.#splitter.overlong ? StreamFault.Overlong : flows
   }
 
   /** Ends a stream that its runner completed. */
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -1,5 +1,5 @@
 /** Reads one attempt at a runner up to its outcome, and hands the bytes of good answers to the relay. */
-import { AttemptObserver, FailedAt } from '../forward/attempt.js'
+import { AttemptObserver, FailedAt, Flow } from '../forward/attempt.js'
 import type { AnswerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
 import { AnswerRelay, createHead, StreamFault, type AnswerHead } from './answer-relay.js'
 import { Outcome } from './outcome.js'
@@ -23,6 +23,8 @@
   onFirstByte: () => void
   /** Whole events of a stream have gone on to the caller. */
   onEvents: () => void
+  /** The runner sends without end. */
+  onOverlong: (reason: string) => void
   /** Called once. */
   onResult: (result: AttemptResult) => void
 }
@@ -37,7 +39,7 @@
   [FailedAt.Answer]: Outcome.Unknown
 }
 
-const Mode = { Waiting: 'waiting', Whole: 'whole', Stream: 'stream', Ignored: 'ignored' } as const
+const Mode = { Waiting: 'waiting', Whole: 'whole', Stream: 'stream' } as const
 type Mode = (typeof Mode)[keyof typeof Mode]
 
 export class ResultObserver extends AttemptObserver {
@@ -65,7 +67,7 @@
     return this.events.onSending()
   }
 
-  override onHead (status: number, headers: RawHeaders): boolean {
+  override onHead (status: number, headers: RawHeaders): Flow {
     const facts = this.codec.decodeAnswer(status, headers)
     this.#facts = facts
     this.#head = createHead(status, headers)
@@ -77,16 +79,14 @@
     if (facts.isEventStream && status === 200) {
       this.#mode = Mode.Stream
       this.relay.openStream(this.#head)
-      return true
+      return Flow.Continue
     }
     this.#mode = Mode.Whole
-    return true
+    return Flow.Continue
   }
 
-  override onData (chunk: Buffer): boolean {
-    if (this.#mode === Mode.Stream) return this.#onStreamData(chunk)
-    if (this.#mode === Mode.Whole) this.#onWholeData(chunk)
-    return true
+  override onData (chunk: Buffer): Flow {
+    return this.#mode === Mode.Stream ? this.#onStreamData(chunk) : this.#onWholeData(chunk)
   }
 
   override onEnd (): void {
@@ -102,20 +102,20 @@
     this.#finish(FAILURE_OUTCOMES[at], `${at}: ${error.message}`)
   }
 
-  #onStreamData (chunk: Buffer): boolean {
+  #onStreamData (chunk: Buffer): Flow {
     this.events.onFirstByte()
     const before = this.relay.eventCount
     const flows = this.relay.pushStream(chunk)
     if (this.relay.eventCount > before) this.events.onEvents()
-    if (flows !== StreamFault.Gap) return flows === true
-    this.#finish(Outcome.Unknown, 'an event is missing or came twice')
-    return true
+    if (flows === StreamFault.Gap) return this.#reject('an event is missing or came twice')
+    if (flows === StreamFault.Overlong) return this.#cut('an event has no end')
+    return flows ? Flow.Continue : Flow.Pause
   }
 
-  #onWholeData (chunk: Buffer): void {
+  #onWholeData (chunk: Buffer): Flow {
     this.#chunks.push(chunk)
     this.#bytes += chunk.length
-    if (this.#bytes > MAX_WHOLE_BYTES) this.#finish(Outcome.Unknown, 'the answer is too large')
+    return this.#bytes > MAX_WHOLE_BYTES ? this.#cut('the answer is too large') : Flow.Continue
   }
 
   #finishWhole (): void {
@@ -127,16 +127,21 @@
   }
 
   /** The connection can't be trusted any more. */
-  #reject (reason: string): boolean {
+  #reject (reason: string): Flow {
     this.#finish(Outcome.Unknown, reason)
-    return false
+    return Flow.Close
   }
 
-  /** Reads the rest, so that the connection stays in use, but acts at once. */
-  #ignore (outcome: Outcome, reason: string): boolean {
-    this.#mode = Mode.Ignored
+  /** The runner sends more than any sound answer has. */
+  #cut (reason: string): Flow {
+    this.events.onOverlong(reason)
+    return this.#reject(reason)
+  }
+
+  /** Acts at once, whatever becomes of the rest. */
+  #ignore (outcome: Outcome, reason: string): Flow {
     this.#finish(outcome, reason)
-    return true
+    return Flow.Skip
   }
 
   #finish (outcome: Outcome, reason: string, whole?: { head: AnswerHead, body: Buffer }): void {
--- /dev/null
+++ b/packages/gateway/src/serve/endless-answers.test.ts
@@ -0,0 +1,139 @@
+import t, { type Test } from 'tap'
+import { RouteKind } from '../config/types.js'
+import { EndlessWriter } from '../testing/endless.js'
+import { createRoute, GatewayFixture, type RawAnswer } from '../testing/gateway-fixture.js'
+import type { RawExchange } from '../testing/raw-runner.js'
+
+const read = createRoute({ pathPrefix: '/read/', maxAttempts: 1 })
+const book = createRoute({ pathPrefix: '/book/', kind: RouteKind.NonIdempotent, maxAttempts: 2 })
+const stream = createRoute({ pathPrefix: '/stream/', kind: RouteKind.Stream, resumable: false })
+
+/** What an answer may have cost before its connection is closed, its whole body included. */
+const MAX_READ_BYTES = 12 * 1_048_576
+const MAX_MS = 1_500
+
+/** An answer's beginning, and what its runner then sends for ever. */
+type Endless = { begin: (requestId: string) => string, filler: string }
+
+const head = (status: string, ...headers: string[]) => (requestId: string) => [`HTTP/1.1 ${status}`, `Request-Id: ${requestId}`, ...headers, '', ''].join('\r\n')
+const unended = (...headers: string[]) => (requestId: string) => ['HTTP/1.1 200 OK', `Request-Id: ${requestId}`, ...headers].join('\r\n')
+const CHUNKED = 'Transfer-Encoding: chunked'
+const EVENTS = 'Content-Type: text/event-stream'
+const CHUNK = `400\r\n${'x'.repeat(1_024)}\r\n`
+
+async function createFixture (t: Test, answer: (exchange: RawExchange) => void): Promise<GatewayFixture> {
+  const fixture = await GatewayFixture.create([read, book, stream])
+  t.teardown(() => fixture.close())
+  await fixture.addRunner('runner-1', answer)
+  return fixture
+}
+
+async function until (isTrue: () => boolean, maxMs: number): Promise<boolean> {
+  const endMs = performance.now() + maxMs
+  while (!isTrue() && performance.now() < endMs) await new Promise((resolve) => setTimeout(resolve, 10))
+  return isTrue()
+}
+
+/** Calls a runner that never stops; its connection has to be closed soon, with little read. */
+async function callEndless (t: Test, path: string, { begin, filler }: Endless): Promise<RawAnswer> {
+  const writers: EndlessWriter[] = []
+  const fixture = await createFixture(t, ({ requestId, socket }) => {
+    writers.push(EndlessWriter.start(socket, begin(requestId), filler))
+  })
+  const startMs = performance.now()
+  const answer = await fixture.call({ path, method: path.startsWith('/book') ? 'POST' : 'GET' })
+  t.ok(performance.now() - startMs < MAX_MS, 'the caller is answered at once')
+  t.ok(await until(() => writers.every(({ closed }) => closed), MAX_MS), 'the connection is closed')
+  for (const { bytes } of writers) t.ok(bytes < MAX_READ_BYTES, `${bytes} bytes read`)
+  return answer
+}
+
+t.test('an answer that never ends', async (t) => {
+  t.equal((await callEndless(t, '/read/1', { begin: head('200 OK', 'Signed: s', CHUNKED), filler: CHUNK })).status, 502)
+  t.equal((await callEndless(t, '/book/1', { begin: head('200 OK', 'Signed: s', CHUNKED), filler: CHUNK })).status, 502)
+  t.equal((await callEndless(t, '/read/1', { begin: head('200 OK', 'Signed: s'), filler: 'x' })).status, 502)
+})
+
+t.test('a refusal whose body never ends stays a refusal', async (t) => {
+  t.equal((await callEndless(t, '/book/1', { begin: head('503 Full', 'Not-Run: 1', CHUNKED), filler: CHUNK })).status, 503)
+  t.equal((await callEndless(t, '/book/1', { begin: head('503 Full', 'Not-Run: 1'), filler: 'x' })).status, 503)
+})
+
+t.test('a refusal whose body never comes keeps no connection for long', async (t) => {
+  let closed = false
+  const fixture = await createFixture(t, ({ requestId, socket }) => {
+    socket.on('close', () => { closed = true })
+    socket.write(head('503 Full', 'Not-Run: 1', 'Content-Length: 10')(requestId))
+  })
+  t.equal((await fixture.call({ path: '/book/1', method: 'POST' })).status, 503)
+  t.ok(await until(() => closed, 2_500))
+})
+
+t.test('a head that never ends', async (t) => {
+  t.equal((await callEndless(t, '/book/1', { begin: unended('X: '), filler: 'x' })).status, 502)
+  t.equal((await callEndless(t, '/book/1', { begin: unended(''), filler: 'X: y\r\n' })).status, 502)
+})
+
+t.test('a reason that never ends', async (t) => {
+  t.equal((await callEndless(t, '/book/1', { begin: () => 'HTTP/1.1 200 ', filler: 'x' })).status, 502)
+})
+
+t.test('interim answers that never end', async (t) => {
+  t.equal((await callEndless(t, '/book/1', { begin: () => '', filler: 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n' })).status, 502)
+})
+
+t.test('a chunk line that never ends', async (t) => {
+  t.equal((await callEndless(t, '/book/1', { begin: (id) => `${head('200 OK', 'Signed: s', CHUNKED)(id)}5;a=`, filler: 'x' })).status, 502)
+})
+
+t.test('trailers that never end', async (t) => {
+  t.equal((await callEndless(t, '/book/1', { begin: (id) => `${head('200 OK', 'Signed: s', CHUNKED)(id)}2\r\nok\r\n0\r\n`, filler: 'X: y\r\n' })).status, 502)
+})
+
+t.test('bytes behind the end of an answer', async (t) => {
+  for (const filler of ['x', '\r\n', 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n']) {
+    t.equal((await callEndless(t, '/read/1', { begin: (id) => `${head('200 OK', 'Signed: s', 'Content-Length: 2')(id)}ok`, filler })).status, 200, JSON.stringify(filler))
+  }
+})
+
+t.test('an event that never ends', async (t) => {
+  const begin = head('200 OK', 'Signed: s', EVENTS, CHUNKED)
+  t.equal((await callEndless(t, '/stream/1', { begin, filler: CHUNK })).status, 502)
+  const second = await callEndless(t, '/stream/1', { begin: (id) => `${begin(id)}11\r\nid: 1\ndata: one\n\n\r\n`, filler: CHUNK })
+  t.match(second, { status: 200, body: /data: one/ })
+  t.notMatch(second.body, /\r\n0\r\n/)
+})
+
+t.test('a large sound answer passes', async (t) => {
+  const body = 'y'.repeat(4 * 1_048_576)
+  const fixture = await createFixture(t, ({ requestId, socket }) => {
+    socket.write(`${head('200 OK', 'Signed: s', `Content-Length: ${body.length}`)(requestId)}${body}`)
+  })
+  const answer = await fixture.call({ path: '/read/1' })
+  t.equal(answer.status, 200)
+  t.equal(answer.body.length, body.length)
+})
+
+t.test('a sound stream of many small pieces passes', async (t) => {
+  const count = 20_000
+  const fixture = await createFixture(t, ({ requestId, socket }) => {
+    socket.write(head('200 OK', 'Signed: s', EVENTS, CHUNKED)(requestId))
+    const pieces = Array.from({ length: count }, (_, index) => [`id: ${index + 1}\n`, 'data: x\n\n']).flat()
+    socket.write(pieces.map((piece) => `${piece.length.toString(16)}\r\n${piece}\r\n`).join(''))
+    socket.write('0\r\n\r\n')
+  })
+  const answer = await fixture.call({ path: '/stream/1' })
+  t.equal(answer.body.match(/data: x/g)?.length, count)
+})
+
+t.test('other requests of the host are not delayed', async (t) => {
+  const fixture = await createFixture(t, ({ requestId, socket, text }) => {
+    if (text.includes('/read/fast')) socket.write(`${head('200 OK', 'Signed: s', 'Content-Length: 2')(requestId)}ok`)
+    else EndlessWriter.start(socket, head('503 Full', 'Not-Run: 1', CHUNKED)(requestId), CHUNK)
+  })
+  const floods = Array.from({ length: 5 }, (_, index) => fixture.call({ path: '/book/1', method: 'POST', id: `flood-${index}` }))
+  const startMs = performance.now()
+  t.equal((await fixture.call({ path: '/read/fast', id: 'fast' })).status, 200)
+  t.ok(performance.now() - startMs < 500)
+  await Promise.all(floods)
+})
--- a/packages/gateway/src/serve/metrics.ts
+++ b/packages/gateway/src/serve/metrics.ts
@@ -23,3 +23,8 @@
     totalSeconds: new Histogram({ name: 'figloom_gateway_total_seconds', help: 'Time from the request to the end of its answer.', labelNames: ['route'], buckets: BUCKETS_S, registers })
   }
 }
+
+/** Connections to runners that were closed since the runner sent without end. */
+export function createOverlongCounter (registry: Registry): Counter {
+  return new Counter({ name: 'figloom_gateway_overlong_answers_total', help: 'Connections to runners that were closed since the runner sent without end.', registers: [registry] })
+}
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -170,6 +170,7 @@
       onHead: (facts) => this.#contain(() => learnFromHead(context, { requestId: request.id, runner, facts, askedMs: this.#askedMs })),
       onFirstByte: () => this.#contain(() => this.#onFirstByte()),
       onEvents: () => this.#contain(() => this.#stallWatch?.onProgress()),
+      onOverlong: (reason) => context.connections.onOverlong(id, reason),
       onResult: (result) => this.#contain(() => this.#onResult(runner, result))
     })
     this.#writtenMs = undefined
@@ -189,7 +190,7 @@
     runner.health.onSent(request.id)
     context.closures.onChosen(runner.entry, request.id)
     const { method, target, body } = request
-    this.#attempt = Attempt.start(dispatcher.value, { method, target, headers, body }, observer)
+    this.#attempt = Attempt.start(dispatcher.value, { method, target, headers, body }, observer, context.clock)
   }
 
   /** The platform lists an address that nothing can be sent to. */
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -87,8 +87,9 @@
   readonly #runners: RawRunner[] = []
   readonly #server: Server
 
-  /** `expectedLoads` are those that the host is told of. */
-  private constructor (readonly context: ServeContext, readonly expectedLoads: ExpectedLoad[]) {
+  /** @param expectedLoads loads that the host is told of
+   * @param overlong runners that sent without end, and how */
+  private constructor (readonly context: ServeContext, readonly expectedLoads: ExpectedLoad[], readonly overlong: string[]) {
     this.#server = createServer((request, response) => { serveRequest(context, request, response) })
   }
 
@@ -105,6 +106,7 @@
     })
     const limits = createLimits(clock, instants)
     const leaving = LeavingRunners.create()
+    const overlong: string[] = []
     const fixture = new GatewayFixture({
       clock,
       instants,
@@ -115,14 +117,14 @@
       runners: RunnerTable.create(leaving),
       limits,
       closures: RunnerClosures.create({ clock, instants, log: silentLogger, metrics: createClosureMetrics(new Registry()), host: 'host', limits, leaving }),
-      connections: RunnerConnections.create(),
+      connections: RunnerConnections.create((runnerId, reason) => overlong.push(`${runnerId}: ${reason}`)),
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
       adapters: new NoAdapters(),
       loads: KnownLoads.create(() => expectedLoads),
       host: { availabilityZone: 'zone-1', hostCount: () => 1, hostOfOldLoads: () => undefined, runnersAgeMs: () => 0, isLeaving: () => false, isClosedToStreams: () => false },
       random: () => 0.5
-    }, expectedLoads)
+    }, expectedLoads, overlong)
     await new Promise<void>((resolve) => fixture.#server.listen(0, '127.0.0.1', resolve))
     return fixture
   }
