--- a/packages/gateway/src/front/handlers.ts
+++ b/packages/gateway/src/front/handlers.ts
@@ -1,10 +1,11 @@
 /** The handlers of a host's listeners, built with h3. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
-import type { Registry } from '@figloom/runtime'
+import type { Clock, Registry } from '@figloom/runtime'
 import { createApp, defineEventHandler, setResponseStatus, setResponseHeader, toNodeListener } from 'h3'
-import { registerPeerService, type PeerHandler } from '../members/peer-service.js'
+import { MAX_MESSAGE_BYTES, registerPeerService, type PeerHandler } from '../members/peer-service.js'
 import type { RequestHandler } from './http-server.js'
+import { skipRest } from './read-body.js'
 
 /** Passes every request to `serve`, which writes the answer itself. */
 export function createCallerHandler (serve: (request: IncomingMessage, response: ServerResponse) => Promise<void>): RequestHandler {
@@ -17,9 +18,10 @@
 }
 
 /** Answers one fixed path, and 404 for all others. */
-export function createPathHandler (path: string, answer: (request: IncomingMessage) => PathAnswer): RequestHandler {
+export function createPathHandler (path: string, clock: Clock, answer: (request: IncomingMessage) => PathAnswer): RequestHandler {
   const app = createApp()
   app.use(defineEventHandler((event) => {
+    skipRest(event.node.req, clock)
     const requested = (event.node.req.url ?? '').split('?')[0]
     if (requested !== path) {
       setResponseStatus(event, 404)
@@ -38,7 +40,7 @@
 
 /** The hosts' own protocol and the metrics page. */
 export function createPeerHandler (handler: PeerHandler, registry: Registry): RequestHandler {
-  const peers = connectNodeAdapter({ acceptCompression: [], routes: (router) => registerPeerService(router, handler) })
+  const peers = connectNodeAdapter({ acceptCompression: [], readMaxBytes: MAX_MESSAGE_BYTES, routes: (router) => registerPeerService(router, handler) })
   const metrics = createApp()
   metrics.use('/metrics', defineEventHandler(async (event) => {
     setResponseHeader(event, 'Content-Type', registry.contentType)
--- a/packages/gateway/src/front/http-server.ts
+++ b/packages/gateway/src/front/http-server.ts
@@ -24,13 +24,14 @@
   readonly #server: Server
   readonly #sockets = new Set<Socket>()
 
-  private constructor (handler: RequestHandler) {
-    this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: SLOW_CHECK_MS, requestTimeout: 0 }, handler)
+  private constructor (handler: RequestHandler, requestTimeoutMs: number) {
+    this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: SLOW_CHECK_MS, requestTimeout: requestTimeoutMs }, handler)
     this.#server.on('connection', (socket) => this.#track(socket))
   }
 
-  static create (handler: RequestHandler): HttpServer {
-    return new HttpServer(handler)
+  /** @param requestTimeoutMs time in which a whole request has to come; 0: the handler sees to it */
+  static create (handler: RequestHandler, requestTimeoutMs = 0): HttpServer {
+    return new HttpServer(handler, requestTimeoutMs)
   }
 
   /** @param address IP:PORT */
--- /dev/null
+++ b/packages/gateway/src/front/read-body.ts
@@ -0,0 +1,72 @@
+/** Reads callers' bodies within bounds, and what is left of a body that nobody wants. */
+import type { IncomingMessage } from 'node:http'
+import { createFailure, ResultCode, type Clock, type Failure } from '@figloom/runtime'
+import { err, ok, type Result } from 'neverthrow'
+
+/** Bytes of an unwanted body that are read so that its connection stays in use and its caller gets the answer. */
+const MAX_REST_BYTES = 262_144
+/** The same in time. */
+const MAX_REST_MS = 1_000
+
+export type BodyBounds = {
+  maxBytes: number
+  /** Time until the whole body has to be there. */
+  maxMs: number
+}
+
+/** Reads the whole body, so that the request can be sent again; undefined where there is none. */
+export function readBody (incoming: IncomingMessage, { maxBytes, maxMs }: BodyBounds, clock: Clock): Promise<Result<Buffer | undefined, Failure>> {
+  if (!hasBody(incoming)) return Promise.resolve(ok(undefined))
+  if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) return Promise.resolve(err(tooLarge()))
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    let bytes = 0
+    const finish = (result: Result<Buffer | undefined, Failure>) => {
+      timer.cancel()
+      incoming.off('data', onData)
+      resolve(result)
+    }
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk)
+      bytes += chunk.length
+      if (bytes > maxBytes) finish(err(tooLarge()))
+    }
+    const timer = clock.setTimer(maxMs, () => finish(err(tooSlow())))
+    incoming.on('data', onData)
+    incoming.once('end', () => finish(ok(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))))
+    incoming.once('error', (error) => finish(err(brokenOff(error.message))))
+    incoming.once('close', () => finish(err(brokenOff('the connection closed'))))
+  })
+}
+
+/** Reads on behind an answer that was given before the body was whole; closes the connection of a body that goes on for long. */
+export function skipRest (incoming: IncomingMessage, clock: Clock): void {
+  if (incoming.complete || incoming.destroyed) return
+  const { socket } = incoming
+  let bytes = 0
+  const timer = clock.setTimer(MAX_REST_MS, () => {
+    if (!incoming.complete) socket.destroySoon()
+  })
+  incoming.on('data', (chunk: Buffer) => {
+    bytes += chunk.length
+    if (bytes > MAX_REST_BYTES) socket.destroySoon()
+  })
+  incoming.once('error', () => socket.destroy())
+  incoming.once('close', () => timer.cancel())
+}
+
+function hasBody ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
+function tooLarge (): Failure {
+  return createFailure(ResultCode.BodyTooLarge, 'the body exceeds the limit')
+}
+
+function tooSlow (): Failure {
+  return createFailure(ResultCode.BodyTooSlow, 'the body did not come in the time of the request')
+}
+
+function brokenOff (reason: string): Failure {
+  return createFailure(ResultCode.MalformedRequest, `the body broke off: ${reason}`)
+}
--- a/packages/gateway/src/front/side-listeners.ts
+++ b/packages/gateway/src/front/side-listeners.ts
@@ -1,14 +1,18 @@
 /** The listeners beside the callers' one: for other hosts and metrics, for the readiness check, for lookups. */
-import type { Registry } from '@figloom/runtime'
+import type { Clock, Registry } from '@figloom/runtime'
 import type { PeerHandler } from '../members/peer-service.js'
 import type { GatewaySettings, LookupWire } from '../types.js'
 import { createPathHandler, createPeerHandler } from './handlers.js'
 import { HttpServer } from './http-server.js'
 
+/** Messages of hosts come whole within this time, also over the narrowest links. */
+const SIDE_REQUEST_TIMEOUT_MS = 5_000
+
 export type SideListenerParts = {
   settings: GatewaySettings
   wire: LookupWire
   registry: Registry
+  clock: Clock
   peers: PeerHandler
   ready: () => boolean
   /** Caller addresses of hosts that callers may be sent to; none where nobody is known to be ready. */
@@ -27,10 +31,10 @@
   }
 
   async open (): Promise<void> {
-    const { settings, wire, registry, peers, ready } = this.parts
+    const { settings, wire, registry, clock, peers, ready } = this.parts
     await this.#listen(createPeerHandler(peers, registry), settings.peerListener)
-    await this.#listen(createPathHandler(wire.readinessPath, () => textAnswer(ready())), settings.readinessListener)
-    await this.#listen(createPathHandler(wire.lookupPath, () => this.#answerLookup()), settings.lookupListener)
+    await this.#listen(createPathHandler(wire.readinessPath, clock, () => textAnswer(ready())), settings.readinessListener)
+    await this.#listen(createPathHandler(wire.lookupPath, clock, () => this.#answerLookup()), settings.lookupListener)
   }
 
   destroy (): void {
@@ -40,7 +44,7 @@
   /** A listener without an address isn't opened. */
   async #listen (handler: Parameters<typeof HttpServer.create>[0], address: string | undefined): Promise<void> {
     if (address === undefined) return
-    const server = HttpServer.create(handler)
+    const server = HttpServer.create(handler, SIDE_REQUEST_TIMEOUT_MS)
     this.#servers.push(server)
     await server.listen(address)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -251,6 +251,7 @@
       settings,
       wire: platform.lookupWire,
       registry: this.#registry,
+      clock: this.parts.clock,
       ready: () => this.ready,
       lookup: () => this.#lookupAddresses(),
       lookupTtlMs: () => Math.min(LOOKUP_TTL_MS, this.#settings.maxLookupTtlMs),
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -11,6 +11,8 @@
 const ENSURE_TIMEOUT_MS = 1_000
 /** Large configurations take a while over the narrowest links. */
 const CONFIG_TIMEOUT_MS = 2_000
+/** The list of all runners at the largest sizes is a few megabytes long. */
+export const MAX_MESSAGE_BYTES = 16_777_216
 /** Idle connections between hosts stay open over several exchanges. */
 const KEEP_ALIVE_MS = 5_000
 
@@ -67,6 +69,7 @@
       httpVersion: '1.1',
       useBinaryFormat: true,
       acceptCompression: [],
+      readMaxBytes: MAX_MESSAGE_BYTES,
       nodeOptions: { agent: this.#agent }
     })
     const client = createClient(GatewayService, transport)
--- a/packages/gateway/src/serve/serve-request.ts
+++ b/packages/gateway/src/serve/serve-request.ts
@@ -4,6 +4,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { RouteKind, type Route, type Service } from '../config/types.js'
 import type { CallerFacts } from '../forward/types.js'
+import { readBody, skipRest } from '../front/read-body.js'
 import { writeFailure } from './own-answer.js'
 import { RequestRun } from './request-run.js'
 import type { ServeContext } from './types.js'
@@ -21,18 +22,19 @@
   const arrivedMs = context.clock.monotonicMs()
   const facts = context.codec.decodeRequest(incoming.rawHeaders)
   if (headerBytes(incoming) > (context.config.limits?.maxHeaderBytes ?? Infinity)) {
-    return refuse(context, response, facts, createFailure(ResultCode.HeadersTooLarge, 'the headers exceed the limit'))
+    return refuse(context, incoming, response, facts, createFailure(ResultCode.HeadersTooLarge, 'the headers exceed the limit'))
   }
   const destination = findDestination(context, incoming)
-  if (destination.isErr()) return refuse(context, response, facts, destination.error)
-  const body = await readBody(incoming, context.config.limits?.maxBodyBytes ?? Infinity)
+  if (destination.isErr()) return refuse(context, incoming, response, facts, destination.error)
+  const { route, service } = destination.value
+  const maxMs = Math.min(route.timeoutMs, facts.deadlineMs ?? DEFAULT_DEADLINE_MS)
+  const body = await readBody(incoming, { maxBytes: context.config.limits?.maxBodyBytes ?? Infinity, maxMs }, context.clock)
   if (body.isErr()) {
-    if (incoming.socket.destroyed) return
-    return refuse(context, response, facts, body.error)
+    if (response.destroyed) return
+    return refuse(context, incoming, response, facts, body.error)
   }
-  const { route, service } = destination.value
   countDemand(context, service, facts, arrivedMs)
-  const dueMs = arrivedMs + Math.min(route.timeoutMs, facts.deadlineMs ?? DEFAULT_DEADLINE_MS)
+  const dueMs = arrivedMs + maxMs
   await RequestRun.serve(context, {
     id: facts.requestId ?? '',
     method: incoming.method ?? 'GET',
@@ -83,31 +85,9 @@
   return texts + rawHeaders.length / 2 * HEADER_LINE_EXTRA_BYTES
 }
 
-/** Reads the whole body, so that the request can be sent again; undefined where there is none. */
-async function readBody (incoming: IncomingMessage, maxBytes: number): Promise<Result<Buffer | undefined, Failure>> {
-  const hasBody = incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
-  if (!hasBody) return ok(undefined)
-  if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) return err(tooLarge())
-  const chunks: Buffer[] = []
-  let bytes = 0
-  try {
-    for await (const chunk of incoming as AsyncIterable<Buffer>) {
-      bytes += chunk.length
-      if (bytes > maxBytes) return err(tooLarge())
-      chunks.push(chunk)
-    }
-  } catch (error) {
-    return err(createFailure(ResultCode.MalformedRequest, `the body broke off: ${(error as Error).message}`))
-  }
-  return ok(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))
-}
-
-function tooLarge (): Failure {
-  return createFailure(ResultCode.BodyTooLarge, 'the body exceeds the limit')
-}
-
-function refuse (context: ServeContext, response: ServerResponse, facts: CallerFacts, failure: Failure): void {
+function refuse (context: ServeContext, incoming: IncomingMessage, response: ServerResponse, facts: CallerFacts, failure: Failure): void {
   context.metrics.requests.inc({ route: 'none', result: failure.code.type })
   context.log.warn('request refused on arrival', { requestId: facts.requestId, result: failure.code.type, reason: failure.message, configVersion: context.config.version })
   writeFailure(response, failure, context.host.isLeaving())
+  skipRest(incoming, context.clock)
 }
--- a/packages/runtime/src/result/codes.ts
+++ b/packages/runtime/src/result/codes.ts
@@ -25,6 +25,7 @@
   BodyTooLarge: { code: 1004, type: 'body_too_large', httpStatus: 413, ran: 'no', meaning: 'The body exceeds the limit.', action: 'Send a smaller body.' },
   HeadersTooLarge: { code: 1005, type: 'headers_too_large', httpStatus: 431, ran: 'no', meaning: 'The headers exceed the limit.', action: 'Send smaller headers.' },
   MethodNotAllowed: { code: 1006, type: 'method_not_allowed', httpStatus: 405, ran: 'no', meaning: 'The path does not take this method.', action: 'Use the documented method.' },
+  BodyTooSlow: { code: 1007, type: 'body_too_slow', httpStatus: 408, ran: 'no', meaning: 'The body did not come in the time of the request.', action: 'Send the request again.' },
   NotReady: { code: 2001, type: 'not_ready', httpStatus: 503, ran: 'no', meaning: 'The host has no configuration in force yet.', action: 'Ask another host of the last lookup.' },
   Draining: { code: 2002, type: 'draining', httpStatus: 503, ran: 'no', meaning: 'The host is shutting down and takes no new request.', action: 'Look up again and use another host.' },
   NoRunner: { code: 2003, type: 'no_runner', httpStatus: 503, ran: 'no', meaning: 'No live runner has the model resident.', action: 'Try again after retryAfterMs.' },
