--- /dev/null
+++ b/packages/gateway/src/front/loop-lag.test.ts
@@ -0,0 +1,47 @@
+import t from 'tap'
+import { Clock, ManualClock, type Timer } from '@figloom/runtime'
+import { LoopLag } from './loop-lag.js'
+
+/** A clock whose timers fire late while its process is busy. */
+class BusyClock extends Clock {
+  readonly #manual = ManualClock.create()
+  busyMs = 0
+
+  override now (): Date {
+    return this.#manual.now()
+  }
+
+  override monotonicMs (): number {
+    return this.#manual.monotonicMs() + this.busyMs
+  }
+
+  override setTimer (delayMs: number, callback: () => void): Timer {
+    return this.#manual.setTimer(delayMs, callback)
+  }
+
+  async advance (durationMs: number): Promise<void> {
+    await this.#manual.advance(durationMs)
+  }
+}
+
+t.test('a process that keeps up is not behind', async (t) => {
+  const clock = ManualClock.create()
+  const lag = LoopLag.create(clock)
+  t.equal(lag.behindMs(), 0)
+  lag.start()
+  await clock.advance(1_000)
+  t.equal(lag.behindMs(), 0)
+})
+
+t.test('a busy process is behind by what its timer is late, until it keeps up again', async (t) => {
+  const clock = new BusyClock()
+  const lag = LoopLag.create(clock)
+  lag.start()
+  clock.busyMs = 400
+  t.equal(lag.behindMs(), 300)
+  await clock.advance(100)
+  t.equal(lag.behindMs(), 400)
+  await clock.advance(100)
+  t.equal(lag.behindMs(), 0)
+  lag.stop()
+})
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import { RunnerConnections } from './forward/runner-connections.js'
 import { createCallerHandler } from './front/handlers.js'
 import { HttpServer } from './front/http-server.js'
+import { LoopLag } from './front/loop-lag.js'
 import { SideListeners } from './front/side-listeners.js'
 import { createGauges } from './gauges.js'
 import { InstantSource } from './lease/instant.js'
@@ -69,6 +70,7 @@
   readonly #closures: RunnerClosures
   readonly #connections: RunnerConnections
   readonly #demand = DemandMeter.create()
+  readonly #lag: LoopLag
   readonly #peers = ConnectPeerCalls.create()
   readonly #configPassing: ConfigPassing
   readonly #incarnation = randomUUID()
@@ -95,6 +97,7 @@
     this.#settings = settings
     this.#registry = createRegistry({ host: settings.self.host, availabilityZone: settings.self.availabilityZone })
     this.#startedMs = clock.monotonicMs()
+    this.#lag = LoopLag.create(clock)
     this.#instants = InstantSource.create(clock)
     this.#knowledge = RunnerKnowledge.create({ clock, instants: this.#instants, log, table: this.#runners, drainNoticeMs: settings.drainNoticeMs, contactMs: settings.contactMs })
     this.#configPassing = ConfigPassing.create({
@@ -193,6 +196,7 @@
       runnersPosition: () => this.#knowledge.position
     })
     platform.orders.onWords((runner, words) => this.#closures.onAnswer({ runner, requestId: '', words }))
+    this.#lag.start()
     await this.#sideListeners.open()
     await this.#front.listen(settings.callerListener)
     this.#exchanger.start()
@@ -329,6 +333,7 @@
         holderAddress: () => this.#sight.holderAddress()
       }),
       loads: KnownLoads.create(() => this.#expectedLoads()),
+      lag: this.#lag,
       host: {
         availabilityZone: settings.self.availabilityZone,
         hostCount: () => this.#members.sharingCount(this.#nowMs()),
@@ -401,6 +406,7 @@
   async #destroy (): Promise<void> {
     this.#exchanger.stop()
     this.#sweepTimer?.cancel()
+    this.#lag.stop()
     this.parts.platform.watch.stop()
     this.#front.destroy()
     this.#sideListeners.destroy()
--- /dev/null
+++ b/packages/gateway/src/serve/late-reads.test.ts
@@ -0,0 +1,58 @@
+import t from 'tap'
+import { Worker } from 'node:worker_threads'
+import { createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
+
+/** A caller in a thread of its own, which acts while the host's thread stands still. */
+const CALLER = `
+const { connect } = require('node:net')
+const { workerData: { port, leaves, flag }, parentPort } = require('node:worker_threads')
+const state = new Int32Array(flag)
+const done = () => { Atomics.store(state, 0, 1); Atomics.notify(state, 0) }
+const socket = connect(port, '127.0.0.1', () => parentPort.postMessage('connected'))
+let text = ''
+socket.on('data', (chunk) => { text += chunk.toString('latin1') })
+socket.on('error', () => {})
+socket.on('close', () => parentPort.postMessage({ text }))
+parentPort.on('message', () => {
+  socket.write('GET / HTTP/1.1\\r\\nHost: test\\r\\nRequest-Id: 1\\r\\nDeadline-Ms: 3000\\r\\nConnection: close\\r\\n\\r\\n', () => {
+    if (leaves) socket.end()
+    setTimeout(done, 50)
+  })
+})
+`
+const STANDSTILL_MS = 400
+
+async function callWhileBusy (leaves: boolean) {
+  const fixture = await GatewayFixture.create([createRoute({})])
+  fixture.context.lag.start()
+  const runner = await fixture.addRunner('runner-1', ({ requestId, socket }) => {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: s\r\nContent-Length: 2\r\n\r\nok`)
+  })
+  const flag = new SharedArrayBuffer(4)
+  const worker = new Worker(CALLER, { eval: true, workerData: { port: fixture.port, leaves, flag } })
+  const received = await new Promise<string>((resolve) => {
+    worker.on('message', (message: 'connected' | { text: string }) => {
+      if (message !== 'connected') return resolve(message.text)
+      worker.postMessage('send')
+      const startMs = performance.now()
+      Atomics.wait(new Int32Array(flag), 0, 0, STANDSTILL_MS)
+      while (performance.now() - startMs < STANDSTILL_MS);
+    })
+  })
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  fixture.context.lag.stop()
+  await worker.terminate()
+  await fixture.close()
+  return { requests: runner.requests, received }
+}
+
+t.test('a request whose caller left before a busy host read it goes to no runner', async (t) => {
+  t.same((await callWhileBusy(true)).requests, [])
+})
+
+t.test('a request that waited for a busy host is served, with less time', async (t) => {
+  const { requests, received } = await callWhileBusy(false)
+  t.match(received, /^HTTP\/1.1 200/)
+  const leftMs = Number(/left-ms: (\d+)/i.exec(requests[0] ?? '')?.[1])
+  t.ok(leftMs < 3_000 - STANDSTILL_MS / 2, `${leftMs} ms`)
+})
--- a/packages/gateway/src/serve/serve-request.ts
+++ b/packages/gateway/src/serve/serve-request.ts
@@ -19,7 +19,8 @@
 
 /** Serves one request; resolves when its final answer is written or its caller is gone. */
 export async function serveRequest (context: ServeContext, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-  const arrivedMs = context.clock.monotonicMs()
+  // It may have waited in its socket until this host came to read it.
+  const arrivedMs = context.clock.monotonicMs() - context.lag.behindMs()
   const facts = context.codec.decodeRequest(incoming.rawHeaders)
   if (headerBytes(incoming) > (context.config.limits?.maxHeaderBytes ?? Infinity)) {
     return refuse(context, incoming, response, facts, createFailure(ResultCode.HeadersTooLarge, 'the headers exceed the limit'))
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -3,6 +3,7 @@
 import type { RunnerClosures } from '../closures/runner-closures.js'
 import type { ConfigState } from '../config/config-state.js'
 import type { Route, Service } from '../config/types.js'
+import type { LoopLag } from '../front/loop-lag.js'
 import type { RunnerConnections } from '../forward/runner-connections.js'
 import type { CallerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
 import type { InstantSource } from '../lease/instant.js'
@@ -69,6 +70,8 @@
   demand: DemandMeter
   adapters: AdapterLoader
   loads: LoadOutlook
+  /** How far this host is behind. */
+  lag: LoopLag
   host: HostView
   random: () => number
 }
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -14,6 +14,7 @@
 import { ConnectPeerCalls } from '../members/peer-service.js'
 import type { ExpectedLoad } from '../members/types.js'
 import { KnownLoads } from '../orders/known-loads.js'
+import { LoopLag } from '../front/loop-lag.js'
 import { RunnerConnections } from '../forward/runner-connections.js'
 import { SharedBudget } from '../retry/shared-budget.js'
 import { RunnerTable } from '../runners/runner-table.js'
@@ -122,6 +123,7 @@
       demand: DemandMeter.create(),
       adapters: new NoAdapters(),
       loads: KnownLoads.create(() => expectedLoads),
+      lag: LoopLag.create(clock),
       host: { availabilityZone: 'zone-1', hostCount: () => 1, hostOfOldLoads: () => undefined, runnersAgeMs: () => 0, isLeaving: () => false, isClosedToStreams: () => false },
       random: () => 0.5
     }, expectedLoads, overlong)
