Look for the caller of a connection's first request

Cause, by trace: a starting host accepts one connection a turn of its event loop; turns last 20 to 80 ms, so that the loop is hardly late while connections wait in the queue for 2 s with the request and the close in them. The measure of the loop alone doesn't see that. Evidence: serve/late-reads, a connection that waited to be accepted: fails with the check of new connections taken out. Change: the first request on each connection waits for one more read of the sockets before it goes on (CallerCheck). Why it works: what a connection brought while it waited is read whole by then, its close included.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import { ConfigState } from './config/config-state.js'
 import type { GatewayConfig } from './config/types.js'
 import { RunnerConnections } from './forward/runner-connections.js'
+import { CallerCheck } from './front/caller-check.js'
 import { createCallerHandler } from './front/handlers.js'
 import { HttpServer } from './front/http-server.js'
 import { LoopLag } from './front/loop-lag.js'
@@ -334,6 +335,7 @@
       }),
       loads: KnownLoads.create(() => this.#expectedLoads()),
       lag: this.#lag,
+      callerCheck: CallerCheck.create(this.#lag),
       host: {
         availabilityZone: settings.self.availabilityZone,
         hostCount: () => this.#members.sharingCount(this.#nowMs()),
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -6,6 +6,7 @@
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { RouteKind } from '../config/types.js'
 import { Attempt } from '../forward/attempt.js'
+import { hasLeft } from '../front/caller-check.js'
 import { afterNextPoll } from '../front/loop-lag.js'
 import { limitFields } from '../limits/limit-fields.js'
 import type { Permit } from '../limits/types.js'
@@ -29,8 +30,6 @@
 const MAX_ADAPTER_TRIES = 4
 /** Runners that are named in the log where all are closed. */
 const MAX_CLOSED_LINES = 3
-/** A host that is further behind looks whether a request's caller is still there before it sends the request on. */
-const CALLER_CHECK_MS = 100
 /** A sending with less time than this can't be answered. */
 const MIN_ATTEMPT_MS = 5
 
@@ -85,8 +84,9 @@
     this.#timer = clock.setTimer(this.request.dueMs - clock.monotonicMs(), () => this.#contain(() => this.#onDue()))
     if (this.request.route.kind === RouteKind.Stream && this.request.route.resumable) this.#stallWatch = this.#createStallWatch()
     budget.onRequest(this.request.service.name, clock.monotonicMs())
-    if (this.context.lag.behindMs() < CALLER_CHECK_MS) return this.#begin()
-    afterNextPoll(() => this.#contain(() => hasLeft(incoming) ? this.#onCallerGone() : this.#begin()))
+    const { socket } = incoming
+    if (!this.context.callerCheck.isDue(socket)) return this.#begin()
+    afterNextPoll(() => this.#contain(() => hasLeft(socket) ? this.#onCallerGone() : this.#begin()))
   }
 
   #begin (): void {
@@ -420,8 +420,3 @@
     this.#resolveFinished()
   }
 }
-
-/** The caller has closed its side of the connection. */
-function hasLeft ({ socket }: IncomingMessage): boolean {
-  return socket.destroyed || socket.readableEnded
-}
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -3,6 +3,7 @@
 import type { RunnerClosures } from '../closures/runner-closures.js'
 import type { ConfigState } from '../config/config-state.js'
 import type { Route, Service } from '../config/types.js'
+import type { CallerCheck } from '../front/caller-check.js'
 import type { LoopLag } from '../front/loop-lag.js'
 import type { RunnerConnections } from '../forward/runner-connections.js'
 import type { CallerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
@@ -72,6 +73,7 @@
   loads: LoadOutlook
   /** How far this host is behind. */
   lag: LoopLag
+  callerCheck: CallerCheck
   host: HostView
   random: () => number
 }
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -14,6 +14,7 @@
 import { ConnectPeerCalls } from '../members/peer-service.js'
 import type { ExpectedLoad } from '../members/types.js'
 import { KnownLoads } from '../orders/known-loads.js'
+import { CallerCheck } from '../front/caller-check.js'
 import { LoopLag } from '../front/loop-lag.js'
 import { RunnerConnections } from '../forward/runner-connections.js'
 import { SharedBudget } from '../retry/shared-budget.js'
@@ -107,6 +108,7 @@
     })
     const limits = createLimits(clock, instants)
     const leaving = LeavingRunners.create()
+    const lag = LoopLag.create(clock)
     const overlong: string[] = []
     const fixture = new GatewayFixture({
       clock,
@@ -123,7 +125,8 @@
       demand: DemandMeter.create(),
       adapters: new NoAdapters(),
       loads: KnownLoads.create(() => expectedLoads),
-      lag: LoopLag.create(clock),
+      lag,
+      callerCheck: CallerCheck.create(lag),
       host: { availabilityZone: 'zone-1', hostCount: () => 1, hostOfOldLoads: () => undefined, runnersAgeMs: () => 0, isLeaving: () => false, isClosedToStreams: () => false },
       random: () => 0.5
     }, expectedLoads, overlong)
