--- a/packages/cli/src/logs/logs.test.ts
+++ b/packages/cli/src/logs/logs.test.ts
@@ -173,3 +173,18 @@
   t.match(causes[0], /r takes 1\.1 requests a second .* heard 0\.3 s before/)
   t.match(causes[1], /Runner names a limit: r, 0\.8 s before the end/)
 })
+
+t.test('a refusal for the pause of a runner names the pause and when it ends', async (t) => {
+  const causes = findCauses(story([
+    line(200, 'a', 'runner asks for a pause', { runner: 'r', pauseMs: 2_000 }),
+    line(300, 'b', 'runner says that it leaves', { runner: 'q', from: 'b', heardAgoMs: 0 }),
+    ...request(1_000, 'a', [
+      [0, 'request accepted', { model: 'm' }],
+      [0, 'no runner can take the request', { full: 0, closed: 1, listed: 3 }],
+      [0, 'runner is closed', { runner: 'r', by: 'pause', opensInMs: 1_200 }],
+      [0, 'request not answered', { result: 'overloaded' }]
+    ])
+  ]))
+  t.match(causes[0], /r had refused a request of this host and wanted nothing more for another 1\.2 s/)
+  t.match(causes.join(' '), /Runner asks for a pause: r, 0\.8 s before the end.*Runner says that it leaves: q, 0\.7 s before/)
+})
