explain-request names runners that pause and leave

What operators saw: a refusal since the only copy's runner leaves read 'none of 3 runners held m' and named nobody. Change: the host logs which holders leave; explain-request names them, and pauses with their end. Tests: logs/logs, two of them, failing before.

--- a/packages/cli/src/logs/logs.test.ts
+++ b/packages/cli/src/logs/logs.test.ts
@@ -177,7 +177,6 @@
 t.test('a refusal for the pause of a runner names the pause and when it ends', async (t) => {
   const causes = findCauses(story([
     line(200, 'a', 'runner asks for a pause', { runner: 'r', pauseMs: 2_000 }),
-    line(300, 'b', 'runner says that it leaves', { runner: 'q', from: 'b', heardAgoMs: 0 }),
     ...request(1_000, 'a', [
       [0, 'request accepted', { model: 'm' }],
       [0, 'no runner can take the request', { full: 0, closed: 1, listed: 3 }],
@@ -186,5 +185,18 @@
     ])
   ]))
   t.match(causes[0], /r had refused a request of this host and wanted nothing more for another 1\.2 s/)
-  t.match(causes.join(' '), /Runner asks for a pause: r, 0\.8 s before the end.*Runner says that it leaves: q, 0\.7 s before/)
+  t.match(causes.join(' '), /Runner asks for a pause: r, 0\.8 s before the end/)
+})
+
+t.test('a refusal for want of a copy names the runner that holds one and leaves', async (t) => {
+  const causes = findCauses(story([
+    line(300, 'b', 'runner says that it leaves', { runner: 'q', from: 'b', heardAgoMs: 0 }),
+    ...request(1_000, 'a', [
+      [0, 'request accepted', { model: 'm' }],
+      [0, 'no runner can take the request', { full: 0, closed: 0, listed: 3 }],
+      [0, 'runner is closed', { runner: 'q', by: 'leaving' }],
+      [0, 'request not answered', { result: 'no_runner' }]
+    ])
+  ]))
+  t.match(causes.join(' '), /q had said that it leaves\. None of 3 runners held m\. Runner says that it leaves: q, 0\.7 s before the end/)
 })
--- a/packages/cli/src/logs/request-cause.ts
+++ b/packages/cli/src/logs/request-cause.ts
@@ -35,7 +35,13 @@
   const asked = own.filter(({ line }) => line.message === 'adapter asked for')
   if (asked.length > 0) return adapterCauses(story, asked)
   if (story.model === undefined) return ['No runner of the service could be reached.', ...storeCauses(story)]
-  return [`None of ${listed ?? 'the'} runners held ${story.model}.`, ...placementCauses(story)]
+  return [...leavingCauses(own), `None of ${listed ?? 'the'} runners held ${story.model}.`, ...runnerEvents(story), ...placementCauses(story)]
+}
+
+/** Runners that held what was asked for and had said that they leave. */
+function leavingCauses (own: readonly StoryLine[]): string[] {
+  const leaving = own.filter(({ line }) => line.message === 'runner is closed' && textOf(line, 'by') === 'leaving')
+  return leaving.map(({ line }) => `${textOf(line, 'runner')} had said that it leaves.`)
 }
 
 function adapterCauses (story: RequestStory, asked: readonly StoryLine[]): string[] {
@@ -56,7 +62,7 @@
 function overloadCauses (story: RequestStory, own: readonly StoryLine[], end: LogLine): string[] {
   const choice = lastOf(own, 'no runner can take the request')
   const full = choice === undefined ? 0 : numberOf(choice, 'full') ?? 0
-  const closed = own.filter(({ line }) => line.message === 'runner is closed')
+  const closed = own.filter(({ line }) => line.message === 'runner is closed' && textOf(line, 'by') !== 'leaving')
   if (full === 0 && closed.length > 0) return [...closed.map(({ line }) => closedCause(line)), ...runnerEvents(story), ...placementCauses(story)]
   if (full === 0) return [`Turned away without having run: ${textOf(end, 'reason')}.`, ...runnerEvents(story)]
   return [`All ${full} runners that hold what was asked for were full.`, ...placementCauses(story)]
--- a/packages/gateway/src/runners/runner-table.ts
+++ b/packages/gateway/src/runners/runner-table.ts
@@ -37,7 +37,7 @@
   readonly #runners = new Map<string, RunnerState>()
   #othersUses: ReadonlyMap<string, number> = new Map()
 
-  private constructor (private readonly leaving: LeavingRunners) {}
+  private constructor (private readonly leavingRunners: LeavingRunners) {}
 
   /** @param leaving runners that said that they leave, whatever their entries say */
   static create (leaving = LeavingRunners.create()): RunnerTable {
@@ -90,13 +90,18 @@
     return this.all().filter((state) => state.entry.service === service && this.#takesWork(state))
   }
 
+  /** Runners of a service that said that they leave and are still listed. */
+  leaving (service: string): RunnerState[] {
+    return this.all().filter(({ entry }) => entry.service === service && this.leavingRunners.isLeaving(entry))
+  }
+
   /** Whether a runner that was chosen may still be sent work. */
   mayUse (state: RunnerState): boolean {
     return this.#takesWork(state) && this.#runners.get(state.entry.id) === state
   }
 
   #takesWork ({ entry }: RunnerState): boolean {
-    return !entry.draining && !this.leaving.isLeaving(entry)
+    return !entry.draining && !this.leavingRunners.isLeaving(entry)
   }
 
   /** Requests at a runner from all hosts, as far as this host knows. */
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -4,6 +4,7 @@
 import { LoadWait } from './load-wait.js'
 import { findCandidates, type CandidateSet, type ClosedRunner } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
+import { ClosedBy } from '../closures/types.js'
 import { RouteKind } from '../config/types.js'
 import { Attempt } from '../forward/attempt.js'
 import { hasLeft } from '../front/caller-check.js'
@@ -337,12 +338,21 @@
     if (mayWait && this.#waitForLoad()) return
     this.#log.note('no runner can take the request', { full: set.fullCount, closed: set.closed.length, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
     for (const closed of set.closed.slice(0, MAX_CLOSED_LINES)) this.#noteClosed(closed)
+    this.#noteLeaving()
     if (this.#relay.begun) return this.#breakOff('no runner to resume the stream')
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastReason}; no other runner is free`))
     const { code, message, retryAfterMs } = refusalOf(this.context, this.request, set, this.#timeLeftMs())
     this.#giveUp(this.#failure(code, message, retryAfterMs))
   }
 
+  /** Names runners that hold what is needed and leave. */
+  #noteLeaving (): void {
+    const { clock, runners } = this.context
+    const { service, facts: { model } } = this.request
+    const holders = runners.leaving(service.name).filter((state) => model === undefined || runners.holds(state, model, undefined, clock.monotonicMs()))
+    for (const { entry } of holders.slice(0, MAX_CLOSED_LINES)) this.#log.note('runner is closed', { runner: entry.id, by: ClosedBy.Leaving })
+  }
+
   #noteClosed ({ id, by, opensInMs }: ClosedRunner): void {
     const runner = this.context.runners.get(id)
     if (runner !== undefined) this.#log.note('runner is closed', { runner: id, by, opensInMs: Math.round(opensInMs), ...limitFields(this.context.limits, runner.entry) })
