Leave room for what a paused reader's socket buffers; no timer for lookups without a body

Read in the diff: a reader that pauses for a slow caller leaves up to twice a socket's buffer unread, just the bound of 128 KB; and each lookup set a timer for a body that it doesn't have. Found by reading, not by a failure.

--- a/packages/gateway/src/forward/bounded-client.ts
+++ b/packages/gateway/src/forward/bounded-client.ts
@@ -6,8 +6,8 @@
 import type { Socket } from 'node:net'
 import { Client, type buildConnector, type Dispatcher } from 'undici'
 
-/** Bytes that a runner may send without a final head, a piece of a body or an end: a head, and what a socket buffers at once. */
-const MAX_IDLE_BYTES = 131_072
+/** Bytes that a runner may send without a final head, a piece of a body or an end: a head, and twice what a socket buffers while its reader pauses. */
+const MAX_IDLE_BYTES = 262_144
 /** Heads below this status are interim answers. */
 const FIRST_FINAL_STATUS = 200
 
--- a/packages/gateway/src/front/read-body.ts
+++ b/packages/gateway/src/front/read-body.ts
@@ -41,7 +41,7 @@
 
 /** Reads on behind an answer that was given before the body was whole; closes the connection of a body that goes on for long. */
 export function skipRest (incoming: IncomingMessage, clock: Clock): void {
-  if (incoming.complete || incoming.destroyed) return
+  if (!hasBody(incoming) || incoming.complete || incoming.destroyed) return
   const { socket } = incoming
   let bytes = 0
   const timer = clock.setTimer(MAX_REST_MS, () => {
