--- a/packages/gateway/src/front/caller-check.ts
+++ b/packages/gateway/src/front/caller-check.ts
@@ -30,3 +30,9 @@
 export function hasLeft (socket: Socket): boolean {
   return socket.destroyed || socket.readableEnded
 }
+
+/** Calls back when the event loop has read once more what its sockets have. */
+export function afterNextPoll (callback: () => void): void {
+  // The first one runs behind the reads of the present turn, the second one behind those of the next.
+  setImmediate(() => setImmediate(callback))
+}
--- a/packages/gateway/src/front/loop-lag.ts
+++ b/packages/gateway/src/front/loop-lag.ts
@@ -40,9 +40,3 @@
     this.start()
   }
 }
-
-/** Calls back when the event loop has read once more what its sockets have. */
-export function afterNextPoll (callback: () => void): void {
-  // The first one runs behind the reads of the present turn, the second one behind those of the next.
-  setImmediate(() => setImmediate(callback))
-}
