Log which requests were at a runner when its process ended

A host now notes the requests at each process and whether they have begun, probes an address whose connection broke, and logs an end with the prompt parts of those that had not begun. Nothing is sent otherwise than before.

--- /dev/null
+++ b/packages/gateway/src/crashes/end-detector.test.ts
@@ -0,0 +1,80 @@
+// Guards against broken connections that count as the end of a runner's process, and against ends that go unnoticed.
+import { ManualClock, silentLogger } from '@figloom/runtime'
+import t from 'tap'
+import { InstantSource } from '../lease/instant.js'
+import { EndDetector } from './end-detector.js'
+import { ListenerProbe, type ProcessEnd, type SentRequest } from './types.js'
+
+const RUNNER = { id: 'runner', address: '10.0.0.1:80', startedUnixMs: 5 }
+
+class FixedProbe extends ListenerProbe {
+  probes = 0
+
+  constructor (public refused: boolean) {
+    super()
+  }
+
+  override async isRefused (): Promise<boolean> {
+    this.probes += 1
+    return this.refused
+  }
+}
+
+function createDetector (refused = true) {
+  const clock = ManualClock.create()
+  const ends: ProcessEnd[] = []
+  const probe = new FixedProbe(refused)
+  const detector = EndDetector.create({ clock, instants: InstantSource.create(clock), log: silentLogger, probe, onEnd: (end) => ends.push(end) })
+  const send = (requestId: string): SentRequest => {
+    const request = { requestId, partIds: [requestId], attempt: 1, begun: false }
+    detector.onSent(RUNNER, request)
+    return request
+  }
+  return { clock, ends, probe, detector, send }
+}
+
+t.test('an end is reported once, with all requests that were at the process', async (t) => {
+  const { clock, detector, ends, probe, send } = createDetector()
+  send('waiting')
+  send('running')
+  send('unnoticed')
+  detector.onBegun(RUNNER, 'running')
+  detector.onEnded(RUNNER, 'waiting', true)
+  detector.onEnded(RUNNER, 'running', true)
+  await clock.advance(50)
+  t.same(ends.map(({ requests }) => requests.map(({ requestId, begun }) => [requestId, begun])), [[['waiting', false], ['running', true], ['unnoticed', false]]])
+  detector.onEnded(RUNNER, 'unnoticed', true)
+  await clock.advance(500)
+  t.equal(ends.length, 1)
+  t.equal(probe.probes, 1)
+})
+
+t.test('a broken connection to a process that still listens is no end', async (t) => {
+  const { clock, detector, ends, send } = createDetector(false)
+  send('broken')
+  detector.onEnded(RUNNER, 'broken', true)
+  await clock.advance(50)
+  t.same(ends, [])
+})
+
+t.test('requests that ended before the process are not reported', async (t) => {
+  const { clock, detector, ends, send } = createDetector()
+  send('answered')
+  detector.onEnded(RUNNER, 'answered', false)
+  send('waiting')
+  detector.onEnded(RUNNER, 'waiting', true)
+  await clock.advance(50)
+  t.same(ends[0]?.requests.map(({ requestId }) => requestId), ['waiting'])
+})
+
+t.test('an end after an earlier broken connection is reported', async (t) => {
+  const { clock, detector, ends, probe, send } = createDetector(false)
+  send('first')
+  detector.onEnded(RUNNER, 'first', true)
+  await clock.advance(50)
+  probe.refused = true
+  send('second')
+  detector.onEnded(RUNNER, 'second', true)
+  await clock.advance(50)
+  t.same(ends[0]?.requests.map(({ requestId }) => requestId), ['second'])
+})
--- /dev/null
+++ b/packages/gateway/src/crashes/end-detector.ts
@@ -0,0 +1,106 @@
+/**
+ * Detects that a runner's process ended while requests of this host were at it. When a process ends, all its connections break
+ * and new ones are refused; a single broken connection, or a runner that can't be reached, is no end.
+ */
+import type { Clock, Logger } from '@figloom/runtime'
+import type { LocatedRunner } from '../gates/types.js'
+import type { InstantSource } from '../lease/instant.js'
+import type { ListenerProbe, ProcessEnd, SentRequest } from './types.js'
+
+/** The connections of a process that ended break within this time of each other. */
+const COLLECT_MS = 20
+/** An end is reported once: further connections that break within this time belong to the same process. */
+const SAME_END_MS = 1_000
+
+export type EndDetectorParts = {
+  clock: Clock
+  instants: InstantSource
+  log: Logger
+  probe: ListenerProbe
+  onEnd: (end: ProcessEnd) => void
+}
+
+type ProcessRequests = {
+  runner: LocatedRunner
+  /** Requests at the process, by id. */
+  open: Map<string, SentRequest>
+  /** Requests whose connection broke. */
+  broken: SentRequest[]
+  /** When the first connection broke; undefined while none has. */
+  brokenSinceMs: number | undefined
+}
+
+export class EndDetector {
+  readonly #processes = new Map<string, ProcessRequests>()
+
+  private constructor (private readonly parts: EndDetectorParts) {}
+
+  static create (parts: EndDetectorParts): EndDetector {
+    return new EndDetector(parts)
+  }
+
+  /** A request is written to a runner. */
+  onSent (runner: LocatedRunner, request: SentRequest): void {
+    this.#processOf(runner).open.set(request.requestId, request)
+  }
+
+  /** Part of the answer was received; returns the request if it is the first part. */
+  onBegun (runner: LocatedRunner, requestId: string): SentRequest | undefined {
+    const request = this.#processes.get(keyOf(runner))?.open.get(requestId)
+    if (request === undefined || request.begun) return undefined
+    request.begun = true
+    return request
+  }
+
+  /** @param broken the connection broke before the answer was complete */
+  onEnded (runner: LocatedRunner, requestId: string, broken: boolean): void {
+    const process = this.#processes.get(keyOf(runner))
+    const request = process?.open.get(requestId)
+    if (process === undefined || request === undefined) return
+    process.open.delete(requestId)
+    if (broken) return this.#onBroken(process, request)
+    if (process.open.size === 0 && process.brokenSinceMs === undefined) this.#processes.delete(keyOf(runner))
+  }
+
+  #onBroken (process: ProcessRequests, request: SentRequest): void {
+    process.broken.push(request)
+    if (process.brokenSinceMs !== undefined) return
+    process.brokenSinceMs = this.parts.instants.nowMs()
+    this.#confirm(process).catch((error: Error) => this.parts.log.error('end of a runner could not be confirmed', { runner: process.runner.id, reason: error.message }))
+  }
+
+  async #confirm (process: ProcessRequests): Promise<void> {
+    const { clock, probe } = this.parts
+    await clock.sleep(COLLECT_MS)
+    if (await probe.isRefused(process.runner.address)) this.#report(process)
+    // Requests whose connections break later than this belong to another event.
+    else this.#reset(process)
+  }
+
+  #report (process: ProcessRequests): void {
+    const { runner, broken, open, brokenSinceMs } = process
+    const endedMs = brokenSinceMs ?? this.parts.instants.nowMs()
+    this.parts.onEnd({ runner, endedMs, requests: [...broken, ...open.values()] })
+    this.parts.clock.setTimer(SAME_END_MS, () => this.#reset(process))
+  }
+
+  #reset (process: ProcessRequests): void {
+    process.broken = []
+    process.brokenSinceMs = undefined
+    if (process.open.size === 0) this.#processes.delete(keyOf(process.runner))
+  }
+
+  #processOf (runner: LocatedRunner): ProcessRequests {
+    const key = keyOf(runner)
+    const known = this.#processes.get(key)
+    if (known !== undefined) return known
+    const created: ProcessRequests = { runner: { id: runner.id, address: runner.address, startedUnixMs: runner.startedUnixMs }, open: new Map(), broken: [], brokenSinceMs: undefined }
+    this.#processes.set(key, created)
+    return created
+  }
+}
+
+/** Distinguishes the processes that use an address one after the other. */
+export function keyOf ({ id, address, startedUnixMs }: LocatedRunner): string {
+  return `${id}@${address}/${startedUnixMs ?? ''}`
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,9 @@
 import { createGateMetrics } from './gates/gate-metrics.js'
 import { LeavingRunners } from './gates/leaving-runners.js'
 import { RunnerGates } from './gates/runner-gates.js'
+import { createCrashMetrics } from './crashes/crash-metrics.js'
+import { CrashMonitor } from './crashes/crash-monitor.js'
+import { TcpProbe } from './crashes/tcp-probe.js'
 import { ConfigFetcher } from './config/config-fetcher.js'
 import { ConfigState } from './config/config-state.js'
 import type { GatewayConfig } from './config/types.js'
@@ -69,6 +72,7 @@
   readonly #runnerList: RunnerListSync
   readonly #limits: LimitControl
   readonly #closures: RunnerGates
+  readonly #crashes: CrashMonitor
   readonly #connections: RunnerConnections
   readonly #demand = DemandMeter.create()
   readonly #loopLag: LoopLag
@@ -131,6 +135,7 @@
       limits: this.#limits,
       leaving: this.#leavingRunners
     })
+    this.#crashes = CrashMonitor.create({ clock, instants: this.#instants, log, metrics: createCrashMetrics(this.#registry), probe: TcpProbe.create() })
     const overlong = createOverlongCounter(this.#registry)
     this.#connections = RunnerConnections.create((runner, reason) => {
       overlong.inc()
@@ -321,6 +326,7 @@
       runners: this.#runners,
       limits: this.#limits,
       closures: this.#closures,
+      crashes: this.#crashes,
       connections: this.#connections,
       budget: SharedBudget.create(settings.budget),
       demand: this.#demand,
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -10,6 +10,8 @@
   /** Description for the log. */
   reason: string
   facts?: AnswerFacts
+  /** The connection failed after the request was sent. */
+  connectionBroke?: boolean
   /** A complete answer that hasn't been sent to the caller yet. */
   bufferedAnswer?: { head: AnswerHead, body: Buffer }
 }
@@ -49,6 +51,7 @@
   #chunks: Buffer[] = []
   #bytes = 0
   #done = false
+  #connectionBroke = false
 
   private constructor (
     private readonly requestId: string,
@@ -99,6 +102,7 @@
   }
 
   override onFailure (stage: FailureStage, error: Error): void {
+    this.#connectionBroke = stage === FailureStage.Sent || stage === FailureStage.Answer
     this.#finish(FAILURE_OUTCOMES[stage], `${stage}: ${error.message}`)
   }
 
@@ -148,6 +152,6 @@
     if (this.#done) return
     this.#done = true
     this.#chunks = []
-    this.callbacks.onResult({ outcome, reason, facts: this.#facts, bufferedAnswer })
+    this.callbacks.onResult({ outcome, reason, facts: this.#facts, connectionBroke: this.#connectionBroke, bufferedAnswer })
   }
 }
--- a/packages/gateway/src/serve/request-hints.ts
+++ b/packages/gateway/src/serve/request-hints.ts
@@ -22,6 +22,11 @@
   return `${facts.model ?? ''}/${facts.adapter ?? ''}/${shared?.id ?? ''}`
 }
 
+/** Ids of the parts of a prompt that other requests may share: all but the last one, which belongs to the request or its session. */
+export function sharedPartIds ({ promptParts }: CallerFacts): string[] {
+  return promptParts.slice(0, -1).map(({ id }) => id)
+}
+
 /** Rank in a runner's queue, 0 first: the route's priority, lowered for requests that can wait. */
 export function urgencyOf (route: Route): number {
   const patience = route.targetLatencyMs > MIN_QUEUEABLE_TARGET_MS ? 4 : 0
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -15,7 +15,7 @@
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
 import { decideNextStep, NextStep, Outcome, wasNotSent, type Progress } from './outcome.js'
 import { writeFailure } from './gateway-answer.js'
-import { affinityKey, impliesNotRun, urgencyOf } from './request-hints.js'
+import { affinityKey, impliesNotRun, sharedPartIds, urgencyOf } from './request-hints.js'
 import { ANSWERED, reportEnd } from './request-end.js'
 import { RequestLog } from './request-log.js'
 import { StallDetector } from './stall-detector.js'
@@ -178,7 +178,7 @@
       beforeWrite: () => this.#guard(() => this.#beforeWrite(runner, permit)) ?? false,
       onHead: (facts) => this.#guard(() => recordAnswerHead(context, { requestId: request.id, runner, facts, writtenInstantMs: this.#writtenInstantMs })),
       onFirstByte: () => this.#guard(() => this.#onFirstByte()),
-      onEvents: () => this.#guard(() => this.#stallDetector?.onProgress()),
+      onEvents: () => this.#guard(() => this.#onEvents(runner)),
       onOverlong: (reason) => context.connections.onOverlong(id, reason),
       onResult: (result) => this.#guard(() => this.#onResult(runner, result))
     })
@@ -212,16 +212,22 @@
 
   /** Checks the runner again: it may have started to drain or been closed by its own signals while the request waited for a connection. */
   #beforeWrite (runner: RunnerState, permit: Permit | undefined): boolean {
-    const { clock, closures, instants, limits, metrics, runners } = this.context
+    const { clock, closures, crashes, instants, limits, metrics, runners } = this.context
     this.#writtenMs = clock.monotonicMs()
     this.#writtenInstantMs = instants.nowMs()
     if (!runners.mayUse(runner)) return false
     if (!closures.mayWrite(runner.entry, this.request.id)) return false
     if (!limits.beforeWrite(runner.entry, permit)) return false
     if (permit !== undefined) metrics.limitedAttempts.inc()
+    crashes.onSent(runner.entry, { requestId: this.request.id, partIds: sharedPartIds(this.request.facts), attempt: this.#progress.possibleRuns + 1, begun: false })
     return true
   }
 
+  #onEvents (runner: RunnerState): void {
+    this.context.crashes.onBegun(runner.entry, this.request.id)
+    this.#stallDetector?.onProgress()
+  }
+
   #onFirstByte (): void {
     if (this.#firstByteMs !== undefined) return
     this.#firstByteMs = this.context.clock.monotonicMs()
@@ -229,7 +235,7 @@
   }
 
   #onResult (runner: RunnerState, result: AttemptResult): void {
-    this.#releaseRunner()
+    this.#releaseRunner(result.connectionBroke)
     if (this.#ended) return
     recordAttempt(this.context, { request: this.request, runner, result, startedMs: this.#attemptStartMs })
     if (result.facts?.misdirected !== true) this.#weightsVersion ??= result.facts?.weightsVersion
@@ -272,8 +278,9 @@
     this.#onResult(runner, { outcome: Outcome.Unknown, reason: 'the stream stalled' })
   }
 
-  #releaseRunner (): void {
+  #releaseRunner (connectionBroke = false): void {
     if (this.#runner === undefined) return
+    this.context.crashes.onEnded(this.#runner.entry, this.request.id, connectionBroke)
     this.context.closures.onEnded(this.#runner.entry, this.request.id)
     this.#runner.inFlight -= 1
     this.#runner = undefined
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -1,6 +1,7 @@
 /** What the code that serves requests uses from the rest of the gateway. */
 import type { Clock, Logger } from '@figloom/runtime'
 import type { RunnerGates } from '../gates/runner-gates.js'
+import type { CrashMonitor } from '../crashes/crash-monitor.js'
 import type { ConfigState } from '../config/config-state.js'
 import type { Route, Service } from '../config/types.js'
 import type { CallerCheck } from '../front/caller-check.js'
@@ -66,6 +67,7 @@
   runners: RunnerTable
   limits: LimitControl
   closures: RunnerGates
+  crashes: CrashMonitor
   connections: RunnerConnections
   budget: SharedBudget
   demand: DemandMeter
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -5,6 +5,9 @@
 import { createGateMetrics } from '../gates/gate-metrics.js'
 import { LeavingRunners } from '../gates/leaving-runners.js'
 import { RunnerGates } from '../gates/runner-gates.js'
+import { createCrashMetrics } from '../crashes/crash-metrics.js'
+import { CrashMonitor } from '../crashes/crash-monitor.js'
+import { TcpProbe } from '../crashes/tcp-probe.js'
 import { ConfigState } from '../config/config-state.js'
 import { RouteKind, type Route, type Service } from '../config/types.js'
 import { InstantSource } from '../lease/instant.js'
@@ -120,6 +123,7 @@
       runners: RunnerTable.create(leaving),
       limits,
       closures: RunnerGates.create({ clock, instants, log: silentLogger, metrics: createGateMetrics(new Registry()), host: 'host', limits, leaving }),
+      crashes: CrashMonitor.create({ clock, instants, log: silentLogger, metrics: createCrashMetrics(new Registry()), probe: TcpProbe.create() }),
       connections: RunnerConnections.create((runnerId, reason) => overlong.push(`${runnerId}: ${reason}`)),
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
