--- /dev/null
+++ b/packages/gateway/src/crashes/testing/crashing-fleet.ts
@@ -0,0 +1,73 @@
+/** Hosts over loopback before runners whose processes end under certain requests, and callers of both kinds. */
+import { Agent, request } from 'undici'
+import { startHost, createConfig, type TestHost } from '../../testing/gateway-host.js'
+import { CrashingRunner } from './crashing-runner.js'
+
+export type CrashingFleetOptions = { hosts: number, runners: number, deadlyParts: string[] }
+
+/** A call's status, and whether its answer was whole. */
+export type CallResult = { status: number, whole: boolean }
+
+export class CrashingFleet {
+  readonly hosts: TestHost[] = []
+  readonly runners: CrashingRunner[] = []
+  readonly #agent = new Agent()
+  #position = 1
+  #calls = 0
+
+  private constructor () {}
+
+  static async create ({ hosts, runners, deadlyParts }: CrashingFleetOptions): Promise<CrashingFleet> {
+    const fleet = new CrashingFleet()
+    const seeds: string[] = []
+    for (let index = 0; index < hosts; index += 1) {
+      const host = await startHost([...seeds])
+      seeds.push(host.peerAddress)
+      fleet.hosts.push(host)
+    }
+    const deadly = new Set(deadlyParts)
+    for (let index = 1; index <= runners; index += 1) {
+      fleet.runners.push(await CrashingRunner.create(`runner-${index}`, deadly, () => fleet.list()))
+    }
+    for (const { watch } of fleet.hosts) watch.events?.onConfig(createConfig(3), Buffer.from('3'))
+    fleet.list()
+    return fleet
+  }
+
+  /** Lists the runners' present processes at all hosts. */
+  list (): void {
+    this.#position += 1
+    const records = this.runners.map((runner) => ({ id: runner.id, position: this.#position, entry: runner.entry() }))
+    for (const { watch } of this.hosts) watch.events?.onRunnerUpdate({ to: this.#position + 1, records, ageMs: 0 })
+  }
+
+  /** Sends a request with these prompt parts to one of the hosts in turn. */
+  async call (parts: string[]): Promise<CallResult> {
+    this.#calls += 1
+    const host = this.hosts[this.#calls % this.hosts.length] as TestHost
+    const headers = { host: 'test', 'request-id': `call-${this.#calls}`, 'prompt-parts': [...parts, `own-${this.#calls}`].join(',') }
+    try {
+      const { statusCode, body } = await request(`http://${host.callerAddress}/stream/1`, { method: 'POST', headers, dispatcher: this.#agent })
+      const text = await body.text()
+      return { status: statusCode, whole: text.includes('id: 1\n') }
+    } catch {
+      return { status: 0, whole: false }
+    }
+  }
+
+  /** Times at which processes ended, in order. */
+  endsMs (): number[] {
+    return this.runners.flatMap(({ endsMs }) => endsMs).sort((a, b) => a - b)
+  }
+
+  /** Requests with a deadly part that reached runners after this time. */
+  deadlyArrivalsAfter (afterMs: number): number {
+    return this.runners.flatMap(({ deadlyArrivalsMs }) => deadlyArrivalsMs).filter((atMs) => atMs > afterMs).length
+  }
+
+  async close (): Promise<void> {
+    await Promise.all(this.hosts.map(({ gateway }) => gateway.stop()))
+    for (const runner of this.runners) runner.close()
+    await this.#agent.destroy()
+  }
+}
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -18,7 +18,7 @@
       adapter,
       promptTokens: 0,
       maxOutputTokens: 0,
-      promptParts: []
+      promptParts: (valueOf(headers, 'prompt-parts') ?? '').split(',').filter((id) => id !== '').map((id) => ({ id, tokens: 1 }))
     }
   }
 
