Block prompt parts under which runners end

Cause: nothing related the end of a runner to the requests that were at it. A broken attempt counted against the runner alone, so each request of the kind was sent to a sound runner, whatever had been seen before.

Hosts now exchange which prompts had not begun at each end of a process, and which parts began later. A part that was suspect at three ends (five if others were suspect too, eight if it was in use just before) is blocked: requests with it are refused as not run (2008, no Retry-After) on every way to a runner, those at runners are taken back, and no copy is loaded for them. One host tries one request a minute later, then at doubling intervals; an answer that begins lifts the block. Blocks are stored on the platform; so are ends, for hosts that do not reach each other.

--- a/packages/cli/src/logs/logs.test.ts
+++ b/packages/cli/src/logs/logs.test.ts
@@ -200,3 +200,18 @@
   ]))
   t.match(causes.join(' '), /q had announced that it leaves\. None of 3 runners held m\. Runner says that it leaves: q, 0\.7 s before the end/)
 })
+
+t.test('a refusal for a blocked prompt part names the part, why it is blocked and which processes had ended', async (t) => {
+  const blocked = (ran: string) => findCauses(timelineOf([
+    line(200, 'b', 'prompt part is blocked', { part: 'p1', from: 'b', processes: 'r@10.0.0.1:80/5' }),
+    line(300, 'b', 'prompt part is blocked', { part: 'p2', from: 'b', processes: 'q@10.0.0.2:80/5' }),
+    ...request(1_000, 'a', [
+      [0, 'request accepted', { model: 'm' }],
+      [0, 'request has a blocked prompt part', { part: 'p1', reason: '3 runners ended', ran }],
+      [0, 'request not answered', { result: 'prompt_blocked' }]
+    ])
+  ]))
+  t.match(blocked('no')[0], /Prompt part p1 is blocked: 3 runners ended\. It has not run\./)
+  t.match(blocked('unknown')[0], /may have run/)
+  t.match(blocked('no')[1], /Blocked by b, 0\.8 s before the end; processes that ended: r@10\.0\.0\.1:80\/5\./)
+})
--- a/packages/cli/src/logs/request-cause.ts
+++ b/packages/cli/src/logs/request-cause.ts
@@ -9,6 +9,8 @@
   if (end === undefined) return []
   if (end.message === 'request answered') return ['The request was answered.']
   if (end.message === 'request refused on arrival') return [`Refused on arrival: ${textOf(end, 'reason') ?? 'no reason given'}.`]
+  const blocked = lastLine(own, 'request has a blocked prompt part')
+  if (blocked !== undefined) return blockedCauses(timeline, blocked)
   const result = textOf(end, 'result')
   if (result === 'no_runner') return noRunnerCauses(timeline, own)
   if (result === 'overloaded') return overloadedCauses(timeline, own, end)
@@ -16,6 +18,19 @@
   return attemptCauses(timeline, own, end)
 }
 
+function blockedCauses (timeline: RequestTimeline, blocked: LogLine): string[] {
+  const part = textOf(blocked, 'part')
+  const outcome = textOf(blocked, 'ran') === 'unknown' ? 'It had been sent and may have run.' : 'It has not run.'
+  return [`Prompt part ${part} is blocked: ${textOf(blocked, 'reason')}. ${outcome}`, ...blockEvents(timeline, part), ...runnerEvents(timeline)]
+}
+
+/** When hosts blocked the part, and which processes had ended. */
+function blockEvents (timeline: RequestTimeline, part: string | undefined): string[] {
+  const event = timeline.lines.find(({ line }) => line.message === 'prompt part is blocked' && textOf(line, 'part') === part)
+  if (event === undefined) return []
+  return [`Blocked by ${textOf(event.line, 'from')}, ${timeRelativeToEnd(timeline, event)}; processes that ended: ${textOf(event.line, 'processes')}.`]
+}
+
 /** What the request was waiting for when its caller left. */
 function callerGoneCauses (timeline: RequestTimeline, own: readonly TimelineEntry[]): string[] {
   const last = own.at(-2)
@@ -121,7 +136,7 @@
   return [`Ended with ${result} at ${runner}: ${reason}.`, ...unknown, ...budget, ...runnerEvents(timeline)]
 }
 
-const RUNNER_EVENTS: readonly string[] = ['runner left the list', 'runner drains', 'runner is gone', 'runner gave no report', 'runner says that it leaves', 'runner asks for a pause', 'runner names a limit', 'limit of a runner changed', 'limit of a runner ended']
+const RUNNER_EVENTS: readonly string[] = ['runner left the list', 'runner drains', 'runner is gone', 'runner gave no report', 'runner says that it leaves', 'runner asks for a pause', 'runner names a limit', 'limit of a runner changed', 'limit of a runner ended', 'runner ended with unfinished requests']
 
 function runnerEvents (timeline: RequestTimeline): string[] {
   const seen = new Set<string>()
--- a/packages/cli/src/logs/request-timeline.ts
+++ b/packages/cli/src/logs/request-timeline.ts
@@ -53,15 +53,16 @@
   return writtenMs - (totalMs - atMs)
 }
 
-type Subject = { host: string, runners: ReadonlySet<string>, model: string | undefined, adapter: string | undefined }
+type Subject = { host: string, runners: ReadonlySet<string>, model: string | undefined, adapter: string | undefined, blockedPart: string | undefined }
 
 function subjectOf (own: readonly LogLine[]): Subject {
   const find = (name: string) => own.map((line) => textOf(line, name)).find((value) => value !== undefined)
   const runners = new Set(own.flatMap((line) => textOf(line, 'runner') ?? []))
-  return { host: own[0]?.host ?? '', runners, model: find('model'), adapter: find('adapter') }
+  return { host: own[0]?.host ?? '', runners, model: find('model'), adapter: find('adapter'), blockedPart: find('part') }
 }
 
-function isRelevant (line: LogLine, { host, runners, model }: Subject): boolean {
+function isRelevant (line: LogLine, { host, runners, model, blockedPart }: Subject): boolean {
+  if (blockedPart !== undefined && textOf(line, 'part') === blockedPart) return true
   const runner = textOf(line, 'runner')
   if (runner !== undefined && runners.has(runner)) return true
   if (LEASE_MESSAGES.includes(line.message)) return true
--- /dev/null
+++ b/packages/gateway/src/crashes/crash-monitor.test.ts
@@ -0,0 +1,212 @@
+// Guards against hosts that don't learn of a block, and against blocks that are written by all hosts or never end.
+import { ManualClock, Registry, silentLogger } from '@figloom/runtime'
+import t from 'tap'
+import { InstantSource } from '../lease/instant.js'
+import { CrashRecords, MemoryCrashLog } from '../testing/memory-crash-log.js'
+import { createCrashMetrics } from './crash-metrics.js'
+import { CrashMonitor } from './crash-monitor.js'
+import { ListenerProbe } from './types.js'
+
+const PROMPT = ['shared', 'deadly']
+const MINUTE_MS = 60_000
+
+class RefusedProbe extends ListenerProbe {
+  override async isRefused (): Promise<boolean> {
+    return true
+  }
+}
+
+class Fleet {
+  readonly clock = ManualClock.create()
+  readonly records = CrashRecords.create()
+  readonly monitors: CrashMonitor[] = []
+  readonly urgent: number[] = []
+  #requests = 0
+
+  /** @param mayTry whether this host may run trials */
+  add (mayTry = false): CrashMonitor {
+    const { clock, records, monitors, urgent } = this
+    const index = monitors.length
+    const monitor = CrashMonitor.create({
+      clock,
+      instants: InstantSource.create(clock),
+      log: silentLogger,
+      metrics: createCrashMetrics(new Registry()),
+      probe: new RefusedProbe(),
+      crashLog: MemoryCrashLog.create(records),
+      host: `host-${index}`,
+      incarnation: `host-${index}/${clock.monotonicMs()}`,
+      random: () => 0.1 + index / 10,
+      mayTry: () => mayTry,
+      readsThroughPeers: () => false,
+      hasLivePeers: () => true,
+      onUrgent: () => urgent.push(index)
+    })
+    monitors.push(monitor)
+    monitor.start()
+    return monitor
+  }
+
+  /** A request of this host ends the process of a runner. */
+  async crash (monitor: CrashMonitor, partIds = PROMPT): Promise<void> {
+    this.#requests += 1
+    const runner = { id: `runner-${this.#requests}`, address: `10.0.0.${this.#requests}:80`, startedUnixMs: 1 }
+    monitor.onSent(runner, { requestId: `r${this.#requests}`, partIds, attempt: 1, begun: false })
+    monitor.onEnded(runner, `r${this.#requests}`, true)
+    await this.clock.advance(400)
+  }
+
+  /** A request of this host is answered. */
+  answer (monitor: CrashMonitor, partIds: string[], requestId = `r${this.#requests += 1}`): void {
+    const runner = { id: 'sound', address: '10.0.1.1:80' }
+    monitor.onSent(runner, { requestId, partIds, attempt: 1, begun: false })
+    monitor.onBegun(runner, requestId)
+    monitor.onEnded(runner, requestId, false)
+  }
+
+  exchange (from: CrashMonitor, to: CrashMonitor): void {
+    const host = `host-${this.monitors.indexOf(from)}`
+    const update = from.update(to.seenOf(host))
+    if (update !== undefined) to.receive(host, update)
+  }
+}
+
+const isBlocked = (monitor: CrashMonitor) => monitor.isBlocked(['deadly'])
+
+t.test('ends that three hosts observed block a part on all of them, after exchanges in any direction', async (t) => {
+  const fleet = new Fleet()
+  fleet.records.down = true
+  const [a, b, c] = [fleet.add(), fleet.add(), fleet.add()]
+  for (const monitor of [a, b, c]) await fleet.crash(monitor)
+  t.notOk(isBlocked(a))
+  fleet.exchange(a, b)
+  fleet.exchange(b, c)
+  await fleet.clock.advance(100)
+  t.ok(isBlocked(c))
+  fleet.exchange(c, a)
+  t.ok(isBlocked(a))
+  t.notOk(a.isBlocked(['shared']))
+})
+
+t.test('an end with requests that had not begun is reported to other hosts at once', async (t) => {
+  const fleet = new Fleet()
+  const a = fleet.add()
+  await fleet.crash(a)
+  t.same(fleet.urgent, [0])
+})
+
+t.test('hosts that reach the platform but not each other block the same part', async (t) => {
+  const fleet = new Fleet()
+  const [a, b, c] = [fleet.add(), fleet.add(), fleet.add()]
+  for (const monitor of [a, b, c]) await fleet.crash(monitor)
+  await fleet.clock.advance(2_000)
+  t.same([a, b, c].map(isBlocked), [true, true, true])
+})
+
+t.test('a host that starts reads the blocks, also when all hosts were restarted', async (t) => {
+  const fleet = new Fleet()
+  const a = fleet.add()
+  for (let count = 0; count < 3; count += 1) await fleet.crash(a)
+  await fleet.clock.advance(1_000)
+  a.stop()
+  t.ok(isBlocked(fleet.add()))
+})
+
+t.test('a host that starts learns of blocks from another one while the platform is down', async (t) => {
+  const fleet = new Fleet()
+  fleet.records.down = true
+  const a = fleet.add()
+  for (let count = 0; count < 3; count += 1) await fleet.crash(a)
+  const b = fleet.add()
+  t.notOk(isBlocked(b))
+  fleet.exchange(a, b)
+  t.ok(isBlocked(b))
+})
+
+t.test('a block that could not be written is written when the platform is back', async (t) => {
+  const fleet = new Fleet()
+  fleet.records.down = true
+  const a = fleet.add()
+  for (let count = 0; count < 3; count += 1) await fleet.crash(a)
+  await fleet.clock.advance(3_000)
+  fleet.records.down = false
+  await fleet.clock.advance(2_000)
+  t.ok(fleet.records.blocks.get('deadly')?.blocked)
+})
+
+t.test('a block that several hosts decide is written once', async (t) => {
+  const fleet = new Fleet()
+  const monitors = [fleet.add(), fleet.add(), fleet.add()]
+  const [a] = monitors as [CrashMonitor]
+  for (let count = 0; count < 3; count += 1) {
+    await fleet.crash(a)
+    for (const monitor of monitors) fleet.exchange(a, monitor)
+  }
+  await fleet.clock.advance(500)
+  t.equal(fleet.records.blockWrites, 1)
+})
+
+t.test('ends whose prompts all began elsewhere are not written', async (t) => {
+  const fleet = new Fleet()
+  const a = fleet.add()
+  fleet.answer(a, ['shared', 'session'])
+  await fleet.crash(a, ['shared', 'session'])
+  await fleet.clock.advance(2_000)
+  t.equal(fleet.records.writes, 0)
+})
+
+t.test('an answer at one host clears the parts at another one', async (t) => {
+  const fleet = new Fleet()
+  fleet.records.down = true
+  const [a, b] = [fleet.add(), fleet.add()]
+  await fleet.crash(a, ['session'])
+  await fleet.crash(a, ['session'])
+  fleet.exchange(a, b)
+  fleet.answer(b, ['session'])
+  fleet.exchange(b, a)
+  await fleet.crash(a, ['session'])
+  t.notOk(a.isBlocked(['session']))
+})
+
+t.test('one host tries one request a minute after the block; if it begins, the block is lifted everywhere', async (t) => {
+  const fleet = new Fleet()
+  const [a, holder] = [fleet.add(), fleet.add(true)]
+  for (let count = 0; count < 3; count += 1) await fleet.crash(a)
+  await fleet.clock.advance(1_000)
+  t.ok(holder.blockOf('early', PROMPT))
+  await fleet.clock.advance(MINUTE_MS)
+  t.ok(a.blockOf('not-the-holder', PROMPT))
+  t.equal(holder.blockOf('trial', PROMPT), undefined)
+  t.ok(holder.mayWrite('trial', PROMPT))
+  t.ok(holder.blockOf('second', PROMPT))
+  fleet.answer(holder, PROMPT, 'trial')
+  await fleet.clock.advance(1_000)
+  t.notOk(isBlocked(holder))
+  t.notOk(isBlocked(a))
+})
+
+t.test('a trial that ends its runner is not sent again, and the next one waits twice as long', async (t) => {
+  const fleet = new Fleet()
+  const holder = fleet.add(true)
+  for (let count = 0; count < 3; count += 1) await fleet.crash(holder)
+  await fleet.clock.advance(MINUTE_MS)
+  t.equal(holder.blockOf('trial', PROMPT), undefined)
+  holder.onSent({ id: 'x', address: '10.0.2.1:80' }, { requestId: 'trial', partIds: PROMPT, attempt: 1, begun: false })
+  t.ok(holder.blockOf('trial', PROMPT))
+  t.notOk(holder.mayWrite('trial', PROMPT))
+  await fleet.clock.advance(2 * MINUTE_MS - 1)
+  t.ok(holder.blockOf('soon', PROMPT))
+  await fleet.clock.advance(1)
+  t.equal(holder.blockOf('later', PROMPT), undefined)
+})
+
+t.test('requests in progress learn that one of their parts is blocked, as long as they watch it', async (t) => {
+  const fleet = new Fleet()
+  const a = fleet.add()
+  const told: string[] = []
+  a.watch(PROMPT, (partId) => told.push(partId))
+  const unwatch = a.watch(PROMPT, () => told.push('ended'))
+  unwatch()
+  for (let count = 0; count < 3; count += 1) await fleet.crash(a)
+  t.same(told, ['deadly'])
+})
--- a/packages/gateway/src/crashes/testing/crashing-fleet.ts
+++ b/packages/gateway/src/crashes/testing/crashing-fleet.ts
@@ -1,6 +1,7 @@
 /** Hosts over loopback before runners whose processes end under certain requests, and callers of both kinds. */
 import { Agent, request } from 'undici'
 import { startHost, createConfig, type TestHost } from '../../testing/gateway-host.js'
+import { CrashRecords } from '../../testing/memory-crash-log.js'
 import { CrashingRunner } from './crashing-runner.js'
 
 export type CrashingFleetOptions = { hosts: number, runners: number, deadlyParts: string[] }
@@ -11,6 +12,7 @@
 export class CrashingFleet {
   readonly hosts: TestHost[] = []
   readonly runners: CrashingRunner[] = []
+  readonly records = CrashRecords.create()
   readonly #agent = new Agent()
   #position = 1
   #calls = 0
@@ -21,7 +23,7 @@
     const fleet = new CrashingFleet()
     const seeds: string[] = []
     for (let index = 0; index < hosts; index += 1) {
-      const host = await startHost([...seeds])
+      const host = await startHost([...seeds], fleet.records)
       seeds.push(host.peerAddress)
       fleet.hosts.push(host)
     }
--- a/packages/gateway/src/crashes/types.ts
+++ b/packages/gateway/src/crashes/types.ts
@@ -1,5 +1,6 @@
 /** Requests that were at a runner when its process ended, and the prompt parts by which such requests are recognized. */
 import type { LocatedRunner } from '../gates/types.js'
+import type { ListVersion } from '../members/change-list.js'
 
 /** A request of this host at a runner. */
 export type SentRequest = {
@@ -26,3 +27,66 @@
   /** Resolves true if the address refuses connections, false if it accepts one or doesn't answer. */
   abstract isRefused (address: string): Promise<boolean>
 }
+
+/** The end of a process with the prompts that were at it and had not begun. */
+export type EndRecord = {
+  /** Key of the process. */
+  process: string
+  endedMs: number
+  /** Ids of the shared parts of each prompt, in order. */
+  prompts: readonly (readonly string[])[]
+}
+
+/** When an answer to a prompt with this part began last. */
+export type BegunRecord = { partId: string, begunMs: number }
+
+/** The decision on whether requests with a prompt part are run. The record with the highest revision is in force. */
+export type PartBlock = {
+  partId: string
+  revision: number
+  blocked: boolean
+  /** When this revision was made. */
+  sinceMs: number
+  /** Number of requests that were run in spite of the block, to find out whether it still holds. */
+  trials: number
+  /** Why it was made, for logs and operators. */
+  reason: string
+}
+
+/** The records above as hosts exchange them, with ages in place of times. */
+export type EndReport = Omit<EndRecord, 'endedMs'> & { endedAgoMs: number }
+export type BegunReport = { partId: string, begunAgoMs: number }
+export type BlockReport = Omit<PartBlock, 'sinceMs'> & { sinceAgoMs: number }
+
+/** What a host knows about ends and blocks beyond the version that the receiver has. */
+export type CrashUpdate = {
+  to: ListVersion
+  ends: EndReport[]
+  begun: BegunReport[]
+  blocks: BlockReport[]
+}
+
+/** A block as it is stored on the platform. */
+export type StoredBlock = Omit<PartBlock, 'sinceMs'> & { sinceAt: Date }
+
+/** Ends that one host observed, as they are stored on the platform. */
+export type StoredEnds = { host: string, ends: (Omit<EndRecord, 'endedMs'> & { endedAt: Date })[] }
+
+export type CrashLogEvents = {
+  onBlock: (block: StoredBlock) => void
+  onEnds: (stored: StoredEnds) => void
+  /** Whether other hosts read the records for this one. */
+  maySkipReads: () => boolean
+  /** Whether other hosts would report new records if this host's read missed them. */
+  mayWaitLong: () => boolean
+}
+
+/** Records on the platform, for hosts that start and for hosts that don't reach each other. */
+export abstract class CrashLog {
+  abstract start (events: CrashLogEvents): void
+  /** Rejects if the outcome is unknown. */
+  abstract writeBlock (block: StoredBlock): Promise<void>
+  /** Replaces what the host has stored. */
+  abstract writeEnds (stored: StoredEnds): Promise<void>
+  abstract stop (): void
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -135,7 +135,7 @@
       limits: this.#limits,
       leaving: this.#leavingRunners
     })
-    this.#crashes = CrashMonitor.create({ clock, instants: this.#instants, log, metrics: createCrashMetrics(this.#registry), probe: TcpProbe.create() })
+    this.#crashes = this.#createCrashMonitor()
     const overlong = createOverlongCounter(this.#registry)
     this.#connections = RunnerConnections.create((runner, reason) => {
       overlong.inc()
@@ -151,7 +151,8 @@
       usage: this.#usage,
       state: () => this.#ownState(),
       runnersPosition: () => this.#runnerList.position,
-      runnersSince: (position) => this.#runnerList.updateSince(position)
+      runnersSince: (position) => this.#runnerList.updateSince(position),
+      crashes: this.#crashes
     })
     this.#exchanger = this.#createExchanger()
     this.#lease = this.#createLease()
@@ -181,7 +182,8 @@
       liveHosts: () => this.#members.live(this.#nowMs()).length,
       relay: () => this.#exchanger.relay,
       holdsLease: () => this.#lease.holds,
-      runnerLimits: () => this.#limits.inForce()
+      runnerLimits: () => this.#limits.inForce(),
+      blockedParts: () => this.#crashes.blockedParts
     })
   }
 
@@ -198,7 +200,7 @@
       onRunnerReadFailed: (startedAgoMs) => this.#runnerList.onReadFailed(startedAgoMs),
       onRunnerHistoryReset: () => this.#runnerList.reset(),
       receivesConfigFromPeers: () => !this.#exchanger.relay && this.#hostObservation.receivesConfigFromPeers(),
-      receivesRunnersFromPeers: () => !this.#exchanger.relay && this.#runnerList.ageMs() < this.#runnerList.freshMs,
+      receivesRunnersFromPeers: () => this.#readsThroughPeers(),
       runnersPosition: () => this.#runnerList.position
     })
     platform.orders.onSignals((runner, signals) => this.#closures.onAnswer({ runner, requestId: '', signals }))
@@ -208,6 +210,7 @@
     this.#exchanger.start()
     this.#lease.start()
     this.#orderDispatcher.start()
+    this.#crashes.start()
     this.#sweep()
     log.info('gateway started', { callerListener: settings.callerListener, peerListener: settings.peerListener, incarnation: this.#incarnation })
   }
@@ -297,6 +300,32 @@
     })
   }
 
+  #createCrashMonitor (): CrashMonitor {
+    const { settings, clock, log, platform, random } = this.parts
+    return CrashMonitor.create({
+      clock,
+      instants: this.#instants,
+      log,
+      metrics: createCrashMetrics(this.#registry),
+      probe: TcpProbe.create(),
+      crashLog: platform.crashLog,
+      host: settings.self.host,
+      incarnation: this.#incarnation,
+      random,
+      mayTry: () => this.#lease.holds,
+      readsThroughPeers: () => this.#readsThroughPeers(),
+      hasLivePeers: () => this.#members.live(this.#nowMs()).length > 0,
+      onUrgent: () => {
+        this.#exchanger.reportToRelays().catch((error: Error) => log.error('ends of runners were not reported at once', { reason: error.message }))
+      }
+    })
+  }
+
+  /** Relays read the platform's records for the hosts that report to them. */
+  #readsThroughPeers (): boolean {
+    return !this.#exchanger.relay && this.#runnerList.ageMs() < this.#runnerList.freshMs
+  }
+
   #createLease (): LeaseKeeper {
     const { settings, clock, log, platform } = this.parts
     return LeaseKeeper.create({
@@ -366,6 +395,7 @@
     const transitMs = Math.min(writtenAgoMs, this.#contactTiming.timeoutMs)
     this.#limits.receive(report.limitReports, transitMs)
     this.#closures.receive(report.leavingReports, transitMs)
+    if (report.crashes !== undefined) this.#crashes.receive(report.sender.address.host, report.crashes)
   }
 
   /** Applies the update of the list of runners that a relay forwards. */
@@ -407,12 +437,14 @@
     this.#runnerList.sweep()
     this.#limits.sweep()
     this.#closures.sweep()
+    this.#crashes.sweep()
     this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
   }
 
   async #destroy (): Promise<void> {
     this.#exchanger.stop()
+    this.#crashes.stop()
     this.#sweepTimer?.cancel()
     this.#loopLag.stop()
     this.parts.platform.watch.stop()
--- a/packages/gateway/src/gauges.ts
+++ b/packages/gateway/src/gauges.ts
@@ -11,6 +11,8 @@
   holdsLease: () => boolean
   /** Limits in force by runner id. */
   runnerLimits: () => Map<string, number>
+  /** Prompt parts whose requests are not run. */
+  blockedParts: () => number
 }
 
 export function createGauges (registry: Registry, sources: GaugeSources): void {
@@ -22,6 +24,7 @@
   addGauge('figloom_gateway_live_hosts', 'Other hosts that are up.', sources.liveHosts)
   addGauge('figloom_gateway_relay', '1 while this host passes on the word of others.', () => sources.relay() ? 1 : 0)
   addGauge('figloom_gateway_holds_lease', '1 while this host holds the lease on orders.', () => sources.holdsLease() ? 1 : 0)
+  addGauge('figloom_gateway_blocked_prompt_parts', 'Prompt parts whose requests are not run.', sources.blockedParts)
   addLimitGauge(registry, sources.runnerLimits)
 }
 
--- a/packages/gateway/src/members/report-messages.ts
+++ b/packages/gateway/src/members/report-messages.ts
@@ -5,9 +5,11 @@
   type ListVersion as ListVersionMessage, type RunnerListUpdate as RunnerUpdateMessage, type TargetDemand
 } from '@figloom/protocol'
 import type { RunnerEntry, RunnerListUpdate } from '../runners/types.js'
+import { toCrashMessage, toCrashUpdate } from './crash-messages.js'
 import { toLeavingMessage, toLeavingReport } from './leaving-messages.js'
 import { toLimitMessage, toLimitReport } from './limit-messages.js'
-import type { ListUpdate, ListVersion } from './change-list.js'
+import { toVersion, toVersionMessage } from './list-version-messages.js'
+import type { ListUpdate } from './change-list.js'
 import type { DemandRate, HostAddress, HostReport, HostSummary } from './types.js'
 
 export function toMessage (report: HostReport): GatewayReport {
@@ -27,7 +29,9 @@
     runners: report.runners && toRunnerUpdateMessage(report.runners),
     runnersPosition: toPositionMessage(report.runnersPosition),
     limitReports: report.limitReports.map(toLimitMessage),
-    leavingReports: report.leavingReports.map(toLeavingMessage)
+    leavingReports: report.leavingReports.map(toLeavingMessage),
+    crashes: report.crashes && toCrashMessage(report.crashes),
+    crashesSeen: toVersionMessage(report.crashesSeen)
   }
   return create(GatewayReportSchema, init)
 }
@@ -54,7 +58,9 @@
     runners: runners && toRunnerUpdate(runners),
     runnersPosition: toPosition(message.runnersPosition),
     limitReports: message.limitReports.map(toLimitReport),
-    leavingReports: message.leavingReports.map(toLeavingReport)
+    leavingReports: message.leavingReports.map(toLeavingReport),
+    crashes: message.crashes && toCrashUpdate(message.crashes),
+    crashesSeen: toVersion(message.crashesSeen)
   }
 }
 
@@ -67,14 +73,6 @@
   return { to: toVersion(to) ?? { listId: '', version: 0 }, complete, items, removed }
 }
 
-function toVersionMessage (version: ListVersion | undefined) {
-  return version && { listId: version.listId, version: BigInt(version.version) }
-}
-
-function toVersion (message: ListVersionMessage | undefined): ListVersion | undefined {
-  return message && { listId: message.listId, version: Number(message.version) }
-}
-
 function toRunnerUpdateMessage ({ since, to, records, ageMs }: RunnerListUpdate) {
   return {
     since: toPositionMessage(since),
--- a/packages/gateway/src/members/report-writer.ts
+++ b/packages/gateway/src/members/report-writer.ts
@@ -1,9 +1,10 @@
 /** Builds the report that a host sends to another one, according to what the receiver needs. */
 import type { Clock } from '@figloom/runtime'
+import type { CrashUpdate } from '../crashes/types.js'
 import type { LeavingReport } from '../gates/types.js'
 import type { LimitReport } from '../limits/types.js'
 import type { RunnerListUpdate } from '../runners/types.js'
-import type { ChangeList } from './change-list.js'
+import type { ChangeList, ListVersion } from './change-list.js'
 import { createHostList } from './host-list.js'
 import type { Member, MemberTable } from './member-table.js'
 import type { UsageAggregator } from './usage-aggregator.js'
@@ -40,6 +41,15 @@
   runnersPosition: () => number | undefined
   /** Update for a host that has the runner records before `position`. */
   runnersSince: (position: number | undefined) => RunnerListUpdate | undefined
+  crashes: CrashReporter
+}
+
+/** Ends of runners and blocked prompt parts, for other hosts. */
+export type CrashReporter = {
+  /** What a host with this version of this host's records lacks. */
+  update: (seen: ListVersion | undefined) => CrashUpdate | undefined
+  /** The version of another host's records that this host has. */
+  seenOf: (host: string) => ListVersion | undefined
 }
 
 /** Lists of one process; the incarnation is added to a list's id, so that lists of earlier incarnations differ. */
@@ -77,7 +87,9 @@
       sentAt: clock.now(),
       limitReports: state.limitReports,
       leavingReports: state.leavingReports,
-      hostsSeen: peer === undefined ? undefined : members.hostsSeen(peer.address.host)
+      hostsSeen: peer === undefined ? undefined : members.hostsSeen(peer.address.host),
+      crashes: this.parts.crashes.update(this.#lastReport(peer)?.crashesSeen),
+      crashesSeen: peer === undefined ? undefined : this.parts.crashes.seenOf(peer.address.host)
     }
     if (!state.relay) return { ...report, runnersPosition: this.parts.runnersPosition(), ...this.#hostFields(state, peer) }
     return { ...report, ...(peer === undefined || peer.relay ? this.#groupFields(state, live, peer) : this.#allFields(state, live, peer)) }
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -1,5 +1,6 @@
 /** Data that hosts of the gateway exchange about each other, directly or through relays. Times are monotonic milliseconds. */
 
+import type { CrashUpdate } from '../crashes/types.js'
 import type { LeavingReport } from '../gates/types.js'
 import type { LimitReport, PermitReply, PermitRequest } from '../limits/types.js'
 import type { RunnerListUpdate } from '../runners/types.js'
@@ -84,6 +85,10 @@
   limitReports: LimitReport[]
   /** Runners that recently announced that they leave. */
   leavingReports: LeavingReport[]
+  /** Ends of runners and blocked prompt parts; absent if the receiver lacks none that the sender knows. */
+  crashes?: CrashUpdate
+  /** Version of the receiver's records of ends and blocks that the sender has. */
+  crashesSeen?: ListVersion
 }
 
 /** Client for calls to other hosts. */
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -15,7 +15,8 @@
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
 import { decideNextStep, NextStep, Outcome, wasNotSent, type Progress } from './outcome.js'
 import { writeFailure } from './gateway-answer.js'
-import { affinityKey, impliesNotRun, sharedPartIds, urgencyOf } from './request-hints.js'
+import { affinityKey, impliesNotRun, urgencyOf } from './request-hints.js'
+import { PromptGuard } from './prompt-guard.js'
 import { ANSWERED, reportEnd } from './request-end.js'
 import { RequestLog } from './request-log.js'
 import { StallDetector } from './stall-detector.js'
@@ -36,6 +37,7 @@
 export class RequestRun {
   readonly #writer: AnswerWriter
   readonly #log: RequestLog
+  readonly #promptGuard: PromptGuard
   readonly #excluded = new Set<string>()
   readonly #progress: Progress = { possibleRuns: 0, refusals: 0, unsentAttempts: 0, answerStarted: false }
   readonly #finished: Promise<void>
@@ -66,6 +68,7 @@
   ) {
     this.#writer = AnswerWriter.create(response, context.codec, context.host.isLeaving)
     this.#log = RequestLog.create(context.log, context.clock, request.id)
+    this.#promptGuard = PromptGuard.create(context.crashes, request, (partId) => this.#guard(() => this.#onPartBlocked(partId)))
     this.#finished = new Promise((resolve) => { this.#resolveFinished = resolve })
   }
 
@@ -109,6 +112,8 @@
     if (this.#ended) return
     const nowMs = this.context.clock.monotonicMs()
     if (this.request.dueMs - nowMs < MIN_ATTEMPT_MS) return this.#onDeadline()
+    const block = this.#promptGuard.block()
+    if (block !== undefined) return this.#refuseBlocked(block.partId, block.reason)
     const set = findCandidates(this.context.runners, createNeed(this.context, this.request, this.#excluded), nowMs)
     const chosen = this.#chooseRunner(set.open, affinityKey(this.request.facts))
     if (chosen?.needsPermit === true) return this.#startAttemptWithPermit(chosen)
@@ -212,19 +217,20 @@
 
   /** Checks the runner again: it may have started to drain or been closed by its own signals while the request waited for a connection. */
   #beforeWrite (runner: RunnerState, permit: Permit | undefined): boolean {
-    const { clock, closures, crashes, instants, limits, metrics, runners } = this.context
+    const { clock, closures, instants, limits, metrics, runners } = this.context
     this.#writtenMs = clock.monotonicMs()
     this.#writtenInstantMs = instants.nowMs()
     if (!runners.mayUse(runner)) return false
     if (!closures.mayWrite(runner.entry, this.request.id)) return false
+    if (!this.#promptGuard.mayWrite()) return false
     if (!limits.beforeWrite(runner.entry, permit)) return false
     if (permit !== undefined) metrics.limitedAttempts.inc()
-    crashes.onSent(runner.entry, { requestId: this.request.id, partIds: sharedPartIds(this.request.facts), attempt: this.#progress.possibleRuns + 1, begun: false })
+    this.#promptGuard.onSent(runner.entry, this.#progress.possibleRuns + 1)
     return true
   }
 
   #onEvents (runner: RunnerState): void {
-    this.context.crashes.onBegun(runner.entry, this.request.id)
+    this.#promptGuard.onBegun(runner.entry)
     this.#stallDetector?.onProgress()
   }
 
@@ -280,7 +286,7 @@
 
   #releaseRunner (connectionBroke = false): void {
     if (this.#runner === undefined) return
-    this.context.crashes.onEnded(this.#runner.entry, this.request.id, connectionBroke)
+    this.#promptGuard.onLeft(this.#runner.entry, connectionBroke)
     this.context.closures.onEnded(this.#runner.entry, this.request.id)
     this.#runner.inFlight -= 1
     this.#runner = undefined
@@ -351,6 +357,20 @@
     this.#giveUp(this.#failure(code, message, retryAfterMs))
   }
 
+  /** A request that is at a runner is taken back before the runner begins it. */
+  #onPartBlocked (partId: string): void {
+    if (this.#ended || this.#writer.started) return
+    if (this.#attempt?.sent === true && this.#runner !== undefined) this.#mayHaveRun = true
+    this.#cancelAttempt()
+    this.#refuseBlocked(partId, 'blocked while the request was in progress')
+  }
+
+  #refuseBlocked (partId: string, reason: string): void {
+    this.#log.note('request has a blocked prompt part', { part: partId, reason, ran: this.#mayHaveRun ? Ran.Unknown : Ran.No })
+    if (this.#writer.started) return this.#abortAnswer('a part of the prompt is blocked')
+    this.#giveUp(this.#failure(this.#mayHaveRun ? ResultCode.BackendFailed : ResultCode.PromptBlocked, `prompt part ${partId} is blocked: ${reason}`))
+  }
+
   /** Logs runners that hold the model and are leaving. */
   #logLeaving (): void {
     const { clock, runners } = this.context
@@ -432,6 +452,7 @@
     this.#deadlineTimer?.cancel()
     this.#loadPollTimer?.cancel()
     this.#stallDetector?.stop()
+    this.#promptGuard.end()
     reportEnd(this.context, this.request, this.#log, { result, reason, attempts: this.#attemptCount, runs: this.#progress.possibleRuns, firstByteMs: this.#firstByteMs })
     this.#resolveFinished()
   }
--- a/packages/gateway/src/serve/serve-request.ts
+++ b/packages/gateway/src/serve/serve-request.ts
@@ -6,6 +6,7 @@
 import type { CallerFacts } from '../forward/types.js'
 import { readBody, discardRest } from '../front/read-body.js'
 import { writeFailure } from './gateway-answer.js'
+import { sharedPartIds } from './request-hints.js'
 import { RequestRun } from './request-run.js'
 import type { ServeContext } from './types.js'
 
@@ -76,6 +77,8 @@
 
 function countDemand (context: ServeContext, service: Service, facts: CallerFacts, nowMs: number): void {
   if (service.engine === undefined || facts.model === undefined) return
+  // Blocked requests aren't run, so no copy of a model is loaded for them.
+  if (context.crashes.isBlocked(sharedPartIds(facts))) return
   context.demand.count(service.name, facts.model, undefined, nowMs)
   if (facts.adapter !== undefined) context.demand.count(service.name, facts.model, facts.adapter, nowMs)
 }
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -27,6 +27,7 @@
 import { createRequestMetrics } from '../serve/metrics.js'
 import { serveRequest } from '../serve/serve-request.js'
 import { AdapterLoader, type ServeContext } from '../serve/types.js'
+import { MemoryCrashLog } from './memory-crash-log.js'
 import { RawRunner, type RawExchange } from './raw-runner.js'
 import { TestCodec } from './test-codec.js'
 
@@ -85,6 +86,25 @@
   })
 }
 
+/** Crash monitor of a host that knows no other hosts. */
+function createCrashMonitor (clock: Clock, instants: InstantSource): CrashMonitor {
+  return CrashMonitor.create({
+    clock,
+    instants,
+    log: silentLogger,
+    metrics: createCrashMetrics(new Registry()),
+    probe: TcpProbe.create(),
+    crashLog: MemoryCrashLog.create(),
+    host: 'host',
+    incarnation: 'host-1',
+    random: () => 0.5,
+    mayTry: () => false,
+    readsThroughPeers: () => false,
+    hasLivePeers: () => false,
+    onUrgent: () => {}
+  })
+}
+
 /** What a caller received on its connection. */
 export type RawAnswer = { text: string, status: number, ended: boolean, headers: string, body: string }
 
@@ -123,7 +143,7 @@
       runners: RunnerTable.create(leaving),
       limits,
       closures: RunnerGates.create({ clock, instants, log: silentLogger, metrics: createGateMetrics(new Registry()), host: 'host', limits, leaving }),
-      crashes: CrashMonitor.create({ clock, instants, log: silentLogger, metrics: createCrashMetrics(new Registry()), probe: TcpProbe.create() }),
+      crashes: createCrashMonitor(clock, instants),
       connections: RunnerConnections.create((runnerId, reason) => overlong.push(`${runnerId}: ${reason}`)),
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
--- a/packages/gateway/src/testing/gateway-host.ts
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -6,6 +6,7 @@
 import { HostRegistry } from '../members/types.js'
 import { PlatformWatch, type PlatformEvents } from '../types.js'
 import { FakeRunnerOrders } from './fake-runner.js'
+import { CrashRecords, MemoryCrashLog } from './memory-crash-log.js'
 import { freeAddress } from './free-address.js'
 import { createEntry, createRoute } from './gateway-fixture.js'
 import type { RawRunner } from './raw-runner.js'
@@ -50,7 +51,7 @@
 export type TestHost = { gateway: Gateway, watch: FixedWatch, callerAddress: string, lookupAddress: string, readinessAddress: string, peerAddress: string }
 
 /** Starts a host without a configuration or runners; the test must stop it. */
-export async function startHost (seedPeerAddresses: string[] = []): Promise<TestHost> {
+export async function startHost (seedPeerAddresses: string[] = [], records = CrashRecords.create()): Promise<TestHost> {
   const [callers, lookup, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()])
   const clock = SystemClock.create()
   const watch = new FixedWatch()
@@ -78,6 +79,7 @@
       registry: new NoRegistry(),
       leaseLog: new NoLeases(),
       orders: FakeRunnerOrders.create([], clock, () => 'carried'),
+      crashLog: MemoryCrashLog.create(records),
       lookupWire: { lookupPath: '/hosts', readinessPath: '/ready', formatLookup: (addresses) => JSON.stringify(addresses) }
     }
   })
--- a/packages/gateway/src/testing/host-network.ts
+++ b/packages/gateway/src/testing/host-network.ts
@@ -132,7 +132,8 @@
       usage,
       state: () => ({ ...state, relay: host.exchanger.relay, limitReports: limits.reports() }),
       runnersPosition: () => knowledge.position,
-      runnersSince: (position) => knowledge.updateSince(position)
+      runnersSince: (position) => knowledge.updateSince(position),
+      crashes: { update: () => undefined, seenOf: () => undefined }
     })
     const exchanger = Exchanger.create({
       clock,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,4 +1,5 @@
 /** What the gateway requires: its settings, and abstract classes that each platform implements. */
+import type { CrashLog } from './crashes/types.js'
 import type { RequestCodec } from './forward/types.js'
 import type { LeaseLog } from './lease/types.js'
 import type { HostAddress, HostRegistry } from './members/types.js'
@@ -76,5 +77,6 @@
   registry: HostRegistry
   leaseLog: LeaseLog
   orders: RunnerOrders
+  crashLog: CrashLog
   lookupWire: LookupWire
 }
--- a/packages/runtime/src/result/codes.ts
+++ b/packages/runtime/src/result/codes.ts
@@ -33,6 +33,7 @@
   RateLimited: { code: 2005, type: 'rate_limited', httpStatus: 429, ran: 'no', meaning: 'The route is over its share or the host is over a limit.', action: 'Try again after retryAfterMs.' },
   DeadlinePassed: { code: 2006, type: 'deadline_passed', httpStatus: 504, ran: 'no', meaning: 'The deadline passed before the request was sent to a backend server.', action: 'Retry with a longer deadline.' },
   Canceled: { code: 2007, type: 'canceled', httpStatus: 499, ran: 'unknown', meaning: 'The caller disconnected before the answer was complete.', action: 'None; the caller has disconnected.' },
+  PromptBlocked: { code: 2008, type: 'prompt_blocked', httpStatus: 503, ran: 'no', meaning: 'Several backend servers ended under requests with a part of this prompt, so requests with it are not run.', action: 'Do not retry with the same prompt; ask the operator if the block is wrong.' },
   BackendFailed: { code: 3001, type: 'backend_failed', httpStatus: 502, ran: 'unknown', meaning: 'The backend server failed before the answer was complete.', action: 'Retry only if the request may run twice.' },
   BackendUnreachable: { code: 3002, type: 'backend_unreachable', httpStatus: 503, ran: 'no', meaning: 'No connection to a backend server was made; no byte was sent.', action: 'Try again after retryAfterMs.' },
   BackendTimeout: { code: 3003, type: 'backend_timeout', httpStatus: 504, ran: 'unknown', meaning: 'The deadline passed while the backend server was processing the request.', action: 'Retry only if the request may run twice.' },
