A stream without framing that ends before its first event is broken off

What callers saw: a runner that ends as it begins to write may leave a head without length or chunks and a normal close; the caller got a whole, empty, successful stream. So did a stream that was resumed at such a runner.

Cause: without framing the end of the connection counted as the end of the answer, also where no event had come. Evidence: serve/unframed-streams, a table of framings and endings, failed in 4 of 26 cases before: two kinds of head without an event, and the same as second runner. Such an attempt now counts as broken off, like one that ends within an event: it is resumed where the route allows it, otherwise the caller sees a failure.

--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -50,6 +50,8 @@
   #head: AnswerHead | undefined
   #chunks: Buffer[] = []
   #bytes = 0
+  /** Events that earlier attempts delivered. */
+  #eventsBefore = 0
   #done = false
   #connectionBroke = false
 
@@ -81,6 +83,7 @@
     if (!facts.signed) return this.#reject('the answer is not signed')
     if (facts.isEventStream && status === 200) {
       this.#mode = Mode.Stream
+      this.#eventsBefore = this.writer.eventCount
       this.writer.openStream(this.#head)
       return Flow.Continue
     }
@@ -93,11 +96,7 @@
   }
 
   override onEnd (): void {
-    if (this.#mode === Mode.Stream) {
-      const fault = this.writer.endStream()
-      this.#finish(fault === undefined ? Outcome.Answered : Outcome.Unknown, fault === undefined ? 'stream complete' : 'the stream ended within an event')
-      return
-    }
+    if (this.#mode === Mode.Stream) return this.#finishStream()
     if (this.#mode === Mode.Buffered) this.#finishBuffered()
   }
 
@@ -122,6 +121,17 @@
     return this.#bytes > MAX_BUFFERED_BYTES ? this.#rejectOverlong('the answer is too large') : Flow.Continue
   }
 
+  /** A stream without framing ends with its connection, so one without any event may have been broken off before the first. */
+  #finishStream (): void {
+    if (this.#head?.framed === false && this.writer.eventCount === this.#eventsBefore) {
+      this.#connectionBroke = true
+      return this.#finish(Outcome.Unknown, 'the connection ended before the first event')
+    }
+    const fault = this.writer.endStream()
+    if (fault !== undefined) return this.#finish(Outcome.Unknown, 'the stream ended within an event')
+    this.#finish(Outcome.Answered, 'stream complete')
+  }
+
   #finishBuffered (): void {
     const head = this.#head
     if (head === undefined) return
