Hold back a model whose load ends one runner after another

After a first end one runner at a time is ordered to load the model; after three the model is held back for 10 s, doubling up to 10 minutes; a completed load clears it. Ends of runners that drain don't count, ends within a second count once. Queues of ended processes are dropped as well: they were kept until the lease changed hands.

--- a/packages/gateway/src/orders/order-dispatcher.test.ts
+++ b/packages/gateway/src/orders/order-dispatcher.test.ts
@@ -137,3 +137,15 @@
   t.ok(loads.length <= 2 * 5 + 2)
   t.ok(loads.length >= 4)
 })
+
+t.test('a model whose load ends its runner is not ordered on one runner after another', async (t) => {
+  const fixture = DispatcherFixture.create([['a'], ['b'], ['c'], ['a'], ['b'], ['c']])
+  for (const runner of fixture.runners) runner.deadlyModels.add('d')
+  fixture.addDemand('d', 20)
+  fixture.addDemand('a', 2)
+  await fixture.clock.advance(60_000)
+  const ends = fixture.runners.reduce((sum, { starts }) => sum + starts - 1, 0)
+  t.comment(`${ends} ends in a minute`)
+  t.ok(ends <= 9)
+  t.ok(fixture.isResident('a'))
+})
--- a/packages/gateway/src/orders/order-dispatcher.ts
+++ b/packages/gateway/src/orders/order-dispatcher.ts
@@ -11,6 +11,7 @@
 import { planAdapters, type AdapterLoad } from './plan-adapters.js'
 import { PlacementLog } from './placement-log.js'
 import { planModels, type PlannedOrder, type PlannedRunner } from './plan-models.js'
+import { LoadFailures } from './load-failures.js'
 import { LoadRateLimiter } from './load-rate-limiter.js'
 import { MissingCopies } from './missing-copies.js'
 import { RunnerInventory, UNKNOWN_MODEL, type AdapterCopy } from './runner-inventory.js'
@@ -50,6 +51,8 @@
 type RunnerQueue = {
   inventory: RunnerInventory
   startedUnixMs: number | undefined
+  /** The runner's entry states that it leaves. */
+  draining: boolean
   /** Last task in the queue: orders to one runner are sent one after another. */
   lastTask: Promise<unknown>
   /** Expected time of the model order in progress; 0 where it is not known. */
@@ -63,6 +66,7 @@
 export class OrderDispatcher {
   readonly #queues = new Map<string, RunnerQueue>()
   readonly #loadLimiter: LoadRateLimiter
+  readonly #loadFailures = LoadFailures.create()
   readonly #missingCopies = MissingCopies.create()
   readonly #placementLog: PlacementLog
   #token: number | undefined
@@ -130,7 +134,10 @@
     if (this.#stopped) return
     const token = this.parts.orderToken()
     if (token !== this.#token) this.#onTokenChange(token)
-    if (token !== undefined) this.#planAll()
+    if (token !== undefined) {
+      this.#dropEndedProcesses()
+      this.#planAll()
+    }
     this.#timer = this.parts.clock.setTimer(PLANNING_INTERVAL_MS, () => this.#runPlanning())
   }
 
@@ -140,6 +147,25 @@
     this.#queues.clear()
   }
 
+  /** Drops the queues of processes that have ended, and records which models they were loading. */
+  #dropEndedProcesses (): void {
+    for (const [id, queue] of this.#queues) {
+      const entry = this.parts.runners.get(id)?.entry
+      if (entry !== undefined && entry.startedUnixMs === queue.startedUnixMs) {
+        queue.draining = entry.draining
+        continue
+      }
+      this.#queues.delete(id)
+      if (!queue.draining) this.#recordEnd(queue.inventory)
+    }
+  }
+
+  #recordEnd ({ runnerId, pending }: RunnerInventory): void {
+    if (pending?.kind !== OrderKind.Load || pending.model === UNKNOWN_MODEL) return
+    const heldForMs = this.#loadFailures.onEnd(pending.model, this.parts.clock.monotonicMs())
+    this.parts.log.warn('runner ended while it loaded a model', { runner: runnerId, model: pending.model, heldForMs })
+  }
+
   #planAll (): void {
     for (const [name, service] of this.parts.config.services) {
       if (service.engine !== undefined) this.#planService(name, service, service.engine)
@@ -163,7 +189,8 @@
       runners,
       demand,
       missingMs: this.#missingCopies.update(name, demand, runners, nowMs),
-      storeLoads: this.#loadLimiter.available(engine.loadsPerS, nowMs)
+      storeLoads: this.#loadLimiter.available(engine.loadsPerS, nowMs),
+      maxLoads: this.#loadFailures.maxLoads(new Set(runners.flatMap(({ loading }) => loading ?? [])), nowMs)
     })
     for (const order of plan) this.#enqueueModelOrder(order)
     const taken = known.reduce((sum, state) => sum + this.parts.runners.totalInFlight(state), 0)
@@ -210,7 +237,9 @@
   /** Applies the runner's entry, and reads a report where the contents are uncertain or an order is overdue. */
   #refresh (state: RunnerState, engine: EngineSpec): void {
     const queue = this.#queueOf(state)
+    const { pending } = queue.inventory
     queue.inventory.applyEntry(state.entry)
+    if (pending?.kind === OrderKind.Load && queue.inventory.models.includes(pending.model)) this.#loadFailures.onLoaded(pending.model)
     const nowMs = this.parts.clock.monotonicMs()
     const uncertain = queue.inventory.acceptedOrders === undefined || this.#isOverdue(queue.inventory, engine, nowMs)
     if (!uncertain || !this.parts.takesOrders(state.entry) || queue.isReadingReport || nowMs - queue.lastReportMs < MIN_REPORT_INTERVAL_MS) return
@@ -297,7 +326,7 @@
     const { id, startedUnixMs } = state.entry
     const known = this.#queues.get(id)
     if (known !== undefined && known.startedUnixMs === startedUnixMs) return known
-    const queue: RunnerQueue = { inventory: RunnerInventory.create(id), startedUnixMs, lastTask: Promise.resolve(), expectedMs: 0, queuedTasks: 0, lastReportMs: -Infinity, isReadingReport: false }
+    const queue: RunnerQueue = { inventory: RunnerInventory.create(id), startedUnixMs, draining: state.entry.draining, lastTask: Promise.resolve(), expectedMs: 0, queuedTasks: 0, lastReportMs: -Infinity, isReadingReport: false }
     this.#queues.set(id, queue)
     return queue
   }
--- a/packages/gateway/src/orders/plan-models.ts
+++ b/packages/gateway/src/orders/plan-models.ts
@@ -32,6 +32,8 @@
   missingMs: ReadonlyMap<string, number>
   /** Number of loads from the weight store that may start now. */
   storeLoads: number
+  /** Loads that may start now of models whose loads have ended runners; other models have no such limit. */
+  maxLoads?: ReadonlyMap<string, number>
 }
 
 export type PlannedOrder = OrderTarget & { runnerId: string, fromStore: boolean }
@@ -63,10 +65,12 @@
   readonly #values: CopyValues
   readonly #held = new Map<string, Set<string>>()
   readonly #victims = new Set<string>()
+  readonly #loadsLeft: Map<string, number>
   #storeLoads: number
 
   private constructor (private readonly input: PlanInput) {
     this.#storeLoads = input.storeLoads
+    this.#loadsLeft = new Map(input.maxLoads)
     this.#values = CopyValues.create(input.engine, input.demand, input.missingMs)
     for (const runner of input.runners) {
       this.#held.set(runner.id, new Set(copiesOf(runner)))
@@ -102,7 +106,8 @@
 
   #bestOption (): PlacementOption | undefined {
     const runners = this.input.runners.filter((runner) => !runner.busy && !this.#orderedRunners.has(runner.id))
-    const options = this.#underserved().flatMap((model) => runners.flatMap((runner) => this.#optionsOn(runner, model)))
+    const loadable = this.#underserved().filter(({ name }) => this.#mayLoad(name))
+    const options = loadable.flatMap((model) => runners.flatMap((runner) => this.#optionsOn(runner, model)))
     const best = minBy(options, ({ netSlots }) => -netSlots)
     return best !== undefined && best.netSlots >= MIN_NET_SLOTS ? best : undefined
   }
@@ -119,7 +124,17 @@
     })
   }
 
+  #mayLoad (model: string): boolean {
+    return (this.#loadsLeft.get(model) ?? Infinity) > 0
+  }
+
+  #countLoad (model: string): void {
+    const left = this.#loadsLeft.get(model)
+    if (left !== undefined) this.#loadsLeft.set(model, left - 1)
+  }
+
   #apply ({ model, runner, victim, fromStore }: PlacementOption): void {
+    this.#countLoad(model.name)
     this.#values.addCopies(model.name, runner.copyShare)
     if (fromStore) this.#storeLoads -= 1
     if (victim === undefined) {
@@ -154,7 +169,7 @@
   /** Loads models without a copy into memory that is left over, without unloading any. */
   #fillFreeMemory (): void {
     for (const model of this.input.engine.models.values()) {
-      if (this.#values.copies(model.name) > 0) continue
+      if (this.#values.copies(model.name) > 0 || !this.#mayLoad(model.name)) continue
       const free = this.input.runners.filter((runner) => !runner.busy && !this.#orderedRunners.has(runner.id) && this.#fits(runner, model))
       const target = free.find(({ localWeights }) => localWeights.includes(model.name)) ?? free[0]
       if (target !== undefined) this.#loadInto(target, model)
@@ -165,6 +180,7 @@
     const fromStore = !runner.localWeights.includes(model.name)
     if (fromStore && this.#storeLoads < 1) return
     if (fromStore) this.#storeLoads -= 1
+    this.#countLoad(model.name)
     this.#values.addCopies(model.name, runner.copyShare)
     this.#addOrder(runner, { kind: OrderKind.Load, model: model.name }, fromStore)
   }
--- a/packages/gateway/src/testing/fake-runner.ts
+++ b/packages/gateway/src/testing/fake-runner.ts
@@ -20,6 +20,9 @@
   /** Whether it has accepted orders for more models or adapters than fit. */
   overcommitted = false
   readonly orders: RunnerOrder[] = []
+  /** Models whose load ends the runner's process; it starts again empty. */
+  readonly deadlyModels = new Set<string>()
+  #starts = 1
 
   private constructor (readonly id: string, private readonly engine: EngineSpec, private readonly clock: Clock) {}
 
@@ -34,7 +37,7 @@
   }
 
   entry (): RunnerEntry {
-    return { id: this.id, service: 'engine', address: this.id, availabilityZone: 'z', slots: this.engine.slots, draining: false, models: this.models, localWeights: [] }
+    return { id: this.id, service: 'engine', address: this.id, availabilityZone: 'z', slots: this.engine.slots, draining: false, startedUnixMs: this.#starts, models: this.models, localWeights: [] }
   }
 
   report (): RunnerReport {
@@ -51,6 +54,17 @@
     return OrderAnswer.Accepted
   }
 
+  /** Number of processes so far. */
+  get starts (): number {
+    return this.#starts
+  }
+
+  #restart (): void {
+    this.#starts += 1
+    this.#accepted = 0
+    this.#models.clear()
+  }
+
   get #isBusy (): boolean {
     return this.#loading !== undefined || this.#unloading !== undefined
   }
@@ -66,8 +80,9 @@
     if (order.kind === OrderKind.Load) {
       this.#loading = model
       this.clock.setTimer(this.engine.models.get(model)?.loadMs ?? 0, () => {
-        this.#models.set(model, new Set())
         this.#loading = undefined
+        if (this.deadlyModels.has(model)) this.#restart()
+        else this.#models.set(model, new Set())
       })
       return
     }
