--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -17,6 +17,8 @@
 
 /** Other hosts' records of an end arrive within this time; a decision without them might blame the wrong part. */
 const DECISION_DELAY_MS = 60
+/** Parts that are blocked at once; the next end may block more. */
+const MAX_BLOCKS_PER_DECISION = 64
 /** Most requests that the log names for one end. */
 const MAX_LOGGED_REQUESTS = 12
 
@@ -189,7 +191,7 @@
 
   /** Blocks parts until no more have enough ends against them. */
   #convict (): void {
-    for (;;) {
+    for (let count = 0; count < MAX_BLOCKS_PER_DECISION; count += 1) {
       const conviction = this.#evidence.convict((partId) => this.#blocks.isBlocked(partId))
       if (conviction === undefined) return
       const { partId, ends } = conviction
