Lease: tokens rise and two holders keep the gap when the log comes back from an older copy

What would have happened: after a rewind of the store the token, the log's end + 1, fell; an empty log, or a tail with an older claim of the host's own, let a host give orders at once while the real holder's renewal wasn't due yet.

Positions now hold the era above the offset (eras/position), and tokens with them. The holder gives no orders from the moment at which it hears of a rise until it has claimed again, which it may do at once while its lease is valid; a host that sees no record of the present era waits for the longest lease and the gap.

--- a/packages/gateway/src/lease/lease-keeper.test.ts
+++ b/packages/gateway/src/lease/lease-keeper.test.ts
@@ -2,45 +2,11 @@
 import { ManualClock, silentLogger } from '@figloom/runtime'
 import { InstantSource } from './instant.js'
 import { LEASE_DURATION_MS, LeaseKeeper } from './lease-keeper.js'
-import { AppendOutcome, LeaseLog, type LeaseRecord, type LeaseTail } from './types.js'
+import { HostLog, SharedLog } from '../testing/shared-lease-log.js'
+import type { LeaseRecord } from './types.js'
 
 const ORDER_GAP_MS = 3_400
 
-/** A log that all lease keepers of a test share. */
-class SharedLog {
-  readonly records: LeaseRecord[] = []
-  /** Hosts that can't reach the log. */
-  readonly unreachableFrom = new Set<string>()
-  /** Hosts whose next append takes effect but gets no answer. */
-  readonly losesAnswerOf = new Set<string>()
-
-  static create (): SharedLog {
-    return new SharedLog()
-  }
-}
-
-class HostLog extends LeaseLog {
-  private constructor (private readonly shared: SharedLog, private readonly host: string) {
-    super()
-  }
-
-  static create (shared: SharedLog, host: string): HostLog {
-    return new HostLog(shared, host)
-  }
-
-  override async readTail (): Promise<LeaseTail> {
-    if (this.shared.unreachableFrom.has(this.host)) throw new Error('log unreachable')
-    return { end: this.shared.records.length, last: this.shared.records.at(-1) }
-  }
-
-  override async append (end: number, record: LeaseRecord): Promise<AppendOutcome> {
-    if (this.shared.unreachableFrom.has(this.host)) return AppendOutcome.Unknown
-    if (end !== this.shared.records.length) return AppendOutcome.Conflict
-    this.shared.records.push(record)
-    return this.shared.losesAnswerOf.delete(this.host) ? AppendOutcome.Unknown : AppendOutcome.Appended
-  }
-}
-
 type Host = { keeper: LeaseKeeper, name: string }
 
 class Hosts {
@@ -68,7 +34,8 @@
       holderIsLive: () => this.#reportingTo(name).some(({ keeper }) => keeper.status().held),
       lastOrderAgoMs: (fencingToken) => this.#lastOrderUnder(name, fencingToken),
       hasRestartedPeer: () => this.seeingRestart.has(name),
-      mayClaim: () => true
+      mayClaim: () => true,
+      era: () => this.log.era
     })
     this.#hosts.set(incarnation, { keeper, name })
     keeper.start()
--- a/packages/gateway/src/lease/lease-keeper.ts
+++ b/packages/gateway/src/lease/lease-keeper.ts
@@ -3,9 +3,12 @@
  * predecessor's lease has expired by any host's clock, and then for the minimum gap between orders of two holders.
  */
 import type { Clock, Logger, Timer } from '@figloom/runtime'
+import { eraOf, offsetOf, type Position } from '../eras/position.js'
 import type { Instant, InstantSource } from './instant.js'
 import { AppendOutcome, LeaseRecordKind, type LeaseLog, type LeaseRecord, type LeaseTail } from './types.js'
 
+/** Era of a platform that has not come back from a copy yet, and of records that name none. */
+const FIRST_ERA = 1
 /** A lease expires this long after the holder sent its last successful renewal. */
 export const LEASE_DURATION_MS = 1_800
 /** Margin for clock drift and delays that a successor adds to the lease duration. */
@@ -41,17 +44,19 @@
   hasRestartedPeer: () => boolean
   /** Whether this host may claim the lease now. */
   mayClaim: () => boolean
+  /** The highest era of the platform's history that this host has heard of. */
+  era: () => number
 }
 
 type Holding = { fencingToken: number, claimedAt: Instant, renewedAt: Instant, ordersAllowedFromMs: number }
 /** State of a lease that a host holds or held, as it reports it to other hosts. */
 export type LeaseStatus = { held: boolean, fencingToken: number, lastOrderAgoMs: number | undefined }
 
-type ObservedTail = { end: number, unchangedSinceMs: number }
+type ObservedTail = { end: Position, unchangedSinceMs: number }
 
 export class LeaseKeeper {
   #holding: Holding | undefined
-  #end = 0
+  #end: Position = 0
   #observed: ObservedTail | undefined
   #vacantSinceMs: number | undefined
   #lastOrderAt: Instant | undefined
@@ -82,6 +87,8 @@
     if (holding === undefined || this.#stopped) return undefined
     if (this.parts.instants.elapsedMs(holding.renewedAt) >= LEASE_DURATION_MS) return undefined
     if (this.parts.clock.monotonicMs() < holding.ordersAllowedFromMs) return undefined
+    // In a new era another host may hold the lease by records that this host hasn't read yet.
+    if (eraOf(holding.fencingToken) !== this.parts.era()) return undefined
     return holding.fencingToken
   }
 
@@ -177,11 +184,28 @@
     const tail = await this.parts.leaseLog.readTail()
     if (this.#holding !== holding) return
     this.#end = tail.end
-    if (tail.last?.incarnation === this.parts.incarnation && tail.last.kind !== LeaseRecordKind.Release) return
+    const isOwn = tail.last?.incarnation === this.parts.incarnation && tail.last.kind !== LeaseRecordKind.Release
+    const isNewEra = eraOf(tail.end) > eraOf(holding.fencingToken)
+    if (isFromEarlierEra(tail) || (isOwn && isNewEra)) return await this.#claimAgain(holding, tail)
+    if (isOwn) return
     this.#holding = undefined
     this.parts.log.warn('order lease lost', { holder: tail.last?.holder, end: tail.end })
   }
 
+  /**
+   * After the log came back from an older copy. While this host's lease is valid, no other host can have claimed it in the era
+   * before, and in the new one others wait for as long as such a lease may last.
+   */
+  async #claimAgain (holding: Holding, tail: LeaseTail): Promise<void> {
+    const { clock, instants, log } = this.parts
+    if (instants.elapsedMs(holding.renewedAt) >= LEASE_DURATION_MS) return
+    const before = { lastOrderAt: this.#lastOrderAt, fencingToken: holding.fencingToken }
+    await this.#claim(tail, Math.max(0, holding.ordersAllowedFromMs - clock.monotonicMs()))
+    if (this.#holding === undefined || this.#holding === holding) return
+    this.#lastOrderAt = before.lastOrderAt
+    log.info('order lease proved in the new era', { fencingToken: this.#holding.fencingToken, before: before.fencingToken })
+  }
+
   async #watch (): Promise<void> {
     const { clock, holderIsLive, mayClaim, leaseLog } = this.parts
     const nowMs = clock.monotonicMs()
@@ -202,17 +226,22 @@
 
   /** How long the first order has to wait after a claim made now; undefined if the lease can't be claimed yet. */
   #waitBeforeClaim (tail: LeaseTail): number | undefined {
-    const { host, orderGapMs, clock } = this.parts
-    if (tail.end === 0) return 0
+    const { host, orderGapMs } = this.parts
+    if (isFromEarlierEra(tail)) return this.#isUnchangedLong(tail) ? orderGapMs : undefined
+    if (tail.last === undefined && offsetOf(tail.end) === 0) return 0
     // A restarted host succeeds itself, but its earlier incarnation may still have been waiting after another host's orders.
     if (tail.last?.holder === host) return tail.last.ordering ? 0 : orderGapMs
     const lastOrderAgoMs = tail.last === undefined ? undefined : this.parts.lastOrderAgoMs(tail.last.fencingToken)
     if (lastOrderAgoMs !== undefined) return Math.max(0, orderGapMs - lastOrderAgoMs)
     if (tail.last?.kind === LeaseRecordKind.Release) return tail.last.successorWaitMs ?? orderGapMs
-    const nowMs = clock.monotonicMs()
-    if (this.#observed?.end !== tail.end) this.#observed = { end: tail.end, unchangedSinceMs: nowMs }
-    const unchangedMs = nowMs - this.#observed.unchangedSinceMs
-    return unchangedMs > LEASE_DURATION_MS + EXPIRY_MARGIN_MS ? orderGapMs : undefined
+    return this.#isUnchangedLong(tail) ? orderGapMs : undefined
+  }
+
+  /** Whether a lease that a host holds by the records that this host sees, or by lost ones, has expired. */
+  #isUnchangedLong ({ end }: LeaseTail): boolean {
+    const nowMs = this.parts.clock.monotonicMs()
+    if (this.#observed?.end !== end) this.#observed = { end, unchangedSinceMs: nowMs }
+    return nowMs - this.#observed.unchangedSinceMs > LEASE_DURATION_MS + EXPIRY_MARGIN_MS
   }
 
   async #claim (tail: LeaseTail, waitMs: number): Promise<void> {
@@ -235,3 +264,10 @@
     return { kind, holder: this.parts.host, incarnation: this.parts.incarnation, fencingToken, ordering }
   }
 }
+
+/** The platform came back from an older copy since the last record was written, and records after it may have been lost. */
+function isFromEarlierEra ({ end, last }: LeaseTail): boolean {
+  const era = eraOf(end)
+  if (last !== undefined) return (last.era ?? FIRST_ERA) < era
+  return offsetOf(end) === 0 && era > FIRST_ERA
+}
--- a/packages/gateway/src/lease/types.ts
+++ b/packages/gateway/src/lease/types.ts
@@ -1,4 +1,5 @@
 /** The lease on orders: one host at a time holds it, as the sequence of records in the platform's log decides. */
+import type { Position } from '../eras/position.js'
 
 /** What the writer of a record does with the lease. */
 export const LeaseRecordKind = {
@@ -21,10 +22,12 @@
   ordering: boolean
   /** In a release: how long the next holder has to wait before its first order. */
   successorWaitMs?: number
+  /** Era of the platform's history in which the record was written; absent in records of earlier releases. */
+  era?: number
 }
 
-/** End offset of the log of lease records, and its last record if that is still retained. */
-export type LeaseTail = { end: number, last?: LeaseRecord }
+/** End of the log of lease records, and its last record if that is still retained. */
+export type LeaseTail = { end: Position, last?: LeaseRecord }
 
 export const AppendOutcome = { Appended: 'appended', Conflict: 'conflict', Unknown: 'unknown' } as const
 export type AppendOutcome = (typeof AppendOutcome)[keyof typeof AppendOutcome]
@@ -34,5 +37,5 @@
   /** Reads the end of the log. Rejects if the log is unreachable. */
   abstract readTail (): Promise<LeaseTail>
   /** Appends a record if the log ends at `end`. After an unknown outcome, the record may still be appended later. */
-  abstract append (end: number, record: LeaseRecord): Promise<AppendOutcome>
+  abstract append (end: Position, record: LeaseRecord): Promise<AppendOutcome>
 }
