Runner list: a copy doesn't undo drains, ends and starts of processes

What would have happened: records written again after a rewind of the store have lower offsets and were dropped as older until offsets had caught up: drains missed, runners that left kept. Where they were applied, a record from the copy made a draining or ended process usable again, and entries that the copy lacked vanished at once.

Positions of a later era are greater, whatever their offsets. In a later era a record of the same process doesn't undo its drain, an earlier process doesn't replace a later one, a runner that had left counts again with its heartbeat, and entries that are missing get the time that they get after an outage. A host of another era is sent the whole list.

--- a/packages/gateway/src/runners/outage-grace.ts
+++ b/packages/gateway/src/runners/outage-grace.ts
@@ -48,6 +48,11 @@
     if (isOutage) this.#outageEndMs = this.#lastFailedReadMs
   }
 
+  /** The list came back from an older copy: entries that it lacks are written again. */
+  onNewEra (nowMs: number): void {
+    this.#outageEndMs = Math.max(this.#outageEndMs, nowMs)
+  }
+
   /** Time left for entries that expired during an outage to return. */
   remainingMs (nowMs: number): number {
     return Math.max(0, this.#outageEndMs + this.#returnWindowMs - nowMs)
--- a/packages/gateway/src/runners/runner-list-sync.ts
+++ b/packages/gateway/src/runners/runner-list-sync.ts
@@ -1,5 +1,6 @@
 /** This host's copy of the list of runners, with its age; applies each change of the list to the table of usable runners. */
 import type { Clock, Logger } from '@figloom/runtime'
+import { eraOf, type Position } from '../eras/position.js'
 import type { InstantSource } from '../lease/instant.js'
 import { OutageGrace } from './outage-grace.js'
 import { RunnerList } from './runner-list.js'
@@ -21,7 +22,7 @@
 }
 
 /** Where a change was received from, for the log. */
-type UpdateSource = { from: string, position: number, listAgeMs: number | undefined }
+type UpdateSource = { from: string, position: Position, listAgeMs: number | undefined }
 
 export class RunnerListSync {
   readonly #list = RunnerList.create()
@@ -41,7 +42,7 @@
   }
 
   /** All records of the platform before this position are known here. */
-  get position (): number | undefined {
+  get position (): Position | undefined {
     return this.#list.position
   }
 
@@ -51,7 +52,7 @@
   }
 
   /** The update for a host that knows the records before `position`; undefined while no list is known here. */
-  updateSince (position: number | undefined): RunnerListUpdate | undefined {
+  updateSince (position: Position | undefined): RunnerListUpdate | undefined {
     return this.#list.updateSince(position, this.parts.instants.nowMs())
   }
 
@@ -59,8 +60,10 @@
   receive (update: RunnerListUpdate, from: string): void {
     const nowMs = this.parts.instants.nowMs()
     const previousAsOfMs = this.#list.asOfMs
+    const previousPosition = this.#list.position
     const changed = this.#list.apply(update, nowMs)
     this.#grace.onUpdate(previousAsOfMs, this.#list.asOfMs)
+    if (previousPosition !== undefined && eraOf(this.#list.position ?? 0) > eraOf(previousPosition)) this.#grace.onNewEra(nowMs)
     const listAgeMs = Number.isFinite(update.ageMs) ? Math.round(update.ageMs ?? 0) : undefined
     for (const record of changed) this.#applyChange(record, { from, position: record.position, listAgeMs })
   }
--- a/packages/gateway/src/runners/runner-list.ts
+++ b/packages/gateway/src/runners/runner-list.ts
@@ -3,22 +3,19 @@
  * only by their position in the platform's history: an older record changes nothing, whatever its source and whenever it
  * arrives. Pure state; times are milliseconds of a clock that also counts suspensions.
  */
+import { eraOf, startOfEra, type Position } from '../eras/position.js'
+import { reconcileRecord, type KnownRecord } from './reconcile-record.js'
 import type { RunnerListUpdate, RunnerRecord } from './types.js'
 
 /** Records of runners that left are kept for updates to other hosts; a host that missed more gets the whole list. */
 const MAX_LEFT_RECORDS = 500
 
-type KnownRecord = RunnerRecord & {
-  /** Position of the last record that changed the entry: most records are heartbeats. */
-  changedPosition: number
-}
-
 export class RunnerList {
   readonly #known = new Map<string, KnownRecord>()
-  #position: number | undefined
+  #position: Position | undefined
   #asOfMs = -Infinity
   /** Records of runners that left before this position are no longer kept. */
-  #leftKeptFrom = 0
+  #leftKeptFrom: Position = 0
 
   private constructor () {}
 
@@ -27,7 +24,7 @@
   }
 
   /** All records before this position have been applied; undefined before the first list. */
-  get position (): number | undefined {
+  get position (): Position | undefined {
     return this.#position
   }
 
@@ -46,11 +43,11 @@
   }
 
   /** The update for a host that knows the records before `position`; the whole list if too many runners have left since. */
-  updateSince (position: number | undefined, nowMs: number): RunnerListUpdate | undefined {
+  updateSince (position: Position | undefined, nowMs: number): RunnerListUpdate | undefined {
     if (this.#position === undefined) return undefined
     const to = this.#position
     const ageMs = nowMs - this.#asOfMs
-    if (position === undefined || position < this.#leftKeptFrom) {
+    if (position === undefined || position < this.#leftKeptFrom || eraOf(position) !== eraOf(to)) {
       return { to, ageMs, records: this.#records(({ entry }) => entry !== undefined) }
     }
     return { since: Math.min(position, to), to, ageMs, records: this.#records(({ changedPosition }) => changedPosition >= position) }
@@ -71,11 +68,10 @@
   #applyRecord (record: RunnerRecord): boolean {
     if (record.position < (this.#position ?? 0)) return false
     const known = this.#known.get(record.id)
-    if (known !== undefined && known.position >= record.position) return false
-    const isChange = known?.entry !== record.entry
-    const changedPosition = isChange ? record.position : known?.changedPosition ?? record.position
-    this.#known.set(record.id, { ...record, changedPosition })
-    return isChange
+    if (known !== undefined && isKnown(known, record)) return false
+    const next = reconcileRecord(known, record)
+    this.#known.set(record.id, next)
+    return known?.entry !== next.entry
   }
 
   /** Removes the runners that a whole list lacks, unless a record after its end names them. */
@@ -84,8 +80,8 @@
     const listed = new Set(records.map(({ id }) => id))
     const gone = this.#records(({ id, position, entry }) => entry !== undefined && position < to && !listed.has(id))
     return gone.map(({ id }) => {
-      const left = { id, position: to - 1, entry: undefined }
-      this.#known.set(id, { ...left, changedPosition: left.position })
+      const left = { id, position: Math.max(to - 1, startOfEra(to)), entry: undefined }
+      this.#known.set(id, reconcileRecord(this.#known.get(id), left))
       return left
     })
   }
@@ -108,3 +104,9 @@
     }
   }
 }
+
+/** Records of runners that a whole list lacks have the position of its last record, or that of the next one if it is empty. */
+function isKnown (known: KnownRecord, record: RunnerRecord): boolean {
+  if (known.position !== record.position) return known.position > record.position
+  return known.entry !== undefined || record.entry === undefined
+}
--- a/packages/gateway/src/runners/types.ts
+++ b/packages/gateway/src/runners/types.ts
@@ -1,4 +1,5 @@
 /** Runners as the platform lists them, and as they report their own state. */
+import type { Position } from '../eras/position.js'
 
 /** A model that a runner holds, with its adapters. */
 export type ResidentModel = { name: string, version: number, adapters: string[] }
@@ -41,7 +42,7 @@
 export type RunnerRecord = {
   id: string
   /** Position of the record in the platform's history: the same on all hosts, however they received the record. */
-  position: number
+  position: Position
   /** Absent: the runner left the list. */
   entry?: RunnerEntry
 }
@@ -49,9 +50,9 @@
 /** An update of the list of runners, as read from the platform or as forwarded by another host. */
 export type RunnerListUpdate = {
   /** Changes since this position; absent: the whole list. */
-  since?: number
+  since?: Position
   /** The update takes all records before this position into account. */
-  to: number
+  to: Position
   records: RunnerRecord[]
   /** The update takes all records into account that the platform had this long ago; absent if that isn't known. */
   ageMs?: number
