Limits: a host whose list shows an earlier process keeps to the present one's limit

Trace: the runner ended and started again; one host was cut off from the list for 3 s, still knew the earlier process, and sent to the present one without a permit, as limits of another process did not apply to it. The later process's limit applies now, and requests for permits under the earlier start don't reset the bucket.

Evidence: limits/outdated-entries failed before. The soak's period of a limit starts anew with the process as well: a limit belongs to one process and is known from its first answer, as the design says, so the burst before that answer, which the same trace shows, is allowed.

--- a/packages/gateway/src/limits/permit-allocator.ts
+++ b/packages/gateway/src/limits/permit-allocator.ts
@@ -97,7 +97,8 @@
 
   #allocatorOf ({ id, startedUnixMs }: RunnerProcess, nowMs: number): RunnerPermitAllocator {
     const known = this.#allocators.get(id)
-    if (known !== undefined && known.startedUnixMs === startedUnixMs) return known
+    // A host whose list is out of date asks for an earlier start and sends to the present one.
+    if (known !== undefined && (known.startedUnixMs ?? 0) >= (startedUnixMs ?? 0)) return known
     const allocator = RunnerPermitAllocator.create(startedUnixMs, nowMs)
     this.#allocators.set(id, allocator)
     return allocator
--- a/packages/gateway/src/limits/runner-limits.ts
+++ b/packages/gateway/src/limits/runner-limits.ts
@@ -56,10 +56,15 @@
     }
   }
 
-  /** The limit in force at one start of a runner; undefined where there is none. */
+  /**
+   * The limit in force at one start of a runner; undefined where there is none. A host whose list still shows an earlier start
+   * sends to the later one, so the limit of that one applies.
+   */
   limitOf (runner: RunnerProcess): RunnerLimit | undefined {
     const estimate = this.#estimates.get(runner.id)
-    if (estimate === undefined || estimate.startedUnixMs !== runner.startedUnixMs) return undefined
+    if (estimate === undefined) return undefined
+    const isLaterStart = (estimate.startedUnixMs ?? 0) > (runner.startedUnixMs ?? Infinity)
+    if (estimate.startedUnixMs !== runner.startedUnixMs && !isLaterStart) return undefined
     return estimate.limit(this.parts.instants.nowMs())
   }
 
