Read the store's era, and write again what a copy lacks

Answers of the store name an era, which rises when it comes back from an older copy. Hosts tell each other of the era, announce themselves again, and write blocks of prompt parts that the copy lacks, each by one host.

--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -162,6 +162,11 @@
     this.#seen.set(host, to)
   }
 
+  /** The platform came back from an older copy. */
+  onNewEra (): void {
+    this.#store.onNewEra(this.#blocks.all())
+  }
+
   sweep (): void {
     this.#evidence.sweep(this.#nowMs())
   }
--- a/packages/gateway/src/crashes/crash-store.ts
+++ b/packages/gateway/src/crashes/crash-store.ts
@@ -11,6 +11,8 @@
 const SETTLE_MS = 250
 /** Interval between two writes of the ends that this host observed. */
 const ENDS_INTERVAL_MS = 1_000
+/** Time in which a host reads the platform's records again after these came back from an older copy. */
+const REREAD_MS = 700
 const RETRY_MS = 500
 const MAX_RETRIES = 20
 /** Ends and prompts of an end that are stored. */
@@ -77,6 +79,18 @@
     })
   }
 
+  /** The platform came back from an older copy: what it no longer has is written again, after this host has read what it has. */
+  onNewEra (blocks: readonly PartBlock[]): void {
+    this.#storedRevisions.clear()
+    this.#later(REREAD_MS, () => {
+      for (const block of blocks) this.writeSoon(block)
+      if (this.#ends.length > 0 && !this.#endsScheduled) {
+        this.#endsScheduled = true
+        this.#writeEnds()
+      }
+    })
+  }
+
   #writeEnds (): void {
     const ends = this.#ends.map(({ process, prompts, endedMs }) => ({ process, prompts, endedAt: this.#toDate(endedMs) }))
     this.parts.crashLog.writeEnds({ host: this.parts.host, ends }).catch((error: Error) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -52,6 +52,9 @@
 const STREAM_CUTOFF_MS = 2_800
 /** Log value for the source of a runner's state that this host read itself rather than received from another host. */
 const OWN_READ_SOURCE = 'the platform'
+/** After the platform came back from an older copy, hosts announce themselves again over this time, to stay within its rate of writes. */
+const MIN_ANNOUNCE_SPREAD_MS = 1_000
+const ANNOUNCE_SPREAD_MS_PER_HOST = 5
 /** By this time after its start, a host knows the hosts that its seeds know. */
 const SETTLE_MS = 700
 
@@ -152,7 +155,8 @@
       state: () => this.#ownState(),
       runnersPosition: () => this.#runnerList.position,
       runnersSince: (position) => this.#runnerList.updateSince(position),
-      crashes: this.#crashes
+      crashes: this.#crashes,
+      storeEra: () => parts.platform.eras.current
     })
     this.#exchanger = this.#createExchanger()
     this.#lease = this.#createLease()
@@ -183,7 +187,9 @@
       relay: () => this.#exchanger.relay,
       holdsLease: () => this.#lease.holds,
       runnerLimits: () => this.#limits.inForce(),
-      blockedParts: () => this.#crashes.blockedParts
+      blockedParts: () => this.#crashes.blockedParts,
+      storeEra: () => parts.platform.eras.current,
+      storeRewinds: () => parts.platform.eras.rises
     })
   }
 
@@ -203,6 +209,7 @@
       receivesRunnersFromPeers: () => this.#readsThroughPeers(),
       runnersPosition: () => this.#runnerList.position
     })
+    platform.eras.onRise(() => this.#onNewEra())
     platform.orders.onSignals((runner, signals) => this.#closures.onAnswer({ runner, requestId: '', signals }))
     this.#loopLag.start()
     await this.#sideListeners.open()
@@ -339,6 +346,7 @@
       holderIsLive: () => this.#hostObservation.hasRecentHolderReport,
       lastOrderAgoMs: (fencingToken) => this.#hostObservation.lastOrderAgoMs(fencingToken),
       hasRestartedPeer: () => this.#members.hasRestartedHost(this.#nowMs()),
+      era: () => platform.eras.current,
       mayClaim: () => this.#config.hasConfig && !this.#leaving && this.#exchanger.ranked && this.#nowMs() - this.#startedMs > SETTLE_MS
     })
   }
@@ -385,6 +393,7 @@
 
   #onReport (report: HostReport, writtenAgoMs: number): void {
     const nowMs = this.#nowMs()
+    if (report.storeEra > 0) this.parts.platform.eras.observe(report.storeEra, report.sender.address.host)
     const reportsHere = this.#members.groupReports(nowMs).some(({ sender }) => sender.address.host === report.sender.address.host)
     this.#usage.applyReport(report, reportsHere, nowMs)
     this.#runners.setOtherHostsInFlight(this.#usage.othersUses())
@@ -398,6 +407,13 @@
     if (report.crashes !== undefined) this.#crashes.receive(report.sender.address.host, report.crashes)
   }
 
+  /** The platform came back from an older copy, which may lack what this host wrote there. */
+  #onNewEra (): void {
+    const hosts = this.#members.live(this.#nowMs()).length + 1
+    this.#exchanger.announceAgain(Math.max(MIN_ANNOUNCE_SPREAD_MS, hosts * ANNOUNCE_SPREAD_MS_PER_HOST), this.parts.random)
+    this.#crashes.onNewEra()
+  }
+
   /** Applies the update of the list of runners that a relay forwards. */
   #applyRunnerUpdate ({ sender, runners }: HostReport, writtenAgoMs: number): void {
     if (runners === undefined) return
--- a/packages/gateway/src/members/exchanger.ts
+++ b/packages/gateway/src/members/exchanger.ts
@@ -85,6 +85,12 @@
     await Promise.allSettled([...new Set(addresses)].map((address) => this.#exchange(address)))
   }
 
+  /** The registry may have lost this host: it is announced again within `maxDelayMs`, at a random time, so that hosts don't write at once. */
+  announceAgain (maxDelayMs: number, random: () => number): void {
+    this.#announced = false
+    this.#registryDueMs = this.parts.clock.monotonicMs() + random() * maxDelayMs
+  }
+
   /** Answers a report that another host sent. */
   onIncoming (report: HostReport): HostReport {
     this.#receive(report, true, Infinity)
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -18,7 +18,8 @@
     sentAt: new Date(0),
     speaksForAll: false,
     limitReports: [],
-    leavingReports: []
+    leavingReports: [],
+    storeEra: 0
   }
 }
 
--- a/packages/gateway/src/members/report-messages.test.ts
+++ b/packages/gateway/src/members/report-messages.test.ts
@@ -3,6 +3,7 @@
 import t from 'tap'
 import { createEntry } from '../testing/gateway-fixture.js'
 import { fromMessage, toMessage } from './report-messages.js'
+import { createPosition } from '../eras/position.js'
 import type { HostReport, HostSummary } from './types.js'
 
 const summary: HostSummary = {
@@ -29,19 +30,27 @@
   hosts: { to: { listId: 'hosts', version: 3 }, complete: true, items: [{ ...summary, hearsay: true }], removed: [] },
   hostsSeen: { listId: 'seen', version: 2 },
   runners: {
-    since: 3,
-    to: 9,
+    since: createPosition(3, 3),
+    to: createPosition(3, 9),
     records: [
       {
         id: 'runner-1',
-        position: 5,
+        position: createPosition(3, 5),
         entry: createEntry({ startedUnixMs: 1_700_000_000_000, remainingMs: 250, models: [{ name: 'm', version: 2, adapters: ['a1'] }], localWeights: ['n'] })
       },
-      { id: 'gone', position: 8, entry: undefined }
+      { id: 'gone', position: createPosition(3, 8), entry: undefined }
     ],
     ageMs: 300
   },
-  runnersPosition: 4,
+  runnersPosition: createPosition(3, 4),
+  storeEra: 3,
+  crashes: {
+    to: { listId: 'crashes', version: 4 },
+    ends: [{ process: 'runner-1@10.0.0.1:80/5', endedAgoMs: 12.5, prompts: [['a1', 'b2'], ['c3']] }],
+    begun: [{ partId: 'a1', begunAgoMs: 3 }],
+    blocks: [{ partId: 'b2', revision: 2, blocked: true, sinceAgoMs: 40, trials: 1, reason: '3 ends' }]
+  },
+  crashesSeen: { listId: 'theirs', version: 1 },
   limitReports: [
     { runnerId: 'runner-1', startedUnixMs: 1_700_000_000_000, origin: 'origin-1', number: 3, requestsPerS: 1.1, askedAgoMs: 40.5, heardAgoMs: 20 },
     { runnerId: 'runner-2', startedUnixMs: undefined, origin: 'origin-1', number: 4, requestsPerS: undefined, askedAgoMs: 4, heardAgoMs: 2 }
@@ -59,8 +68,18 @@
 })
 
 t.test('fields that a report leaves out stay absent after encoding and decoding', async (t) => {
-  const { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll, limitReports, leavingReports } = full
-  const minimal = { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll, limitReports, leavingReports }
+  const { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll, limitReports, leavingReports, storeEra } = full
+  const minimal = { sender, number, configVersion, runnerUses, demand, expectedLoads, lease, sentAt, speaksForAll, limitReports, leavingReports, storeEra }
   const result = encodeAndDecode(minimal)
-  for (const absent of [result.hosts, result.hostsSeen, result.runners, result.runnersPosition, result.configReadAgoMs]) t.equal(absent, undefined)
+  for (const absent of [result.hosts, result.hostsSeen, result.runners, result.runnersPosition, result.configReadAgoMs, result.crashes, result.crashesSeen]) t.equal(absent, undefined)
+})
+
+t.test('hosts of earlier releases find offsets without an era in a report, and theirs are read as of no era', async (t) => {
+  const { runners, runnersPosition } = toMessage(full)
+  t.equal(runnersPosition, 4n)
+  t.match(runners, { since: 3n, to: 9n, records: [{ position: 5n }, { position: 8n }], era: 3 })
+  const earlier = toMessage({ ...full, storeEra: 0 })
+  if (earlier.runners !== undefined) earlier.runners.era = 0
+  earlier.runnersEra = 0
+  t.match(fromMessage(earlier), { runnersPosition: 4, runners: { since: 3, to: 9 } })
 })
--- a/packages/gateway/src/members/report-messages.ts
+++ b/packages/gateway/src/members/report-messages.ts
@@ -4,6 +4,7 @@
   GatewayReportSchema, type GatewayAddress, type GatewayReport, type HostSummary as HostSummaryMessage, type ListedRunner,
   type ListVersion as ListVersionMessage, type RunnerListUpdate as RunnerUpdateMessage, type TargetDemand
 } from '@figloom/protocol'
+import { createPosition, eraOf, offsetOf, type Position } from '../eras/position.js'
 import type { RunnerEntry, RunnerListUpdate } from '../runners/types.js'
 import { toCrashMessage, toCrashUpdate } from './crash-messages.js'
 import { toLeavingMessage, toLeavingReport } from './leaving-messages.js'
@@ -27,7 +28,9 @@
     hosts: report.hosts && { ...toListUpdateMessage(report.hosts), hosts: report.hosts.items },
     hostsSeen: toVersionMessage(report.hostsSeen),
     runners: report.runners && toRunnerUpdateMessage(report.runners),
-    runnersPosition: toPositionMessage(report.runnersPosition),
+    runnersPosition: toOffsetMessage(report.runnersPosition),
+    runnersEra: eraOf(report.runnersPosition ?? 0),
+    storeEra: report.storeEra,
     limitReports: report.limitReports.map(toLimitMessage),
     leavingReports: report.leavingReports.map(toLeavingMessage),
     crashes: report.crashes && toCrashMessage(report.crashes),
@@ -56,7 +59,8 @@
     hosts: hosts && toListUpdate(hosts, hosts.hosts.map(toSummary)),
     hostsSeen: toVersion(message.hostsSeen),
     runners: runners && toRunnerUpdate(runners),
-    runnersPosition: toPosition(message.runnersPosition),
+    runnersPosition: toPosition(message.runnersEra, message.runnersPosition),
+    storeEra: message.storeEra,
     limitReports: message.limitReports.map(toLimitReport),
     leavingReports: message.leavingReports.map(toLeavingReport),
     crashes: message.crashes && toCrashUpdate(message.crashes),
@@ -73,30 +77,32 @@
   return { to: toVersion(to) ?? { listId: '', version: 0 }, complete, items, removed }
 }
 
+/** Hosts of earlier releases know offsets only, so these have fields of their own. All positions of an update are of one era. */
 function toRunnerUpdateMessage ({ since, to, records, ageMs }: RunnerListUpdate) {
   return {
-    since: toPositionMessage(since),
-    to: BigInt(to),
-    records: records.map(({ id, position, entry }) => ({ id, position: BigInt(position), entry: entry && toRunnerMessage(entry) })),
-    ageMs
+    since: toOffsetMessage(since),
+    to: BigInt(offsetOf(to)),
+    records: records.map(({ id, position, entry }) => ({ id, position: BigInt(offsetOf(position)), entry: entry && toRunnerMessage(entry) })),
+    ageMs,
+    era: eraOf(to)
   }
 }
 
-function toRunnerUpdate ({ since, to, records, ageMs }: RunnerUpdateMessage): RunnerListUpdate {
+function toRunnerUpdate ({ since, to, records, ageMs, era }: RunnerUpdateMessage): RunnerListUpdate {
   return {
-    since: toPosition(since),
-    to: Number(to),
-    records: records.map(({ id, position, entry }) => ({ id, position: Number(position), entry: entry && toEntry(entry) })),
+    since: toPosition(era, since),
+    to: createPosition(era, Number(to)),
+    records: records.map(({ id, position, entry }) => ({ id, position: createPosition(era, Number(position)), entry: entry && toEntry(entry) })),
     ageMs
   }
 }
 
-function toPositionMessage (position: number | undefined): bigint | undefined {
-  return position === undefined ? undefined : BigInt(position)
+function toOffsetMessage (position: Position | undefined): bigint | undefined {
+  return position === undefined ? undefined : BigInt(offsetOf(position))
 }
 
-function toPosition (position: bigint | undefined): number | undefined {
-  return position === undefined ? undefined : Number(position)
+function toPosition (era: number, offset: bigint | undefined): Position | undefined {
+  return offset === undefined ? undefined : createPosition(era, Number(offset))
 }
 
 function toRunnerMessage (entry: RunnerEntry) {
--- a/packages/gateway/src/members/report-writer.ts
+++ b/packages/gateway/src/members/report-writer.ts
@@ -1,6 +1,7 @@
 /** Builds the report that a host sends to another one, according to what the receiver needs. */
 import type { Clock } from '@figloom/runtime'
 import type { CrashUpdate } from '../crashes/types.js'
+import type { Position } from '../eras/position.js'
 import type { LeavingReport } from '../gates/types.js'
 import type { LimitReport } from '../limits/types.js'
 import type { RunnerListUpdate } from '../runners/types.js'
@@ -38,10 +39,12 @@
   usage: UsageAggregator
   state: () => ReportedState
   /** This host has all of the platform's runner records before this position. */
-  runnersPosition: () => number | undefined
+  runnersPosition: () => Position | undefined
   /** Update for a host that has the runner records before `position`. */
-  runnersSince: (position: number | undefined) => RunnerListUpdate | undefined
+  runnersSince: (position: Position | undefined) => RunnerListUpdate | undefined
   crashes: CrashReporter
+  /** Highest era of the platform's history that this host has heard of. */
+  storeEra: () => number
 }
 
 /** Ends of runners and blocked prompt parts, for other hosts. */
@@ -88,6 +91,7 @@
       limitReports: state.limitReports,
       leavingReports: state.leavingReports,
       hostsSeen: peer === undefined ? undefined : members.hostsSeen(peer.address.host),
+      storeEra: this.parts.storeEra(),
       crashes: this.parts.crashes.update(this.#lastReport(peer)?.crashesSeen),
       crashesSeen: peer === undefined ? undefined : this.parts.crashes.seenOf(peer.address.host)
     }
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -1,6 +1,7 @@
 /** Data that hosts of the gateway exchange about each other, directly or through relays. Times are monotonic milliseconds. */
 
 import type { CrashUpdate } from '../crashes/types.js'
+import type { Position } from '../eras/position.js'
 import type { LeavingReport } from '../gates/types.js'
 import type { LimitReport, PermitReply, PermitRequest } from '../limits/types.js'
 import type { RunnerListUpdate } from '../runners/types.js'
@@ -80,7 +81,9 @@
   /** Runners according to the platform's records; sent only to hosts that report to the sender. */
   runners?: RunnerListUpdate
   /** The sender has all of the platform's runner records before this position; absent if it has none. */
-  runnersPosition?: number
+  runnersPosition?: Position
+  /** Highest era of the platform's history that the sender has heard of; 0 if it knows none. */
+  storeEra: number
   /** Runners' limits that the sender knows, whichever host received them from the runner. */
   limitReports: LimitReport[]
   /** Runners that recently announced that they leave. */
--- a/packages/gateway/src/testing/gateway-host.ts
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -1,6 +1,7 @@
 /** Complete gateway hosts over loopback, on a platform whose configuration and runner list the test sets. */
 import { silentLogger, SystemClock } from '@figloom/runtime'
 import { RouteKind, type GatewayConfig } from '../config/types.js'
+import { EraTracker } from '../eras/era-tracker.js'
 import { Gateway } from '../gateway.js'
 import { AppendOutcome, LeaseLog, type LeaseTail } from '../lease/types.js'
 import { HostRegistry } from '../members/types.js'
@@ -75,6 +76,7 @@
     },
     platform: {
       codec: TestCodec.create(),
+      eras: EraTracker.create(silentLogger),
       watch,
       registry: new NoRegistry(),
       leaseLog: new NoLeases(),
--- a/packages/gateway/src/testing/host-network.ts
+++ b/packages/gateway/src/testing/host-network.ts
@@ -133,7 +133,8 @@
       state: () => ({ ...state, relay: host.exchanger.relay, limitReports: limits.reports() }),
       runnersPosition: () => knowledge.position,
       runnersSince: (position) => knowledge.updateSince(position),
-      crashes: { update: () => undefined, seenOf: () => undefined }
+      crashes: { update: () => undefined, seenOf: () => undefined },
+      storeEra: () => 0
     })
     const exchanger = Exchanger.create({
       clock,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,5 +1,7 @@
 /** What the gateway requires: its settings, and abstract classes that each platform implements. */
 import type { CrashLog } from './crashes/types.js'
+import type { EraTracker } from './eras/era-tracker.js'
+import type { Position } from './eras/position.js'
 import type { RequestCodec } from './forward/types.js'
 import type { LeaseLog } from './lease/types.js'
 import type { HostAddress, HostRegistry } from './members/types.js'
@@ -48,7 +50,7 @@
   /** Whether this host need not read the list of runners: other hosts do, and the list here is fresh. */
   receivesRunnersFromPeers: () => boolean
   /** All records of runners before this position are known here, whichever host read them; undefined if none are. */
-  runnersPosition: () => number | undefined
+  runnersPosition: () => Position | undefined
 }
 
 /** Follows the platform's configuration and list of runners. */
@@ -73,6 +75,8 @@
 /** A platform's implementations of the abstract classes. */
 export type Platform = {
   codec: RequestCodec
+  /** The era of the platform's history, which the platform's clients keep up to date. */
+  eras: EraTracker
   watch: PlatformWatch
   registry: HostRegistry
   leaseLog: LeaseLog
