Runner list: a whole list says nothing of runners that came and left before its end

Found by the new model of the list over eras: a host that had read the whole list forwarded only changes to a host whose position lay before the end of that list; a runner that had come and left in between was never removed there, and would have got requests after it had left. It needs no rewind: any read of all keys after records expired does it.

Such hosts are sent the whole list now.

--- a/packages/gateway/src/crashes/crash-monitor.test.ts
+++ b/packages/gateway/src/crashes/crash-monitor.test.ts
@@ -146,6 +146,20 @@
   t.equal(fleet.records.blockWrites, 1)
 })
 
+t.test('blocks that the platform lost with an older copy are there again within two seconds, written once', async (t) => {
+  const fleet = new Fleet()
+  const monitors = [fleet.add(), fleet.add(), fleet.add()]
+  const [a] = monitors as [CrashMonitor]
+  for (let count = 0; count < 3; count += 1) await fleet.crash(a)
+  await fleet.clock.advance(1_000)
+  fleet.records.blocks.clear()
+  fleet.records.blockWrites = 0
+  for (const monitor of monitors) monitor.onNewEra()
+  await fleet.clock.advance(2_000)
+  t.ok(fleet.records.blocks.get('deadly')?.blocked)
+  t.equal(fleet.records.blockWrites, 1)
+})
+
 t.test('ends whose prompts all began elsewhere are not written', async (t) => {
   const fleet = new Fleet()
   const a = fleet.add()
--- a/packages/gateway/src/lease/lease-eras.test.ts
+++ b/packages/gateway/src/lease/lease-eras.test.ts
@@ -189,7 +189,7 @@
     share: fc.double({ min: 0, max: 1, noNaN: true }),
     waitMs: fc.constantFrom(50, 200, 700, 2_000, 6_000)
   })
-  await fc.assert(fc.asyncProperty(fc.array(action, { minLength: 4, maxLength: 14 }), async (actions) => {
+  await fc.assert(fc.asyncProperty(fc.array(action, { minLength: 6, maxLength: 14, size: 'max' }), async (actions) => {
     const hosts = new Hosts()
     for (const name of ['a', 'b', 'c']) hosts.start(name)
     for (const { kind, host, share, waitMs } of actions) {
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -218,3 +218,17 @@
   members.applyReport(report('b', { incarnation: 'b-2' }), 90_000, false)
   t.notOk(members.hasRestartedHost(90_100))
 })
+
+t.test('a host that the registry may have lost is announced again, at a random time', async (t) => {
+  const clock = ManualClock.create()
+  const network = HostNetwork.create(clock)
+  const host = network.start('a', [])
+  await clock.advance(500)
+  t.same(network.registered.map(({ host }) => host), ['a'])
+  network.registered.length = 0
+  host.exchanger.announceAgain(1_000, () => 0.5)
+  await clock.advance(400)
+  t.equal(network.registered.length, 0)
+  await clock.advance(400)
+  t.same(network.registered.map(({ host }) => host), ['a'])
+})
--- a/packages/gateway/src/runners/runner-list.test.ts
+++ b/packages/gateway/src/runners/runner-list.test.ts
@@ -124,3 +124,11 @@
   t.equal(list.updateSince(10, 2_000)?.since, undefined)
   t.equal(list.updateSince(1_990, 2_000)?.since, 1_990)
 })
+
+t.test('a host that read the whole list sends it to hosts that may know runners which left before', async (t) => {
+  const list = RunnerList.create()
+  list.apply({ to: 5, records: [record(4, first)], ageMs: 0 }, 1_000)
+  list.apply({ to: 12, records: [record(4, first)], ageMs: 0 }, 2_000)
+  t.equal(list.updateSince(10, 2_000)?.since, undefined)
+  t.equal(list.updateSince(12, 2_000)?.since, 12)
+})
--- a/packages/gateway/src/runners/runner-list.ts
+++ b/packages/gateway/src/runners/runner-list.ts
@@ -89,7 +89,8 @@
   #advance ({ since, to, ageMs }: RunnerListUpdate, nowMs: number): void {
     const position = this.#position
     if (since !== undefined && (position === undefined || since > position)) return
-    if (position === undefined) this.#leftKeptFrom = to
+    // A whole list doesn't show which runners came and left before its end.
+    if (since === undefined && to > (position ?? -Infinity)) this.#leftKeptFrom = to
     this.#position = Math.max(position ?? 0, to)
     if (ageMs !== undefined) this.#asOfMs = Math.max(this.#asOfMs, nowMs - ageMs)
   }
