--- a/packages/gateway/src/crashes/crash-evidence.test.ts
+++ b/packages/gateway/src/crashes/crash-evidence.test.ts
@@ -59,6 +59,14 @@
   t.same(evidence.convict(none), { partId: 'part', ends: 8 })
 })
 
+t.test('an answer clears a part of however many ends before it', async (t) => {
+  const evidence = evidenceOf(...Array.from({ length: 12 }, (_, index) => end(index * 1_000, ['part'])))
+  t.same(evidence.convict(none), { partId: 'part', ends: 12 })
+  evidence.onBegun(['part'], 12_000)
+  t.equal(evidence.convict(none), undefined)
+  t.same(evidence.endsOf('part'), [])
+})
+
 t.test('an answer that another host reports clears a part', async (t) => {
   const evidence = evidenceOf(end(0, ['part']), end(1_000, ['part']), end(2_000, ['part']))
   evidence.addBegun({ partId: 'part', begunMs: 1_900 })
--- a/packages/gateway/src/serve/blocked-prompts.test.ts
+++ b/packages/gateway/src/serve/blocked-prompts.test.ts
@@ -1,6 +1,6 @@
 // Guards against requests with a blocked prompt part that reach a runner, on each way there is to one.
 import t, { type Test } from 'tap'
-import { RouteKind } from '../config/types.js'
+import { RouteKind, type Service } from '../config/types.js'
 import { holdConnections, waitUntil } from '../testing/delayed-connections.js'
 import { createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
 import type { RawExchange } from '../testing/raw-runner.js'
@@ -8,8 +8,8 @@
 const DEADLY = ['Prompt-Parts: shared,deadly,own']
 const SOUND = ['Prompt-Parts: shared,own']
 
-async function createFixture (t: Test): Promise<GatewayFixture> {
-  const fixture = await GatewayFixture.create([createRoute({ kind: RouteKind.Stream, resumable: true })])
+async function createFixture (t: Test, service?: Service): Promise<GatewayFixture> {
+  const fixture = await GatewayFixture.create([createRoute({ kind: RouteKind.Stream, resumable: true })], service)
   t.teardown(() => fixture.close())
   return fixture
 }
@@ -94,3 +94,14 @@
   t.equal((await fixture.call({ headers: DEADLY })).status, 502)
   t.equal(runners.reduce((sum, { requests }) => sum + requests.length, 0), 1)
 })
+
+t.test('a request with a blocked part counts as no demand for its model', async (t) => {
+  const engine = { slots: 8, memoryTokens: 1, weightsMb: 150, adapterSlots: 2, loadsPerS: 2, models: new Map() }
+  const fixture = await createFixture(t, { name: 'plain', maxConnections: 10, engine })
+  const { context } = fixture
+  block(fixture)
+  await fixture.call({ headers: [...DEADLY, 'Model: m'] })
+  t.same(context.demand.rates(context.clock.monotonicMs()), [])
+  await fixture.call({ id: 'request-2', headers: [...SOUND, 'Model: m'] })
+  t.match(context.demand.rates(context.clock.monotonicMs()), [{ model: 'm' }])
+})
