Lease: an empty copy is noticed also where the first era is 0

With 0 as the first, an empty log in era 1 looked like that of a new platform, and a host could give orders at once while the holder, cut from the log, still did. A host that has seen an earlier era waits now.

--- a/packages/gateway/src/lease/lease-eras.test.ts
+++ b/packages/gateway/src/lease/lease-eras.test.ts
@@ -132,6 +132,19 @@
   })
 }
 
+t.test('no two hosts give orders within the gap after an empty copy, if the first era is 0', async (t) => {
+  const hosts = new Hosts(0)
+  hosts.start('a')
+  hosts.start('b')
+  await hosts.run(10_000)
+  const holder = hosts.lastHolder() ?? ''
+  hosts.log.unreachableFrom.add(holder)
+  hosts.log.rewind(0)
+  await hosts.run(12_000)
+  t.not(hosts.lastHolder(), holder)
+  t.same(hosts.turnsWithinGap(), [])
+})
+
 t.test('a host that starts after a rewind waits as if the lost holder still gave orders', async (t) => {
   const hosts = new Hosts()
   hosts.start('a')
--- a/packages/gateway/src/lease/lease-keeper.ts
+++ b/packages/gateway/src/lease/lease-keeper.ts
@@ -58,6 +58,8 @@
   #holding: Holding | undefined
   #end: Position = 0
   #observed: ObservedTail | undefined
+  /** Era of the log when this process first read it. */
+  #firstSeenEra: number | undefined
   #vacantSinceMs: number | undefined
   #lastOrderAt: Instant | undefined
   #fencingToken = 0
@@ -186,7 +188,7 @@
     this.#end = tail.end
     const isOwn = tail.last?.incarnation === this.parts.incarnation && tail.last.kind !== LeaseRecordKind.Release
     const isNewEra = eraOf(tail.end) > eraOf(holding.fencingToken)
-    if (isFromEarlierEra(tail) || (isOwn && isNewEra)) return await this.#claimAgain(holding, tail)
+    if (this.#isFromEarlierEra(tail) || (isOwn && isNewEra)) return await this.#claimAgain(holding, tail)
     if (isOwn) return
     this.#holding = undefined
     this.parts.log.warn('order lease lost', { holder: tail.last?.holder, end: tail.end })
@@ -227,7 +229,7 @@
   /** How long the first order has to wait after a claim made now; undefined if the lease can't be claimed yet. */
   #waitBeforeClaim (tail: LeaseTail): number | undefined {
     const { host, orderGapMs } = this.parts
-    if (isFromEarlierEra(tail)) return this.#isUnchangedLong(tail) ? orderGapMs : undefined
+    if (this.#isFromEarlierEra(tail)) return this.#isUnchangedLong(tail) ? orderGapMs : undefined
     if (tail.last === undefined && offsetOf(tail.end) === 0) return 0
     // A restarted host succeeds itself, but its earlier incarnation may still have been waiting after another host's orders.
     if (tail.last?.holder === host) return tail.last.ordering ? 0 : orderGapMs
@@ -244,6 +246,17 @@
     return nowMs - this.#observed.unchangedSinceMs > LEASE_DURATION_MS + EXPIRY_MARGIN_MS
   }
 
+  /**
+   * The platform came back from an older copy since the last record was written, and records after it may have been lost. An
+   * empty log shows that only if the era isn't the first one.
+   */
+  #isFromEarlierEra ({ end, last }: LeaseTail): boolean {
+    const era = eraOf(end)
+    this.#firstSeenEra ??= era
+    if (last !== undefined) return (last.era ?? FIRST_ERA) < era
+    return offsetOf(end) === 0 && (era > FIRST_ERA || era > this.#firstSeenEra)
+  }
+
   async #claim (tail: LeaseTail, waitMs: number): Promise<void> {
     const { clock, instants, leaseLog, log } = this.parts
     const sentAt = instants.now()
@@ -264,10 +277,3 @@
     return { kind, holder: this.parts.host, incarnation: this.parts.incarnation, fencingToken, ordering }
   }
 }
-
-/** The platform came back from an older copy since the last record was written, and records after it may have been lost. */
-function isFromEarlierEra ({ end, last }: LeaseTail): boolean {
-  const era = eraOf(end)
-  if (last !== undefined) return (last.era ?? FIRST_ERA) < era
-  return offsetOf(end) === 0 && era > FIRST_ERA
-}
