--- a/packages/cli/src/logs/logs.test.ts
+++ b/packages/cli/src/logs/logs.test.ts
@@ -215,3 +215,16 @@
   t.match(blocked('unknown')[0], /may have run/)
   t.match(blocked('no')[1], /Blocked by b, 0\.8 s before the end; processes that ended: r@10\.0\.0\.1:80\/5\./)
 })
+
+t.test('a host that knew no runner because the store came back from an older copy reports that', async (t) => {
+  const causes = findCauses(timelineOf([
+    line(400, 'a', 'the store came back from an older copy', { era: 4, before: 3, from: 'the store' }),
+    line(500, 'a', 'store answers again', { topic: 'keyed.servers' }),
+    ...request(1_000, 'a', [
+      [0, 'request accepted', { model: 'm' }],
+      [0, 'no runner can take the request', { full: 0, listed: 0 }],
+      [0, 'request not answered', { result: 'no_runner' }]
+    ])
+  ]))
+  t.match(causes[1], /The store came back from an older copy \(era 4\), 0\.6 s before the end/)
+})
--- a/packages/cli/src/logs/request-cause.ts
+++ b/packages/cli/src/logs/request-cause.ts
@@ -1,6 +1,6 @@
 /** Derives from a request's timeline why it ended as it did: the last decision first, then the events that led to it. */
 import { numberOf, textOf, type LogLine } from './log-line.js'
-import type { RequestTimeline, TimelineEntry } from './request-timeline.js'
+import { STORE_REWOUND, type RequestTimeline, type TimelineEntry } from './request-timeline.js'
 
 /** Returns sentences, the most direct cause first. */
 export function findCauses (timeline: RequestTimeline): string[] {
@@ -152,7 +152,10 @@
 }
 
 function storeCauses (timeline: RequestTimeline): string[] {
-  const store = timeline.lines.filter(({ line, atUnixMs }) => line.message.startsWith('store ') && atUnixMs <= timeline.endUnixMs).at(-1)
+  const before = timeline.lines.filter(({ atUnixMs }) => atUnixMs <= timeline.endUnixMs)
+  const rewind = before.filter(({ line }) => line.message === STORE_REWOUND).at(-1)
+  if (rewind !== undefined) return [`${capitalize(STORE_REWOUND)} (era ${numberOf(rewind.line, 'era')}), ${timeRelativeToEnd(timeline, rewind)}; runners and hosts write their entries again.`]
+  const store = before.filter(({ line }) => line.message.startsWith('store ')).at(-1)
   if (store === undefined) return []
   return [`${capitalize(store.line.message)} (${textOf(store.line, 'topic')}), ${timeRelativeToEnd(timeline, store)}.`]
 }
--- a/packages/cli/src/logs/request-timeline.ts
+++ b/packages/cli/src/logs/request-timeline.ts
@@ -22,9 +22,11 @@
 /** A load takes up to about ten seconds, so the events that led to a refusal may date back that far. */
 const CONTEXT_BEFORE_MS = 12_000
 const CONTEXT_AFTER_MS = 1_500
-const LEASE_MESSAGES: readonly string[] = ['order lease taken', 'order lease given up: it could not be renewed', 'order lease lost', 'order lease released']
+const LEASE_MESSAGES: readonly string[] = ['order lease taken', 'order lease given up: it could not be renewed', 'order lease lost', 'order lease released', 'order lease proved in the new era']
+/** The platform's store lost what was written in its last seconds. */
+export const STORE_REWOUND = 'the store came back from an older copy'
 const HOST_MESSAGES: readonly string[] = [
-  'store does not answer', 'store answers again', 'configuration in force', 'gateway started', 'gateway is leaving', 'gateway stopped', 'log lines dropped'
+  'store does not answer', 'store answers again', STORE_REWOUND, 'configuration in force', 'gateway started', 'gateway is leaving', 'gateway stopped', 'log lines dropped'
 ]
 
 /** Builds the timeline of a request; undefined if no line mentions it. */
