A block that an operator lifts stays lifted

Found when the change was read again: the ends before a block kept counting, so the next end of any runner would have blocked the part again. A lift clears them as an answer does. Evidence: the new case of crashes/crash-monitor fails without it.

--- a/packages/gateway/src/crashes/crash-monitor.test.ts
+++ b/packages/gateway/src/crashes/crash-monitor.test.ts
@@ -199,6 +199,17 @@
   t.notOk(isBlocked(a))
 })
 
+t.test('a block that an operator lifts does not come back with an end that has nothing to do with it', async (t) => {
+  const fleet = new Fleet()
+  const a = fleet.add()
+  for (let count = 0; count < 3; count += 1) await fleet.crash(a)
+  await fleet.clock.advance(1_000)
+  for (const { onBlock } of fleet.records.readers) onBlock({ partId: 'deadly', revision: 2, blocked: false, sinceAt: fleet.clock.now(), trials: 0, reason: 'an operator' })
+  t.notOk(isBlocked(a))
+  await fleet.crash(a, ['another'])
+  t.notOk(isBlocked(a))
+})
+
 t.test('a trial that ends its runner is not sent again, and the next one waits twice as long', async (t) => {
   const fleet = new Fleet()
   const holder = fleet.add(true)
--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -216,12 +216,14 @@
   #applyBlock (block: PartBlock, from: string): void {
     const wasBlocked = this.#blocks.isBlocked(block.partId)
     if (!this.#blocks.apply(block)) return
-    const { partId, blocked, revision, trials, reason } = block
+    const { partId, blocked, revision, trials, reason, sinceMs } = block
     const processes = this.#evidence.endsOf(partId).map(({ process }) => process).join(' ')
     if (wasBlocked !== blocked) {
       this.parts.metrics.blockChanges.inc({ change: blocked ? 'blocked' : 'lifted' })
       this.parts.log.warn(blocked ? 'prompt part is blocked' : 'block of a prompt part is lifted', { part: partId, revision, trials, from, reason, processes })
     }
+    // The ends before no longer count: the next end of any runner would block the part again.
+    if (!blocked) this.#evidence.addBegun({ partId, begunMs: sinceMs })
     if (blocked && !wasBlocked) for (const listener of [...this.#listeners.get(partId) ?? []]) listener(partId)
   }
 
