--- a/packages/gateway/src/crashes/crash-evidence.test.ts
+++ b/packages/gateway/src/crashes/crash-evidence.test.ts
@@ -18,91 +18,91 @@
 
 t.test('a part is blocked after three ends, not before', async (t) => {
   const evidence = evidenceOf(end(0, ['deadly']), end(1_000, ['deadly']))
-  t.equal(evidence.convict(none), undefined)
+  t.equal(evidence.nextBlock(none), undefined)
   evidence.addEnd(end(2_000, ['deadly']))
-  t.same(evidence.convict(none), { partId: 'deadly', ends: 3 })
+  t.same(evidence.nextBlock(none), { partId: 'deadly', ends: 3 })
 })
 
 t.test('a part that was one of many at each end is blocked after five ends only', async (t) => {
   const others = (endedMs: number) => Array.from({ length: 9 }, (_, index) => [`session-${endedMs}-${index}`])
   const evidence = evidenceOf(...[0, 1_000, 2_000, 3_000].map((endedMs) => end(endedMs, ['part'], ...others(endedMs))))
-  t.equal(evidence.convict(none), undefined)
+  t.equal(evidence.nextBlock(none), undefined)
   evidence.addEnd(end(4_000, ['part'], ...others(4_000)))
-  t.same(evidence.convict(none), { partId: 'part', ends: 5 })
+  t.same(evidence.nextBlock(none), { partId: 'part', ends: 5 })
 })
 
 t.test('one end that several hosts report counts once', async (t) => {
   const evidence = evidenceOf(end(0, ['deadly']), end(1_000, ['deadly']))
   t.notOk(evidence.addEnd({ ...end(1_000, ['deadly']), endedMs: 1_080 }))
-  t.equal(evidence.convict(none), undefined)
+  t.equal(evidence.nextBlock(none), undefined)
 })
 
 t.test('runners that end at the same moment count as one end', async (t) => {
   const ends = Array.from({ length: 13 }, (_, index) => end(index * 10, ['session'], ['other']))
-  t.equal(evidenceOf(...ends).convict(none), undefined)
+  t.equal(evidenceOf(...ends).nextBlock(none), undefined)
 })
 
 t.test('an answer that begins after the ends clears the parts of its prompt', async (t) => {
   const evidence = evidenceOf(end(0, ['shared', 'deadly']), end(1_000, ['shared', 'deadly']), end(2_000, ['shared', 'deadly']))
   evidence.onBegun(['shared'], 2_500)
-  t.same(evidence.convict(none)?.partId, 'deadly')
+  t.same(evidence.nextBlock(none)?.partId, 'deadly')
   evidence.onBegun(['deadly'], 2_600)
-  t.equal(evidence.convict(none), undefined)
+  t.equal(evidence.nextBlock(none), undefined)
 })
 
 t.test('an answer from before the ends does not clear a part for ever', async (t) => {
   const evidence = CrashEvidence.create()
   evidence.onBegun(['part'], 0)
   for (let count = 1; count < 8; count += 1) evidence.addEnd(end(10_000 + count * 300, ['part']))
-  t.equal(evidence.convict(none), undefined)
+  t.equal(evidence.nextBlock(none), undefined)
   evidence.addEnd(end(14_000, ['part']))
-  t.same(evidence.convict(none), { partId: 'part', ends: 8 })
+  t.same(evidence.nextBlock(none), { partId: 'part', ends: 8 })
 })
 
 t.test('an answer clears a part of however many ends before it', async (t) => {
   const evidence = evidenceOf(...Array.from({ length: 12 }, (_, index) => end(index * 1_000, ['part'])))
-  t.same(evidence.convict(none), { partId: 'part', ends: 12 })
+  t.same(evidence.nextBlock(none), { partId: 'part', ends: 12 })
   evidence.onBegun(['part'], 12_000)
-  t.equal(evidence.convict(none), undefined)
+  t.equal(evidence.nextBlock(none), undefined)
   t.same(evidence.endsOf('part'), [])
 })
 
 t.test('an answer that another host reports clears a part', async (t) => {
   const evidence = evidenceOf(end(0, ['part']), end(1_000, ['part']), end(2_000, ['part']))
   evidence.addBegun({ partId: 'part', begunMs: 1_900 })
-  t.equal(evidence.convict(none), undefined)
+  t.equal(evidence.nextBlock(none), undefined)
 })
 
 t.test('of parts that always occur together only the last one is blocked', async (t) => {
   const evidence = evidenceOf(...[0, 1_000, 2_000].map((endedMs) => end(endedMs, ['shared', 'session', 'deadly'])))
-  t.equal(evidence.convict(none)?.partId, 'deadly')
-  t.equal(evidence.convict((partId) => partId === 'deadly'), undefined)
+  t.equal(evidence.nextBlock(none)?.partId, 'deadly')
+  t.equal(evidence.nextBlock((partId) => partId === 'deadly'), undefined)
 })
 
 t.test('a part that ends runners behind varying later parts is blocked', async (t) => {
   const evidence = evidenceOf(end(0, ['deadly', 'a']), end(1_000, ['deadly', 'b']), end(2_000, ['deadly', 'c']))
-  t.equal(evidence.convict(none)?.partId, 'deadly')
+  t.equal(evidence.nextBlock(none)?.partId, 'deadly')
 })
 
 t.test('if runners still end after a wrong part was blocked, the right one follows after two more ends', async (t) => {
   const evidence = evidenceOf(...[0, 1_000, 2_000].map((endedMs) => end(endedMs, ['deadly', 'session'])))
   const isBlocked = (partId: string) => partId === 'session'
-  t.equal(evidence.convict(none)?.partId, 'session')
+  t.equal(evidence.nextBlock(none)?.partId, 'session')
   evidence.addEnd(end(3_000, ['deadly', 'other']))
-  t.equal(evidence.convict(isBlocked), undefined)
+  t.equal(evidence.nextBlock(isBlocked), undefined)
   evidence.addEnd(end(4_000, ['deadly', 'another']))
-  t.equal(evidence.convict(isBlocked)?.partId, 'deadly')
+  t.equal(evidence.nextBlock(isBlocked)?.partId, 'deadly')
 })
 
 t.test('sound prompts beside a blocked one are no suspects of that end', async (t) => {
   const evidence = evidenceOf(...[0, 1_000, 2_000, 3_000, 4_000].map((endedMs) => end(endedMs, ['deadly'], ['session'])))
-  t.equal(evidence.convict((partId) => partId === 'deadly'), undefined)
+  t.equal(evidence.nextBlock((partId) => partId === 'deadly'), undefined)
 })
 
 t.test('two parts that end runners at the same time are both blocked', async (t) => {
   const evidence = evidenceOf(...[0, 1_000, 2_000].flatMap((endedMs) => [end(endedMs, ['first']), end(endedMs + 300, ['second'])]))
   const blocked = new Set<string>()
-  for (let found = evidence.convict(none); found !== undefined; found = evidence.convict((partId) => blocked.has(partId))) blocked.add(found.partId)
+  for (let found = evidence.nextBlock(none); found !== undefined; found = evidence.nextBlock((partId) => blocked.has(partId))) blocked.add(found.partId)
   t.same(blocked, new Set(['first', 'second']))
 })
 
@@ -138,7 +138,7 @@
       // All ends first: an answer is kept only if it clears an end that is known.
       for (const message of sequence) if ('record' in message) evidence.addEnd(message.record)
       for (const message of sequence) if ('answer' in message) evidence.addBegun(message.answer)
-      return evidence.convict(none)
+      return evidence.nextBlock(none)
     })
     t.same(decisions[1], decisions[0])
   }), { seed: 35, numRuns: 300 })
--- a/packages/gateway/src/crashes/crash-evidence.ts
+++ b/packages/gateway/src/crashes/crash-evidence.ts
@@ -28,9 +28,9 @@
 const MAX_REMEMBERED_PARTS = 8_192
 
 /** A part to be blocked, and the number of ends that count against it. */
-export type Conviction = { partId: string, ends: number }
+export type BlockDecision = { partId: string, ends: number }
 
-type Suspicion = {
+type Candidate = {
   partId: string
   /** The causes of ends that count against the part, each with the part's largest share in the suspect prompts of an end. */
   shares: Map<number, number>
@@ -95,9 +95,9 @@
   }
 
   /** The part that has to be blocked next; undefined if there is none. */
-  convict (isBlocked: (partId: string) => boolean): Conviction | undefined {
-    const guilty = this.#suspicions(isBlocked).filter((suspicion) => this.#isGuilty(suspicion)).sort(compareSuspicions)[0]
-    return guilty && { partId: guilty.partId, ends: guilty.shares.size }
+  nextBlock (isBlocked: (partId: string) => boolean): BlockDecision | undefined {
+    const likely = this.#candidates(isBlocked).filter((candidate) => this.#isLikelyCause(candidate)).sort(compareCandidates)[0]
+    return likely && { partId: likely.partId, ends: likely.shares.size }
   }
 
   /** Records of ends, for other hosts; parts that an answer cleared are left out. */
@@ -129,8 +129,8 @@
     return clearedMs === undefined || clearedMs < endedMs - ANSWER_MARGIN_MS
   }
 
-  #suspicions (isBlocked: (partId: string) => boolean): Suspicion[] {
-    const suspicions = new Map<string, Suspicion>()
+  #candidates (isBlocked: (partId: string) => boolean): Candidate[] {
+    const candidates = new Map<string, Candidate>()
     for (const { end, cause } of groupByCause([...this.#ends.values()])) {
       const prompts = end.prompts.filter((prompt) => prompt.some((partId) => this.#isSuspect(partId, end)))
       const isExplained = prompts.some((prompt) => prompt.some(isBlocked))
@@ -139,18 +139,18 @@
         if (isExplained && !prompt.some(isBlocked)) continue
         prompt.forEach((partId, position) => {
           if (isBlocked(partId) || !this.#isSuspect(partId, end)) return
-          const suspicion = suspicions.get(partId) ?? { partId, shares: new Map(), unexplained: new Set(), firstEndMs: end.endedMs, position }
-          suspicions.set(partId, suspicion)
-          suspicion.shares.set(cause, Math.max(suspicion.shares.get(cause) ?? 0, 1 / prompts.length))
-          if (!isExplained) suspicion.unexplained.add(cause)
-          suspicion.position = Math.max(suspicion.position, position)
+          const candidate = candidates.get(partId) ?? { partId, shares: new Map(), unexplained: new Set(), firstEndMs: end.endedMs, position }
+          candidates.set(partId, candidate)
+          candidate.shares.set(cause, Math.max(candidate.shares.get(cause) ?? 0, 1 / prompts.length))
+          if (!isExplained) candidate.unexplained.add(cause)
+          candidate.position = Math.max(candidate.position, position)
         })
       }
     }
-    return [...suspicions.values()]
+    return [...candidates.values()]
   }
 
-  #isGuilty ({ partId, shares, unexplained, firstEndMs }: Suspicion): boolean {
+  #isLikelyCause ({ partId, shares, unexplained, firstEndMs }: Candidate): boolean {
     if (unexplained.size < MIN_UNEXPLAINED_ENDS) return false
     const lastAnswerMs = this.lastAnswerMs(partId)
     if (lastAnswerMs !== undefined && firstEndMs - lastAnswerMs < RECENT_ANSWER_MS) return shares.size >= SUFFICIENT_ENDS_AFTER_ANSWERS
@@ -166,7 +166,7 @@
 }
 
 /** The most ends first; of parts that always occur together, the last one, as earlier parts are shared by more requests. */
-function compareSuspicions (a: Suspicion, b: Suspicion): number {
+function compareCandidates (a: Candidate, b: Candidate): number {
   return b.unexplained.size - a.unexplained.size || b.position - a.position || (a.partId < b.partId ? -1 : 1)
 }
 
--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -15,7 +15,7 @@
 import { PartBlocks } from './part-blocks.js'
 import type { CrashLog, CrashUpdate, EndRecord, ListenerProbe, PartBlock, ProcessEnd, SentRequest } from './types.js'
 
-/** Other hosts' records of an end arrive within this time; a decision without them might blame the wrong part. */
+/** Other hosts' records of an end arrive within this time; a decision without them might block the wrong part. */
 const DECISION_DELAY_MS = 60
 /** Parts that are blocked at once; the next end may block more. */
 const MAX_BLOCKS_PER_DECISION = 64
@@ -190,16 +190,16 @@
     if (this.#stopped || this.#decisionTimer !== undefined) return
     this.#decisionTimer = this.parts.clock.setTimer(DECISION_DELAY_MS, () => {
       this.#decisionTimer = undefined
-      this.#convict()
+      this.#blockParts()
     })
   }
 
   /** Blocks parts until no more have enough ends against them. */
-  #convict (): void {
+  #blockParts (): void {
     for (let count = 0; count < MAX_BLOCKS_PER_DECISION; count += 1) {
-      const conviction = this.#evidence.convict((partId) => this.#blocks.isBlocked(partId))
-      if (conviction === undefined) return
-      const { partId, ends } = conviction
+      const decision = this.#evidence.nextBlock((partId) => this.#blocks.isBlocked(partId))
+      if (decision === undefined) return
+      const { partId, ends } = decision
       const block = this.#blocks.next(partId, { blocked: true, sinceMs: this.#nowMs(), reason: `${ends} runners ended with requests that had the part and had not begun` })
       this.#applyBlock(block, this.parts.host)
       this.#store.writeSoon(block)
--- a/packages/gateway/src/crashes/testing/crash-replay.ts
+++ b/packages/gateway/src/crashes/testing/crash-replay.ts
@@ -98,9 +98,9 @@
     this.#waiting = this.#waiting.filter((request) => request.runner !== runner)
     this.#evidence.addEnd({ process: `${runner}/${this.#nowMs}`, endedMs: this.#nowMs, prompts: present.map(({ partIds }) => partIds) })
     for (;;) {
-      const conviction = this.#evidence.convict((partId) => this.#blocked.has(partId))
-      if (conviction === undefined) break
-      this.#blocked.add(conviction.partId)
+      const decision = this.#evidence.nextBlock((partId) => this.#blocked.has(partId))
+      if (decision === undefined) break
+      this.#blocked.add(decision.partId)
     }
     this.#waiting = this.#waiting.filter(({ partIds }) => !partIds.some((partId) => this.#blocked.has(partId)))
     for (const { partIds, retried } of present) if (!retried) this.#send(partIds, true)
