--- a/packages/gateway/src/crashes/crash-monitor.test.ts
+++ b/packages/gateway/src/crashes/crash-monitor.test.ts
@@ -51,7 +51,7 @@
   async crash (monitor: CrashMonitor, partIds = PROMPT): Promise<void> {
     this.#requests += 1
     const runner = { id: `runner-${this.#requests}`, address: `10.0.0.${this.#requests}:80`, startedUnixMs: 1 }
-    monitor.onSent(runner, { requestId: `r${this.#requests}`, partIds, attempt: 1, begun: false })
+    monitor.onSent(runner, { requestId: `r${this.#requests}`, partIds, requestKey: `request-${this.#requests}`, attempt: 1, begun: false })
     monitor.onEnded(runner, `r${this.#requests}`, true)
     await this.clock.advance(400)
   }
@@ -59,7 +59,7 @@
   /** A request of this host is answered. */
   answer (monitor: CrashMonitor, partIds: string[], requestId = `r${this.#requests += 1}`): void {
     const runner = { id: 'sound', address: '10.0.1.1:80' }
-    monitor.onSent(runner, { requestId, partIds, attempt: 1, begun: false })
+    monitor.onSent(runner, { requestId, partIds, requestKey: `request-${requestId}`, attempt: 1, begun: false })
     monitor.onBegun(runner, requestId)
     monitor.onEnded(runner, requestId, false)
   }
@@ -216,7 +216,7 @@
   for (let count = 0; count < 3; count += 1) await fleet.crash(holder)
   await fleet.clock.advance(MINUTE_MS)
   t.equal(holder.blockOf('trial', PROMPT), undefined)
-  holder.onSent({ id: 'x', address: '10.0.2.1:80' }, { requestId: 'trial', partIds: PROMPT, attempt: 1, begun: false })
+  holder.onSent({ id: 'x', address: '10.0.2.1:80' }, { requestId: 'trial', partIds: PROMPT, requestKey: 'request-trial', attempt: 1, begun: false })
   t.ok(holder.blockOf('trial', PROMPT))
   t.notOk(holder.mayWrite('trial', PROMPT))
   await fleet.clock.advance(2 * MINUTE_MS - 1)
--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -286,6 +286,6 @@
   }
 }
 
-function describe ({ requestId, partIds, attempt }: SentRequest): string {
-  return `${requestId} sending ${attempt} parts ${partIds.join(',')}`
+function describe ({ requestId, partIds, requestKey, attempt }: SentRequest): string {
+  return `${requestId} sending ${attempt} key ${requestKey} parts ${partIds.join(',')}`
 }
--- a/packages/gateway/src/crashes/types.ts
+++ b/packages/gateway/src/crashes/types.ts
@@ -7,6 +7,8 @@
   requestId: string
   /** Ids of the parts of its prompt that other requests may share, in order. */
   partIds: readonly string[]
+  /** The same for each request with the same content, whatever its id. */
+  requestKey: string
   /** 1 for the first runner that the request was sent to. */
   attempt: number
   /** The runner has sent a part of the answer. */
--- a/packages/gateway/src/serve/prompt-guard.ts
+++ b/packages/gateway/src/serve/prompt-guard.ts
@@ -3,6 +3,7 @@
  * runner and whether its answer has begun.
  */
 import type { CrashMonitor } from '../crashes/crash-monitor.js'
+import { requestKeyOf } from '../crashes/request-key.js'
 import type { PartBlock } from '../crashes/types.js'
 import type { LocatedRunner } from '../gates/types.js'
 import { sharedPartIds } from './request-hints.js'
@@ -11,11 +12,13 @@
 export class PromptGuard {
   readonly #requestId: string
   readonly #partIds: readonly string[]
+  readonly #requestKey: string
   #unwatch: (() => void) | undefined
 
-  private constructor (private readonly crashes: CrashMonitor, { id, facts }: AcceptedRequest) {
-    this.#requestId = id
-    this.#partIds = sharedPartIds(facts)
+  private constructor (private readonly crashes: CrashMonitor, request: AcceptedRequest) {
+    this.#requestId = request.id
+    this.#partIds = sharedPartIds(request.facts)
+    this.#requestKey = requestKeyOf(request)
   }
 
   /** @param onBlocked called when a part of the prompt is blocked while the request is in progress */
@@ -36,7 +39,7 @@
 
   /** @param attempt 1 for the first runner that the request is sent to */
   onSent (runner: LocatedRunner, attempt: number): void {
-    this.crashes.onSent(runner, { requestId: this.#requestId, partIds: this.#partIds, attempt, begun: false })
+    this.crashes.onSent(runner, { requestId: this.#requestId, partIds: this.#partIds, requestKey: this.#requestKey, attempt, begun: false })
   }
 
   onBegun (runner: LocatedRunner): void {
