--- a/packages/gateway/src/crashes/query-of-death.test.ts
+++ b/packages/gateway/src/crashes/query-of-death.test.ts
@@ -12,7 +12,7 @@
 const sleep = (durationMs: number) => new Promise((resolve) => setTimeout(resolve, durationMs))
 
 t.test('requests with a part that ended five runners are sent three times more at most, and sound ones are served', async (t) => {
-  const fleet = await CrashingFleet.create({ hosts: 3, runners: 6, deadlyParts: ['deadly'] })
+  const fleet = await CrashingFleet.create({ hosts: 3, runners: 6, isDeadly: ({ promptParts }) => promptParts.includes('deadly') })
   t.teardown(() => fleet.close())
   const sound: { atMs: number, result: Promise<CallResult> }[] = []
   const deadly: Promise<CallResult>[] = []
--- a/packages/gateway/src/crashes/testing/crashing-fleet.ts
+++ b/packages/gateway/src/crashes/testing/crashing-fleet.ts
@@ -2,9 +2,9 @@
 import { Agent, request } from 'undici'
 import { startHost, createConfig, type TestHost } from '../../testing/gateway-host.js'
 import { CrashRecords } from '../../testing/memory-crash-log.js'
-import { CrashingRunner } from './crashing-runner.js'
+import { CrashingRunner, type IsDeadly } from './crashing-runner.js'
 
-export type CrashingFleetOptions = { hosts: number, runners: number, deadlyParts: string[] }
+export type CrashingFleetOptions = { hosts: number, runners: number, isDeadly: IsDeadly }
 
 /** A call's status, and whether its answer was whole. */
 export type CallResult = { status: number, whole: boolean }
@@ -19,7 +19,7 @@
 
   private constructor () {}
 
-  static async create ({ hosts, runners, deadlyParts }: CrashingFleetOptions): Promise<CrashingFleet> {
+  static async create ({ hosts, runners, isDeadly }: CrashingFleetOptions): Promise<CrashingFleet> {
     const fleet = new CrashingFleet()
     const seeds: string[] = []
     for (let index = 0; index < hosts; index += 1) {
@@ -27,9 +27,8 @@
       seeds.push(host.peerAddress)
       fleet.hosts.push(host)
     }
-    const deadly = new Set(deadlyParts)
     for (let index = 1; index <= runners; index += 1) {
-      fleet.runners.push(await CrashingRunner.create(`runner-${index}`, deadly, () => fleet.list()))
+      fleet.runners.push(await CrashingRunner.create(`runner-${index}`, isDeadly, () => fleet.list()))
     }
     for (const { watch } of fleet.hosts) watch.events?.onConfig(createConfig(3), Buffer.from('3'))
     fleet.list()
@@ -43,15 +42,25 @@
     for (const { watch } of this.hosts) watch.events?.onRunnerUpdate({ to: this.#position + 1, records, ageMs: 0 })
   }
 
-  /** Sends a request with these prompt parts to one of the hosts in turn. */
-  async call (parts: string[]): Promise<CallResult> {
+  /** Sends a stream request with these prompt parts to one of the hosts in turn. @param target a new one for each request unless given */
+  call (parts: string[], target?: string): Promise<CallResult> {
+    const number = this.#calls + 1
+    return this.#send('POST', target ?? `/stream/${number}`, { 'prompt-parts': [...parts, `own-${number}`].join(',') }, 'id: 1\n')
+  }
+
+  /** Sends a request without a prompt or body to one of the hosts in turn. */
+  read (target: string): Promise<CallResult> {
+    return this.#send('GET', target, {}, 'ok')
+  }
+
+  async #send (method: 'GET' | 'POST', target: string, headers: Record<string, string>, end: string): Promise<CallResult> {
     this.#calls += 1
     const host = this.hosts[this.#calls % this.hosts.length] as TestHost
-    const headers = { host: 'test', 'request-id': `call-${this.#calls}`, 'prompt-parts': [...parts, `own-${this.#calls}`].join(',') }
+    const options = { method, headers: { host: 'test', 'request-id': `call-${this.#calls}`, ...headers }, dispatcher: this.#agent }
     try {
-      const { statusCode, body } = await request(`http://${host.callerAddress}/stream/1`, { method: 'POST', headers, dispatcher: this.#agent })
+      const { statusCode, body } = await request(`http://${host.callerAddress}${target}`, options)
       const text = await body.text()
-      return { status: statusCode, whole: text.includes('id: 1\n') }
+      return { status: statusCode, whole: text.includes(end) }
     } catch {
       return { status: 0, whole: false }
     }
@@ -62,7 +71,7 @@
     return this.runners.flatMap(({ endsMs }) => endsMs).sort((a, b) => a - b)
   }
 
-  /** Requests with a deadly part that reached runners after this time. */
+  /** Deadly requests that reached runners after this time. */
   deadlyArrivalsAfter (afterMs: number): number {
     return this.runners.flatMap(({ deadlyArrivalsMs }) => deadlyArrivalsMs).filter((atMs) => atMs > afterMs).length
   }
--- a/packages/gateway/src/crashes/testing/crashing-runner.ts
+++ b/packages/gateway/src/crashes/testing/crashing-runner.ts
@@ -1,4 +1,4 @@
-/** A runner whose process ends when it begins to answer a prompt with a certain part, and starts again at the same address. */
+/** A runner whose process ends when it begins to answer a certain request, and starts again at the same address. */
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import type { RunnerEntry } from '../../runners/types.js'
 import { createEntry } from '../../testing/gateway-fixture.js'
@@ -8,24 +8,28 @@
 const RESTART_MS = 400
 const ANSWER_HEAD = 'HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n'
 
+/** What a runner sees of a request. */
+export type ReceivedRequest = { promptParts: readonly string[], target: string }
+export type IsDeadly = (request: ReceivedRequest) => boolean
+
 export class CrashingRunner {
   readonly #sockets = new Set<Socket>()
   #server: Server
   #port = 0
   #starts = 1
   #closed = false
-  /** When requests with the deadly part arrived, in milliseconds of the monotonic clock. */
+  /** When deadly requests arrived, in milliseconds of the monotonic clock. */
   readonly deadlyArrivalsMs: number[] = []
   /** When its processes ended. */
   readonly endsMs: number[] = []
 
   /** @param onRestart called when a new process listens */
-  private constructor (readonly id: string, private readonly deadlyParts: ReadonlySet<string>, private readonly onRestart: () => void) {
+  private constructor (readonly id: string, private readonly isDeadly: IsDeadly, private readonly onRestart: () => void) {
     this.#server = this.#createServer()
   }
 
-  static async create (id: string, deadlyParts: ReadonlySet<string>, onRestart: () => void): Promise<CrashingRunner> {
-    const runner = new CrashingRunner(id, deadlyParts, onRestart)
+  static async create (id: string, isDeadly: IsDeadly, onRestart: () => void): Promise<CrashingRunner> {
+    const runner = new CrashingRunner(id, isDeadly, onRestart)
     await new Promise<void>((resolve) => runner.#server.listen(0, '127.0.0.1', resolve))
     runner.#port = (runner.#server.address() as AddressInfo).port
     return runner
@@ -72,10 +76,11 @@
 
   #onRequest (socket: Socket, text: string): void {
     const requestId = /request-id: (\S+)/i.exec(text)?.[1] ?? ''
-    const parts = /prompt-parts: (\S+)/i.exec(text)?.[1]?.split(',') ?? []
-    const isDeadly = parts.some((part) => this.deadlyParts.has(part))
+    const promptParts = /prompt-parts: (\S+)/i.exec(text)?.[1]?.split(',') ?? []
+    const target = /^\S+ (\S+)/.exec(text)?.[1] ?? ''
+    const isDeadly = this.isDeadly({ promptParts, target })
     if (isDeadly) this.deadlyArrivalsMs.push(performance.now())
-    setTimeout(() => isDeadly ? this.#crashAt(socket) : begin(socket, requestId), BEGIN_MS)
+    setTimeout(() => isDeadly ? this.#crashAt(socket) : answer(socket, requestId, target), BEGIN_MS)
   }
 
   /** A caller that has left takes its request from the queue. */
@@ -84,7 +89,11 @@
   }
 }
 
-function begin (socket: Socket, requestId: string): void {
+function answer (socket: Socket, requestId: string, target: string): void {
+  if (target.startsWith('/plain/')) {
+    socket.write(`HTTP/1.1 200 OK\r\nSigned: yes\r\nRequest-Id: ${requestId}\r\nContent-Length: 2\r\n\r\nok`)
+    return
+  }
   socket.write(`${ANSWER_HEAD}Request-Id: ${requestId}\r\n\r\n${toChunk('id: 0\ndata: x\n\n')}`)
   setTimeout(() => { socket.write(`${toChunk('id: 1\ndata: x\n\n')}0\r\n\r\n`) }, ANSWER_MS)
 }
