Crash evidence: features of requests in place of prompt parts, names only

What marks a request may be more than a part of its prompt. Names and comments only; fields on the wire keep their numbers, records on the platform their keys. Type check, linter and the tests of the folder pass.

--- a/packages/gateway/src/crashes/crash-facts.ts
+++ b/packages/gateway/src/crashes/crash-facts.ts
@@ -1,8 +1,8 @@
 /** Numbers the changes of what this host knows about ends and blocks, so that other hosts are sent only what they lack. */
 import type { ListVersion } from '../members/change-list.js'
-import type { BegunRecord, CrashUpdate, EndRecord, PartBlock } from './types.js'
+import type { BegunRecord, CrashUpdate, EndRecord, FeatureBlock } from './types.js'
 
-type Known = { ends: readonly EndRecord[], begun: readonly BegunRecord[], blocks: readonly PartBlock[] }
+type Known = { ends: readonly EndRecord[], begun: readonly BegunRecord[], blocks: readonly FeatureBlock[] }
 type Listed = { content: string, version: number }
 
 export class CrashFacts {
@@ -25,7 +25,7 @@
     return {
       to: { listId: this.listId, version: this.#version },
       ends: known.ends.filter((end) => isNew(endKey(end))).map(({ endedMs, ...end }) => ({ ...end, endedAgoMs: nowMs - endedMs })),
-      begun: known.begun.filter((begun) => isNew(begunKey(begun))).map(({ partId, begunMs }) => ({ partId, begunAgoMs: nowMs - begunMs })),
+      begun: known.begun.filter((begun) => isNew(begunKey(begun))).map(({ featureId, begunMs }) => ({ featureId, begunAgoMs: nowMs - begunMs })),
       blocks: known.blocks.filter((block) => isNew(blockKey(block))).map(({ sinceMs, ...block }) => ({ ...block, sinceAgoMs: nowMs - sinceMs }))
     }
   }
@@ -38,7 +38,7 @@
       this.#version += 1
       this.#listed.set(key, { content, version: this.#version })
     }
-    for (const end of ends) put(endKey(end), String(end.prompts.length))
+    for (const end of ends) put(endKey(end), String(end.requests.length))
     for (const record of begun) put(begunKey(record), String(record.begunMs))
     for (const block of blocks) put(blockKey(block), `${block.revision}/${block.blocked}`)
     for (const key of this.#listed.keys()) if (!keys.has(key)) this.#listed.delete(key)
@@ -46,5 +46,5 @@
 }
 
 const endKey = ({ process }: EndRecord) => `end/${process}`
-const begunKey = ({ partId }: BegunRecord) => `begun/${partId}`
-const blockKey = ({ partId }: PartBlock) => `block/${partId}`
+const begunKey = ({ featureId }: BegunRecord) => `begun/${featureId}`
+const blockKey = ({ featureId }: FeatureBlock) => `block/${featureId}`
--- a/packages/gateway/src/crashes/crash-monitor.test.ts
+++ b/packages/gateway/src/crashes/crash-monitor.test.ts
@@ -48,18 +48,18 @@
   }
 
   /** A request of this host ends the process of a runner. */
-  async crash (monitor: CrashMonitor, partIds = PROMPT): Promise<void> {
+  async crash (monitor: CrashMonitor, featureIds = PROMPT): Promise<void> {
     this.#requests += 1
     const runner = { id: `runner-${this.#requests}`, address: `10.0.0.${this.#requests}:80`, startedUnixMs: 1 }
-    monitor.onSent(runner, { requestId: `r${this.#requests}`, partIds, requestKey: `request-${this.#requests}`, attempt: 1, begun: false })
+    monitor.onSent(runner, { requestId: `r${this.#requests}`, featureIds, requestKey: `request-${this.#requests}`, attempt: 1, begun: false })
     monitor.onEnded(runner, `r${this.#requests}`, true)
     await this.clock.advance(400)
   }
 
   /** A request of this host is answered. */
-  answer (monitor: CrashMonitor, partIds: string[], requestId = `r${this.#requests += 1}`): void {
+  answer (monitor: CrashMonitor, featureIds: string[], requestId = `r${this.#requests += 1}`): void {
     const runner = { id: 'sound', address: '10.0.1.1:80' }
-    monitor.onSent(runner, { requestId, partIds, requestKey: `request-${requestId}`, attempt: 1, begun: false })
+    monitor.onSent(runner, { requestId, featureIds, requestKey: `request-${requestId}`, attempt: 1, begun: false })
     monitor.onBegun(runner, requestId)
     monitor.onEnded(runner, requestId, false)
   }
@@ -204,7 +204,7 @@
   const a = fleet.add()
   for (let count = 0; count < 3; count += 1) await fleet.crash(a)
   await fleet.clock.advance(1_000)
-  for (const { onBlock } of fleet.records.readers) onBlock({ partId: 'deadly', revision: 2, blocked: false, sinceAt: fleet.clock.now(), trials: 0, reason: 'an operator' })
+  for (const { onBlock } of fleet.records.readers) onBlock({ featureId: 'deadly', revision: 2, blocked: false, sinceAt: fleet.clock.now(), trials: 0, reason: 'an operator' })
   t.notOk(isBlocked(a))
   await fleet.crash(a, ['another'])
   t.notOk(isBlocked(a))
@@ -216,7 +216,7 @@
   for (let count = 0; count < 3; count += 1) await fleet.crash(holder)
   await fleet.clock.advance(MINUTE_MS)
   t.equal(holder.blockOf('trial', PROMPT), undefined)
-  holder.onSent({ id: 'x', address: '10.0.2.1:80' }, { requestId: 'trial', partIds: PROMPT, requestKey: 'request-trial', attempt: 1, begun: false })
+  holder.onSent({ id: 'x', address: '10.0.2.1:80' }, { requestId: 'trial', featureIds: PROMPT, requestKey: 'request-trial', attempt: 1, begun: false })
   t.ok(holder.blockOf('trial', PROMPT))
   t.notOk(holder.mayWrite('trial', PROMPT))
   await fleet.clock.advance(2 * MINUTE_MS - 1)
@@ -229,7 +229,7 @@
   const fleet = new Fleet()
   const a = fleet.add()
   const told: string[] = []
-  a.watch(PROMPT, (partId) => told.push(partId))
+  a.watch(PROMPT, (featureId) => told.push(featureId))
   const unwatch = a.watch(PROMPT, () => told.push('ended'))
   unwatch()
   for (let count = 0; count < 3; count += 1) await fleet.crash(a)
--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -12,8 +12,8 @@
 import type { CrashMetrics } from './crash-metrics.js'
 import { CrashStore } from './crash-store.js'
 import { EndDetector, keyOf } from './end-detector.js'
-import { PartBlocks } from './part-blocks.js'
-import type { CrashLog, CrashUpdate, EndRecord, ListenerProbe, PartBlock, ProcessEnd, SentRequest } from './types.js'
+import { FeatureBlocks } from './feature-blocks.js'
+import type { CrashLog, CrashUpdate, EndRecord, ListenerProbe, FeatureBlock, ProcessEnd, SentRequest } from './types.js'
 
 /** Other hosts' records of an end arrive within this time; a decision without them might block the wrong part. */
 const DECISION_DELAY_MS = 60
@@ -43,12 +43,12 @@
 }
 
 /** Called when a part is blocked while requests with it are in progress. */
-export type BlockListener = (partId: string) => void
+export type BlockListener = (featureId: string) => void
 
 export class CrashMonitor {
   readonly #ends: EndDetector
   readonly #evidence = CrashEvidence.create()
-  readonly #blocks = PartBlocks.create()
+  readonly #blocks = FeatureBlocks.create()
   readonly #facts: CrashFacts
   readonly #store: CrashStore
   /** Versions of other hosts' facts that this host has, by host. */
@@ -94,48 +94,48 @@
   }
 
   /** Number of parts that are blocked. */
-  get blockedParts (): number {
+  get blockedFeatures (): number {
     return this.#blocks.all().filter(({ blocked }) => blocked).length
   }
 
-  isBlocked (partIds: readonly string[]): boolean {
-    return partIds.some((partId) => this.#blocks.isBlocked(partId))
+  isBlocked (featureIds: readonly string[]): boolean {
+    return featureIds.some((featureId) => this.#blocks.isBlocked(featureId))
   }
 
   /** The block that keeps a request from being run; undefined if it may be sent. May start a trial of a blocked part. */
-  blockOf (requestId: string, partIds: readonly string[]): PartBlock | undefined {
-    const blocked = this.#blocksOf(requestId, partIds)[0]
-    if (blocked === undefined || !this.#startTrial(requestId, partIds)) return blocked
+  blockOf (requestId: string, featureIds: readonly string[]): FeatureBlock | undefined {
+    const blocked = this.#blocksOf(requestId, featureIds)[0]
+    if (blocked === undefined || !this.#startTrial(requestId, featureIds)) return blocked
     return undefined
   }
 
   /** Whether a request that has a connection may be written now. */
-  mayWrite (requestId: string, partIds: readonly string[]): boolean {
-    return this.#blocksOf(requestId, partIds).length === 0
+  mayWrite (requestId: string, featureIds: readonly string[]): boolean {
+    return this.#blocksOf(requestId, featureIds).length === 0
   }
 
   /** Calls the listener when one of these parts is blocked; returns a function that ends this. */
-  watch (partIds: readonly string[], listener: BlockListener): () => void {
-    for (const partId of partIds) {
-      const listeners = this.#listeners.get(partId) ?? new Set()
-      this.#listeners.set(partId, listeners.add(listener))
+  watch (featureIds: readonly string[], listener: BlockListener): () => void {
+    for (const featureId of featureIds) {
+      const listeners = this.#listeners.get(featureId) ?? new Set()
+      this.#listeners.set(featureId, listeners.add(listener))
     }
-    return () => partIds.forEach((partId) => this.#unwatch(partId, listener))
+    return () => featureIds.forEach((featureId) => this.#unwatch(featureId, listener))
   }
 
   /** A request is written to a runner. */
   onSent (runner: LocatedRunner, request: SentRequest): void {
     this.#ends.onSent(runner, request)
     // A trial is one sending: the request isn't sent again if it ends its runner.
-    for (const partId of request.partIds) if (this.#trials.get(partId) === request.requestId) this.#trials.delete(partId)
+    for (const featureId of request.featureIds) if (this.#trials.get(featureId) === request.requestId) this.#trials.delete(featureId)
   }
 
   /** A part of the answer to a request was received. */
   onBegun (runner: LocatedRunner, requestId: string): void {
     const request = this.#ends.onBegun(runner, requestId)
     if (request === undefined) return
-    this.#evidence.onBegun(request.partIds, this.#nowMs())
-    for (const partId of request.partIds) if (this.#blocks.isBlocked(partId)) this.#lift(partId, 'a request with the part began')
+    this.#evidence.onBegun(request.featureIds, this.#nowMs())
+    for (const featureId of request.featureIds) if (this.#blocks.isBlocked(featureId)) this.#lift(featureId, 'a request with the part began')
   }
 
   /** A request is no longer at its runner. @param broken its connection broke before the answer was complete */
@@ -157,7 +157,7 @@
   receive (host: string, { to, ends, begun, blocks }: CrashUpdate): void {
     const nowMs = this.#nowMs()
     for (const { sinceAgoMs, ...block } of blocks) this.#applyBlock({ ...block, sinceMs: nowMs - sinceAgoMs }, host)
-    for (const { partId, begunAgoMs } of begun) this.#evidence.addBegun({ partId, begunMs: nowMs - begunAgoMs })
+    for (const { featureId, begunAgoMs } of begun) this.#evidence.addBegun({ featureId, begunMs: nowMs - begunAgoMs })
     this.#addEnds(ends.map(({ endedAgoMs, ...end }) => ({ ...end, endedMs: nowMs - endedAgoMs })))
     this.#seen.set(host, to)
   }
@@ -173,11 +173,11 @@
 
   #onProcessEnd (end: ProcessEnd): void {
     this.#logEnd(end)
-    const prompts = end.requests.filter(({ begun }) => !begun).map(({ partIds }) => partIds)
-    const record = { process: keyOf(end.runner), endedMs: end.endedMs, prompts }
+    const requests = end.requests.filter(({ begun }) => !begun).map(({ featureIds }) => featureIds)
+    const record = { process: keyOf(end.runner), endedMs: end.endedMs, requests }
     if (!this.#evidence.addEnd(record)) return
     this.#decideSoon()
-    this.#store.onOwnEnd(record, (partId) => this.#evidence.endsOf(partId).length > 0)
+    this.#store.onOwnEnd(record, (featureId) => this.#evidence.endsOf(featureId).length > 0)
     this.#sendSoon()
   }
 
@@ -197,62 +197,62 @@
   /** Blocks parts until no more have enough ends against them. */
   #blockParts (): void {
     for (let count = 0; count < MAX_BLOCKS_PER_DECISION; count += 1) {
-      const decision = this.#evidence.nextBlock((partId) => this.#blocks.isBlocked(partId))
+      const decision = this.#evidence.nextBlock((featureId) => this.#blocks.isBlocked(featureId))
       if (decision === undefined) return
-      const { partId, ends } = decision
-      const block = this.#blocks.next(partId, { blocked: true, sinceMs: this.#nowMs(), reason: `${ends} runners ended with requests that had the part and had not begun` })
+      const { featureId, ends } = decision
+      const block = this.#blocks.next(featureId, { blocked: true, sinceMs: this.#nowMs(), reason: `${ends} runners ended with requests that had the part and had not begun` })
       this.#applyBlock(block, this.parts.host)
       this.#store.writeSoon(block)
     }
   }
 
-  #lift (partId: string, reason: string): void {
-    const block = this.#blocks.next(partId, { blocked: false, sinceMs: this.#nowMs(), reason, trials: 0 })
+  #lift (featureId: string, reason: string): void {
+    const block = this.#blocks.next(featureId, { blocked: false, sinceMs: this.#nowMs(), reason, trials: 0 })
     this.#applyBlock(block, this.parts.host)
     this.#store.writeSoon(block)
     this.#sendSoon()
   }
 
-  #applyBlock (block: PartBlock, from: string): void {
-    const wasBlocked = this.#blocks.isBlocked(block.partId)
+  #applyBlock (block: FeatureBlock, from: string): void {
+    const wasBlocked = this.#blocks.isBlocked(block.featureId)
     if (!this.#blocks.apply(block)) return
-    const { partId, blocked, revision, trials, reason, sinceMs } = block
-    const processes = this.#evidence.endsOf(partId).map(({ process }) => process).join(' ')
+    const { featureId, blocked, revision, trials, reason, sinceMs } = block
+    const processes = this.#evidence.endsOf(featureId).map(({ process }) => process).join(' ')
     if (wasBlocked !== blocked) {
       this.parts.metrics.blockChanges.inc({ change: blocked ? 'blocked' : 'lifted' })
-      this.parts.log.warn(blocked ? 'prompt part is blocked' : 'block of a prompt part is lifted', { part: partId, revision, trials, from, reason, processes })
+      this.parts.log.warn(blocked ? 'prompt part is blocked' : 'block of a prompt part is lifted', { part: featureId, revision, trials, from, reason, processes })
     }
     // The ends before no longer count: the next end of any runner would block the part again.
-    if (!blocked) this.#evidence.addBegun({ partId, begunMs: sinceMs })
-    if (blocked && !wasBlocked) for (const listener of [...this.#listeners.get(partId) ?? []]) listener(partId)
+    if (!blocked) this.#evidence.addBegun({ featureId, begunMs: sinceMs })
+    if (blocked && !wasBlocked) for (const listener of [...this.#listeners.get(featureId) ?? []]) listener(featureId)
   }
 
-  #blocksOf (requestId: string, partIds: readonly string[]): PartBlock[] {
-    return partIds.flatMap((partId) => {
-      const block = this.#blocks.get(partId)
-      return block === undefined || !block.blocked || this.#trials.get(partId) === requestId ? [] : [block]
+  #blocksOf (requestId: string, featureIds: readonly string[]): FeatureBlock[] {
+    return featureIds.flatMap((featureId) => {
+      const block = this.#blocks.get(featureId)
+      return block === undefined || !block.blocked || this.#trials.get(featureId) === requestId ? [] : [block]
     })
   }
 
   /** Whether this request is run as the trial of all blocked parts that it has. */
-  #startTrial (requestId: string, partIds: readonly string[]): boolean {
+  #startTrial (requestId: string, featureIds: readonly string[]): boolean {
     const nowMs = this.#nowMs()
-    const blocked = this.#blocksOf(requestId, partIds)
-    if (!this.parts.mayTry() || !blocked.every(({ partId }) => this.#blocks.isTrialDue(partId, nowMs))) return false
-    for (const { partId, trials, reason } of blocked) {
-      const block = this.#blocks.next(partId, { blocked: true, sinceMs: nowMs, reason, trials: trials + 1 })
+    const blocked = this.#blocksOf(requestId, featureIds)
+    if (!this.parts.mayTry() || !blocked.every(({ featureId }) => this.#blocks.isTrialDue(featureId, nowMs))) return false
+    for (const { featureId, trials, reason } of blocked) {
+      const block = this.#blocks.next(featureId, { blocked: true, sinceMs: nowMs, reason, trials: trials + 1 })
       this.#blocks.apply(block)
-      this.#trials.set(partId, requestId)
+      this.#trials.set(featureId, requestId)
       this.#store.writeSoon(block)
-      this.parts.log.info('request with a blocked prompt part is tried', { requestId, part: partId, trials: block.trials })
+      this.parts.log.info('request with a blocked prompt part is tried', { requestId, part: featureId, trials: block.trials })
     }
     return true
   }
 
-  #unwatch (partId: string, listener: BlockListener): void {
-    const listeners = this.#listeners.get(partId)
+  #unwatch (featureId: string, listener: BlockListener): void {
+    const listeners = this.#listeners.get(featureId)
     listeners?.delete(listener)
-    if (listeners?.size === 0) this.#listeners.delete(partId)
+    if (listeners?.size === 0) this.#listeners.delete(featureId)
   }
 
   /** Several ends at once are sent in one report. */
@@ -286,6 +286,6 @@
   }
 }
 
-function describe ({ requestId, partIds, requestKey, attempt }: SentRequest): string {
-  return `${requestId} sending ${attempt} key ${requestKey} parts ${partIds.join(',')}`
+function describe ({ requestId, featureIds, requestKey, attempt }: SentRequest): string {
+  return `${requestId} sending ${attempt} key ${requestKey} parts ${featureIds.join(',')}`
 }
--- a/packages/gateway/src/crashes/crash-replay.test.ts
+++ b/packages/gateway/src/crashes/crash-replay.test.ts
@@ -28,7 +28,7 @@
   const ends = results.reduce((sum, result) => sum + result.ends, 0)
   t.comment(`${falseBlocks.length} false blocks at ${ends} ends of runners in ${SEEDS} minutes: ${falseBlocks.join(' ')}`)
   t.ok(falseBlocks.length <= ends * MAX_BLOCKS_PER_END)
-  t.notOk(falseBlocks.some((partId) => partId.startsWith('first-')))
+  t.notOk(falseBlocks.some((featureId) => featureId.startsWith('first-')))
 }
 
 for (const [name, day] of Object.entries(PLAIN_DAYS)) {
--- a/packages/gateway/src/crashes/crash-store.ts
+++ b/packages/gateway/src/crashes/crash-store.ts
@@ -4,10 +4,10 @@
  */
 import type { Clock, Logger, Timer } from '@figloom/runtime'
 import type { InstantSource } from '../lease/instant.js'
-import type { CrashLog, EndRecord, PartBlock, StoredBlock, StoredEnds } from './types.js'
+import type { CrashLog, EndRecord, FeatureBlock, StoredBlock, StoredEnds } from './types.js'
 
 const MAX_WRITE_DELAY_MS = 250
-/** Answers that clear the prompts of an end arrive within this time; what is cleared isn't stored. */
+/** Answers that clear the requests of an end arrive within this time; what is cleared isn't stored. */
 const SETTLE_MS = 250
 /** Interval between two writes of the ends that this host observed. */
 const ENDS_INTERVAL_MS = 1_000
@@ -15,9 +15,9 @@
 const REREAD_MS = 700
 const RETRY_MS = 500
 const MAX_RETRIES = 20
-/** Ends and prompts of an end that are stored. */
+/** Ends and requests of an end that are stored. */
 const MAX_STORED_ENDS = 16
-const MAX_STORED_PROMPTS = 16
+const MAX_STORED_REQUESTS = 16
 
 export type CrashStoreParts = {
   clock: Clock
@@ -28,7 +28,7 @@
   random: () => number
   readsThroughPeers: () => boolean
   hasLivePeers: () => boolean
-  onBlock: (block: PartBlock) => void
+  onBlock: (block: FeatureBlock) => void
   onEnds: (ends: EndRecord[]) => void
 }
 
@@ -62,17 +62,17 @@
   }
 
   /** Stores a block unless another host does so first. Hosts whose peers read the records for them leave it to these. */
-  writeSoon (block: PartBlock): void {
+  writeSoon (block: FeatureBlock): void {
     if (this.parts.readsThroughPeers()) return
     this.#later(this.parts.random() * MAX_WRITE_DELAY_MS, () => this.#writeBlock(block, 0))
   }
 
-  /** Stores an end that this host observed, if parts of its prompts are still suspect shortly afterwards. */
-  onOwnEnd (end: EndRecord, isSuspect: (partId: string) => boolean): void {
+  /** Stores an end that this host observed, if parts of its requests are still suspect shortly afterwards. */
+  onOwnEnd (end: EndRecord, isSuspect: (featureId: string) => boolean): void {
     this.#later(SETTLE_MS, () => {
-      const prompts = end.prompts.filter((prompt) => prompt.some(isSuspect)).slice(0, MAX_STORED_PROMPTS)
-      if (prompts.length === 0) return
-      this.#ends = [...this.#ends, { ...end, prompts }].slice(-MAX_STORED_ENDS)
+      const requests = end.requests.filter((request) => request.some(isSuspect)).slice(0, MAX_STORED_REQUESTS)
+      if (requests.length === 0) return
+      this.#ends = [...this.#ends, { ...end, requests }].slice(-MAX_STORED_ENDS)
       if (this.#endsScheduled) return
       this.#endsScheduled = true
       this.#writeEnds()
@@ -80,7 +80,7 @@
   }
 
   /** The platform came back from an older copy: what it no longer has is written again, after this host has read what it has. */
-  onNewEra (blocks: readonly PartBlock[]): void {
+  onNewEra (blocks: readonly FeatureBlock[]): void {
     this.#storedRevisions.clear()
     this.#later(REREAD_MS, () => {
       for (const block of blocks) this.writeSoon(block)
@@ -92,7 +92,7 @@
   }
 
   #writeEnds (): void {
-    const ends = this.#ends.map(({ process, prompts, endedMs }) => ({ process, prompts, endedAt: this.#toDate(endedMs) }))
+    const ends = this.#ends.map(({ process, requests, endedMs }) => ({ process, requests, endedAt: this.#toDate(endedMs) }))
     this.parts.crashLog.writeEnds({ host: this.parts.host, ends }).catch((error: Error) => {
       this.parts.log.warn('ends of runners were not stored', { ends: ends.length, reason: error.message })
     })
@@ -102,29 +102,29 @@
     })
   }
 
-  #writeBlock (block: PartBlock, retries: number): void {
-    const { partId, revision, blocked, trials, reason, sinceMs } = block
-    if (this.#stopped || (this.#storedRevisions.get(partId) ?? 0) >= revision) return
-    this.parts.crashLog.writeBlock({ partId, revision, blocked, trials, reason, sinceAt: this.#toDate(sinceMs) }).then(() => {
-      this.#noteStored(partId, revision)
+  #writeBlock (block: FeatureBlock, retries: number): void {
+    const { featureId, revision, blocked, trials, reason, sinceMs } = block
+    if (this.#stopped || (this.#storedRevisions.get(featureId) ?? 0) >= revision) return
+    this.parts.crashLog.writeBlock({ featureId, revision, blocked, trials, reason, sinceAt: this.#toDate(sinceMs) }).then(() => {
+      this.#noteStored(featureId, revision)
     }, (error: Error) => {
-      this.parts.log.warn('block of a prompt part was not stored', { part: partId, revision, retries, reason: error.message })
+      this.parts.log.warn('block of a request part was not stored', { part: featureId, revision, retries, reason: error.message })
       if (retries < MAX_RETRIES) this.#later(RETRY_MS * (1 + this.parts.random()), () => this.#writeBlock(block, retries + 1))
     })
   }
 
   #onBlock ({ sinceAt, ...block }: StoredBlock): void {
-    this.#noteStored(block.partId, block.revision)
+    this.#noteStored(block.featureId, block.revision)
     this.parts.onBlock({ ...block, sinceMs: this.#toInstantMs(sinceAt) })
   }
 
   #onEnds ({ host, ends }: StoredEnds): void {
     if (host === this.parts.host) return
-    this.parts.onEnds(ends.map(({ process, prompts, endedAt }) => ({ process, prompts, endedMs: this.#toInstantMs(endedAt) })))
+    this.parts.onEnds(ends.map(({ process, requests, endedAt }) => ({ process, requests, endedMs: this.#toInstantMs(endedAt) })))
   }
 
-  #noteStored (partId: string, revision: number): void {
-    this.#storedRevisions.set(partId, Math.max(revision, this.#storedRevisions.get(partId) ?? 0))
+  #noteStored (featureId: string, revision: number): void {
+    this.#storedRevisions.set(featureId, Math.max(revision, this.#storedRevisions.get(featureId) ?? 0))
   }
 
   #later (delayMs: number, step: () => void): void {
--- a/packages/gateway/src/crashes/end-detector.test.ts
+++ b/packages/gateway/src/crashes/end-detector.test.ts
@@ -26,7 +26,7 @@
   const probe = new FixedProbe(refused)
   const detector = EndDetector.create({ clock, instants: InstantSource.create(clock), log: silentLogger, probe, onEnd: (end) => ends.push(end) })
   const send = (requestId: string): SentRequest => {
-    const request = { requestId, partIds: [requestId], requestKey: `request-${requestId}`, attempt: 1, begun: false }
+    const request = { requestId, featureIds: [requestId], requestKey: `request-${requestId}`, attempt: 1, begun: false }
     detector.onSent(RUNNER, request)
     return request
   }
--- a/packages/gateway/src/crashes/part-blocks.test.ts
+++ b/packages/gateway/src/crashes/feature-blocks.test.ts
@@ -1,14 +1,14 @@
 // Guards against blocks that an older record undoes, that never end, or that grow without bound.
 import t from 'tap'
-import { PartBlocks } from './part-blocks.js'
-import type { PartBlock } from './types.js'
+import { FeatureBlocks } from './feature-blocks.js'
+import type { FeatureBlock } from './types.js'
 
-function block (changes: Partial<PartBlock> = {}): PartBlock {
-  return { partId: 'part', revision: 1, blocked: true, sinceMs: 0, trials: 0, reason: '', ...changes }
+function block (changes: Partial<FeatureBlock> = {}): FeatureBlock {
+  return { featureId: 'part', revision: 1, blocked: true, sinceMs: 0, trials: 0, reason: '', ...changes }
 }
 
 t.test('the record with the highest revision is in force, whatever the order of arrival', async (t) => {
-  const blocks = PartBlocks.create()
+  const blocks = FeatureBlocks.create()
   t.ok(blocks.apply(block({ revision: 2, blocked: false })))
   t.notOk(blocks.apply(block({ revision: 1 })))
   t.notOk(blocks.isBlocked('part'))
@@ -17,7 +17,7 @@
 })
 
 t.test('of two records of the same revision the one that blocks is in force', async (t) => {
-  const blocks = PartBlocks.create()
+  const blocks = FeatureBlocks.create()
   blocks.apply(block({ blocked: false }))
   t.ok(blocks.apply(block()))
   t.notOk(blocks.apply(block({ blocked: false })))
@@ -25,7 +25,7 @@
 })
 
 t.test('a trial is due after a minute, and after twice as long each time', async (t) => {
-  const blocks = PartBlocks.create()
+  const blocks = FeatureBlocks.create()
   t.notOk(blocks.isTrialDue('part', 1e9))
   blocks.apply(block())
   t.notOk(blocks.isTrialDue('part', 59_999))
@@ -38,12 +38,12 @@
 })
 
 t.test('the number of blocks is bounded; lifted ones are dropped first', async (t) => {
-  const blocks = PartBlocks.create()
-  blocks.apply(block({ partId: 'lifted', blocked: false, sinceMs: 1_000 }))
-  for (let count = 0; count < 512; count += 1) blocks.apply(block({ partId: `part-${count}`, sinceMs: count }))
+  const blocks = FeatureBlocks.create()
+  blocks.apply(block({ featureId: 'lifted', blocked: false, sinceMs: 1_000 }))
+  for (let count = 0; count < 512; count += 1) blocks.apply(block({ featureId: `part-${count}`, sinceMs: count }))
   t.equal(blocks.get('lifted'), undefined)
   t.equal(blocks.all().length, 512)
-  blocks.apply(block({ partId: 'newest', sinceMs: 600 }))
+  blocks.apply(block({ featureId: 'newest', sinceMs: 600 }))
   t.equal(blocks.get('part-0'), undefined)
   t.equal(blocks.all().length, 512)
 })
--- a/packages/gateway/src/crashes/part-blocks.ts
+++ b/packages/gateway/src/crashes/feature-blocks.ts
@@ -2,7 +2,7 @@
  * Prompt parts whose requests are not run. A block ends when an operator lifts it or when a request with the part begins after
  * all, which is tried now and then. Pure state; times are milliseconds of a clock that also counts suspensions.
  */
-import type { PartBlock } from './types.js'
+import type { FeatureBlock } from './types.js'
 
 /** Time after which a single request is tried; doubles with each trial, as each may cost a runner. */
 const TRIAL_MS = 60_000
@@ -10,57 +10,57 @@
 /** Most blocks and lifted blocks that are kept. */
 const MAX_BLOCKS = 512
 
-export class PartBlocks {
-  readonly #blocks = new Map<string, PartBlock>()
+export class FeatureBlocks {
+  readonly #blocks = new Map<string, FeatureBlock>()
 
   private constructor () {}
 
-  static create (): PartBlocks {
-    return new PartBlocks()
+  static create (): FeatureBlocks {
+    return new FeatureBlocks()
   }
 
   /** Applies a record of this or another host; returns whether it changes what is in force. */
-  apply (block: PartBlock): boolean {
-    const known = this.#blocks.get(block.partId)
+  apply (block: FeatureBlock): boolean {
+    const known = this.#blocks.get(block.featureId)
     if (known !== undefined && !isNewer(block, known)) return false
-    this.#blocks.set(block.partId, block)
+    this.#blocks.set(block.featureId, block)
     if (this.#blocks.size > MAX_BLOCKS) this.#dropOne()
     return true
   }
 
-  get (partId: string): PartBlock | undefined {
-    return this.#blocks.get(partId)
+  get (featureId: string): FeatureBlock | undefined {
+    return this.#blocks.get(featureId)
   }
 
-  isBlocked (partId: string): boolean {
-    return this.#blocks.get(partId)?.blocked === true
+  isBlocked (featureId: string): boolean {
+    return this.#blocks.get(featureId)?.blocked === true
   }
 
-  all (): PartBlock[] {
+  all (): FeatureBlock[] {
     return [...this.#blocks.values()]
   }
 
   /** The next revision of a part's record. */
-  next (partId: string, change: Pick<PartBlock, 'blocked' | 'sinceMs' | 'reason'> & { trials?: number }): PartBlock {
-    const known = this.#blocks.get(partId)
-    return { partId, revision: (known?.revision ?? 0) + 1, trials: known?.trials ?? 0, ...change }
+  next (featureId: string, change: Pick<FeatureBlock, 'blocked' | 'sinceMs' | 'reason'> & { trials?: number }): FeatureBlock {
+    const known = this.#blocks.get(featureId)
+    return { featureId, revision: (known?.revision ?? 0) + 1, trials: known?.trials ?? 0, ...change }
   }
 
   /** Whether a request with the part may be tried in spite of its block. */
-  isTrialDue (partId: string, nowMs: number): boolean {
-    const block = this.#blocks.get(partId)
+  isTrialDue (featureId: string, nowMs: number): boolean {
+    const block = this.#blocks.get(featureId)
     return block !== undefined && nowMs - block.sinceMs >= Math.min(MAX_TRIAL_MS, TRIAL_MS * 2 ** block.trials)
   }
 
   /** Lifted blocks are dropped first, then the oldest ones. */
   #dropOne (): void {
     const oldest = this.all().sort((a, b) => Number(a.blocked) - Number(b.blocked) || a.sinceMs - b.sinceMs)[0]
-    if (oldest !== undefined) this.#blocks.delete(oldest.partId)
+    if (oldest !== undefined) this.#blocks.delete(oldest.featureId)
   }
 }
 
 /** Of two records of the same revision, which hosts made independently, the one that blocks is in force. */
-function isNewer (block: PartBlock, known: PartBlock): boolean {
+function isNewer (block: FeatureBlock, known: FeatureBlock): boolean {
   if (block.revision !== known.revision) return block.revision > known.revision
   return block.blocked && !known.blocked
 }
--- a/packages/gateway/src/crashes/testing/crash-replay.ts
+++ b/packages/gateway/src/crashes/testing/crash-replay.ts
@@ -40,7 +40,7 @@
   blocked: boolean
 }
 
-type Waiting = { partIds: string[], runner: number, beginsMs: number, retried: boolean }
+type Waiting = { featureIds: string[], runner: number, beginsMs: number, retried: boolean }
 
 class Replay {
   readonly #evidence = CrashEvidence.create()
@@ -59,7 +59,7 @@
 
   run (): ReplayResult {
     for (; this.#nowMs < RUN_MS; this.#nowMs += STEP_MS) this.#step()
-    return { falseBlocks: [...this.#blocked].filter((partId) => partId !== DEADLY), ends: this.#ends, deadlyEndsMs: this.#deadlyEndsMs, blocked: this.#blocked.has(DEADLY) }
+    return { falseBlocks: [...this.#blocked].filter((featureId) => featureId !== DEADLY), ends: this.#ends, deadlyEndsMs: this.#deadlyEndsMs, blocked: this.#blocked.has(DEADLY) }
   }
 
   #step (): void {
@@ -80,13 +80,13 @@
     const due = this.#waiting.filter(({ beginsMs }) => beginsMs <= this.#nowMs)
     for (const request of due) {
       if (!this.#waiting.includes(request)) continue
-      if (request.partIds.includes(DEADLY)) {
+      if (request.featureIds.includes(DEADLY)) {
         this.#deadlyEndsMs.push(this.#nowMs)
         this.#end(request.runner)
         continue
       }
       this.#waiting.splice(this.#waiting.indexOf(request), 1)
-      this.#evidence.onBegun(request.partIds, this.#nowMs)
+      this.#evidence.onBegun(request.featureIds, this.#nowMs)
     }
   }
 
@@ -96,21 +96,21 @@
     this.#upAtMs[runner] = this.#nowMs + RESTART_MS
     const present = this.#waiting.filter((request) => request.runner === runner)
     this.#waiting = this.#waiting.filter((request) => request.runner !== runner)
-    this.#evidence.addEnd({ process: `${runner}/${this.#nowMs}`, endedMs: this.#nowMs, prompts: present.map(({ partIds }) => partIds) })
+    this.#evidence.addEnd({ process: `${runner}/${this.#nowMs}`, endedMs: this.#nowMs, requests: present.map(({ featureIds }) => featureIds) })
     for (;;) {
-      const decision = this.#evidence.nextBlock((partId) => this.#blocked.has(partId))
+      const decision = this.#evidence.nextBlock((featureId) => this.#blocked.has(featureId))
       if (decision === undefined) break
-      this.#blocked.add(decision.partId)
+      this.#blocked.add(decision.featureId)
     }
-    this.#waiting = this.#waiting.filter(({ partIds }) => !partIds.some((partId) => this.#blocked.has(partId)))
-    for (const { partIds, retried } of present) if (!retried) this.#send(partIds, true)
+    this.#waiting = this.#waiting.filter(({ featureIds }) => !featureIds.some((featureId) => this.#blocked.has(featureId)))
+    for (const { featureIds, retried } of present) if (!retried) this.#send(featureIds, true)
   }
 
-  #send (partIds: string[], retried: boolean): void {
+  #send (featureIds: string[], retried: boolean): void {
     const up = this.#upAtMs.flatMap((upAtMs, runner) => upAtMs <= this.#nowMs ? [runner] : [])
     const runner = up[Math.floor(this.#random() * up.length)]
-    if (runner === undefined || partIds.some((partId) => this.#blocked.has(partId))) return
-    this.#waiting.push({ partIds, runner, beginsMs: this.#nowMs + 40 + this.#random() * this.options.maxQueueMs, retried })
+    if (runner === undefined || featureIds.some((featureId) => this.#blocked.has(featureId))) return
+    this.#waiting.push({ featureIds, runner, beginsMs: this.#nowMs + 40 + this.#random() * this.options.maxQueueMs, retried })
   }
 
   #soundParts (): string[] {
--- a/packages/gateway/src/crashes/types.ts
+++ b/packages/gateway/src/crashes/types.ts
@@ -6,7 +6,7 @@
 export type SentRequest = {
   requestId: string
   /** Ids of the parts of its prompt that other requests may share, in order. */
-  partIds: readonly string[]
+  featureIds: readonly string[]
   /** The same for each request with the same content, whatever its id. */
   requestKey: string
   /** 1 for the first runner that the request was sent to. */
@@ -36,15 +36,15 @@
   process: string
   endedMs: number
   /** Ids of the shared parts of each prompt, in order. */
-  prompts: readonly (readonly string[])[]
+  requests: readonly (readonly string[])[]
 }
 
 /** When an answer to a prompt with this part began last. */
-export type BegunRecord = { partId: string, begunMs: number }
+export type BegunRecord = { featureId: string, begunMs: number }
 
 /** The decision on whether requests with a prompt part are run. The record with the highest revision is in force. */
-export type PartBlock = {
-  partId: string
+export type FeatureBlock = {
+  featureId: string
   revision: number
   blocked: boolean
   /** When this revision was made. */
@@ -57,8 +57,8 @@
 
 /** The records above as hosts exchange them, with ages in place of times. */
 export type EndReport = Omit<EndRecord, 'endedMs'> & { endedAgoMs: number }
-export type BegunReport = { partId: string, begunAgoMs: number }
-export type BlockReport = Omit<PartBlock, 'sinceMs'> & { sinceAgoMs: number }
+export type BegunReport = { featureId: string, begunAgoMs: number }
+export type BlockReport = Omit<FeatureBlock, 'sinceMs'> & { sinceAgoMs: number }
 
 /** What a host knows about ends and blocks beyond the version that the receiver has. */
 export type CrashUpdate = {
@@ -69,7 +69,7 @@
 }
 
 /** A block as it is stored on the platform. */
-export type StoredBlock = Omit<PartBlock, 'sinceMs'> & { sinceAt: Date }
+export type StoredBlock = Omit<FeatureBlock, 'sinceMs'> & { sinceAt: Date }
 
 /** Ends that one host observed, as they are stored on the platform. */
 export type StoredEnds = { host: string, ends: (Omit<EndRecord, 'endedMs'> & { endedAt: Date })[] }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -187,7 +187,7 @@
       relay: () => this.#exchanger.relay,
       holdsLease: () => this.#lease.holds,
       runnerLimits: () => this.#limits.inForce(),
-      blockedParts: () => this.#crashes.blockedParts,
+      blockedFeatures: () => this.#crashes.blockedFeatures,
       storeEra: () => parts.platform.eras.current,
       storeRewinds: () => parts.platform.eras.rises
     })
--- a/packages/gateway/src/members/crash-messages.ts
+++ b/packages/gateway/src/members/crash-messages.ts
@@ -1,4 +1,4 @@
-/** Converts reports on ends of runners and on blocked prompt parts to and from messages of the protocol between hosts. */
+/** Converts reports on ends of runners and on blocked request parts to and from messages of the protocol between hosts. */
 import type { MessageInitShape } from '@bufbuild/protobuf'
 import type { CrashUpdate as CrashUpdateMessage, CrashUpdateSchema } from '@figloom/protocol'
 import type { CrashUpdate } from '../crashes/types.js'
@@ -7,7 +7,7 @@
 export function toCrashMessage ({ to, ends, begun, blocks }: CrashUpdate): MessageInitShape<typeof CrashUpdateSchema> {
   return {
     to: toVersionMessage(to),
-    ends: ends.map(({ process, endedAgoMs, prompts }) => ({ process, endedAgoMs, prompts: prompts.map((partIds) => ({ partIds: [...partIds] })) })),
+    ends: ends.map(({ process, endedAgoMs, requests }) => ({ process, endedAgoMs, requests: requests.map((featureIds) => ({ featureIds: [...featureIds] })) })),
     begun,
     blocks: blocks.map((block) => ({ ...block, revision: BigInt(block.revision) }))
   }
@@ -16,8 +16,8 @@
 export function toCrashUpdate ({ to, ends, begun, blocks }: CrashUpdateMessage): CrashUpdate {
   return {
     to: toVersion(to) ?? { listId: '', version: 0 },
-    ends: ends.map(({ process, endedAgoMs, prompts }) => ({ process, endedAgoMs, prompts: prompts.map(({ partIds }) => partIds) })),
-    begun: begun.map(({ partId, begunAgoMs }) => ({ partId, begunAgoMs })),
-    blocks: blocks.map(({ partId, revision, blocked, sinceAgoMs, trials, reason }) => ({ partId, revision: Number(revision), blocked, sinceAgoMs, trials, reason }))
+    ends: ends.map(({ process, endedAgoMs, requests }) => ({ process, endedAgoMs, requests: requests.map(({ featureIds }) => featureIds) })),
+    begun: begun.map(({ featureId, begunAgoMs }) => ({ featureId, begunAgoMs })),
+    blocks: blocks.map(({ featureId, revision, blocked, sinceAgoMs, trials, reason }) => ({ featureId, revision: Number(revision), blocked, sinceAgoMs, trials, reason }))
   }
 }
--- a/packages/gateway/src/serve/blocked-prompts.test.ts
+++ b/packages/gateway/src/serve/blocked-prompts.test.ts
@@ -14,8 +14,8 @@
   return fixture
 }
 
-function block ({ context }: GatewayFixture, partId = 'deadly', revision = 1): void {
-  const blocks = [{ partId, revision, blocked: true, sinceAgoMs: 0, trials: 0, reason: 'a test' }]
+function block ({ context }: GatewayFixture, featureId = 'deadly', revision = 1): void {
+  const blocks = [{ featureId, revision, blocked: true, sinceAgoMs: 0, trials: 0, reason: 'a test' }]
   context.crashes.receive('host-2', { to: { listId: 'list', version: revision }, ends: [], begun: [], blocks })
 }
 
--- a/packages/gateway/src/serve/prompt-guard.ts
+++ b/packages/gateway/src/serve/request-guard.ts
@@ -4,42 +4,42 @@
  */
 import type { CrashMonitor } from '../crashes/crash-monitor.js'
 import { requestKeyOf } from '../crashes/request-key.js'
-import type { PartBlock } from '../crashes/types.js'
+import type { FeatureBlock } from '../crashes/types.js'
 import type { LocatedRunner } from '../gates/types.js'
 import { sharedPartIds } from './request-hints.js'
 import type { AcceptedRequest } from './types.js'
 
-export class PromptGuard {
+export class RequestGuard {
   readonly #requestId: string
-  readonly #partIds: readonly string[]
+  readonly #featureIds: readonly string[]
   readonly #requestKey: string
   #unwatch: (() => void) | undefined
 
   private constructor (private readonly crashes: CrashMonitor, request: AcceptedRequest) {
     this.#requestId = request.id
-    this.#partIds = sharedPartIds(request.facts)
+    this.#featureIds = sharedPartIds(request.facts)
     this.#requestKey = requestKeyOf(request)
   }
 
   /** @param onBlocked called when a part of the prompt is blocked while the request is in progress */
-  static create (crashes: CrashMonitor, request: AcceptedRequest, onBlocked: (partId: string) => void): PromptGuard {
-    const guard = new PromptGuard(crashes, request)
-    guard.#unwatch = crashes.watch(guard.#partIds, onBlocked)
+  static create (crashes: CrashMonitor, request: AcceptedRequest, onBlocked: (featureId: string) => void): RequestGuard {
+    const guard = new RequestGuard(crashes, request)
+    guard.#unwatch = crashes.watch(guard.#featureIds, onBlocked)
     return guard
   }
 
   /** The block that keeps the request from being sent. */
-  block (): PartBlock | undefined {
-    return this.crashes.blockOf(this.#requestId, this.#partIds)
+  block (): FeatureBlock | undefined {
+    return this.crashes.blockOf(this.#requestId, this.#featureIds)
   }
 
   mayWrite (): boolean {
-    return this.crashes.mayWrite(this.#requestId, this.#partIds)
+    return this.crashes.mayWrite(this.#requestId, this.#featureIds)
   }
 
   /** @param attempt 1 for the first runner that the request is sent to */
   onSent (runner: LocatedRunner, attempt: number): void {
-    this.crashes.onSent(runner, { requestId: this.#requestId, partIds: this.#partIds, requestKey: this.#requestKey, attempt, begun: false })
+    this.crashes.onSent(runner, { requestId: this.#requestId, featureIds: this.#featureIds, requestKey: this.#requestKey, attempt, begun: false })
   }
 
   onBegun (runner: LocatedRunner): void {
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -16,7 +16,7 @@
 import { decideNextStep, NextStep, Outcome, wasNotSent, type Progress } from './outcome.js'
 import { writeFailure } from './gateway-answer.js'
 import { affinityKey, impliesNotRun, urgencyOf } from './request-hints.js'
-import { PromptGuard } from './prompt-guard.js'
+import { RequestGuard } from './request-guard.js'
 import { ANSWERED, reportEnd } from './request-end.js'
 import { RequestLog } from './request-log.js'
 import { StallDetector } from './stall-detector.js'
@@ -37,7 +37,7 @@
 export class RequestRun {
   readonly #writer: AnswerWriter
   readonly #log: RequestLog
-  readonly #promptGuard: PromptGuard
+  readonly #requestGuard: RequestGuard
   readonly #excluded = new Set<string>()
   readonly #progress: Progress = { possibleRuns: 0, refusals: 0, unsentAttempts: 0, answerStarted: false }
   readonly #finished: Promise<void>
@@ -68,7 +68,7 @@
   ) {
     this.#writer = AnswerWriter.create(response, context.codec, context.host.isLeaving)
     this.#log = RequestLog.create(context.log, context.clock, request.id)
-    this.#promptGuard = PromptGuard.create(context.crashes, request, (partId) => this.#guard(() => this.#onPartBlocked(partId)))
+    this.#requestGuard = RequestGuard.create(context.crashes, request, (featureId) => this.#guard(() => this.#onBlocked(featureId)))
     this.#finished = new Promise((resolve) => { this.#resolveFinished = resolve })
   }
 
@@ -112,8 +112,8 @@
     if (this.#ended) return
     const nowMs = this.context.clock.monotonicMs()
     if (this.request.dueMs - nowMs < MIN_ATTEMPT_MS) return this.#onDeadline()
-    const block = this.#promptGuard.block()
-    if (block !== undefined) return this.#refuseBlocked(block.partId, block.reason)
+    const block = this.#requestGuard.block()
+    if (block !== undefined) return this.#refuseBlocked(block.featureId, block.reason)
     const set = findCandidates(this.context.runners, createNeed(this.context, this.request, this.#excluded), nowMs)
     const chosen = this.#chooseRunner(set.open, affinityKey(this.request.facts))
     if (chosen?.needsPermit === true) return this.#startAttemptWithPermit(chosen)
@@ -222,15 +222,15 @@
     this.#writtenInstantMs = instants.nowMs()
     if (!runners.mayUse(runner)) return false
     if (!closures.mayWrite(runner.entry, this.request.id)) return false
-    if (!this.#promptGuard.mayWrite()) return false
+    if (!this.#requestGuard.mayWrite()) return false
     if (!limits.beforeWrite(runner.entry, permit)) return false
     if (permit !== undefined) metrics.limitedAttempts.inc()
-    this.#promptGuard.onSent(runner.entry, this.#progress.possibleRuns + 1)
+    this.#requestGuard.onSent(runner.entry, this.#progress.possibleRuns + 1)
     return true
   }
 
   #onEvents (runner: RunnerState): void {
-    this.#promptGuard.onBegun(runner.entry)
+    this.#requestGuard.onBegun(runner.entry)
     this.#stallDetector?.onProgress()
   }
 
@@ -286,7 +286,7 @@
 
   #releaseRunner (connectionBroke = false): void {
     if (this.#runner === undefined) return
-    this.#promptGuard.onLeft(this.#runner.entry, connectionBroke)
+    this.#requestGuard.onLeft(this.#runner.entry, connectionBroke)
     this.context.closures.onEnded(this.#runner.entry, this.request.id)
     this.#runner.inFlight -= 1
     this.#runner = undefined
@@ -358,17 +358,17 @@
   }
 
   /** A request that is at a runner is taken back before the runner begins it. */
-  #onPartBlocked (partId: string): void {
+  #onBlocked (featureId: string): void {
     if (this.#ended || this.#writer.started) return
     if (this.#attempt?.sent === true && this.#runner !== undefined) this.#mayHaveRun = true
     this.#cancelAttempt()
-    this.#refuseBlocked(partId, 'blocked while the request was in progress')
+    this.#refuseBlocked(featureId, 'blocked while the request was in progress')
   }
 
-  #refuseBlocked (partId: string, reason: string): void {
-    this.#log.note('request has a blocked prompt part', { part: partId, reason, ran: this.#mayHaveRun ? Ran.Unknown : Ran.No })
+  #refuseBlocked (featureId: string, reason: string): void {
+    this.#log.note('request has a blocked prompt part', { part: featureId, reason, ran: this.#mayHaveRun ? Ran.Unknown : Ran.No })
     if (this.#writer.started) return this.#abortAnswer('a part of the prompt is blocked')
-    this.#giveUp(this.#failure(this.#mayHaveRun ? ResultCode.BackendFailed : ResultCode.PromptBlocked, `prompt part ${partId} is blocked: ${reason}`))
+    this.#giveUp(this.#failure(this.#mayHaveRun ? ResultCode.BackendFailed : ResultCode.PromptBlocked, `prompt part ${featureId} is blocked: ${reason}`))
   }
 
   /** Logs runners that hold the model and are leaving. */
@@ -452,7 +452,7 @@
     this.#deadlineTimer?.cancel()
     this.#loadPollTimer?.cancel()
     this.#stallDetector?.stop()
-    this.#promptGuard.end()
+    this.#requestGuard.end()
     reportEnd(this.context, this.request, this.#log, { result, reason, attempts: this.#attemptCount, runs: this.#progress.possibleRuns, firstByteMs: this.#firstByteMs })
     this.#resolveFinished()
   }
--- a/packages/gateway/src/testing/memory-crash-log.ts
+++ b/packages/gateway/src/testing/memory-crash-log.ts
@@ -41,7 +41,7 @@
   override async writeBlock (block: StoredBlock): Promise<void> {
     this.#onWrite()
     this.records.blockWrites += 1
-    this.records.blocks.set(block.partId, block)
+    this.records.blocks.set(block.featureId, block)
     for (const { onBlock } of this.records.readers) onBlock(block)
   }
 
