After a restart of all hosts, sound prompts are no longer blocked by records of ends alone

Cause: the platform's record of an end kept every part of a prompt of which any part was suspect 0.25 s later, never took out what an answer cleared afterwards, and hosts that start know no answers; so all stored ends counted against a popular part. A host also dropped its own record with its first write, and an update of a peer was read in an order in which the answers in it were lost. Class: evidence that outlives its refutation. Why it works: only features still suspect, present at two ends or more, are stored, and are taken out as answers clear them; records alone block nothing without a new end; a host that has just started takes a feature for one that may be in use until it would know, which takes more ends and, for a request, 2.5 s.

--- a/packages/gateway/src/crashes/crash-evidence.ts
+++ b/packages/gateway/src/crashes/crash-evidence.ts
@@ -27,20 +27,22 @@
   readonly #answeredParts = new AnswerTimes()
   readonly #answeredRequests = new AnswerTimes()
 
-  private constructor () {}
+  private constructor (private readonly startedMs: number) {}
 
-  static create (): CrashEvidence {
-    return new CrashEvidence()
+  /** @param startedMs when this host started to hear of answers */
+  static create (startedMs: number): CrashEvidence {
+    return new CrashEvidence(startedMs)
   }
 
   /** Merges a record of an end; returns whether it holds anything new. */
-  addEnd ({ process, endedMs, requests, running }: EndRecord): boolean {
+  addEnd ({ process, endedMs, requests, running, inherited }: EndRecord): boolean {
     const known = this.#ends.get(process)
     const merged: EndRecord = {
       process,
       endedMs: Math.min(endedMs, known?.endedMs ?? Infinity),
       requests: mergeRequests(known?.requests ?? [], requests.filter((request) => request.length > 0)),
-      running: mergeKeys(known?.running ?? [], running)
+      running: mergeKeys(known?.running ?? [], running),
+      inherited: inherited && known?.inherited !== false
     }
     if (!holdsMore(merged, known)) return false
     this.#put(merged)
@@ -48,17 +50,22 @@
     return true
   }
 
-  /** This host received an answer, or the first part of one, to a request with these features. */
-  onAnswer (featureIds: readonly string[], nowMs: number): void {
-    for (const featureId of featureIds) {
-      this.#answersOf(featureId).set(featureId, nowMs)
-      this.#shareAnswer(featureId, nowMs)
-    }
+  /** This host received an answer, or the first part of one, to a request with these features; returns whether it clears any of an end. */
+  onAnswer (featureIds: readonly string[], nowMs: number): boolean {
+    for (const featureId of featureIds) this.#answersOf(featureId).set(featureId, nowMs)
+    return featureIds.filter((featureId) => this.#shareAnswer(featureId, nowMs)).length > 0
+  }
+
+  /** Merges another host's record of an answer; returns whether it clears a feature of an end. */
+  addBegun ({ featureId, begunMs }: BegunRecord): boolean {
+    return this.#shareAnswer(featureId, begunMs)
   }
 
-  /** Merges another host's record of an answer. */
-  addBegun ({ featureId, begunMs }: BegunRecord): void {
-    this.#shareAnswer(featureId, begunMs)
+  /** What remains of an end without the features that answers clear, and without those that were present at fewer ends. */
+  suspectsOf (end: EndRecord, minEnds: number): EndRecord {
+    const remains = (featureId: string) => this.#isSuspect(featureId, end) && this.endsOf(featureId).length >= minEnds
+    const requests = end.requests.map((request) => request.filter(remains)).filter((request) => request.length > 0)
+    return { ...end, requests, running: end.running.filter(remains) }
   }
 
   /** Ends at which this feature was present, and that no later answer clears. */
@@ -78,6 +85,7 @@
       ends: [...this.#ends.values()],
       isSuspect: (featureId, end) => this.#isSuspect(featureId, end),
       lastAnswerMs: (featureId) => this.lastAnswerMs(featureId),
+      startedMs: this.startedMs,
       isBlocked
     })
   }
@@ -103,10 +111,11 @@
   }
 
   /** An answer is shared only if it clears a feature of an end: features in frequent use would otherwise change with each answer. */
-  #shareAnswer (featureId: string, begunMs: number | undefined): void {
-    if (begunMs === undefined || begunMs <= (this.#cleared.get(featureId) ?? -Infinity)) return
+  #shareAnswer (featureId: string, begunMs: number | undefined): boolean {
+    if (begunMs === undefined || begunMs <= (this.#cleared.get(featureId) ?? -Infinity)) return false
     const isNews = this.endsOf(featureId).some(({ endedMs }) => begunMs >= endedMs - ANSWER_MARGIN_MS)
     if (isNews) this.#cleared.set(featureId, begunMs)
+    return isNews
   }
 
   #isSuspect (featureId: string, { endedMs }: EndRecord): boolean {
@@ -159,6 +168,7 @@
 }
 
 function holdsMore (merged: EndRecord, known: EndRecord | undefined): boolean {
+  if (known?.inherited === true && !merged.inherited) return true
   const before = new Set([...known?.requests.map(rankOf) ?? [], ...known?.running ?? []])
   return [...merged.requests.map(rankOf), ...merged.running].some((id) => !before.has(id))
 }
--- a/packages/gateway/src/crashes/crash-facts.ts
+++ b/packages/gateway/src/crashes/crash-facts.ts
@@ -38,7 +38,7 @@
       this.#version += 1
       this.#listed.set(key, { content, version: this.#version })
     }
-    for (const end of ends) put(endKey(end), `${end.requests.length}/${end.running.length}`)
+    for (const end of ends) put(endKey(end), `${end.requests.length}/${end.running.length}/${end.inherited}`)
     for (const record of begun) put(begunKey(record), String(record.begunMs))
     for (const block of blocks) put(blockKey(block), `${block.revision}/${block.blocked}`)
     for (const key of this.#listed.keys()) if (!keys.has(key)) this.#listed.delete(key)
--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -34,6 +34,8 @@
   /** Name of this host. */
   host: string
   incarnation: string
+  /** When this host started, on the clock that also counts suspensions. */
+  startedMs: number
   random: () => number
   /** Whether this is the one host that may try a blocked request. */
   mayTry: () => boolean
@@ -49,7 +51,7 @@
 
 export class CrashMonitor {
   readonly #ends: EndDetector
-  readonly #evidence = CrashEvidence.create()
+  readonly #evidence: CrashEvidence
   readonly #blocks = FeatureBlocks.create()
   readonly #facts: CrashFacts
   readonly #store: CrashStore
@@ -64,10 +66,12 @@
 
   private constructor (private readonly parts: CrashMonitorParts) {
     const { clock, instants, log, crashLog, host, random, readsThroughPeers, hasLivePeers } = parts
+    this.#evidence = CrashEvidence.create(parts.startedMs)
     this.#facts = CrashFacts.create(parts.incarnation)
     this.#ends = EndDetector.create({ ...parts, onEnd: (end) => this.#onProcessEnd(end) })
     this.#store = CrashStore.create({
       clock,
+      startedMs: parts.startedMs,
       instants,
       log,
       crashLog,
@@ -76,7 +80,8 @@
       readsThroughPeers,
       hasLivePeers,
       onBlock: (block) => this.#applyBlock(block, 'the platform'),
-      onEnds: (ends) => this.#addEnds(ends)
+      onEnds: (ends) => this.#addEnds(ends),
+      suspectsOf: (end, minEnds) => this.#evidence.suspectsOf(end, minEnds)
     })
   }
 
@@ -164,8 +169,10 @@
   receive (host: string, { to, ends, begun, blocks }: CrashUpdate): void {
     const nowMs = this.#nowMs()
     for (const { sinceAgoMs, ...block } of blocks) this.#applyBlock({ ...block, sinceMs: nowMs - sinceAgoMs }, host)
-    for (const { featureId, begunAgoMs } of begun) this.#evidence.addBegun({ featureId, begunMs: nowMs - begunAgoMs })
+    // Ends first: an answer is kept only if it clears a feature of an end that is known.
     this.#addEnds(ends.map(({ endedAgoMs, ...end }) => ({ ...end, endedMs: nowMs - endedAgoMs })))
+    const cleared = begun.filter(({ featureId, begunAgoMs }) => this.#evidence.addBegun({ featureId, begunMs: nowMs - begunAgoMs }))
+    if (cleared.length > 0) this.#store.updateEndsSoon()
     this.#seen.set(host, to)
   }
 
@@ -184,17 +191,20 @@
       process: keyOf(end.runner),
       endedMs: end.endedMs,
       requests: end.requests.filter(({ begun }) => !begun).map(({ featureIds }) => featureIds),
-      running: end.requests.filter(({ begun }) => begun).flatMap(({ featureIds }) => featureIds.filter(isRequestKey))
+      running: end.requests.filter(({ begun }) => begun).flatMap(({ featureIds }) => featureIds.filter(isRequestKey)),
+      inherited: false
     }
     if (!this.#evidence.addEnd(record)) return
     this.#decideSoon()
-    this.#store.onOwnEnd(record, (featureId) => this.#evidence.endsOf(featureId).length > 0)
+    this.#store.onOwnEnd(record)
     this.#sendSoon()
   }
 
   #addEnds (ends: EndRecord[]): void {
     const added = ends.filter((end) => this.#evidence.addEnd(end))
-    if (added.length > 0) this.#decideSoon()
+    if (added.length === 0) return
+    this.#decideSoon()
+    this.#store.updateEndsSoon()
   }
 
   #decideSoon (): void {
@@ -223,7 +233,7 @@
 
   /** An answer speaks against the blocks of these features, and against ends before it. */
   #clear (featureIds: readonly string[], reason: string): void {
-    this.#evidence.onAnswer(featureIds, this.#nowMs())
+    if (this.#evidence.onAnswer(featureIds, this.#nowMs())) this.#store.updateEndsSoon()
     for (const featureId of featureIds) if (this.#blocks.isBlocked(featureId)) this.#lift(featureId, reason)
   }
 
@@ -244,7 +254,7 @@
     const { featureId, blocked, sinceMs } = block
     if (wasBlocked !== blocked) this.#logBlock(block, from)
     // The ends before no longer count: the next end of any runner would block the part again.
-    if (!blocked) this.#evidence.addBegun({ featureId, begunMs: sinceMs })
+    if (!blocked && this.#evidence.addBegun({ featureId, begunMs: sinceMs })) this.#store.updateEndsSoon()
     if (blocked && !wasBlocked) for (const listener of [...this.#listeners.get(featureId) ?? []]) listener(featureId)
   }
 
--- a/packages/gateway/src/crashes/likely-causes.ts
+++ b/packages/gateway/src/crashes/likely-causes.ts
@@ -10,21 +10,25 @@
 const SAME_CAUSE_MS = 150
 /** Features that were answered within this time before their first end are more likely bystanders. */
 const RECENT_ANSWER_MS = 60_000
+/** Until this long after its start a host may not know of answers to features that are in frequent use. */
+const UNKNOWN_HISTORY_MS = 5_000
 /** Processes that ended with a request that nobody answered, after which it is blocked: a wrong block costs one request. */
 const REQUEST_ENDS = 3
 /** Its share in all ends of that time, below which many runners ended for another cause and it was sent from one to the next. */
 const MIN_REQUEST_SHARE = 0.3
 /** Processes after which it is blocked whatever its share. */
 const SUFFICIENT_REQUEST_ENDS = 5
-/** The same, by causes, if it was answered shortly before, as it is when many callers send the same bytes. */
+/** The same, by causes, if it may have been answered shortly before, as it is when many callers send the same bytes. */
 const REQUEST_ENDS_AFTER_ANSWERS = 5
+/** Time over which these have to be spread: a loss of power, or a cut that heals, ends many runners within less, and no answer comes meanwhile. */
+const MIN_SPAN_MS = 2_500
 /** Ends after which a part is blocked if it is the likely cause of them. */
 const MIN_ENDS = 3
 /** Sum over these ends of the part's share in the suspect prompts: a part that was one of many at each end is less likely the cause. */
 const MIN_SHARE_SUM = 1.5
 /** Ends after which a part is blocked in any case. */
 const SUFFICIENT_ENDS = 5
-/** The same if requests with the part were answered shortly before. */
+/** The same if requests with the part may have been answered shortly before. */
 const SUFFICIENT_ENDS_AFTER_ANSWERS = 8
 /** Ends, or blocked requests, that a part alone explains, without which it isn't blocked beside another feature. */
 const MIN_OWN_EVIDENCE = 2
@@ -38,12 +42,14 @@
   /** Whether no answer since then clears the feature of this end. */
   isSuspect: (featureId: string, end: EndRecord) => boolean
   lastAnswerMs: (featureId: string) => number | undefined
+  /** When this host started to hear of answers. */
+  startedMs: number
   isBlocked: (featureId: string) => boolean
 }
 
 type End = { end: EndRecord, cause: number, isExplained: boolean }
 
-type RequestCandidate = { ends: number, causes: Set<number>, firstEndMs: number, lastEndMs: number }
+type RequestCandidate = { ends: number, causes: Set<number>, firstEndMs: number, lastEndMs: number, hasNewEnd: boolean }
 
 type PartCandidate = {
   featureId: string
@@ -56,6 +62,7 @@
   firstEndMs: number
   /** Largest index of the part in a request. */
   position: number
+  hasNewEnd: boolean
 }
 
 /** The features to be blocked next; of whole requests, all those that the same number of ends speaks against. */
@@ -92,10 +99,11 @@
     if (isExplained) continue
     for (const key of requestKeys(end)) {
       if (!isSuspect(key, end)) continue
-      const candidate = candidates.get(key) ?? { ends: 0, causes: new Set(), firstEndMs: end.endedMs, lastEndMs: end.endedMs }
+      const candidate = candidates.get(key) ?? { ends: 0, causes: new Set(), firstEndMs: end.endedMs, lastEndMs: end.endedMs, hasNewEnd: false }
       candidates.set(key, candidate)
       candidate.ends += 1
       candidate.lastEndMs = end.endedMs
+      candidate.hasNewEnd ||= !end.inherited
       candidate.causes.add(cause)
     }
   }
@@ -107,8 +115,10 @@
 }
 
 function isLikelyRequest (known: KnownCrashes, all: readonly End[], key: string, candidate: RequestCandidate): boolean {
-  const { ends, causes, firstEndMs } = candidate
-  if (wasAnsweredShortlyBefore(known, key, firstEndMs)) return causes.size >= REQUEST_ENDS_AFTER_ANSWERS
+  const { ends, causes, firstEndMs, lastEndMs, hasNewEnd } = candidate
+  // Records of earlier processes may lack an answer that came behind them.
+  if (!hasNewEnd) return false
+  if (mayBeInUse(known, key, firstEndMs)) return causes.size >= REQUEST_ENDS_AFTER_ANSWERS && lastEndMs - firstEndMs >= MIN_SPAN_MS
   if (ends < REQUEST_ENDS) return false
   return ends >= SUFFICIENT_REQUEST_ENDS || ends >= MIN_REQUEST_SHARE * countEndsDuring(all, candidate)
 }
@@ -133,6 +143,7 @@
         candidates.set(featureId, candidate)
         candidate.shares.set(cause, Math.max(candidate.shares.get(cause) ?? 0, 1 / requests.length))
         candidate.position = Math.max(candidate.position, position)
+        candidate.hasNewEnd ||= !end.inherited
         if (!isExplained) candidate.unexplained.add(cause)
         for (const key of blocked.filter(isRequestKey)) candidate.blockedRequests.add(key)
       })
@@ -142,13 +153,13 @@
 }
 
 function createPartCandidate (featureId: string, firstEndMs: number): PartCandidate {
-  return { featureId, shares: new Map(), unexplained: new Set(), blockedRequests: new Set(), firstEndMs, position: 0 }
+  return { featureId, shares: new Map(), unexplained: new Set(), blockedRequests: new Set(), firstEndMs, position: 0, hasNewEnd: false }
 }
 
 function isLikelyPart (known: KnownCrashes, candidate: PartCandidate): boolean {
-  const { featureId, shares, firstEndMs } = candidate
-  if (ownEvidence(candidate) < MIN_OWN_EVIDENCE) return false
-  if (wasAnsweredShortlyBefore(known, featureId, firstEndMs)) return shares.size >= SUFFICIENT_ENDS_AFTER_ANSWERS
+  const { featureId, shares, firstEndMs, hasNewEnd } = candidate
+  if (!hasNewEnd || ownEvidence(candidate) < MIN_OWN_EVIDENCE) return false
+  if (mayBeInUse(known, featureId, firstEndMs)) return shares.size >= SUFFICIENT_ENDS_AFTER_ANSWERS
   if (shares.size >= SUFFICIENT_ENDS) return true
   const shareSum = [...shares.values()].reduce((sum, share) => sum + share, 0)
   return shares.size >= MIN_ENDS && shareSum >= MIN_SHARE_SUM
@@ -164,7 +175,9 @@
   return ownEvidence(b) - ownEvidence(a) || b.position - a.position || (a.featureId < b.featureId ? -1 : 1)
 }
 
-function wasAnsweredShortlyBefore ({ lastAnswerMs }: KnownCrashes, featureId: string, firstEndMs: number): boolean {
+/** Requests with the feature were answered shortly before its first end, or that isn't known. */
+function mayBeInUse ({ lastAnswerMs, startedMs }: KnownCrashes, featureId: string, firstEndMs: number): boolean {
+  if (firstEndMs < startedMs + UNKNOWN_HISTORY_MS) return true
   const answeredMs = lastAnswerMs(featureId)
   return answeredMs !== undefined && firstEndMs - answeredMs < RECENT_ANSWER_MS
 }
--- a/packages/gateway/src/crashes/testing/crash-replay.ts
+++ b/packages/gateway/src/crashes/testing/crash-replay.ts
@@ -2,9 +2,11 @@
  * Replays a service whose runners end for reasons of their own, under requests with a deadly part and under one deadly request, on
  * simulated time, and records what is blocked. Requests have a popular first part and one of many sessions.
  */
+import { CONTACT_MS } from '../../testing/host-network.js'
 import { createRandom } from '../../testing/seeded-random.js'
 import { CrashEvidence } from '../crash-evidence.js'
 import { isRequestKey } from '../request-key.js'
+import type { EndRecord } from '../types.js'
 
 export const DEADLY = 'deadly'
 /** The request that comes again under new ids, and the one that many callers send. */
@@ -24,6 +26,9 @@
 /** Time from the first part of an answer to its end. */
 const ANSWER_MS = 800
 const FIRST_PARTS = 5
+/** Interval of writes to the platform, and ends at which a feature is stored. */
+const STORE_MS = 1_000
+const MIN_STORED_ENDS = 2
 const SESSIONS = 120
 
 export type ReplayOptions = {
@@ -45,8 +50,13 @@
   alikeShare?: number
   /** Sendings of one request, repeats and retries included. */
   maxSendings?: number
+  /** Mean interval at which all hosts are restarted at once; undefined: they are not. */
+  restartEveryMs?: number
 }
 
+/** `inContact`: the hosts had been up for the time after which they have to know of each other's ends. */
+export type DeadlyEnd = { atMs: number, inContact: boolean }
+
 export type ReplayResult = {
   /** Sound parts that were blocked, and sound requests. */
   falseBlocks: string[]
@@ -54,9 +64,9 @@
   soundRequests: number
   /** Ends of runners, whatever their cause. */
   ends: number
-  /** Times of the ends under requests with the deadly part, and under the deadly request. */
-  deadlyEndsMs: number[]
-  deadlyRequestEndsMs: number[]
+  /** Ends under requests with the deadly part, and under the deadly request. */
+  deadlyEnds: DeadlyEnd[]
+  deadlyRequestEnds: DeadlyEnd[]
   blocked: boolean
   requestBlocked: boolean
 }
@@ -64,14 +74,17 @@
 type Sent = { featureIds: string[], runner: number, beginsMs: number, begun: boolean, sendings: number }
 
 class Replay {
-  readonly #evidence = CrashEvidence.create()
+  #evidence = CrashEvidence.create(-RUN_MS)
+  /** What is stored of ends, as of the last write. */
+  #stored: EndRecord[] = []
   readonly #blocked = new Set<string>()
   readonly #upAtMs = new Array<number>(RUNNERS).fill(0)
   readonly #crashAtMs = new Array<number>(RUNNERS).fill(Infinity)
   readonly #random: () => number
   #sent: Sent[] = []
-  readonly #deadlyEndsMs: number[] = []
-  readonly #deadlyRequestEndsMs: number[] = []
+  readonly #deadlyEnds: DeadlyEnd[] = []
+  readonly #deadlyRequestEnds: DeadlyEnd[] = []
+  #restartedMs = -Infinity
   #repeats: { atMs: number, featureIds: string[], sendings: number }[] = []
   #decisionAtMs = Infinity
   #ends = 0
@@ -90,8 +103,8 @@
       falselyBlockedRequests: sound.filter((featureId) => isRequestKey(featureId) && !featureId.startsWith(DEADLY_PREFIX)),
       soundRequests: this.#soundRequests,
       ends: this.#ends,
-      deadlyEndsMs: this.#deadlyEndsMs,
-      deadlyRequestEndsMs: this.#deadlyRequestEndsMs,
+      deadlyEnds: this.#deadlyEnds,
+      deadlyRequestEnds: this.#deadlyRequestEnds,
       blocked: this.#blocked.has(DEADLY),
       requestBlocked: this.#blocked.has(DEADLY_REQUEST)
     }
@@ -109,6 +122,7 @@
       })
     }
     this.#crashAtMs.forEach((atMs, runner) => { if (atMs <= this.#nowMs) this.#end(runner) })
+    this.#restartHosts(isWarm)
     this.#decide()
     this.#repeat()
     this.#serve()
@@ -120,8 +134,8 @@
       if (!this.#sent.includes(request) || request.beginsMs > this.#nowMs) continue
       const { featureIds, runner, beginsMs } = request
       if (featureIds.includes(DEADLY) || featureIds.includes(DEADLY_REQUEST)) {
-        const endsMs = featureIds.includes(DEADLY) ? this.#deadlyEndsMs : this.#deadlyRequestEndsMs
-        endsMs.push(this.#nowMs)
+        const ends = featureIds.includes(DEADLY) ? this.#deadlyEnds : this.#deadlyRequestEnds
+        ends.push({ atMs: this.#nowMs, inContact: this.#nowMs - this.#restartedMs >= CONTACT_MS })
         this.#end(runner)
       } else if (!request.begun) {
         request.begun = true
@@ -142,12 +156,27 @@
     this.#sent = this.#sent.filter((request) => request.runner !== runner)
     const requests = present.filter(({ begun }) => !begun).map(({ featureIds }) => featureIds)
     const running = present.filter(({ begun }) => begun).flatMap(({ featureIds }) => featureIds.slice(-1))
-    this.#evidence.addEnd({ process: `${runner}/${this.#nowMs}`, endedMs: this.#nowMs, requests, running })
+    this.#evidence.addEnd({ process: `${runner}/${this.#nowMs}`, endedMs: this.#nowMs, requests, running, inherited: false })
     this.#decisionAtMs = Math.min(this.#decisionAtMs, this.#nowMs + DECISION_MS)
     const repeated = present.filter(({ sendings }) => sendings < maxSendings)
     this.#repeats.push(...repeated.map(({ featureIds, sendings }) => ({ atMs: this.#nowMs + REPEAT_MS, featureIds, sendings: sendings + 1 })))
   }
 
+  /** What hosts knew is lost but for blocks and the record on the platform, which may be a second old. */
+  #restartHosts (isWarm: boolean): void {
+    const { restartEveryMs } = this.options
+    if (restartEveryMs === undefined) return
+    if (isWarm && this.#random() < STEP_MS / restartEveryMs) {
+      this.#evidence = CrashEvidence.create(this.#nowMs)
+      this.#restartedMs = this.#nowMs
+      for (const end of this.#stored) this.#evidence.addEnd({ ...end, inherited: true })
+      this.#sent = []
+      this.#repeats = []
+      this.#decisionAtMs = this.#nowMs + DECISION_MS
+    }
+    if (this.#nowMs % STORE_MS === 0) this.#stored = this.#evidence.endRecords().map((end) => this.#evidence.suspectsOf(end, MIN_STORED_ENDS))
+  }
+
   #decide (): void {
     if (this.#nowMs < this.#decisionAtMs) return
     this.#decisionAtMs = Infinity
--- a/packages/gateway/src/crashes/types.ts
+++ b/packages/gateway/src/crashes/types.ts
@@ -51,6 +51,8 @@
   requests: readonly (readonly string[])[]
   /** Keys of the requests whose answers had begun and were not complete. */
   running: readonly string[]
+  /** Known only from records of hosts' earlier processes, whose knowledge of answers is lost. */
+  inherited: boolean
 }
 
 /** When a request with this part was answered at least in part, or one with this key as a whole, the last time. */
@@ -86,7 +88,8 @@
 export type StoredBlock = Omit<FeatureBlock, 'sinceMs'> & { sinceAt: Date }
 
 /** Ends that one host observed, as they are stored on the platform. */
-export type StoredEnds = { host: string, ends: (Omit<EndRecord, 'endedMs'> & { endedAt: Date })[] }
+export type StoredEnd = Omit<EndRecord, 'endedMs' | 'inherited'> & { endedAt: Date }
+export type StoredEnds = { host: string, ends: StoredEnd[] }
 
 export type CrashLogEvents = {
   onBlock: (block: StoredBlock) => void
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -319,6 +319,7 @@
       crashLog: platform.crashLog,
       host: settings.self.host,
       incarnation: this.#incarnation,
+      startedMs: this.#instants.nowMs(),
       random,
       mayTry: () => this.#lease.holds,
       readsThroughPeers: () => this.#readsThroughPeers(),
--- a/packages/gateway/src/members/crash-messages.ts
+++ b/packages/gateway/src/members/crash-messages.ts
@@ -7,7 +7,7 @@
 export function toCrashMessage ({ to, ends, begun, blocks }: CrashUpdate): MessageInitShape<typeof CrashUpdateSchema> {
   return {
     to: toVersionMessage(to),
-    ends: ends.map(({ process, endedAgoMs, requests, running }) => ({ process, endedAgoMs, requests: requests.map((featureIds) => ({ featureIds: [...featureIds] })), running: [...running] })),
+    ends: ends.map(({ process, endedAgoMs, requests, running, inherited }) => ({ process, endedAgoMs, inherited, requests: requests.map((featureIds) => ({ featureIds: [...featureIds] })), running: [...running] })),
     begun,
     blocks: blocks.map((block) => ({ ...block, revision: BigInt(block.revision) }))
   }
@@ -16,7 +16,7 @@
 export function toCrashUpdate ({ to, ends, begun, blocks }: CrashUpdateMessage): CrashUpdate {
   return {
     to: toVersion(to) ?? { listId: '', version: 0 },
-    ends: ends.map(({ process, endedAgoMs, requests, running }) => ({ process, endedAgoMs, requests: requests.map(({ featureIds }) => featureIds), running })),
+    ends: ends.map(({ process, endedAgoMs, requests, running, inherited }) => ({ process, endedAgoMs, inherited, requests: requests.map(({ featureIds }) => featureIds), running })),
     begun: begun.map(({ featureId, begunAgoMs }) => ({ featureId, begunAgoMs })),
     blocks: blocks.map(({ featureId, revision, blocked, sinceAgoMs, trials, reason }) => ({ featureId, revision: Number(revision), blocked, sinceAgoMs, trials, reason }))
   }
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -97,6 +97,7 @@
     crashLog: MemoryCrashLog.create(),
     host: 'host',
     incarnation: 'host-1',
+    startedMs: instants.nowMs(),
     random: () => 0.5,
     mayTry: () => false,
     readsThroughPeers: () => false,
