--- a/packages/gateway/src/forward/types.ts
+++ b/packages/gateway/src/forward/types.ts
@@ -15,6 +15,8 @@
   promptParts: PromptPart[]
   /** Id of the last event that the caller received of an interrupted stream. */
   lastEventId?: number
+  /** Id of the caller's request that brought the first event of that stream. */
+  continuesRequestId?: string
 }
 
 /** Fields that the gateway adds to a request for a runner. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import { RunnerGates } from './gates/runner-gates.js'
 import { createCrashMetrics } from './crashes/crash-metrics.js'
 import { CrashMonitor } from './crashes/crash-monitor.js'
+import { StreamMemory } from './streams/stream-memory.js'
 import { TcpProbe } from './crashes/tcp-probe.js'
 import { ConfigFetcher } from './config/config-fetcher.js'
 import { ConfigState } from './config/config-state.js'
@@ -76,6 +77,7 @@
   readonly #limits: LimitControl
   readonly #closures: RunnerGates
   readonly #crashes: CrashMonitor
+  readonly #streams = StreamMemory.create()
   readonly #connections: RunnerConnections
   readonly #demand = DemandMeter.create()
   readonly #loopLag: LoopLag
@@ -366,6 +368,7 @@
       limits: this.#limits,
       closures: this.#closures,
       crashes: this.#crashes,
+      streams: this.#streams,
       connections: this.#connections,
       budget: SharedBudget.create(settings.budget),
       demand: this.#demand,
@@ -456,6 +459,7 @@
     this.#limits.sweep()
     this.#closures.sweep()
     this.#crashes.sweep()
+    this.#streams.sweep(this.parts.clock.monotonicMs())
     this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
   }
--- a/packages/gateway/src/members/report-messages.test.ts
+++ b/packages/gateway/src/members/report-messages.test.ts
@@ -36,7 +36,7 @@
       {
         id: 'runner-1',
         position: createPosition(3, 5),
-        entry: createEntry({ startedUnixMs: 1_700_000_000_000, remainingMs: 250, models: [{ name: 'm', version: 2, adapters: ['a1'] }], localWeights: ['n'] })
+        entry: createEntry({ startedUnixMs: 1_700_000_000_000, softwareVersion: 'v1.1', remainingMs: 250, models: [{ name: 'm', version: 2, adapters: ['a1'] }], localWeights: ['n'] })
       },
       { id: 'gone', position: createPosition(3, 8), entry: undefined }
     ],
--- a/packages/gateway/src/members/report-messages.ts
+++ b/packages/gateway/src/members/report-messages.ts
@@ -112,10 +112,10 @@
 }
 
 function toEntry (message: ListedRunner): RunnerEntry {
-  const { id, service, address, availabilityZone, slots, draining, remainingMs, localWeights } = message
+  const { id, service, address, availabilityZone, softwareVersion, slots, draining, remainingMs, localWeights } = message
   const models = message.models.map(({ name, version, adapters }) => ({ name, version: Number(version), adapters }))
   const startedUnixMs = message.startedUnixMs === undefined ? undefined : Number(message.startedUnixMs)
-  return { id, service, address, availabilityZone, slots, draining, startedUnixMs, remainingMs, models, localWeights }
+  return { id, service, address, availabilityZone, softwareVersion, slots, draining, startedUnixMs, remainingMs, models, localWeights }
 }
 
 function toSummary (message: HostSummaryMessage | undefined): HostSummary {
--- a/packages/gateway/src/runners/types.ts
+++ b/packages/gateway/src/runners/types.ts
@@ -12,6 +12,8 @@
   /** IP:PORT. */
   address: string
   availabilityZone: string
+  /** Version of the runner's software, not of weights; absent if its entry states none. */
+  softwareVersion?: string
   slots: number
   draining: boolean
   /** Unix time of its start; absent if the runner doesn't state it. A different time with the same id means a new process. */
--- a/packages/gateway/src/serve/request-log.ts
+++ b/packages/gateway/src/serve/request-log.ts
@@ -15,6 +15,7 @@
 export class RequestLog {
   readonly #lines: Line[] = []
   readonly #arrivedMs: number
+  #marked = false
 
   private constructor (private readonly log: Logger, private readonly clock: Clock, private readonly requestId: string) {
     this.#arrivedMs = clock.monotonicMs()
@@ -24,14 +25,19 @@
     return new RequestLog(log, clock, requestId)
   }
 
+  /** The lines are written however the request ends. */
+  mark (): void {
+    this.#marked = true
+  }
+
   /** Buffers a line for a decision, with the inputs to that decision. */
   note (message: string, fields: LogFields): void {
     if (this.#lines.length < MAX_LINES) this.#lines.push({ message, atMs: this.clock.monotonicMs() - this.#arrivedMs, fields })
   }
 
-  /** Writes the buffered lines if the request failed or is in the sample. */
+  /** Writes the buffered lines if the request failed, was marked or is in the sample. */
   end (failed: boolean): void {
-    if (!failed && hashOf(this.requestId) % SAMPLE_ONE_IN !== 0) return
+    if (!failed && !this.#marked && hashOf(this.requestId) % SAMPLE_ONE_IN !== 0) return
     for (const { message, atMs, fields } of this.#lines) {
       this.log.info(message, { requestId: this.requestId, atMs: Math.round(atMs), ...fields })
     }
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -22,6 +22,7 @@
 import { ANSWERED, reportEnd } from './request-end.js'
 import { RequestLog } from './request-log.js'
 import { StallDetector } from './stall-detector.js'
+import { StreamContinuity } from './stream-continuity.js'
 import { recordAttempt, recordAnswerHead } from './record-attempt.js'
 import { createNeed, assessMove } from './request-need.js'
 import { createRefusal } from './refusal.js'
@@ -40,6 +41,7 @@
   readonly #writer: AnswerWriter
   readonly #log: RequestLog
   readonly #requestGuard: RequestGuard
+  readonly #continuity: StreamContinuity
   readonly #excluded = new Set<string>()
   readonly #progress: Progress = { possibleRuns: 0, refusals: 0, unsentAttempts: 0, answerStarted: false }
   readonly #finished: Promise<void>
@@ -71,6 +73,7 @@
     this.#writer = AnswerWriter.create(response, context.codec, context.host.isLeaving)
     this.#log = RequestLog.create(context.log, context.clock, request.id)
     this.#requestGuard = RequestGuard.create(context.crashes, request, (featureId) => this.#guard(() => this.#onBlocked(featureId)))
+    this.#continuity = StreamContinuity.create(context, request)
     this.#finished = new Promise((resolve) => { this.#resolveFinished = resolve })
   }
 
@@ -190,6 +193,7 @@
       onResult: (result) => this.#guard(() => this.#onResult(runner, result))
     })
     this.#writtenMs = undefined
+    if (this.#writer.lastEventId !== undefined || request.facts.lastEventId !== undefined) this.#log.mark()
     this.#log.note('sent to a runner', {
       runner: id,
       sending: this.#attemptCount + 1,
@@ -197,7 +201,9 @@
       slots: candidate.slots,
       listAgeMs: Math.round(context.host.runnersAgeMs()),
       ...limitFields(this.context.limits, runner.entry),
-      resumedAfter: this.#writer.lastEventId
+      softwareVersion: runner.entry.softwareVersion,
+      resumedAfter: this.#writer.lastEventId ?? request.facts.lastEventId,
+      ...this.#continuity.logFields(this.#writer.lastEventId)
     })
     this.#attemptCount += 1
     this.#attemptStartMs = nowMs
@@ -233,6 +239,7 @@
 
   #onEvents (runner: RunnerState): void {
     this.#requestGuard.onBegun(runner.entry)
+    this.#continuity.onEvents(runner)
     this.#stallDetector?.onProgress()
   }
 
@@ -320,6 +327,7 @@
       this.#onFirstByte()
       this.#writer.writeBuffered(result.bufferedAnswer.head, result.bufferedAnswer.body)
     }
+    this.#continuity.onComplete()
     this.#end(ANSWERED, result.reason)
   }
 
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -12,6 +12,7 @@
 import type { LimitControl } from '../limits/limit-control.js'
 import type { SharedBudget } from '../retry/shared-budget.js'
 import type { RunnerTable } from '../runners/runner-table.js'
+import type { StreamMemory } from '../streams/stream-memory.js'
 import type { DemandMeter } from './demand-meter.js'
 import type { RequestMetrics } from './metrics.js'
 
@@ -70,6 +71,7 @@
   limits: LimitControl
   closures: RunnerGates
   crashes: CrashMonitor
+  streams: StreamMemory
   connections: RunnerConnections
   budget: SharedBudget
   demand: DemandMeter
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -27,6 +27,7 @@
 import { createRequestMetrics } from '../serve/metrics.js'
 import { serveRequest } from '../serve/serve-request.js'
 import { AdapterLoader, type ServeContext } from '../serve/types.js'
+import { StreamMemory } from '../streams/stream-memory.js'
 import { MemoryCrashLog } from './memory-crash-log.js'
 import { RawRunner, type RawExchange } from './raw-runner.js'
 import { TestCodec } from './test-codec.js'
@@ -145,6 +146,7 @@
       limits,
       closures: RunnerGates.create({ clock, instants, log: silentLogger, metrics: createGateMetrics(new Registry()), host: 'host', limits, leaving }),
       crashes: createCrashMonitor(clock, instants),
+      streams: StreamMemory.create(),
       connections: RunnerConnections.create((runnerId, reason) => overlong.push(`${runnerId}: ${reason}`)),
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -16,6 +16,8 @@
       deadlineMs: deadline === undefined ? undefined : Number(deadline),
       model: model === '' ? undefined : model,
       adapter,
+      lastEventId: valueOf(headers, 'last-event-id') === undefined ? undefined : Number(valueOf(headers, 'last-event-id')),
+      continuesRequestId: valueOf(headers, 'continues'),
       promptTokens: 0,
       maxOutputTokens: 0,
       promptParts: (valueOf(headers, 'prompt-parts') ?? '').split(',').filter((id) => id !== '').map((id) => ({ id, tokens: 1 }))
