Keep a stream at the version of the software that began it

Cause: nothing related a stream to the version that began it. The host chose any runner for its own continuations, and no host knew where a caller's stream began. Class: a continuation that is bound to nothing of its first part. Why it works: a stream goes on only where its version is known to be the runner's: by this answer, this host's memory, the platform's record that there is only one version, or the ids that hosts publish while there are several. A version is recorded before the first stream begins at it, so a host that has just started can't take the only one left for the only one there was. What isn't known is refused, as not run.

--- a/packages/gateway/src/choose/candidates.ts
+++ b/packages/gateway/src/choose/candidates.ts
@@ -9,6 +9,10 @@
   service: Service
   model?: string
   adapter?: string
+  /** Whether the request may be run at this version of the runner's software. */
+  acceptsVersion: (softwareVersion: string | undefined) => boolean
+  /** The request continues a stream of which its caller has a part. */
+  continuesStream: boolean
   /** Runners that must not get this request again. */
   excluded: ReadonlySet<string>
   /** Number of hosts that share the runners' connections. */
@@ -35,7 +39,7 @@
 
 /** Requests that may be at a runner, queued ones included, as a part of its slots; the queue must stay short enough for the latency target. */
 const ENGINE_UTILIZATION_LIMIT = 1.1
-/** The same for requests whose target allows them to wait in a runner's queue. */
+/** The same for requests whose target allows them to wait in a runner's queue, and for those that continue a stream: new ones leave them room. */
 const QUEUED_UTILIZATION_LIMIT = 1.4
 /** Requests with a latency target above this may wait in a runner's queue. */
 export const MIN_QUEUEABLE_TARGET_MS = 2_000
@@ -55,6 +59,7 @@
   const set: CandidateSet = { open: [], fullCount: 0, closed: [], withoutAdapter: [] }
   for (const state of table.usable(need.service.name)) {
     if (need.model !== undefined && !table.holds(state, need.model, undefined, nowMs)) continue
+    if (!need.acceptsVersion(state.entry.softwareVersion)) continue
     const gate = need.gate(state.entry)
     if (gate.state === GateState.Closed) {
       set.closed.push({ id: state.entry.id, by: gate.by, opensInMs: gate.opensInMs })
@@ -93,7 +98,7 @@
 
 function utilizationLimit (need: RequestRequirements): number {
   if (need.service.engine === undefined) return PLAIN_UTILIZATION_LIMIT
-  return need.targetLatencyMs > MIN_QUEUEABLE_TARGET_MS ? QUEUED_UTILIZATION_LIMIT : ENGINE_UTILIZATION_LIMIT
+  return need.continuesStream || need.targetLatencyMs > MIN_QUEUEABLE_TARGET_MS ? QUEUED_UTILIZATION_LIMIT : ENGINE_UTILIZATION_LIMIT
 }
 
 /** Connections that this host may open to one runner. */
--- a/packages/gateway/src/choose/choose.test.ts
+++ b/packages/gateway/src/choose/choose.test.ts
@@ -21,7 +21,7 @@
 }
 
 function need (changes: Partial<RequestRequirements> = {}): RequestRequirements {
-  return { service: engine, excluded: new Set(), hostCount: 1, targetLatencyMs: 500, gate: () => ({ state: GateState.Open }), ...changes }
+  return { service: engine, acceptsVersion: () => true, continuesStream: false, excluded: new Set(), hostCount: 1, targetLatencyMs: 500, gate: () => ({ state: GateState.Open }), ...changes }
 }
 
 function tableOf (...entries: Parameters<typeof createEntry>[0][]): RunnerTable {
@@ -91,3 +91,16 @@
   const set = findCandidates(table, need({ gate: ({ id }) => ({ state: GateState.Closed, by: ClosedBy.Limit, opensInMs: id === 'a' ? 300 : 200 }) }), 0)
   t.match(set, { open: [], fullCount: 0, closed: [{ id: 'a', opensInMs: 300 }, { id: 'b', opensInMs: 200 }] })
 })
+
+t.test('only runners of an accepted version are candidates', async (t) => {
+  const table = tableOf({ id: 'a', softwareVersion: 'v1' }, { id: 'b', softwareVersion: 'v2' }, { id: 'c', softwareVersion: undefined })
+  const { open } = findCandidates(table, need({ acceptsVersion: (softwareVersion) => softwareVersion === 'v2' }), 0)
+  t.same(open.map(({ id }) => id), ['b'])
+})
+
+t.test('a runner that is full for new streams has room for one that is continued', async (t) => {
+  const table = tableOf({ id: 'a' })
+  table.setOtherHostsInFlight(new Map([['a', 12]]))
+  t.equal(findCandidates(table, need(), 0).open.length, 0)
+  t.equal(findCandidates(table, need({ continuesStream: true }), 0).open.length, 1)
+})
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,8 @@
 import { RunnerGates } from './gates/runner-gates.js'
 import { createCrashMetrics } from './crashes/crash-metrics.js'
 import { CrashMonitor } from './crashes/crash-monitor.js'
-import { StreamMemory } from './streams/stream-memory.js'
+import { StreamOrigins } from './streams/stream-origins.js'
+import { VersionHistory } from './streams/version-history.js'
 import { TcpProbe } from './crashes/tcp-probe.js'
 import { ConfigFetcher } from './config/config-fetcher.js'
 import { ConfigState } from './config/config-state.js'
@@ -77,7 +78,8 @@
   readonly #limits: LimitControl
   readonly #closures: RunnerGates
   readonly #crashes: CrashMonitor
-  readonly #streams = StreamMemory.create()
+  readonly #versions: VersionHistory
+  readonly #origins: StreamOrigins
   readonly #connections: RunnerConnections
   readonly #demand = DemandMeter.create()
   readonly #loopLag: LoopLag
@@ -141,6 +143,9 @@
       leaving: this.#leavingRunners
     })
     this.#crashes = this.#createCrashMonitor()
+    const { streamLog } = parts.platform
+    this.#versions = VersionHistory.create({ clock, log, runners: this.#runners, streamLog })
+    this.#origins = StreamOrigins.create({ clock, log, history: this.#versions, streamLog, hostCount: () => this.#members.live(this.#nowMs()).length + 1 })
     const overlong = createOverlongCounter(this.#registry)
     this.#connections = RunnerConnections.create((runner, reason) => {
       overlong.inc()
@@ -221,6 +226,7 @@
     this.#lease.start()
     this.#orderDispatcher.start()
     this.#crashes.start()
+    this.#origins.start()
     this.#sweep()
     log.info('gateway started', { callerListener: settings.callerListener, peerListener: settings.peerListener, incarnation: this.#incarnation })
   }
@@ -368,7 +374,8 @@
       limits: this.#limits,
       closures: this.#closures,
       crashes: this.#crashes,
-      streams: this.#streams,
+      versions: this.#versions,
+      origins: this.#origins,
       connections: this.#connections,
       budget: SharedBudget.create(settings.budget),
       demand: this.#demand,
@@ -417,6 +424,8 @@
     const hosts = this.#members.live(this.#nowMs()).length + 1
     this.#exchanger.announceAgain(Math.max(MIN_ANNOUNCE_SPREAD_MS, hosts * ANNOUNCE_SPREAD_MS_PER_HOST), this.parts.random)
     this.#crashes.onNewEra()
+    this.#versions.onNewEra()
+    this.#origins.onNewEra()
   }
 
   /** Applies the update of the list of runners that a relay forwards. */
@@ -459,7 +468,7 @@
     this.#limits.sweep()
     this.#closures.sweep()
     this.#crashes.sweep()
-    this.#streams.sweep(this.parts.clock.monotonicMs())
+    this.#origins.sweep()
     this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
   }
@@ -467,6 +476,8 @@
   async #destroy (): Promise<void> {
     this.#exchanger.stop()
     this.#crashes.stop()
+    this.#versions.stop()
+    this.#origins.stop()
     this.#sweepTimer?.cancel()
     this.#loopLag.stop()
     this.parts.platform.watch.stop()
--- /dev/null
+++ b/packages/gateway/src/serve/joined-streams.test.ts
@@ -0,0 +1,144 @@
+// Guards against streams that go on at another version of the runners' software than the one that began them (issue 39).
+import t, { type Test } from 'tap'
+import { RouteKind } from '../config/types.js'
+import { waitUntil } from '../testing/delayed-connections.js'
+import { createRoute, GatewayFixture, type RawAnswer } from '../testing/gateway-fixture.js'
+import { StreamRecords } from '../testing/memory-stream-log.js'
+import type { RawExchange } from '../testing/raw-runner.js'
+
+const HEAD = 'Signed: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n'
+
+async function createFixture (t: Test, records = StreamRecords.create()): Promise<GatewayFixture> {
+  const fixture = await GatewayFixture.create([createRoute({ kind: RouteKind.Stream, resumable: true, maxAttempts: 3 })], undefined, records)
+  t.teardown(() => fixture.close())
+  return fixture
+}
+
+/** Sends the events from this one on; with `breaksOff`, the connection is reset behind them. */
+function sendEvents ({ requestId, text, socket }: RawExchange, count: number, breaksOff: boolean): void {
+  const from = Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? -1) + 1
+  const events = Array.from({ length: count }, (_, index) => `id: ${from + index}\ndata: x\n\n`).join('')
+  socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nTransfer-Encoding: chunked\r\n${HEAD}${events.length.toString(16)}\r\n${events}\r\n`)
+  if (breaksOff) setTimeout(() => socket.resetAndDestroy(), 30)
+  else socket.end('0\r\n\r\n')
+}
+
+const breakOff = (exchange: RawExchange) => sendEvents(exchange, 2, true)
+const complete = (exchange: RawExchange) => sendEvents(exchange, 2, false)
+const takeUp = (id: string, continues?: string) => ({ id, headers: ['Last-Event-Id: 1', ...continues === undefined ? [] : [`Continues: ${continues}`]] })
+
+function checkRefused (t: Test, { status, body, headers }: RawAnswer): void {
+  t.equal(status, 503)
+  t.match(JSON.parse(body), { error: { code: 2010, type: 'stream_not_continuable', ran: 'no' } })
+  t.notMatch(headers, /retry-after/i)
+}
+
+t.test('a host continues a broken stream at the version that began it, and breaks it off where there is none', async (t) => {
+  for (const [version, expected] of [['v1', 'whole'], ['v2', 'cut']] as const) {
+    const fixture = await createFixture(t)
+    await fixture.addRunner('runner-1', breakOff, { softwareVersion: 'v1' })
+    const call = fixture.call({ id: `id-${version}` })
+    await waitUntil(() => fixture.context.runners.get('runner-1')?.inFlight === 1)
+    const second = await fixture.addRunner('runner-2', complete, { softwareVersion: version })
+    const { text } = await call
+    t.equal(second.requests.length, expected === 'whole' ? 1 : 0)
+    t.equal(text.includes('id: 2\n'), expected === 'whole')
+  }
+})
+
+t.test('a stalled stream is not moved to another version', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', (exchange) => {
+    exchange.socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${exchange.requestId}\r\nTransfer-Encoding: chunked\r\n${HEAD}f\r\nid: 0\ndata: x\n\n\r\n`)
+    setTimeout(() => exchange.socket.resetAndDestroy(), 1_500)
+  }, { softwareVersion: 'v1' })
+  const call = fixture.call({})
+  await waitUntil(() => fixture.context.runners.get('runner-1')?.inFlight === 1)
+  const other = await fixture.addRunner('runner-2', complete, { softwareVersion: 'v2' })
+  await call
+  t.equal(other.requests.length, 0)
+})
+
+t.test('a caller\'s take-up goes on at the version that began the stream, over several take-ups', async (t) => {
+  const fixture = await createFixture(t)
+  const first = await fixture.addRunner('runner-1', breakOff, { softwareVersion: 'v1' })
+  await fixture.call({ id: 'began' })
+  const other = await fixture.addRunner('runner-2', complete, { softwareVersion: 'v2' })
+  const same = await fixture.addRunner('runner-3', complete, { softwareVersion: 'v1' })
+  fixture.context.runners.remove('runner-1', 0, 0)
+  t.equal((await fixture.call(takeUp('again', 'began'))).status, 200)
+  t.equal((await fixture.call(takeUp('once-more', 'began'))).status, 200)
+  t.same([first, other, same].map(({ requests }) => requests.length), [1, 0, 2])
+})
+
+t.test('a take-up is refused as not run if it is not known at which of two versions the stream began', async (t) => {
+  const fixture = await createFixture(t)
+  const runners = [await fixture.addRunner('runner-1', complete, { softwareVersion: 'v1' }), await fixture.addRunner('runner-2', complete, { softwareVersion: 'v2' })]
+  for (const call of [takeUp('a'), takeUp('b', 'unknown'), takeUp('c', ''), takeUp('d', 'x'.repeat(4_000))]) checkRefused(t, await fixture.call(call))
+  t.same(runners.map(({ requests }) => requests.length), [0, 0])
+})
+
+t.test('a take-up is refused at once if no runner of the version that began the stream is left', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', breakOff, { softwareVersion: 'v1' })
+  await fixture.call({ id: 'began' })
+  fixture.context.runners.remove('runner-1', 0, 0)
+  const other = await fixture.addRunner('runner-2', complete, { softwareVersion: 'v2' })
+  checkRefused(t, await fixture.call(takeUp('again', 'began')))
+  t.equal(other.requests.length, 0)
+})
+
+t.test('a host that knows nothing continues a stream where only one version can have begun it', async (t) => {
+  const records = StreamRecords.create()
+  records.versions.set('plain/v1', { service: 'plain', softwareVersion: 'v1', lastSeenAt: new Date() })
+  const fixture = await createFixture(t, records)
+  await fixture.addRunner('runner-1', complete, { softwareVersion: 'v1' })
+  t.equal((await fixture.call(takeUp('again', 'began-elsewhere'))).status, 200)
+})
+
+t.test('a host that was restarted does not take the only version that is left for the only one there was', async (t) => {
+  const records = StreamRecords.create()
+  records.versions.set('plain/v1', { service: 'plain', softwareVersion: 'v1', lastSeenAt: new Date(Date.now() - 20_000) })
+  const fixture = await createFixture(t, records)
+  const runner = await fixture.addRunner('runner-1', complete, { softwareVersion: 'v2' })
+  checkRefused(t, await fixture.call(takeUp('again', 'began-before')))
+  t.equal(runner.requests.length, 0)
+})
+
+t.test('a host that does not reach the platform refuses a take-up that it knows nothing of', async (t) => {
+  const records = StreamRecords.create()
+  records.down = true
+  const fixture = await createFixture(t, records)
+  const runner = await fixture.addRunner('runner-1', complete, { softwareVersion: 'v1' })
+  checkRefused(t, await fixture.call(takeUp('again', 'began-elsewhere')))
+  t.equal(runner.requests.length, 0)
+})
+
+t.test('a host learns from the platform where another host began a stream', async (t) => {
+  const records = StreamRecords.create()
+  records.batches.push({ service: 'plain', softwareVersion: 'v1', requestIds: ['began-elsewhere'] })
+  const fixture = await createFixture(t, records)
+  const runners = [await fixture.addRunner('runner-1', complete, { softwareVersion: 'v1' }), await fixture.addRunner('runner-2', complete, { softwareVersion: 'v2' })]
+  t.equal((await fixture.call(takeUp('again', 'began-elsewhere'))).status, 200)
+  t.same(runners.map(({ requests }) => requests.length), [1, 0])
+})
+
+t.test('runners that state no version continue no stream', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', breakOff, { softwareVersion: undefined })
+  const call = fixture.call({ id: 'began' })
+  await waitUntil(() => fixture.context.runners.get('runner-1')?.inFlight === 1)
+  const second = await fixture.addRunner('runner-2', complete, { softwareVersion: undefined })
+  await call
+  checkRefused(t, await fixture.call(takeUp('again', 'began')))
+  t.equal(second.requests.length, 0)
+})
+
+t.test('an id that came twice, at two versions, continues nothing', async (t) => {
+  const records = StreamRecords.create()
+  for (const softwareVersion of ['v1', 'v2']) records.batches.push({ service: 'plain', softwareVersion, requestIds: ['twice'] })
+  const fixture = await createFixture(t, records)
+  await fixture.addRunner('runner-1', complete, { softwareVersion: 'v1' })
+  await fixture.addRunner('runner-2', complete, { softwareVersion: 'v2' })
+  checkRefused(t, await fixture.call(takeUp('again', 'twice')))
+})
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -109,7 +109,23 @@
       configVersion: this.context.config.version,
       timeLeftMs: Math.round(dueMs - arrivedMs)
     })
-    this.#dispatch()
+    if (!this.#continuity.isTakeUp) return this.#dispatch()
+    this.#takeUp().catch((error: Error) => this.#onUnexpected(error))
+  }
+
+  /** The caller continues a stream: it goes on only at the version of the software that began it. */
+  async #takeUp (): Promise<void> {
+    this.#log.mark()
+    const isKnown = await this.#continuity.find()
+    if (this.#ended) return
+    const { facts, service } = this.request
+    const { softwareVersion } = this.#continuity
+    const isLeft = this.context.runners.usable(service.name).some(({ entry }) => this.#continuity.accepts(entry.softwareVersion))
+    this.#log.note('caller continues a stream', { lastEventId: facts.lastEventId, ...this.#continuity.logFields(facts.lastEventId), runnersOfVersion: isLeft })
+    this.context.metrics.takeUps.inc({ outcome: !isKnown ? 'unknown version' : isLeft ? 'goes on' : 'no runner of the version' })
+    if (isKnown && isLeft) return this.#dispatch()
+    const reason = isKnown ? `no runner of version ${softwareVersion}, which began the stream, is left` : 'it is not known at which version of the software the stream began'
+    this.#giveUp(this.#failure(ResultCode.StreamNotContinuable, reason))
   }
 
   /** Sends the request to the best runner. Where there is none, waits for an adapter or a model to be loaded, or gives up. */
@@ -119,7 +135,7 @@
     if (this.request.dueMs - nowMs < MIN_ATTEMPT_MS) return this.#onDeadline()
     const block = this.#requestGuard.block()
     if (block !== undefined) return this.#refuseBlocked(block.featureId, block.reason)
-    const set = findCandidates(this.context.runners, createNeed(this.context, this.request, this.#excluded), nowMs)
+    const set = findCandidates(this.context.runners, createNeed(this.context, this.request, this.#continuity, this.#excluded), nowMs)
     const chosen = this.#chooseRunner(set.open, affinityKey(this.request.facts))
     if (chosen?.needsPermit === true) return this.#startAttemptWithPermit(chosen)
     if (chosen !== undefined) return this.#startAttempt(chosen)
@@ -286,7 +302,7 @@
   #onStall (silentMs: number): void {
     const runner = this.#runner
     if (runner === undefined || this.#ended) return
-    const assessment = assessMove(this.context, this.request, new Set([...this.#excluded, runner.entry.id]), this.#progress)
+    const assessment = assessMove(this.context, this.request, this.#continuity, new Set([...this.#excluded, runner.entry.id]), this.#progress)
     this.#log.note('stream stalled', { runner: runner.entry.id, silentMs: Math.round(silentMs), lastEventId: this.#writer.lastEventId, ...assessment })
     if (!assessment.mayMove) return
     this.#attempt?.cancel()
--- a/packages/gateway/src/serve/stream-continuity.ts
+++ b/packages/gateway/src/serve/stream-continuity.ts
@@ -1,59 +1,78 @@
-/** Follows at which version of the runners' software one stream began, over the runners and callers' requests that continue it. */
+/**
+ * Keeps one stream at the version of the runners' software that began it, over the runners and the callers' requests that continue
+ * it: what two versions write doesn't fit together, and runners don't check this.
+ */
 import { RouteKind } from '../config/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
+import { KnownBy } from '../streams/stream-origins.js'
+import { UNSTATED_VERSION } from '../streams/types.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
 
-/** Who knows at which version a stream began. */
-export const KnownBy = { ThisAnswer: 'this answer', ThisHost: 'this host', Nobody: 'nobody' } as const
-export type KnownBy = (typeof KnownBy)[keyof typeof KnownBy]
-
 export class StreamContinuity {
   readonly #streamId: string
+  /** Version that began the stream; undefined as long as it has not begun, or if that isn't known. */
   #softwareVersion: string | undefined
   #knownBy: KnownBy = KnownBy.Nobody
 
   private constructor (private readonly context: ServeContext, private readonly request: AcceptedRequest) {
-    this.#streamId = this.#isTakeUp ? request.facts.continuesRequestId ?? '' : request.id
-    if (this.#isTakeUp) this.#recall()
+    this.#streamId = this.isTakeUp ? request.facts.continuesRequestId ?? '' : request.id
+    if (this.#isResumable) context.versions.observe(request.service.name)
+    if (!this.isTakeUp) return
+    const found = context.origins.recall(this.#streamId, request.service.name)
+    if (found !== undefined) this.#adopt(found.softwareVersion, found.knownBy)
   }
 
   static create (context: ServeContext, request: AcceptedRequest): StreamContinuity {
     return new StreamContinuity(context, request)
   }
 
+  /** The caller continues a stream that another answer began. */
+  get isTakeUp (): boolean {
+    return this.#isResumable && this.request.facts.lastEventId !== undefined
+  }
+
+  get softwareVersion (): string | undefined {
+    return this.#softwareVersion
+  }
+
+  /** Finds out at which version the stream began that the caller continues; resolves false if that isn't known for certain. */
+  async find (): Promise<boolean> {
+    if (!this.isTakeUp || this.#softwareVersion !== undefined) return true
+    const found = await this.context.origins.find(this.#streamId, this.request.service.name)
+    if (found !== undefined) this.#adopt(found.softwareVersion, found.knownBy)
+    return found !== undefined
+  }
+
+  /** Whether the stream may begin or go on at this version. */
+  accepts (softwareVersion: string | undefined): boolean {
+    if (!this.#isResumable) return true
+    if (this.#softwareVersion !== undefined) return softwareVersion === this.#softwareVersion && softwareVersion !== UNSTATED_VERSION
+    return this.context.versions.mayBegin(this.request.service.name, softwareVersion)
+  }
+
   /** Fields for the log where a sending continues a stream; none otherwise. */
   logFields (lastEventId: number | undefined): { continues?: string, beganAtVersion?: string, versionKnownBy?: KnownBy } {
-    if (!this.#isTakeUp && lastEventId === undefined) return {}
+    if (!this.isTakeUp && lastEventId === undefined) return {}
     return { continues: this.#streamId, beganAtVersion: this.#softwareVersion, versionKnownBy: this.#knownBy }
   }
 
   /** Events of the stream were written to the caller. */
   onEvents ({ entry }: RunnerState): void {
-    const { route, service } = this.request
-    if (route.kind !== RouteKind.Stream || !route.resumable || this.#softwareVersion !== undefined || entry.softwareVersion === undefined) return
-    if (this.#isTakeUp) return
-    this.#softwareVersion = entry.softwareVersion
-    this.#knownBy = KnownBy.ThisAnswer
-    this.context.streams.onBegun(this.#streamId, { service: service.name, softwareVersion: entry.softwareVersion }, this.#nowMs())
+    if (!this.#isResumable || this.#softwareVersion !== undefined) return
+    this.#adopt(entry.softwareVersion ?? UNSTATED_VERSION, KnownBy.ThisAnswer)
   }
 
   onComplete (): void {
-    this.context.streams.onComplete(this.#streamId, this.#nowMs())
-  }
-
-  /** The caller continues a stream that another answer began. */
-  get #isTakeUp (): boolean {
-    return this.request.facts.lastEventId !== undefined
+    if (this.#isResumable) this.context.origins.onComplete(this.#streamId)
   }
 
-  #recall (): void {
-    const origin = this.context.streams.originOf(this.#streamId, this.#nowMs())
-    if (origin === undefined || origin.service !== this.request.service.name) return
-    this.#softwareVersion = origin.softwareVersion
-    this.#knownBy = KnownBy.ThisHost
+  get #isResumable (): boolean {
+    return this.request.route.kind === RouteKind.Stream && this.request.route.resumable
   }
 
-  #nowMs (): number {
-    return this.context.clock.monotonicMs()
+  #adopt (softwareVersion: string, knownBy: KnownBy): void {
+    this.#softwareVersion = softwareVersion
+    this.#knownBy = knownBy
+    if (this.#streamId !== '') this.context.origins.onBegun(this.#streamId, { service: this.request.service.name, softwareVersion })
   }
 }
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -12,7 +12,8 @@
 import type { LimitControl } from '../limits/limit-control.js'
 import type { SharedBudget } from '../retry/shared-budget.js'
 import type { RunnerTable } from '../runners/runner-table.js'
-import type { StreamMemory } from '../streams/stream-memory.js'
+import type { StreamOrigins } from '../streams/stream-origins.js'
+import type { VersionHistory } from '../streams/version-history.js'
 import type { DemandMeter } from './demand-meter.js'
 import type { RequestMetrics } from './metrics.js'
 
@@ -71,7 +72,8 @@
   limits: LimitControl
   closures: RunnerGates
   crashes: CrashMonitor
-  streams: StreamMemory
+  versions: VersionHistory
+  origins: StreamOrigins
   connections: RunnerConnections
   budget: SharedBudget
   demand: DemandMeter
--- a/packages/gateway/src/streams/stream-memory.ts
+++ b/packages/gateway/src/streams/stream-memory.ts
@@ -1,8 +1,10 @@
 /**
  * Remembers at which version of the runners' software the streams of this host began, by the id of the request that brought the
- * first event. Callers that continue a stream name that id. Pure state; times are monotonic milliseconds.
+ * first event. Callers that continue a stream name that id; if it came twice, at different versions, neither is known. Pure state; times are monotonic milliseconds.
  */
 
+import { UNSTATED_VERSION } from './types.js'
+
 /** A stream can't be continued any more after this time. */
 export const STREAM_LIFE_MS = 120_000
 /** A stream whose answer was complete may still be continued if its last bytes were lost on the way. */
@@ -26,8 +28,10 @@
 
   /** The first event of a stream is written to its caller, or a request that continues one is sent on. */
   onBegun (requestId: string, origin: StreamOrigin, nowMs: number): void {
+    const known = this.#streams.get(requestId)
+    const isAmbiguous = known !== undefined && (known.softwareVersion !== origin.softwareVersion || known.service !== origin.service)
     this.#streams.delete(requestId)
-    this.#streams.set(requestId, { ...origin, untilMs: nowMs + STREAM_LIFE_MS })
+    this.#streams.set(requestId, { ...origin, softwareVersion: isAmbiguous ? UNSTATED_VERSION : origin.softwareVersion, untilMs: nowMs + STREAM_LIFE_MS })
     if (this.#streams.size <= MAX_STREAMS) return
     const [oldest] = this.#streams.keys()
     if (oldest !== undefined) this.#streams.delete(oldest)
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -27,8 +27,10 @@
 import { createRequestMetrics } from '../serve/metrics.js'
 import { serveRequest } from '../serve/serve-request.js'
 import { AdapterLoader, type ServeContext } from '../serve/types.js'
-import { StreamMemory } from '../streams/stream-memory.js'
+import { StreamOrigins } from '../streams/stream-origins.js'
+import { VersionHistory } from '../streams/version-history.js'
 import { MemoryCrashLog } from './memory-crash-log.js'
+import { MemoryStreamLog, StreamRecords } from './memory-stream-log.js'
 import { RawRunner, type RawExchange } from './raw-runner.js'
 import { TestCodec } from './test-codec.js'
 
@@ -63,6 +65,7 @@
     service: 'plain',
     address: '127.0.0.1:1',
     availabilityZone: 'zone-1',
+    softwareVersion: 'v1',
     slots: 8,
     draining: false,
     models: [],
@@ -120,7 +123,7 @@
     this.#server = createServer((request, response) => { serveRequest(context, request, response) })
   }
 
-  static async create (routes: Route[], service = SERVICE): Promise<GatewayFixture> {
+  static async create (routes: Route[], service = SERVICE, streamRecords = StreamRecords.create()): Promise<GatewayFixture> {
     const expectedLoads: ExpectedLoad[] = []
     const clock = SystemClock.create()
     const instants = InstantSource.create(clock)
@@ -135,6 +138,9 @@
     const leaving = LeavingRunners.create()
     const lag = LoopLag.create(clock)
     const overlong: string[] = []
+    const runners = RunnerTable.create(leaving)
+    const streamLog = MemoryStreamLog.create(streamRecords)
+    const history = VersionHistory.create({ clock, log: silentLogger, runners, streamLog })
     const fixture = new GatewayFixture({
       clock,
       instants,
@@ -142,11 +148,12 @@
       metrics: createRequestMetrics(new Registry()),
       codec: TestCodec.create(),
       config,
-      runners: RunnerTable.create(leaving),
+      runners,
       limits,
       closures: RunnerGates.create({ clock, instants, log: silentLogger, metrics: createGateMetrics(new Registry()), host: 'host', limits, leaving }),
       crashes: createCrashMonitor(clock, instants),
-      streams: StreamMemory.create(),
+      versions: history,
+      origins: StreamOrigins.create({ clock, log: silentLogger, history, streamLog, hostCount: () => 1 }),
       connections: RunnerConnections.create((runnerId, reason) => overlong.push(`${runnerId}: ${reason}`)),
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
@@ -162,10 +169,10 @@
   }
 
   /** Adds a runner; `answer` is called with each request. */
-  async addRunner (id: string, answer: (exchange: RawExchange) => void): Promise<RawRunner> {
+  async addRunner (id: string, answer: (exchange: RawExchange) => void, changes: Partial<RunnerEntry> = {}): Promise<RawRunner> {
     const runner = await RawRunner.create(answer)
     this.#runners.push(runner)
-    this.context.runners.upsert(createEntry({ id, address: runner.address }))
+    this.context.runners.upsert(createEntry({ id, address: runner.address, ...changes }))
     return runner
   }
 
--- a/packages/gateway/src/testing/gateway-host.ts
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -8,6 +8,7 @@
 import { PlatformWatch, type PlatformEvents } from '../types.js'
 import { FakeRunnerOrders } from './fake-runner.js'
 import { CrashRecords, MemoryCrashLog } from './memory-crash-log.js'
+import { MemoryStreamLog } from './memory-stream-log.js'
 import { freeAddress } from './free-address.js'
 import { createEntry, createRoute } from './gateway-fixture.js'
 import type { RawRunner } from './raw-runner.js'
@@ -82,6 +83,7 @@
       leaseLog: new NoLeases(),
       orders: FakeRunnerOrders.create([], clock, () => 'carried'),
       crashLog: MemoryCrashLog.create(records),
+      streamLog: MemoryStreamLog.create(),
       lookupWire: { lookupPath: '/hosts', readinessPath: '/ready', formatLookup: (addresses) => JSON.stringify(addresses) }
     }
   })
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -9,6 +9,7 @@
 import type { BudgetLimits } from './retry/shared-budget.js'
 import type { GatewayConfig } from './config/types.js'
 import type { RunnerListUpdate } from './runners/types.js'
+import type { StreamLog } from './streams/types.js'
 
 /** Settings of one host. */
 export type GatewaySettings = {
@@ -82,5 +83,6 @@
   leaseLog: LeaseLog
   orders: RunnerOrders
   crashLog: CrashLog
+  streamLog: StreamLog
   lookupWire: LookupWire
 }
