A request that many callers send is not blocked by ends that only break its answers off

Cause: only whole answers cleared a request, also one in use. Now an answer that begins counts for a request that is in use or whose history isn't known; for others it doesn't, as they may end their runner in the middle.

--- a/packages/gateway/src/crashes/crash-evidence.test.ts
+++ b/packages/gateway/src/crashes/crash-evidence.test.ts
@@ -176,6 +176,19 @@
   t.equal(nextBlock(evidence, none)?.featureId, 'request-popular')
 })
 
+t.test('a request in use is not blocked by ends behind which an answer to it began, a request that nobody else sends is', async (t) => {
+  const inUse = CrashEvidence.create(0)
+  const other = CrashEvidence.create(LONG_AGO_MS)
+  for (const evidence of [inUse, other]) {
+    for (let count = 0; count < 6; count += 1) {
+      evidence.addEnd({ ...end(1_000 + count * 700), running: ['request-same'] })
+      evidence.onRequestBegun('request-same', 1_300 + count * 700)
+    }
+  }
+  t.same(inUse.nextBlocks(none), [])
+  t.equal(nextBlock(other, none)?.featureId, 'request-same')
+})
+
 t.test('of requests that were present at the same ends all are blocked, as any of them may be the cause', async (t) => {
   const evidence = evidenceOf(...[0, 1_000, 2_000].map((endedMs) => end(endedMs, ['request-a'], ['request-b'])))
   t.same(evidence.nextBlocks(none).map(({ featureId }) => featureId), ['request-a', 'request-b'])
--- a/packages/gateway/src/crashes/crash-evidence.ts
+++ b/packages/gateway/src/crashes/crash-evidence.ts
@@ -15,6 +15,8 @@
 const MAX_REQUESTS_PER_END = 192
 const MAX_RUNNING_PER_END = 64
 const MAX_FEATURES_PER_REQUEST = 16
+/** Marks the time at which an answer to a request began last, beside that of its last whole answer. */
+const BEGUN_PREFIX = 'begun/'
 /** Features whose last answer is remembered, the most recent ones first; parts and whole requests each. */
 const MAX_REMEMBERED_FEATURES = 8_192
 
@@ -56,9 +58,14 @@
     return featureIds.filter((featureId) => this.#shareAnswer(featureId, nowMs)).length > 0
   }
 
+  /** This host received the first part of an answer to this request, which may still end its runner; returns whether that is news for other hosts. */
+  onRequestBegun (key: string, nowMs: number): boolean {
+    return this.#shareBegun(`${BEGUN_PREFIX}${key}`, nowMs)
+  }
+
   /** Merges another host's record of an answer; returns whether it clears a feature of an end. */
   addBegun ({ featureId, begunMs }: BegunRecord): boolean {
-    return this.#shareAnswer(featureId, begunMs)
+    return featureId.startsWith(BEGUN_PREFIX) ? this.#shareBegun(featureId, begunMs) : this.#shareAnswer(featureId, begunMs)
   }
 
   /** What remains of an end without the features that answers clear, and without those that were present at fewer ends. */
@@ -85,6 +92,7 @@
       ends: [...this.#ends.values()],
       isSuspect: (featureId, end) => this.#isSuspect(featureId, end),
       lastAnswerMs: (featureId) => this.lastAnswerMs(featureId),
+      lastBegunMs: (key) => this.#cleared.get(`${BEGUN_PREFIX}${key}`),
       startedMs: this.startedMs,
       isBlocked
     })
@@ -103,7 +111,7 @@
     for (const end of this.#ends.values()) {
       if (nowMs - end.endedMs > RETENTION_MS) this.#drop(end)
     }
-    for (const featureId of this.#cleared.keys()) if (!this.#endsByFeature.has(featureId)) this.#cleared.delete(featureId)
+    for (const featureId of this.#cleared.keys()) if (!this.#endsByFeature.has(withoutPrefix(featureId))) this.#cleared.delete(featureId)
   }
 
   #answersOf (featureId: string): AnswerTimes {
@@ -118,6 +126,14 @@
     return isNews
   }
 
+  /** Shared only if it is later than an end at which the request was present, and not with each further answer. */
+  #shareBegun (markedKey: string, begunMs: number): boolean {
+    const sharedMs = this.#cleared.get(markedKey) ?? -Infinity
+    const isNews = this.endsOf(withoutPrefix(markedKey)).some(({ endedMs }) => endedMs > sharedMs && begunMs >= endedMs)
+    if (isNews) this.#cleared.set(markedKey, begunMs)
+    return isNews
+  }
+
   #isSuspect (featureId: string, { endedMs }: EndRecord): boolean {
     const clearedMs = this.#cleared.get(featureId)
     return clearedMs === undefined || clearedMs < endedMs - ANSWER_MARGIN_MS
@@ -163,6 +179,10 @@
   }
 }
 
+function withoutPrefix (featureId: string): string {
+  return featureId.startsWith(BEGUN_PREFIX) ? featureId.slice(BEGUN_PREFIX.length) : featureId
+}
+
 function featuresOf ({ requests, running }: EndRecord): Set<string> {
   return new Set([...requests.flat(), ...running])
 }
--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -147,6 +147,7 @@
     const request = this.#ends.onBegun(runner, requestId)
     if (request === undefined) return
     this.#clear(request.featureIds.filter((featureId) => !isRequestKey(featureId)), 'a request with the part began')
+    for (const key of request.featureIds.filter(isRequestKey)) this.#evidence.onRequestBegun(key, this.#nowMs())
   }
 
   /** A request is no longer at its runner. Only a whole answer clears the request: it may end its runner in the middle of one. */
--- a/packages/gateway/src/crashes/likely-causes.ts
+++ b/packages/gateway/src/crashes/likely-causes.ts
@@ -42,6 +42,8 @@
   /** Whether no answer since then clears the feature of this end. */
   isSuspect: (featureId: string, end: EndRecord) => boolean
   lastAnswerMs: (featureId: string) => number | undefined
+  /** When an answer to the request began last, if that was behind an end at which it was present. */
+  lastBegunMs: (key: string) => number | undefined
   /** When this host started to hear of answers. */
   startedMs: number
   isBlocked: (featureId: string) => boolean
@@ -49,7 +51,8 @@
 
 type End = { end: EndRecord, cause: number, isExplained: boolean }
 
-type RequestCandidate = { ends: number, causes: Set<number>, firstEndMs: number, lastEndMs: number, hasNewEnd: boolean }
+/** Ends that count against a request, in the order of their times. */
+type RequestCandidate = { ends: End[] }
 
 type PartCandidate = {
   featureId: string
@@ -88,23 +91,20 @@
 }
 
 function likelyRequests (known: KnownCrashes, ends: readonly End[]): BlockDecision[] {
-  const likely = [...requestCandidates(known, ends)].filter(([key, candidate]) => isLikelyRequest(known, ends, key, candidate))
-  const mostEnds = Math.max(...likely.map(([, candidate]) => candidate.ends))
-  return likely.filter(([, candidate]) => candidate.ends === mostEnds).map(([featureId, candidate]) => ({ featureId, ends: candidate.ends }))
+  const likely = [...requestCandidates(known, ends)].filter(([key, candidate]) => isLikelyRequest(known, ends, key, candidate.ends))
+  const mostEnds = Math.max(...likely.map(([, candidate]) => candidate.ends.length))
+  return likely.filter(([, candidate]) => candidate.ends.length === mostEnds).map(([featureId, candidate]) => ({ featureId, ends: candidate.ends.length }))
 }
 
 function requestCandidates ({ isSuspect }: KnownCrashes, ends: readonly End[]): Map<string, RequestCandidate> {
   const candidates = new Map<string, RequestCandidate>()
-  for (const { end, cause, isExplained } of ends) {
-    if (isExplained) continue
-    for (const key of requestKeys(end)) {
-      if (!isSuspect(key, end)) continue
-      const candidate = candidates.get(key) ?? { ends: 0, causes: new Set(), firstEndMs: end.endedMs, lastEndMs: end.endedMs, hasNewEnd: false }
+  for (const one of ends) {
+    if (one.isExplained) continue
+    for (const key of requestKeys(one.end)) {
+      if (!isSuspect(key, one.end)) continue
+      const candidate = candidates.get(key) ?? { ends: [] }
       candidates.set(key, candidate)
-      candidate.ends += 1
-      candidate.lastEndMs = end.endedMs
-      candidate.hasNewEnd ||= !end.inherited
-      candidate.causes.add(cause)
+      candidate.ends.push(one)
     }
   }
   return candidates
@@ -114,18 +114,24 @@
   return new Set([...requests.flat().filter(isRequestKey), ...running])
 }
 
-function isLikelyRequest (known: KnownCrashes, all: readonly End[], key: string, candidate: RequestCandidate): boolean {
-  const { ends, causes, firstEndMs, lastEndMs, hasNewEnd } = candidate
+function isLikelyRequest (known: KnownCrashes, all: readonly End[], key: string, ends: readonly End[]): boolean {
+  const [first, last] = [ends.at(0), ends.at(-1)]
   // Records of earlier processes may lack an answer that came behind them.
-  if (!hasNewEnd) return false
-  if (mayBeInUse(known, key, firstEndMs)) return causes.size >= REQUEST_ENDS_AFTER_ANSWERS && lastEndMs - firstEndMs >= MIN_SPAN_MS
-  if (ends < REQUEST_ENDS) return false
-  return ends >= SUFFICIENT_REQUEST_ENDS || ends >= MIN_REQUEST_SHARE * countEndsDuring(all, candidate)
+  if (first === undefined || last === undefined || !ends.some(({ end }) => !end.inherited)) return false
+  if (mayBeInUse(known, key, first.end.endedMs)) {
+    // Of many callers' requests some begin, and are broken off by ends that have another cause.
+    const later = ends.filter(({ end }) => end.endedMs > (known.lastBegunMs(key) ?? -Infinity))
+    if (later.length < ends.length) return isLikelyRequest(known, all, key, later)
+    return new Set(ends.map(({ cause }) => cause)).size >= REQUEST_ENDS_AFTER_ANSWERS && last.end.endedMs - first.end.endedMs >= MIN_SPAN_MS
+  }
+  if (ends.length < REQUEST_ENDS) return false
+  return ends.length >= SUFFICIENT_REQUEST_ENDS || ends.length >= MIN_REQUEST_SHARE * countEndsDuring(all, first, last)
 }
 
-/** Ends from the candidate's first one to its last one, and of the moments around these. */
-function countEndsDuring (ends: readonly End[], { firstEndMs, lastEndMs }: RequestCandidate): number {
-  return ends.filter(({ end, isExplained }) => !isExplained && end.endedMs > firstEndMs - SAME_CAUSE_MS && end.endedMs < lastEndMs + SAME_CAUSE_MS).length
+/** Ends from the first of these to the last one, and of the moments around them. */
+function countEndsDuring (ends: readonly End[], first: End, last: End): number {
+  const [fromMs, untilMs] = [first.end.endedMs - SAME_CAUSE_MS, last.end.endedMs + SAME_CAUSE_MS]
+  return ends.filter(({ end, isExplained }) => !isExplained && end.endedMs > fromMs && end.endedMs < untilMs).length
 }
 
 function partCandidates ({ isSuspect, isBlocked }: KnownCrashes, ends: readonly End[]): Map<string, PartCandidate> {
--- a/packages/gateway/src/crashes/testing/crash-replay.ts
+++ b/packages/gateway/src/crashes/testing/crash-replay.ts
@@ -140,6 +140,7 @@
       } else if (!request.begun) {
         request.begun = true
         this.#evidence.onAnswer(featureIds.slice(0, -1), this.#nowMs)
+        for (const key of featureIds.slice(-1)) this.#evidence.onRequestBegun(key, this.#nowMs)
       } else if (beginsMs + ANSWER_MS <= this.#nowMs) {
         this.#sent.splice(this.#sent.indexOf(request), 1)
         this.#evidence.onAnswer(featureIds, this.#nowMs)
