A block that refuses many requests is tried within seconds, and operators are told

A wrong block of what many callers send cost them a minute, and nothing named it. From ten refused requests on, the holder of the lease tries one three seconds after the block; the first answer lifts it everywhere. A trial that a runner refuses no longer counts, as it tells nothing. A warning and a gauge give the share of requests that a block refuses.

--- a/packages/gateway/src/crashes/crash-monitor.test.ts
+++ b/packages/gateway/src/crashes/crash-monitor.test.ts
@@ -252,3 +252,30 @@
   }
   t.same(tried, ['trial-0', 'trial-2'])
 })
+
+t.test('a wrong block that refuses many requests is tried within seconds and lifted by the first answer', async (t) => {
+  const fleet = new MonitorFleet()
+  const holder = fleet.add(true)
+  for (let count = 0; count < 3; count += 1) await fleet.crash(holder, [], 'request-popular')
+  await fleet.clock.advance(3_000)
+  const ids = Array.from({ length: 11 }, (_, index) => `refused-${index}`)
+  const tried = ids.filter((id) => holder.blockOf(id, ['request-popular']) === undefined)
+  t.same(tried, ['refused-10'])
+  fleet.answer(holder, [], 'refused-10', 'request-popular')
+  t.notOk(holder.isBlocked(['request-popular']))
+})
+
+t.test('a trial that its runner refuses does not count', async (t) => {
+  const fleet = new MonitorFleet()
+  const holder = fleet.add(true)
+  for (let count = 0; count < 3; count += 1) await fleet.crash(holder, [], 'request-same')
+  for (let count = 0; count < 4; count += 1) {
+    await fleet.clock.advance(MINUTE_MS)
+    const requestId = `trial-${count}`
+    t.equal(holder.blockOf(requestId, ['request-same']), undefined)
+    const runner = { id: 'full', address: '10.0.2.1:80' }
+    holder.onSent(runner, { requestId, featureIds: ['request-same'], attempt: 1, begun: false })
+    holder.onLeft(runner, requestId, Departure.Other)
+    t.ok(holder.blockOf(`next-${count}`, ['request-same']))
+  }
+})
--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -14,6 +14,7 @@
 import { EndDetector, keyOf } from './end-detector.js'
 import { FeatureBlocks } from './feature-blocks.js'
 import type { BlockDecision } from './likely-causes.js'
+import { RefusalMeter, type LargeBlock } from './refusal-meter.js'
 import { isRequestKey } from './request-key.js'
 import { Departure, type CrashLog, type CrashUpdate, type EndRecord, type FeatureBlock, type ListenerProbe, type ProcessEnd, type SentRequest } from './types.js'
 
@@ -60,6 +61,9 @@
   readonly #listeners = new Map<string, Set<BlockListener>>()
   /** The request that may be run in spite of the block of a feature. */
   readonly #trials = new Map<string, string>()
+  /** Features of the requests that are being tried at runners. */
+  readonly #sentTrials = new Map<string, string[]>()
+  readonly #refusals = RefusalMeter.create()
   #stopped = false
   #urgentTimer: Timer | undefined
   #decisionTimer: Timer | undefined
@@ -116,9 +120,10 @@
 
   /** The block that keeps a request from being run; undefined if it may be sent. May start a trial of a blocked feature. */
   blockOf (requestId: string, featureIds: readonly string[]): FeatureBlock | undefined {
-    const blocked = this.#blocksOf(requestId, featureIds)[0]
-    if (blocked === undefined || !this.#startTrial(requestId, featureIds)) return blocked
-    return undefined
+    const blocks = this.#blocksOf(requestId, featureIds)
+    if (blocks.length === 0 || this.#startTrial(requestId, featureIds)) return undefined
+    for (const { featureId } of blocks) this.#refusals.onRefused(featureId)
+    return blocks[0]
   }
 
   /** Whether a request that has a connection may be written now. */
@@ -128,6 +133,7 @@
 
   /** Calls the listener when one of these features is blocked; returns a function that ends this. */
   watch (featureIds: readonly string[], listener: BlockListener): () => void {
+    this.#refusals.onRequest()
     for (const featureId of featureIds) {
       const listeners = this.#listeners.get(featureId) ?? new Set()
       this.#listeners.set(featureId, listeners.add(listener))
@@ -139,7 +145,9 @@
   onSent (runner: LocatedRunner, request: SentRequest): void {
     this.#ends.onSent(runner, request)
     // A trial is one sending: the request isn't sent again if it ends its runner.
-    for (const featureId of request.featureIds) if (this.#trials.get(featureId) === request.requestId) this.#trials.delete(featureId)
+    const tried = request.featureIds.filter((featureId) => this.#trials.get(featureId) === request.requestId)
+    for (const featureId of tried) this.#trials.delete(featureId)
+    if (tried.length > 0) this.#sentTrials.set(request.requestId, tried)
   }
 
   /** A part of the answer to a request was received. */
@@ -154,6 +162,10 @@
   onLeft (runner: LocatedRunner, requestId: string, departure: Departure): void {
     const request = this.#ends.onLeft(runner, requestId, departure)
     if (departure === Departure.Answered && request !== undefined) this.#clear(request.featureIds, 'a request was answered')
+    const tried = this.#sentTrials.get(requestId) ?? []
+    this.#sentTrials.delete(requestId)
+    // A request that its runner refused, or that was taken back, tells nothing.
+    if (departure === Departure.Other) for (const featureId of tried) this.#repeatTrial(featureId)
   }
 
   /** What another host lacks. @param seen the version of this host's facts that it has */
@@ -182,8 +194,14 @@
     this.#store.onNewEra(this.#blocks.all())
   }
 
+  /** Largest share of this host's requests that one block refuses. */
+  get largestBlockShare (): number {
+    return this.#refusals.largestShare
+  }
+
   sweep (): void {
     this.#evidence.sweep(this.#nowMs())
+    for (const block of this.#refusals.sweep(this.#nowMs())) this.#logLargeBlock(block)
   }
 
   #onProcessEnd (end: ProcessEnd): void {
@@ -253,7 +271,10 @@
     const wasBlocked = this.#blocks.isBlocked(block.featureId)
     if (!this.#blocks.apply(block)) return
     const { featureId, blocked, sinceMs } = block
-    if (wasBlocked !== blocked) this.#logBlock(block, from)
+    if (wasBlocked !== blocked) {
+      this.#logBlock(block, from)
+      this.#refusals.onChanged(featureId)
+    }
     // The ends before no longer count: the next end of any runner would block the part again.
     if (!blocked && this.#evidence.addBegun({ featureId, begunMs: sinceMs })) this.#store.updateEndsSoon()
     if (blocked && !wasBlocked) for (const listener of [...this.#listeners.get(featureId) ?? []]) listener(featureId)
@@ -270,17 +291,27 @@
   #startTrial (requestId: string, featureIds: readonly string[]): boolean {
     const nowMs = this.#nowMs()
     const blocked = this.#blocksOf(requestId, featureIds)
-    if (!this.parts.mayTry() || !blocked.every(({ featureId }) => this.#blocks.isTrialDue(featureId, nowMs))) return false
+    if (!this.parts.mayTry() || !blocked.every(({ featureId }) => this.#blocks.isTrialDue(featureId, nowMs, this.#refusals.refusedSinceBlock(featureId)))) return false
     for (const { featureId, trials, reason } of blocked) {
       const block = this.#blocks.next(featureId, { blocked: true, sinceMs: nowMs, reason, trials: trials + 1 })
       this.#blocks.apply(block)
       this.#trials.set(featureId, requestId)
       this.#store.writeSoon(block)
-      this.parts.log.info('request with a blocked prompt part is tried', { requestId, part: featureId, trials: block.trials })
+      if (isRequestKey(featureId)) this.parts.log.info('blocked request is tried', { requestId, key: featureId, trials: block.trials })
+      else this.parts.log.info('request with a blocked prompt part is tried', { requestId, part: featureId, trials: block.trials })
     }
     return true
   }
 
+  /** The trial that was just made doesn't count. */
+  #repeatTrial (featureId: string): void {
+    const block = this.#blocks.get(featureId)
+    if (block === undefined || !block.blocked) return
+    const next = this.#blocks.next(featureId, { blocked: true, sinceMs: this.#nowMs(), reason: block.reason, trials: Math.max(0, block.trials - 1) })
+    this.#blocks.apply(next)
+    this.#store.writeSoon(next)
+  }
+
   #unwatch (featureId: string, listener: BlockListener): void {
     const listeners = this.#listeners.get(featureId)
     listeners?.delete(listener)
@@ -309,6 +340,11 @@
     log.warn(blocked ? 'prompt part is blocked' : 'block of a prompt part is lifted', { part: featureId, ...fields })
   }
 
+  #logLargeBlock ({ featureId, ...fields }: LargeBlock): void {
+    const feature = isRequestKey(featureId) ? { key: featureId } : { part: featureId }
+    this.parts.log.warn('block refuses a large share of the requests', { ...feature, ...fields })
+  }
+
   #logEnd ({ runner, endedMs, requests }: ProcessEnd): void {
     const { log, metrics } = this.parts
     const waiting = requests.filter(({ begun }) => !begun)
--- a/packages/gateway/src/crashes/feature-blocks.test.ts
+++ b/packages/gateway/src/crashes/feature-blocks.test.ts
@@ -26,15 +26,15 @@
 
 t.test('a trial is due after a minute, and after twice as long each time', async (t) => {
   const blocks = FeatureBlocks.create()
-  t.notOk(blocks.isTrialDue('part', 1e9))
+  t.notOk(blocks.isTrialDue('part', 1e9, 0))
   blocks.apply(block())
-  t.notOk(blocks.isTrialDue('part', 59_999))
-  t.ok(blocks.isTrialDue('part', 60_000))
+  t.notOk(blocks.isTrialDue('part', 59_999, 0))
+  t.ok(blocks.isTrialDue('part', 60_000, 0))
   blocks.apply(block({ revision: 2, sinceMs: 60_000, trials: 1 }))
-  t.notOk(blocks.isTrialDue('part', 179_999))
-  t.ok(blocks.isTrialDue('part', 180_000))
+  t.notOk(blocks.isTrialDue('part', 179_999, 0))
+  t.ok(blocks.isTrialDue('part', 180_000, 0))
   blocks.apply(block({ revision: 3, sinceMs: 0, trials: 40 }))
-  t.ok(blocks.isTrialDue('part', 3_600_000))
+  t.ok(blocks.isTrialDue('part', 3_600_000, 0))
 })
 
 t.test('the number of blocks is bounded; lifted ones are dropped first', async (t) => {
@@ -47,3 +47,13 @@
   t.equal(blocks.get('part-0'), undefined)
   t.equal(blocks.all().length, 512)
 })
+
+t.test('a block that refuses many requests is tried after three seconds, once', async (t) => {
+  const blocks = FeatureBlocks.create()
+  blocks.apply(block({}))
+  t.notOk(blocks.isTrialDue('part', 59_999, 9))
+  t.notOk(blocks.isTrialDue('part', 2_999, 10))
+  t.ok(blocks.isTrialDue('part', 3_000, 10))
+  blocks.apply(block({ revision: 2, trials: 1 }))
+  t.notOk(blocks.isTrialDue('part', 60_000, 1_000))
+})
--- a/packages/gateway/src/crashes/feature-blocks.ts
+++ b/packages/gateway/src/crashes/feature-blocks.ts
@@ -10,6 +10,9 @@
 const MAX_TRIAL_MS = 3_600_000
 /** A request that ended a runner in each of its trials is left to operators: its users bear three more sendings at most. */
 const MAX_REQUEST_TRIALS = 2
+/** The first trial comes sooner if the block has refused this many requests: one that refuses many may be wrong. */
+const EARLY_TRIAL_MS = 3_000
+const EARLY_TRIAL_REFUSALS = 10
 /** Most blocks and lifted blocks that are kept. */
 const MAX_BLOCKS = 512
 
@@ -49,11 +52,16 @@
     return { featureId, revision: (known?.revision ?? 0) + 1, trials: known?.trials ?? 0, ...change }
   }
 
-  /** Whether a request with the feature may be tried in spite of its block. */
-  isTrialDue (featureId: string, nowMs: number): boolean {
+  /**
+   * Whether a request with the feature may be tried in spite of its block.
+   * @param refused requests that this host has refused since the block
+   */
+  isTrialDue (featureId: string, nowMs: number, refused: number): boolean {
     const block = this.#blocks.get(featureId)
-    if (isRequestKey(featureId) && block !== undefined && block.trials >= MAX_REQUEST_TRIALS) return false
-    return block !== undefined && nowMs - block.sinceMs >= Math.min(MAX_TRIAL_MS, TRIAL_MS * 2 ** block.trials)
+    if (block === undefined || (isRequestKey(featureId) && block.trials >= MAX_REQUEST_TRIALS)) return false
+    const isEarly = block.trials === 0 && refused >= EARLY_TRIAL_REFUSALS
+    const delayMs = isEarly ? EARLY_TRIAL_MS : Math.min(MAX_TRIAL_MS, TRIAL_MS * 2 ** block.trials)
+    return nowMs - block.sinceMs >= delayMs
   }
 
   /** Lifted blocks are dropped first, then the oldest ones. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -196,6 +196,7 @@
       runnerLimits: () => this.#limits.inForce(),
       blockedParts: () => this.#crashes.blockedParts,
       blockedRequests: () => this.#crashes.blockedRequests,
+      largestBlockShare: () => this.#crashes.largestBlockShare,
       storeEra: () => parts.platform.eras.current,
       storeRewinds: () => parts.platform.eras.rises
     })
--- a/packages/gateway/src/gauges.ts
+++ b/packages/gateway/src/gauges.ts
@@ -14,6 +14,7 @@
   /** Prompt parts whose requests are not run. */
   blockedParts: () => number
   blockedRequests: () => number
+  largestBlockShare: () => number
   storeEra: () => number
   storeRewinds: () => number
 }
@@ -29,6 +30,7 @@
   addGauge('figloom_gateway_holds_lease', '1 while this host holds the lease on orders.', () => sources.holdsLease() ? 1 : 0)
   addGauge('figloom_gateway_blocked_prompt_parts', 'Prompt parts whose requests are not run.', sources.blockedParts)
   addGauge('figloom_gateway_blocked_requests', 'Requests whose content is blocked.', sources.blockedRequests)
+  addGauge('figloom_gateway_largest_block_share', 'Largest share of the requests that one block refused, within ten seconds.', sources.largestBlockShare)
   addGauge('figloom_gateway_store_era', 'Era of the platform\'s store; rises when it comes back from an older copy.', sources.storeEra)
   addGauge('figloom_gateway_store_rewinds', 'Rises of the era since this process started.', sources.storeRewinds)
   addLimitGauge(registry, sources.runnerLimits)
