A stream doesn't begin at a runner whose listed process has ended

Cause: the list lags, and the header that names the expected runner can't tell its processes apart. Now a process that any host saw end takes no streams until the list shows the next one, and a stream that began at a process that the list showed only later goes on nowhere.

--- a/packages/gateway/src/choose/candidates.ts
+++ b/packages/gateway/src/choose/candidates.ts
@@ -2,6 +2,7 @@
 import type { Service } from '../config/types.js'
 import { ClosedBy, GateState, type LocatedRunner, type RunnerGate } from '../gates/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
+import type { RunnerEntry } from '../runners/types.js'
 import type { Candidate } from './choose-runner.js'
 
 /** What a request requires of its runner, and the limits under which this host sends it. */
@@ -9,8 +10,8 @@
   service: Service
   model?: string
   adapter?: string
-  /** Whether the request may be run at this version of the runner's software. */
-  acceptsVersion: (softwareVersion: string | undefined) => boolean
+  /** Whether the request may be run at this runner's version of the software. */
+  acceptsVersion: (runner: RunnerEntry) => boolean
   /** The request continues a stream of which its caller has a part. */
   continuesStream: boolean
   /** Runners that must not get this request again. */
@@ -59,7 +60,7 @@
   const set: CandidateSet = { open: [], fullCount: 0, closed: [], withoutAdapter: [] }
   for (const state of table.usable(need.service.name)) {
     if (need.model !== undefined && !table.holds(state, need.model, undefined, nowMs)) continue
-    if (!need.acceptsVersion(state.entry.softwareVersion)) continue
+    if (!need.acceptsVersion(state.entry)) continue
     const gate = need.gate(state.entry)
     if (gate.state === GateState.Closed) {
       set.closed.push({ id: state.entry.id, by: gate.by, opensInMs: gate.opensInMs })
--- a/packages/gateway/src/choose/choose.test.ts
+++ b/packages/gateway/src/choose/choose.test.ts
@@ -94,7 +94,7 @@
 
 t.test('only runners of an accepted version are candidates', async (t) => {
   const table = tableOf({ id: 'a', softwareVersion: 'v1' }, { id: 'b', softwareVersion: 'v2' }, { id: 'c', softwareVersion: undefined })
-  const { open } = findCandidates(table, need({ acceptsVersion: (softwareVersion) => softwareVersion === 'v2' }), 0)
+  const { open } = findCandidates(table, need({ acceptsVersion: ({ softwareVersion }) => softwareVersion === 'v2' }), 0)
   t.same(open.map(({ id }) => id), ['b'])
 })
 
--- a/packages/gateway/src/crashes/crash-evidence.ts
+++ b/packages/gateway/src/crashes/crash-evidence.ts
@@ -68,6 +68,11 @@
     return featureId.startsWith(BEGUN_PREFIX) ? this.#shareBegun(featureId, begunMs) : this.#shareAnswer(featureId, begunMs)
   }
 
+  /** When this process ended, if that is known. */
+  endedMs (process: string): number | undefined {
+    return this.#ends.get(process)?.endedMs
+  }
+
   /** What remains of an end without the features that answers clear, and without those that were present at fewer ends. */
   suspectsOf (end: EndRecord, minEnds: number): EndRecord {
     const remains = (featureId: string) => this.#isSuspect(featureId, end) && this.endsOf(featureId).length >= minEnds
--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -22,6 +22,8 @@
 const DECISION_DELAY_MS = 60
 /** Features that are blocked at once; the next end may block more. */
 const MAX_BLOCKS_PER_DECISION = 64
+/** The platform lists the next process of a runner within this time. */
+const LISTED_WITHIN_MS = 10_000
 /** Most requests that the log names for one end. */
 const MAX_LOGGED_REQUESTS = 12
 
@@ -168,6 +170,12 @@
     if (departure === Departure.Other) for (const featureId of tried) this.#repeatTrial(featureId)
   }
 
+  /** Whether the process that is listed for this runner has ended: what answers at its address now is another one, of unknown version. */
+  hasEnded (runner: LocatedRunner): boolean {
+    const endedMs = this.#evidence.endedMs(keyOf(runner))
+    return endedMs !== undefined && this.#nowMs() - endedMs < LISTED_WITHIN_MS
+  }
+
   /** What another host lacks. @param seen the version of this host's facts that it has */
   update (seen: ListVersion | undefined): CrashUpdate | undefined {
     return this.#facts.changesSince(seen, { ends: this.#evidence.endRecords(), begun: this.#evidence.begunRecords(), blocks: this.#blocks.all() }, this.#nowMs())
--- a/packages/gateway/src/serve/joined-streams.test.ts
+++ b/packages/gateway/src/serve/joined-streams.test.ts
@@ -123,6 +123,28 @@
   t.same(runners.map(({ requests }) => requests.length), [1, 0])
 })
 
+t.test('a stream does not begin at a runner whose listed process has ended, as the next one may have another version', async (t) => {
+  const fixture = await createFixture(t)
+  const runner = await fixture.addRunner('runner-1', complete, { softwareVersion: 'v1', startedUnixMs: 1 })
+  const process = `runner-1@${runner.address}/1`
+  fixture.context.crashes.receive('host-2', { to: { listId: 'list', version: 1 }, ends: [{ process, endedAgoMs: 5, requests: [['request-x']], running: [], inherited: false }], begun: [], blocks: [] })
+  t.equal((await fixture.call({ id: 'too-early' })).status, 503)
+  fixture.context.runners.upsert({ ...fixture.context.runners.get('runner-1')!.entry, softwareVersion: 'v2', startedUnixMs: 2 })
+  t.equal((await fixture.call({ id: 'listed' })).status, 200)
+})
+
+t.test('a stream that began at a process that the list showed only later goes on nowhere', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', breakOff, { softwareVersion: 'v1', startedUnixMs: 1 })
+  const call = fixture.call({ id: 'began' })
+  await waitUntil(() => fixture.context.runners.get('runner-1')?.inFlight === 1)
+  const { entry } = fixture.context.runners.get('runner-1')!
+  fixture.context.runners.upsert({ ...entry, softwareVersion: 'v2', startedUnixMs: Date.now() - 100 })
+  const second = await fixture.addRunner('runner-2', complete, { softwareVersion: 'v1' })
+  await call
+  t.equal(second.requests.length, 0)
+})
+
 t.test('runners that state no version continue no stream', async (t) => {
   const fixture = await createFixture(t)
   await fixture.addRunner('runner-1', breakOff, { softwareVersion: undefined })
--- a/packages/gateway/src/serve/request-need.ts
+++ b/packages/gateway/src/serve/request-need.ts
@@ -10,7 +10,7 @@
     service,
     model: service.engine === undefined ? undefined : facts.model,
     adapter: facts.adapter,
-    acceptsVersion: (softwareVersion) => continuity.accepts(softwareVersion),
+    acceptsVersion: (runner) => continuity.accepts(runner),
     continuesStream: continuity.softwareVersion !== undefined,
     excluded,
     hostCount: context.host.hostCount(),
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -120,7 +120,7 @@
     if (this.#ended) return
     const { facts, service } = this.request
     const { softwareVersion } = this.#continuity
-    const isLeft = this.context.runners.usable(service.name).some(({ entry }) => this.#continuity.accepts(entry.softwareVersion))
+    const isLeft = this.context.runners.usable(service.name).some(({ entry }) => this.#continuity.accepts(entry))
     this.#log.note('caller continues a stream', { lastEventId: facts.lastEventId, ...this.#continuity.logFields(facts.lastEventId), runnersOfVersion: isLeft })
     this.context.metrics.takeUps.inc({ outcome: !isKnown ? 'unknown version' : isLeft ? 'goes on' : 'no runner of the version' })
     if (isKnown && isLeft) return this.#dispatch()
--- a/packages/gateway/src/serve/stream-continuity.ts
+++ b/packages/gateway/src/serve/stream-continuity.ts
@@ -4,15 +4,21 @@
  */
 import { RouteKind } from '../config/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
+import type { RunnerEntry } from '../runners/types.js'
 import { KnownBy } from '../streams/stream-origins.js'
 import { UNSTATED_VERSION } from '../streams/types.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
 
+/** By which the clocks of hosts and runners may differ. */
+const CLOCK_MARGIN_MS = 1_000
+
 export class StreamContinuity {
   readonly #streamId: string
   /** Version that began the stream; undefined as long as it has not begun, or if that isn't known. */
   #softwareVersion: string | undefined
   #knownBy: KnownBy = KnownBy.Nobody
+  /** The runner that was listed when the first event came. */
+  #begun: { runner: RunnerEntry, atUnixMs: number } | undefined
 
   private constructor (private readonly context: ServeContext, private readonly request: AcceptedRequest) {
     this.#streamId = this.isTakeUp ? request.facts.continuesRequestId ?? '' : request.id
@@ -43,10 +49,12 @@
     return found !== undefined
   }
 
-  /** Whether the stream may begin or go on at this version. */
-  accepts (softwareVersion: string | undefined): boolean {
+  /** Whether the stream may begin or go on at this runner. */
+  accepts (runner: RunnerEntry): boolean {
     if (!this.#isResumable) return true
-    if (this.#softwareVersion !== undefined) return softwareVersion === this.#softwareVersion && softwareVersion !== UNSTATED_VERSION
+    if (this.context.crashes.hasEnded(runner)) return false
+    const { softwareVersion } = runner
+    if (this.#softwareVersion !== undefined) return softwareVersion === this.#softwareVersion && softwareVersion !== UNSTATED_VERSION && !this.#wasOtherProcess()
     return this.context.versions.mayBegin(this.request.service.name, softwareVersion)
   }
 
@@ -59,6 +67,7 @@
   /** Events of the stream were written to the caller. */
   onEvents ({ entry }: RunnerState): void {
     if (!this.#isResumable || this.#softwareVersion !== undefined) return
+    this.#begun = { runner: entry, atUnixMs: this.context.clock.now().getTime() }
     this.#adopt(entry.softwareVersion ?? UNSTATED_VERSION, KnownBy.ThisAnswer)
   }
 
@@ -70,6 +79,14 @@
     return this.request.route.kind === RouteKind.Stream && this.request.route.resumable
   }
 
+  /** The list showed later that another process used the runner's id when the stream began. */
+  #wasOtherProcess (): boolean {
+    if (this.#begun === undefined) return false
+    const { runner, atUnixMs } = this.#begun
+    const listed = this.context.runners.get(runner.id)?.entry.startedUnixMs
+    return listed !== undefined && listed !== runner.startedUnixMs && listed <= atUnixMs + CLOCK_MARGIN_MS
+  }
+
   #adopt (softwareVersion: string, knownBy: KnownBy): void {
     this.#softwareVersion = softwareVersion
     this.#knownBy = knownBy
