Streams: the list is looked through ten times a second at most, and a stream of another service goes on nowhere

At 12,000 runners each stream request looked through the whole list. A host that knows that a stream began at another service took the versions of the asked one for its own; the new case of streams/version-history fails before.

--- a/packages/gateway/src/serve/stream-continuity.ts
+++ b/packages/gateway/src/serve/stream-continuity.ts
@@ -22,7 +22,7 @@
 
   private constructor (private readonly context: ServeContext, private readonly request: AcceptedRequest) {
     this.#streamId = this.isTakeUp ? request.facts.continuesRequestId ?? '' : request.id
-    if (this.#isResumable) context.versions.observe(request.service.name)
+    if (this.#isResumable) context.versions.onStream(request.service.name)
     if (!this.isTakeUp) return
     const found = context.origins.recall(this.#streamId, request.service.name)
     if (found !== undefined) this.#adopt(found.softwareVersion, found.knownBy)
--- a/packages/gateway/src/streams/stream-origins.ts
+++ b/packages/gateway/src/streams/stream-origins.ts
@@ -67,6 +67,8 @@
   /** Asks the platform; undefined if it isn't known for certain. */
   async find (streamId: string, service: string): Promise<FoundOrigin | undefined> {
     const { clock, history } = this.parts
+    // A stream that began at another service goes on nowhere.
+    if (this.#own.originOf(streamId, this.#nowMs()) !== undefined) return undefined
     const untilMs = this.#nowMs() + MAX_WAIT_MS
     const sole = await this.#inTime(history.soleVersion(service), untilMs)
     if (sole !== undefined) return { softwareVersion: sole, knownBy: KnownBy.OnlyVersion }
--- a/packages/gateway/src/streams/version-history.test.ts
+++ b/packages/gateway/src/streams/version-history.test.ts
@@ -99,6 +99,15 @@
   t.match(await after.origins.find('began-1', SERVICE), { softwareVersion: 'v2' })
 })
 
+t.test('a stream that began at another service goes on nowhere', async (t) => {
+  const { history, origins, list } = new Platform().host()
+  list('v1')
+  history.observe(SERVICE)
+  origins.onBegun('elsewhere', { service: 'other', softwareVersion: 'v1' })
+  t.equal(origins.recall('elsewhere', SERVICE), undefined)
+  t.equal(await origins.find('elsewhere', SERVICE), undefined)
+})
+
 t.test('streams that began before the second version came are published when it comes, and each stream once', async (t) => {
   const platform = new Platform()
   const { history, origins, list } = platform.host()
--- a/packages/gateway/src/streams/version-history.ts
+++ b/packages/gateway/src/streams/version-history.ts
@@ -13,6 +13,8 @@
 const CLOCK_MARGIN_MS = 30_000
 /** A version that was seen longer ago has no stream any more. */
 const VERSION_LIFE_MS = STREAM_LIFE_MS + REFRESH_MS + CLOCK_MARGIN_MS
+/** Interval at which requests have the list looked through, which may be long. */
+const OBSERVE_MS = 100
 /** Delay after a call that failed. */
 const RETRY_MS = 500
 
@@ -24,6 +26,7 @@
 export class VersionHistory {
   /** By service and version. */
   readonly #known = new Map<string, Map<string, Known>>()
+  readonly #observedMs = new Map<string, number>()
   #stopped = false
 
   private constructor (private readonly parts: VersionHistoryParts) {}
@@ -36,8 +39,14 @@
     this.#stopped = true
   }
 
+  /** A stream of this service is about to begin or to go on. */
+  onStream (service: string): void {
+    if (this.#nowMs() - (this.#observedMs.get(service) ?? -Infinity) >= OBSERVE_MS) this.observe(service)
+  }
+
   /** Notes the versions that are listed, and has those recorded at which streams are about to begin. */
   observe (service: string): void {
+    this.#observedMs.set(service, this.#nowMs())
     for (const softwareVersion of this.#listed(service)) {
       const known = this.#note(service, softwareVersion)
       const nowMs = this.#nowMs()
