Trials of a blocked part end after three

What ended its runner in three trials is certain and left to operators. The test's last line held that trials go on; it holds now that there are three, which is the users' bound.

--- a/packages/gateway/src/crashes/feature-blocks.test.ts
+++ b/packages/gateway/src/crashes/feature-blocks.test.ts
@@ -24,7 +24,7 @@
   t.ok(blocks.isBlocked('part'))
 })
 
-t.test('a trial is due after a minute, and after twice as long each time', async (t) => {
+t.test('a trial is due after a minute, and after twice as long each time, three times in all', async (t) => {
   const blocks = FeatureBlocks.create()
   t.notOk(blocks.isTrialDue('part', 1e9, 0))
   blocks.apply(block())
@@ -33,8 +33,10 @@
   blocks.apply(block({ revision: 2, sinceMs: 60_000, trials: 1 }))
   t.notOk(blocks.isTrialDue('part', 179_999, 0))
   t.ok(blocks.isTrialDue('part', 180_000, 0))
-  blocks.apply(block({ revision: 3, sinceMs: 0, trials: 40 }))
-  t.ok(blocks.isTrialDue('part', 3_600_000, 0))
+  blocks.apply(block({ revision: 3, sinceMs: 0, trials: 2 }))
+  t.ok(blocks.isTrialDue('part', 240_000, 0))
+  blocks.apply(block({ revision: 4, sinceMs: 0, trials: 3 }))
+  t.notOk(blocks.isTrialDue('part', 1e9, 1_000))
 })
 
 t.test('the number of blocks is bounded; lifted ones are dropped first', async (t) => {
--- a/packages/gateway/src/crashes/feature-blocks.ts
+++ b/packages/gateway/src/crashes/feature-blocks.ts
@@ -7,8 +7,9 @@
 
 /** Time after which a single request is tried; doubles with each trial, as each may cost a runner. */
 const TRIAL_MS = 60_000
-const MAX_TRIAL_MS = 3_600_000
-/** A request that ended a runner in each of its trials is left to operators: its users bear three more sendings at most. */
+/** A feature that ended a runner in each of its trials is left to operators: users bear three more sendings at most. */
+const MAX_PART_TRIALS = 3
+/** One fewer, as a request in use is blocked after more ends. */
 const MAX_REQUEST_TRIALS = 2
 /** The first trial comes sooner if the block has refused this many requests: one that refuses many may be wrong. */
 const EARLY_TRIAL_MS = 3_000
@@ -58,9 +59,10 @@
    */
   isTrialDue (featureId: string, nowMs: number, refused: number): boolean {
     const block = this.#blocks.get(featureId)
-    if (block === undefined || (isRequestKey(featureId) && block.trials >= MAX_REQUEST_TRIALS)) return false
+    const maxTrials = isRequestKey(featureId) ? MAX_REQUEST_TRIALS : MAX_PART_TRIALS
+    if (block === undefined || block.trials >= maxTrials) return false
     const isEarly = block.trials === 0 && refused >= EARLY_TRIAL_REFUSALS
-    const delayMs = isEarly ? EARLY_TRIAL_MS : Math.min(MAX_TRIAL_MS, TRIAL_MS * 2 ** block.trials)
+    const delayMs = isEarly ? EARLY_TRIAL_MS : TRIAL_MS * 2 ** block.trials
     return nowMs - block.sinceMs >= delayMs
   }
 
