--- a/packages/gateway/src/crashes/likely-causes.ts
+++ b/packages/gateway/src/crashes/likely-causes.ts
@@ -8,7 +8,7 @@
 
 /** Ends of different processes within this time have one cause, such as a power failure, and count once. */
 const SAME_CAUSE_MS = 150
-/** Features that were answered within this time before their first end are more likely bystanders. */
+/** Features that were answered within this time before their first end were more likely present by chance. */
 const RECENT_ANSWER_MS = 60_000
 /** Until this long after its start a host may not know of answers to features that are in frequent use. */
 const UNKNOWN_HISTORY_MS = 5_000
--- a/packages/gateway/src/streams/stream-memory.ts
+++ b/packages/gateway/src/streams/stream-memory.ts
@@ -1,8 +1,8 @@
 /**
  * Remembers at which version of the runners' software the streams of this host began, by the id of the request that brought the
- * first event. Callers that continue a stream name that id; if it came twice, at different versions, neither is known. Pure state; times are monotonic milliseconds.
+ * first event. Callers that continue a stream name that id; if it came twice, at different versions, neither is known. Pure state;
+ * times are monotonic milliseconds.
  */
-
 import { UNSTATED_VERSION } from './types.js'
 
 /** A stream can't be continued any more after this time. */
