Metric and log of callers' connections that this host closes unexpectedly

Connections closed with an answer unfinished, and those closed sooner than their last answer stated, are counted apart; the second kind is logged. The end of a request names the configuration in force, beside the one that it was accepted with. No change of behaviour.

--- a/packages/gateway/src/front/http-server.ts
+++ b/packages/gateway/src/front/http-server.ts
@@ -1,6 +1,7 @@
 /** An HTTP/1.1 listener for an h3 handler, with limits that can change while it runs. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import type { Clock } from '@figloom/runtime'
 
 export type HttpServerLimits = {
   /** Time within which the head of a request has to be received. */
@@ -20,18 +21,45 @@
 
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void
 
+/** A connection that this side closed although its caller could still expect an answer on it. */
+export type UnexpectedClose = {
+  /** Requests on it without a whole answer. */
+  openRequests: number
+  /** Time since the end of its last answer. */
+  idleMs: number
+  /** Time for which its last answer stated that it may stay idle. */
+  statedIdleMs: number
+}
+
+export type HttpServerOptions = {
+  /** Time within which a whole request has to be received; 0: none, the handler limits it. */
+  requestTimeoutMs?: number
+  onUnexpectedClose?: (close: UnexpectedClose) => void
+}
+
+type Connection = {
+  /** Requests whose answers haven't ended. */
+  openRequests: number
+  /** Time for which the connection may stay idle, as its last answer stated; 0 before the first answer. */
+  statedIdleMs: number
+  /** When its last answer ended, in milliseconds of the monotonic clock. */
+  idleSinceMs: number
+}
+
 export class HttpServer {
   readonly #server: Server
-  readonly #sockets = new Set<Socket>()
+  readonly #connections = new Map<Socket, Connection>()
+  #destroyed = false
 
-  private constructor (handler: RequestHandler, requestTimeoutMs: number) {
-    this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: requestTimeoutMs }, handler)
+  private constructor (handler: RequestHandler, private readonly clock: Clock, private readonly options: HttpServerOptions) {
+    this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: options.requestTimeoutMs ?? 0 })
     this.#server.on('connection', (socket) => this.#track(socket))
+    this.#server.on('request', (request, response) => this.#onRequest(request.socket, response))
+    this.#server.on('request', handler)
   }
 
-  /** @param requestTimeoutMs time within which a whole request has to be received; 0: none, the handler limits it */
-  static create (handler: RequestHandler, requestTimeoutMs = 0): HttpServer {
-    return new HttpServer(handler, requestTimeoutMs)
+  static create (handler: RequestHandler, clock: Clock, options: HttpServerOptions = {}): HttpServer {
+    return new HttpServer(handler, clock, options)
   }
 
   /** @param address IP:PORT */
@@ -62,17 +90,41 @@
   }
 
   destroy (): void {
+    this.#destroyed = true
     this.#server.close()
-    for (const socket of this.#sockets) socket.destroy()
+    for (const socket of this.#connections.keys()) socket.destroy()
   }
 
   get connectionCount (): number {
-    return this.#sockets.size
+    return this.#connections.size
   }
 
   #track (socket: Socket): void {
-    this.#sockets.add(socket)
-    socket.once('close', () => this.#sockets.delete(socket))
+    this.#connections.set(socket, { openRequests: 0, statedIdleMs: 0, idleSinceMs: this.clock.monotonicMs() })
+    socket.once('close', () => this.#onClose(socket))
+  }
+
+  #onRequest (socket: Socket, response: ServerResponse): void {
+    const connection = this.#connections.get(socket)
+    if (connection === undefined) return
+    connection.openRequests += 1
+    connection.statedIdleMs = this.#server.keepAliveTimeout
+    response.once('finish', () => {
+      connection.openRequests -= 1
+      connection.idleSinceMs = this.clock.monotonicMs()
+      if (!response.shouldKeepAlive) connection.statedIdleMs = 0
+    })
+  }
+
+  #onClose (socket: Socket): void {
+    const connection = this.#connections.get(socket)
+    this.#connections.delete(socket)
+    // The caller closed it first, or broke it off.
+    const isClosedByCaller = socket.readableEnded || socket.errored !== null
+    if (connection === undefined || isClosedByCaller || this.#destroyed) return
+    const { openRequests, statedIdleMs, idleSinceMs } = connection
+    const idleMs = this.clock.monotonicMs() - idleSinceMs
+    if (openRequests > 0 || idleMs < statedIdleMs) this.options.onUnexpectedClose?.({ openRequests, idleMs, statedIdleMs })
   }
 }
 
--- a/packages/gateway/src/front/side-listeners.ts
+++ b/packages/gateway/src/front/side-listeners.ts
@@ -44,7 +44,7 @@
   /** Opens a listener, unless it has no address. */
   async #listen (handler: Parameters<typeof HttpServer.create>[0], address: string | undefined): Promise<void> {
     if (address === undefined) return
-    const server = HttpServer.create(handler, SIDE_REQUEST_TIMEOUT_MS)
+    const server = HttpServer.create(handler, this.options.clock, { requestTimeoutMs: SIDE_REQUEST_TIMEOUT_MS })
     this.#servers.push(server)
     await server.listen(address)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,7 +38,7 @@
 import { RunnerListSync } from './runners/runner-list-sync.js'
 import { RunnerTable } from './runners/runner-table.js'
 import { DemandMeter } from './serve/demand-meter.js'
-import { createOverlongCounter, createRequestMetrics } from './serve/metrics.js'
+import { createOverlongCounter, createRequestMetrics, createUnexpectedCloseCounter } from './serve/metrics.js'
 import { serveRequest } from './serve/serve-request.js'
 import type { ServeContext } from './serve/types.js'
 import type { GatewaySettings, Platform } from './types.js'
@@ -181,10 +181,7 @@
       takesOrders: (runner) => this.#closures.acceptsOrders(runner)
     })
     this.#context = this.#createContext()
-    this.#front = HttpServer.create(createCallerHandler(async (request, response) => {
-      this.#inFlight += 1
-      await serveRequest(this.#context, request, response).finally(() => { this.#inFlight -= 1 })
-    }))
+    this.#front = this.#createFront()
     this.#sideListeners = this.#createListeners()
     createGauges(this.#registry, {
       inFlight: () => this.#inFlight,
@@ -294,6 +291,21 @@
     })
   }
 
+  #createFront (): HttpServer {
+    const { clock, log } = this.parts
+    const unexpectedCloses = createUnexpectedCloseCounter(this.#registry)
+    const handler = createCallerHandler(async (request, response) => {
+      this.#inFlight += 1
+      await serveRequest(this.#context, request, response).finally(() => { this.#inFlight -= 1 })
+    })
+    return HttpServer.create(handler, clock, {
+      onUnexpectedClose: ({ openRequests, idleMs, statedIdleMs }) => {
+        unexpectedCloses.inc({ kind: openRequests > 0 ? 'answer unfinished' : 'sooner than stated' })
+        if (openRequests === 0) log.warn('connection of a caller closed sooner than its last answer stated', { idleMs: Math.round(idleMs), statedIdleMs, leaving: this.#leaving })
+      }
+    })
+  }
+
   #lookupAddresses (): string[] {
     const ownAddress = this.ready ? this.#settings.self.callerAddress : undefined
     return lookupHosts({ members: this.#members, self: this.#settings.self.host, ownAddress, nowMs: this.#nowMs() })
--- a/packages/gateway/src/serve/metrics.ts
+++ b/packages/gateway/src/serve/metrics.ts
@@ -30,3 +30,11 @@
 export function createOverlongCounter (registry: Registry): Counter {
   return new Counter({ name: 'figloom_gateway_overlong_answers_total', help: 'Connections to runners that were closed since the runner sent without end.', registers: [registry] })
 }
+
+export type UnexpectedCloses = Counter<'kind'>
+
+/** Counts connections of callers that this host closed although their callers could still expect an answer or send a request. */
+export function createUnexpectedCloseCounter (registry: Registry): UnexpectedCloses {
+  const help = 'Connections of callers that this host closed with an answer unfinished, or sooner than their last answer stated.'
+  return new Counter({ name: 'figloom_gateway_unexpected_closes_total', help, labelNames: ['kind'], registers: [registry] })
+}
--- a/packages/gateway/src/serve/request-end.ts
+++ b/packages/gateway/src/serve/request-end.ts
@@ -17,7 +17,7 @@
   firstByteMs: number | undefined
 }
 
-export function reportEnd ({ clock, metrics }: ServeContext, { route, arrivedMs }: AcceptedRequest, log: RequestLog, end: RequestEnd): void {
+export function reportEnd ({ clock, config, metrics }: ServeContext, { route, arrivedMs }: AcceptedRequest, log: RequestLog, end: RequestEnd): void {
   const { result, reason, attempts, runs, firstByteMs } = end
   const totalMs = clock.monotonicMs() - arrivedMs
   metrics.requests.inc({ route: route.name, result })
@@ -28,6 +28,7 @@
     result,
     reason,
     sendings: attempts,
+    configVersion: config.version,
     runs,
     totalMs: Math.round(totalMs),
     firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs - arrivedMs)
