New streams begin at a version at which a second runner could continue them

Callers saw: beside a release, streams that broke off with their runner could not be taken up (LOST): no other runner of the version that began them held their model, though several of the other version did.

Cause: while two versions serve side by side, a new stream began at the least loaded runner, also where that was the only holder of the model at its version.

Why it works: among the candidates for a new resumable stream those are preferred whose version has two holders of the model, as long as several versions may have streams. Where a model has a single copy at all, nothing changes: that is a fault of its own, of the planner.

--- a/packages/gateway/src/serve/joined-streams.test.ts
+++ b/packages/gateway/src/serve/joined-streams.test.ts
@@ -164,3 +164,14 @@
   await fixture.addRunner('runner-2', complete, { softwareVersion: 'v2' })
   checkRefused(t, await fixture.call(takeUp('again', 'twice')))
 })
+
+t.test('a new stream begins at a version at which a second runner could continue it', async (t) => {
+  const fixture = await createFixture(t)
+  const alone = await fixture.addRunner('runner-1', complete, { softwareVersion: 'v1' })
+  const pair = [await fixture.addRunner('runner-2', complete, { softwareVersion: 'v2' }), await fixture.addRunner('runner-3', complete, { softwareVersion: 'v2' })]
+  for (let count = 0; count < 8; count += 1) t.equal((await fixture.call({ id: `id-${count}` })).status, 200)
+  t.equal(alone.requests.length, 0)
+  for (const runner of pair) fixture.context.runners.remove(runner === pair[0] ? 'runner-2' : 'runner-3', 0, 0)
+  t.equal((await fixture.call({ id: 'last' })).status, 200)
+  t.equal(alone.requests.length, 1)
+})
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -136,7 +136,7 @@
     const block = this.#requestGuard.block()
     if (block !== undefined) return this.#refuseBlocked(block.featureId, block.reason)
     const set = findCandidates(this.context.runners, createNeed(this.context, this.request, this.#continuity, this.#excluded), nowMs)
-    const chosen = this.#chooseRunner(set.open, affinityKey(this.request.facts))
+    const chosen = this.#chooseRunner(this.#continuity.preferred(set.open), affinityKey(this.request.facts))
     if (chosen?.needsPermit === true) return this.#startAttemptWithPermit(chosen)
     if (chosen !== undefined) return this.#startAttempt(chosen)
     if (set.withoutAdapter.length > 0) {
@@ -160,7 +160,7 @@
   async #loadAdapter (candidates: Candidate[]): Promise<void> {
     const { model, adapter } = this.request.facts
     if (model === undefined || adapter === undefined) return
-    const chosen = this.#chooseRunner(candidates, `${model}/${adapter}`)
+    const chosen = this.#chooseRunner(this.#continuity.preferred(candidates), `${model}/${adapter}`)
     if (chosen === undefined) return
     this.#log.note('adapter asked for', { runner: chosen.id, holders: candidates.length })
     const resident = await this.context.adapters.ensure(chosen.id, model, adapter, this.#timeLeftMs() * ADAPTER_WAIT_FRACTION)
--- a/packages/gateway/src/serve/stream-continuity.ts
+++ b/packages/gateway/src/serve/stream-continuity.ts
@@ -2,9 +2,11 @@
  * Keeps one stream at the version of the runners' software that began it, over the runners and the callers' requests that continue
  * it: what two versions write doesn't fit together, and runners don't check this.
  */
+import type { Candidate } from '../choose/choose-runner.js'
 import { RouteKind } from '../config/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
 import type { RunnerEntry } from '../runners/types.js'
+import { preferContinuable } from '../streams/prefer-continuable.js'
 import { KnownBy } from '../streams/stream-origins.js'
 import { UNSTATED_VERSION } from '../streams/types.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
@@ -58,6 +60,17 @@
     return this.context.versions.mayBegin(this.request.service.name, softwareVersion)
   }
 
+  /** Of the candidates for a new stream those at versions at which it can go on elsewhere, if there are any. */
+  preferred (candidates: Candidate[]): Candidate[] {
+    const { clock, runners, versions } = this.context
+    const { service, facts: { model } } = this.request
+    if (!this.#isResumable || this.#softwareVersion !== undefined || !versions.isMixed(service.name)) return candidates
+    const nowMs = clock.monotonicMs()
+    const isHolder = (state: RunnerState) => model === undefined || service.engine === undefined || runners.holds(state, model, undefined, nowMs)
+    const holders = runners.usable(service.name).filter((state) => state.health.accepts(nowMs) && isHolder(state) && this.accepts(state.entry))
+    return preferContinuable(candidates, holders.map(({ entry }) => entry))
+  }
+
   /** Fields for the log where a sending continues a stream; none otherwise. */
   logFields (lastEventId: number | undefined): { continues?: string, beganAtVersion?: string, versionKnownBy?: KnownBy } {
     if (!this.isTakeUp && lastEventId === undefined) return {}
