--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -21,6 +21,8 @@
   beforeWrite: () => boolean
   /** The head of an answer to this request was received. */
   onHead: (facts: AnswerFacts) => void
+  /** The valid head of a stream was received. @returns why the stream must not be used, if so */
+  onStream: (facts: AnswerFacts) => string | undefined
   /** The first chunk of a stream's body was received. */
   onFirstByte: () => void
   /** Complete events of a stream were written to the caller. */
@@ -81,12 +83,7 @@
     if (facts.notRun || facts.misdirected) return this.#skipRest(Outcome.NotRun, facts.misdirected ? 'misdirected' : 'refused by the runner')
     if (facts.encoded) return this.#reject('the answer is encoded')
     if (!facts.signed) return this.#reject('the answer is not signed')
-    if (facts.isEventStream && status === 200) {
-      this.#mode = Mode.Stream
-      this.#eventsBefore = this.writer.eventCount
-      this.writer.openStream(this.#head)
-      return Flow.Continue
-    }
+    if (facts.isEventStream && status === 200) return this.#openStream(this.#head, facts)
     this.#mode = Mode.Buffered
     return Flow.Continue
   }
@@ -105,6 +102,15 @@
     this.#finish(FAILURE_OUTCOMES[stage], `${stage}: ${error.message}`)
   }
 
+  #openStream (head: AnswerHead, facts: AnswerFacts): Flow {
+    const fault = this.callbacks.onStream(facts)
+    if (fault !== undefined) return this.#reject(fault)
+    this.#mode = Mode.Stream
+    this.#eventsBefore = this.writer.eventCount
+    this.writer.openStream(head)
+    return Flow.Continue
+  }
+
   #onStreamData (chunk: Buffer): Flow {
     this.callbacks.onFirstByte()
     const eventsBefore = this.writer.eventCount
--- a/packages/gateway/src/serve/outcome.ts
+++ b/packages/gateway/src/serve/outcome.ts
@@ -51,6 +51,11 @@
   return outcome === Outcome.ConnectFailed || outcome === Outcome.Withdrawn
 }
 
+/** Fewer attempts were refused or unsent than end a request. */
+export function mayTryOthers ({ refusals, unsentAttempts }: Progress): boolean {
+  return refusals < MAX_REFUSALS && unsentAttempts < MAX_UNSENT_ATTEMPTS
+}
+
 /** How an attempt with this outcome left its runner. */
 export function departureOf (outcome: Outcome, connectionBroke: boolean): Departure {
   if (connectionBroke) return Departure.Broken
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -5,15 +5,15 @@
 import { findCandidates, type CandidateSet, type ClosedRunner } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { isRequestKey } from '../crashes/request-key.js'
-import { Departure } from '../crashes/types.js'
 import { ClosedBy } from '../gates/types.js'
 import { RouteKind } from '../config/types.js'
-import { Attempt } from '../forward/attempt.js'
+import type { AnswerFacts } from '../forward/types.js'
 import { afterNextPoll, hasDisconnected } from '../front/caller-check.js'
 import { limitFields } from '../limits/limit-fields.js'
 import type { Permit } from '../limits/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
 import { AnswerWriter } from './answer-writer.js'
+import { AttemptPair } from './attempt-pair.js'
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
 import { decideNextStep, departureOf, NextStep, Outcome, wasNotSent, type Progress } from './outcome.js'
 import { writeFailure } from './gateway-answer.js'
@@ -26,6 +26,7 @@
 import { recordAttempt, recordAnswerHead } from './record-attempt.js'
 import { createNeed, assessMove } from './request-need.js'
 import { createRefusal } from './refusal.js'
+import { RunnerAttempt } from './runner-attempt.js'
 import { retryDelayWhenMissing, retryDelayWhenFull } from './retry-delay.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
 
@@ -43,11 +44,10 @@
   readonly #requestGuard: RequestGuard
   readonly #continuity: StreamContinuity
   readonly #excluded = new Set<string>()
+  readonly #attempts = AttemptPair.create()
   readonly #progress: Progress = { possibleRuns: 0, refusals: 0, unsentAttempts: 0, answerStarted: false }
   readonly #finished: Promise<void>
   #resolveFinished: () => void = () => {}
-  #attempt: Attempt | undefined
-  #runner: RunnerState | undefined
   #deadlineTimer: Timer | undefined
   #loadPollTimer: Timer | undefined
   #loadWait: LoadWait | undefined
@@ -56,11 +56,6 @@
   #mayHaveRun = false
   #ended = false
   #attemptCount = 0
-  #attemptStartMs = 0
-  /** When the current attempt got a connection; undefined until then. */
-  #writtenMs: number | undefined
-  /** The same, on the clock that includes the time for which the host was suspended. */
-  #writtenInstantMs = 0
   #adapterAttempts = 0
   #firstByteMs: number | undefined
   #lastFailureReason = ''
@@ -87,7 +82,7 @@
   #start (incoming: IncomingMessage): void {
     const { clock, budget } = this.context
     this.response.on('close', () => this.#guard(() => this.#onCallerDisconnected()))
-    this.response.on('drain', () => this.#guard(() => this.#attempt?.resume()))
+    this.response.on('drain', () => this.#guard(() => this.#attempts.current?.resume()))
     if (incoming.socket.destroyed) return this.#onCallerDisconnected()
     this.#deadlineTimer = clock.setTimer(this.request.dueMs - clock.monotonicMs(), () => this.#guard(() => this.#onDeadline()))
     if (this.request.route.kind === RouteKind.Stream && this.request.route.resumable) this.#stallDetector = this.#createStallDetector()
@@ -188,6 +183,11 @@
   #startAttempt (candidate: Candidate, permit?: Permit): void {
     const runner = this.context.runners.get(candidate.id)
     if (runner === undefined) return this.#refuse({ open: [], fullCount: 0, closed: [], withoutAdapter: [] })
+    if (!this.#send(runner, candidate, permit)) this.#dispatch()
+  }
+
+  /** Sends the request to a runner, beside the attempt in progress if there is one; false: the runner's address is unusable. */
+  #send (runner: RunnerState, candidate: Candidate, permit?: Permit): boolean {
     const { request, context } = this
     const nowMs = context.clock.monotonicMs()
     const { id, address } = runner.entry
@@ -199,16 +199,20 @@
       weightsVersion: this.#writer.started ? this.#weightsVersion : undefined
     })
     const dispatcher = context.connections.dispatcherFor(id, address)
-    if (dispatcher.isErr()) return this.#onUnusableAddress(runner, dispatcher.error)
+    if (dispatcher.isErr()) {
+      this.#onUnusableAddress(runner, dispatcher.error)
+      return false
+    }
+    const attempt = RunnerAttempt.create({ context, request, requestGuard: this.#requestGuard, runner, permit })
     const observer = ResultObserver.create(request.id, context.codec, this.#writer, {
-      beforeWrite: () => this.#guard(() => this.#beforeWrite(runner, permit)) ?? false,
-      onHead: (facts) => this.#guard(() => recordAnswerHead(context, { requestId: request.id, runner, facts, writtenInstantMs: this.#writtenInstantMs })),
+      beforeWrite: () => this.#guard(() => attempt.beforeWrite(this.#progress.possibleRuns + this.#attempts.sentCount + 1)) ?? false,
+      onHead: (facts) => this.#guard(() => recordAnswerHead(context, { requestId: request.id, runner, facts, writtenInstantMs: attempt.writtenInstantMs })),
+      onStream: (facts) => this.#guard(() => this.#onStream(attempt, facts)),
       onFirstByte: () => this.#guard(() => this.#onFirstByte()),
       onEvents: () => this.#guard(() => this.#onEvents(runner)),
       onOverlong: (reason) => context.connections.onOverlong(id, reason),
-      onResult: (result) => this.#guard(() => this.#onResult(runner, result))
+      onResult: (result) => this.#guard(() => this.#onResult(attempt, result))
     })
-    this.#writtenMs = undefined
     if (this.#writer.lastEventId !== undefined || request.facts.lastEventId !== undefined) this.#log.mark()
     this.#log.note('sent to a runner', {
       runner: id,
@@ -222,13 +226,10 @@
       ...this.#continuity.logFields(this.#writer.lastEventId)
     })
     this.#attemptCount += 1
-    this.#attemptStartMs = nowMs
-    this.#runner = runner
-    runner.inFlight += 1
-    runner.health.onSent(request.id)
-    context.closures.onChosen(runner.entry, request.id)
+    this.#attempts.add(attempt)
     const { method, target, body } = request
-    this.#attempt = Attempt.start(dispatcher.value, { method, target, headers, body }, observer, context.clock)
+    attempt.start(dispatcher.value, { method, target, headers, body }, observer)
+    return true
   }
 
   /** The platform's list of runners has an address to which no connection can be opened. */
@@ -236,27 +237,33 @@
     this.#log.note('runner has an unusable address', { runner: entry.id, address: entry.address, reason: failure.message })
     this.context.runners.markUnreachable(entry.id, this.context.clock.monotonicMs())
     this.#excluded.add(entry.id)
-    this.#dispatch()
   }
 
-  /** Checks the runner again: it may have started to drain or been closed by its own signals while the request waited for a connection. */
-  #beforeWrite (runner: RunnerState, permit: Permit | undefined): boolean {
-    const { clock, closures, instants, limits, metrics, runners } = this.context
-    this.#writtenMs = clock.monotonicMs()
-    this.#writtenInstantMs = instants.nowMs()
-    if (!runners.mayUse(runner)) return false
-    if (!closures.mayWrite(runner.entry, this.request.id)) return false
-    if (!this.#requestGuard.mayWrite()) return false
-    if (!limits.beforeWrite(runner.entry, permit)) return false
-    if (permit !== undefined) metrics.limitedAttempts.inc()
-    this.#requestGuard.onSent(runner.entry, this.#progress.possibleRuns + 1)
-    return true
+  /** A runner begins a valid stream. @returns why the stream must not be used, if so */
+  #onStream (attempt: RunnerAttempt, facts: AnswerFacts): string | undefined {
+    if (attempt !== this.#attempts.next) {
+      this.#weightsVersion ??= facts.weightsVersion
+      return undefined
+    }
+    if (this.#weightsVersion !== undefined && facts.weightsVersion !== this.#weightsVersion) return 'the weights have another version'
+    const stalled = this.#attempts.takeOver()
+    if (stalled !== undefined) this.#recordEnd(stalled, { outcome: Outcome.Unknown, reason: 'the stream stalled' })
+    return undefined
   }
 
   #onEvents (runner: RunnerState): void {
     this.#requestGuard.onBegun(runner.entry)
     this.#continuity.onEvents(runner)
     this.#stallDetector?.onProgress()
+    this.#dropNext('the stream goes on at its runner')
+  }
+
+  /** Takes the request back from the runner to which the stream might have moved. */
+  #dropNext (reason: string): void {
+    const dropped = this.#attempts.dropNext()
+    if (dropped === undefined) return
+    if (dropped.sent) this.#countOutcome(Outcome.Unknown)
+    this.#log.note('move of the stream canceled', { runner: dropped.runner.entry.id, reason, sent: dropped.sent })
   }
 
   #onFirstByte (): void {
@@ -265,28 +272,40 @@
     this.context.metrics.firstByteSeconds.observe({ route: this.request.route.name }, (this.#firstByteMs - this.request.arrivedMs) / 1000)
   }
 
-  #onResult (runner: RunnerState, result: AttemptResult): void {
-    this.#releaseRunner(departureOf(result.outcome, result.connectionBroke === true))
+  #onResult (attempt: RunnerAttempt, result: AttemptResult): void {
+    attempt.leave(departureOf(result.outcome, result.connectionBroke === true))
     if (this.#ended) return
-    recordAttempt(this.context, { request: this.request, runner, result, startedMs: this.#attemptStartMs })
+    const wasNext = attempt === this.#attempts.next
+    if (!wasNext && result.outcome === Outcome.Answered) this.#dropNext('the stream ended at its runner')
+    this.#attempts.remove(attempt)
+    const step = this.#recordEnd(attempt, result)
+    if (wasNext) return
     if (result.facts?.misdirected !== true) this.#weightsVersion ??= result.facts?.weightsVersion
-    this.#countOutcome(result)
-    this.#excluded.add(runner.entry.id)
     this.#lastFailureReason = result.reason
+    if (this.#attempts.current !== undefined) return
+    if (step === NextStep.Finish) return this.#finish(result)
+    if (step === NextStep.Retry && this.#acquireRetry(result.outcome)) return this.#dispatch()
+    this.#finishFailed(result)
+  }
+
+  /** Counts and logs an attempt that has ended, and decides what follows if no other attempt is in progress. */
+  #recordEnd ({ runner, startedMs, writtenAfterMs }: RunnerAttempt, result: AttemptResult): NextStep {
+    recordAttempt(this.context, { request: this.request, runner, result, startedMs })
+    this.#countOutcome(result.outcome)
+    this.#excluded.add(runner.entry.id)
     const step = decideNextStep(this.request.route, result.outcome, this.#progress)
+    const remaining = this.#attempts.current?.runner.entry.id
     this.#log.note('attempt ended', {
       runner: runner.entry.id,
       outcome: result.outcome,
       reason: result.reason,
       status: result.facts?.status,
-      tookMs: Math.round(this.context.clock.monotonicMs() - this.#attemptStartMs),
-      writtenAfterMs: this.#writtenMs === undefined ? undefined : Math.round(this.#writtenMs - this.#attemptStartMs),
+      tookMs: Math.round(this.context.clock.monotonicMs() - startedMs),
+      writtenAfterMs: writtenAfterMs === undefined ? undefined : Math.round(writtenAfterMs),
       draining: runner.entry.draining,
-      next: step
+      next: remaining === undefined ? step : `stays at ${remaining}`
     })
-    if (step === NextStep.Finish) return this.#finish(result)
-    if (step === NextStep.Retry && this.#acquireRetry(result)) return this.#dispatch()
-    this.#finishFailed(result)
+    return step
   }
 
   #createStallDetector (): StallDetector {
@@ -298,28 +317,23 @@
     })
   }
 
-  /** Moves a stalled stream to another runner if one is free. Otherwise the stream stays, since its runner may still recover. */
+  /** Sends a stalled stream to another runner too, if one is free. It stays at its runner, which may still recover, until the other one begins. */
   #onStall (silentMs: number): void {
-    const runner = this.#runner
-    if (runner === undefined || this.#ended) return
-    const assessment = assessMove(this.context, this.request, this.#continuity, new Set([...this.#excluded, runner.entry.id]), this.#progress)
-    this.#log.note('stream stalled', { runner: runner.entry.id, silentMs: Math.round(silentMs), lastEventId: this.#writer.lastEventId, ...assessment })
-    if (!assessment.mayMove) return
-    this.#attempt?.cancel()
-    this.#onResult(runner, { outcome: Outcome.Unknown, reason: 'the stream stalled' })
-  }
-
-  #releaseRunner (departure: Departure = Departure.Other): void {
-    if (this.#runner === undefined) return
-    this.#requestGuard.onLeft(this.#runner.entry, departure)
-    this.context.closures.onEnded(this.#runner.entry, this.request.id)
-    this.#runner.inFlight -= 1
-    this.#runner = undefined
-  }
-
-  #countOutcome (result: AttemptResult): void {
-    if (wasNotSent(result.outcome)) this.#progress.unsentAttempts += 1
-    else if (result.outcome === Outcome.NotRun) this.#progress.refusals += 1
+    const { current, next } = this.#attempts
+    if (current === undefined || next !== undefined || this.#ended) return
+    const { candidates, ...assessment } = assessMove(this.context, this.request, this.#continuity, new Set([...this.#excluded, current.runner.entry.id]), this.#progress)
+    const { lastEventId } = this.#writer
+    this.#log.note('stream stalled', { runner: current.runner.entry.id, silentMs: Math.round(silentMs), lastEventId, ...assessment })
+    if (!assessment.mayMove || lastEventId === undefined || !this.#requestGuard.mayWrite()) return
+    const chosen = this.#chooseRunner(candidates, affinityKey(this.request.facts))
+    const runner = chosen === undefined ? undefined : this.context.runners.get(chosen.id)
+    if (chosen === undefined || runner === undefined || !this.#acquireRetry(Outcome.Unknown)) return
+    this.#send(runner, chosen)
+  }
+
+  #countOutcome (outcome: Outcome): void {
+    if (wasNotSent(outcome)) this.#progress.unsentAttempts += 1
+    else if (outcome === Outcome.NotRun) this.#progress.refusals += 1
     else {
       this.#progress.possibleRuns += 1
       this.#mayHaveRun = true
@@ -327,13 +341,13 @@
     this.#progress.answerStarted = this.#writer.started
   }
 
-  #acquireRetry (result: AttemptResult): boolean {
+  #acquireRetry (outcome: Outcome): boolean {
     const { budget, clock, host, metrics } = this.context
     if (host.isLeaving() && this.#writer.started) return false
     // The retry budget limits the load on runners, and this attempt put none on any.
-    if (wasNotSent(result.outcome)) return true
+    if (wasNotSent(outcome)) return true
     const granted = budget.take(this.request.service.name, host.hostCount(), clock.monotonicMs())
-    if (granted) metrics.retries.inc({ reason: result.outcome })
+    if (granted) metrics.retries.inc({ reason: outcome })
     else this.#log.note('repeat refused by the budget', { service: this.request.service.name, hosts: host.hostCount() })
     return granted
   }
@@ -383,11 +397,12 @@
     this.#giveUp(this.#failure(code, message, retryAfterMs))
   }
 
-  /** A request that is at a runner is taken back before the runner begins it. */
+  /** A request that is at a runner is taken back before the runner begins it. A stream that has begun goes on where it is. */
   #onBlocked (featureId: string): void {
-    if (this.#ended || this.#writer.started) return
-    if (this.#attempt?.sent === true && this.#runner !== undefined) this.#mayHaveRun = true
-    this.#cancelAttempt()
+    if (this.#ended) return
+    if (this.#writer.started) return this.#dropNext('blocked while the stream was moving')
+    if (this.#attempts.sentCount > 0) this.#mayHaveRun = true
+    this.#attempts.cancelAll()
     this.#refuseBlocked(featureId, 'blocked while the request was in progress')
   }
 
@@ -417,8 +432,8 @@
   /** The route's timeout or the caller's deadline has passed. */
   #onDeadline (): void {
     if (this.#ended) return
-    const sent = this.#attempt?.sent === true && this.#runner !== undefined
-    this.#cancelAttempt()
+    const sent = this.#attempts.sentCount > 0
+    this.#attempts.cancelAll()
     if (this.#writer.started) return this.#abortAnswer('the timeout was reached during the stream')
     const ran = sent || this.#mayHaveRun
     if (ran) return this.#giveUp(this.#failure(ResultCode.BackendTimeout, 'no answer within the time of the request'))
@@ -427,18 +442,10 @@
 
   #onCallerDisconnected (): void {
     if (this.#ended) return
-    this.#cancelAttempt()
+    this.#attempts.cancelAll()
     this.#end('caller_gone', 'the caller closed its connection')
   }
 
-  #cancelAttempt (): void {
-    const attempt = this.#attempt
-    this.#attempt = undefined
-    this.#runner?.health.onNeutral(this.request.id)
-    this.#releaseRunner()
-    attempt?.cancel()
-  }
-
   /** Runs a callback of a timer or connection. An unexpected error fails this request, not the process. */
   #guard<Value> (step: () => Value): Value | undefined {
     try {
@@ -452,7 +459,7 @@
   #onUnexpected (error: Error): void {
     this.context.log.error('request failed with an unexpected error', { requestId: this.request.id, reason: error.message, stack: error.stack })
     if (this.#ended) return
-    this.#cancelAttempt()
+    this.#attempts.cancelAll()
     if (this.#writer.started) this.#abortAnswer(error.message)
     else this.#giveUp(this.#failure(ResultCode.Internal, error.message))
   }
