--- a/packages/gateway/src/serve/stream-moves.test.ts
+++ b/packages/gateway/src/serve/stream-moves.test.ts
@@ -269,3 +269,22 @@
   t.same(idsOf(text), WHOLE)
   t.equal(scene.secondCount, 1)
 })
+
+t.test('a stream whose silent runner leaves the list is whole when the runner goes on', async (t) => {
+  const scene = await Scene.create(t, pause, refuse)
+  setTimeout(() => scene.fixture.context.connections.retain(new Set()), 500)
+  const { text } = await scene.call()
+  t.same(idsOf(text), WHOLE)
+})
+
+t.test('an answer that is no stream is whole although its runner was silent within it', async (t) => {
+  const fixture = await GatewayFixture.create([createRoute({ pathPrefix: '/plain/' })])
+  t.teardown(() => fixture.close())
+  const runner = await fixture.addRunner('runner-1', ({ requestId, socket }) => {
+    socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: first\r\nContent-Length: 4\r\n\r\nab`)
+    setTimeout(() => socket.write('cd'), 2_500)
+  })
+  const { body } = await fixture.call({ path: '/plain/1' })
+  t.equal(body, 'abcd')
+  t.equal(runner.requests.length, 1)
+})
