A silent stream tries a third runner at once when the second one refuses

Callers of a stream whose runner was dead saw a longer silence than before when the next runner refused: the move was tried again at the next stall only, over a second later, near the time at which callers leave.

Evidence: serve/stream-moves, the last case, failed before (2.47 s, over one stall), passes now. Why it works: a move that its runner didn't run is followed by the next assessment, within the same bounds of refusals, attempts and budget.

--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -279,7 +279,7 @@
     if (!wasNext && result.outcome === Outcome.Answered) this.#dropNext('the stream ended at its runner')
     this.#attempts.remove(attempt)
     const step = this.#recordEnd(attempt, result)
-    if (wasNext) return
+    if (wasNext) return this.#onMoveFailed(result.outcome)
     if (result.facts?.misdirected !== true) this.#weightsVersion ??= result.facts?.weightsVersion
     this.#lastFailureReason = result.reason
     if (this.#attempts.current !== undefined) return
@@ -331,6 +331,11 @@
     this.#send(runner, chosen)
   }
 
+  /** Tries another runner at once where the last one didn't run the request: the stream is still silent. */
+  #onMoveFailed (outcome: Outcome): void {
+    if (wasNotSent(outcome) || outcome === Outcome.NotRun) this.#onStall(this.#stallDetector?.silentMs ?? 0)
+  }
+
   #countOutcome (outcome: Outcome): void {
     if (wasNotSent(outcome)) this.#progress.unsentAttempts += 1
     else if (outcome === Outcome.NotRun) this.#progress.refusals += 1
--- a/packages/gateway/src/serve/stall-detector.ts
+++ b/packages/gateway/src/serve/stall-detector.ts
@@ -38,6 +38,11 @@
     this.#timer ??= this.#scheduleCheck(this.#stallMs)
   }
 
+  /** Time since the last complete event; 0 before the first. */
+  get silentMs (): number {
+    return this.#progressMs === undefined ? 0 : this.options.clock.monotonicMs() - this.#progressMs
+  }
+
   stop (): void {
     this.#timer?.cancel()
     this.#timer = undefined
@@ -50,7 +55,7 @@
   #check (): void {
     const nowMs = this.options.clock.monotonicMs()
     if (this.options.callerIsSlow()) this.#progressMs = nowMs
-    const silentMs = nowMs - (this.#progressMs ?? nowMs)
+    const { silentMs } = this
     this.#timer = this.#scheduleCheck(Math.max(1, silentMs >= this.#stallMs ? this.#stallMs : this.#stallMs - silentMs))
     if (silentMs >= this.#stallMs) this.options.onStall(silentMs)
   }
--- a/packages/gateway/src/serve/stream-moves.test.ts
+++ b/packages/gateway/src/serve/stream-moves.test.ts
@@ -288,3 +288,15 @@
   t.equal(body, 'abcd')
   t.equal(runner.requests.length, 1)
 })
+
+t.test('a stream whose runner is dead goes on at the third runner soon after the second one refuses', async (t) => {
+  const scene = await Scene.create(t, begin, (exchange) => { setTimeout(() => refuse(exchange), 100) })
+  const calledMs = performance.now()
+  const call = scene.call('/thrice/1')
+  while (scene.secondCount === 0) await sleep(5)
+  const third = await scene.fixture.addRunner('runner-3', takeOver)
+  const answer = await call
+  t.same(idsOf(answer.text), WHOLE)
+  t.equal(third.requests.length, 1)
+  t.ok(performance.now() - calledMs < 2_200, 'within one stall')
+})
