An odd entry of a runner no longer stops the reports between hosts

What operators saw: one entry with slots of 1e12 or a model's version of 1.5, 1e19 or 1e300 was listed; encoding a report that contained it threw, so hosts that report to relays got no list of runners any more.

Cause: the decoder accepted numbers that the report's fields (uint32, int64) can't hold, and texts of any length.

An entry that fails lists no runner and is forwarded as such, with a log line; the others hold. Since nothing else gets into the list, encoding can't fail because of one of its records.

--- a/packages/gateway/src/runners/runner-list-sync.ts
+++ b/packages/gateway/src/runners/runner-list-sync.ts
@@ -6,6 +6,7 @@
 import { RunnerList } from './runner-list.js'
 import type { RunnerTable } from './runner-table.js'
 import type { RunnerEntry, RunnerListUpdate, RunnerRecord } from './types.js'
+import { isUsableEntry } from './usable-entry.js'
 
 /** The list is fresh for this share of the time in which a host has to know that a runner drains; the rest is for a read. */
 const FRESH_SHARE = 0.6
@@ -27,6 +28,8 @@
 export class RunnerListSync {
   readonly #list = RunnerList.create()
   readonly #grace: OutageGrace
+  /** Entries that were found usable: the same object comes again with each heartbeat of its runner. */
+  readonly #usable = new WeakSet<RunnerEntry>()
 
   private constructor (private readonly parts: RunnerListSyncParts) {
     this.#grace = OutageGrace.create({ freshMs: this.freshMs, contactMs: parts.contactMs })
@@ -61,7 +64,7 @@
     const nowMs = this.parts.instants.nowMs()
     const previousAsOfMs = this.#list.asOfMs
     const previousPosition = this.#list.position
-    const changed = this.#list.apply(update, nowMs)
+    const changed = this.#list.apply({ ...update, records: update.records.map((record) => this.#toUsable(record, from)) }, nowMs)
     this.#grace.onUpdate(previousAsOfMs, this.#list.asOfMs)
     if (previousPosition !== undefined && eraOf(this.#list.position ?? 0) > eraOf(previousPosition)) this.#grace.onNewEra(nowMs)
     const listAgeMs = Number.isFinite(update.ageMs) ? Math.round(update.ageMs ?? 0) : undefined
@@ -83,6 +86,18 @@
     for (const id of this.parts.table.sweep(this.parts.clock.monotonicMs())) this.parts.log.info('runner is gone', { runner: id })
   }
 
+  /** A record whose entry is unusable lists no runner, and the record is forwarded as such. */
+  #toUsable (record: RunnerRecord, from: string): RunnerRecord {
+    const { id, position, entry } = record
+    if (entry === undefined || this.#usable.has(entry)) return record
+    if (isUsableEntry(entry)) {
+      this.#usable.add(entry)
+      return record
+    }
+    this.parts.log.warn('entry of a runner is unusable', { runner: id, from, position })
+    return { id, position, entry: undefined }
+  }
+
   #applyChange ({ id, entry }: RunnerRecord, source: UpdateSource): void {
     if (entry !== undefined) return this.#onEntry(entry, source)
     const graceMs = this.#grace.remainingMs(this.parts.instants.nowMs())
