The text of an error no longer gets into the middle of a stream

What callers saw: a stream had begun and broke off, and the next runner answered 4xx, 201, 204 or a 200 that is no event stream: the answer was broken off with an unexpected error in the log, and no other runner was tried. An error as an event without an id was passed on as a part of the stream, which then ended as if it were complete.

Cause: every signed answer below 500 counted as the final answer, also behind the beginning of a stream; only the throw of a second head kept its body back. Events without an id were taken to follow any event.

Now a rule decides at the head: once a part of a stream was sent, only a signed 200 event stream continues it, and its first event has to bear the next id. Everything else is a failed attempt; another runner is tried within attempts and budget, otherwise the answer is broken off visibly.

--- a/packages/gateway/src/serve/answer-writer.ts
+++ b/packages/gateway/src/serve/answer-writer.ts
@@ -35,6 +35,8 @@
   #started = false
   #eventCount = 0
   #lastEventId: number | undefined
+  /** The next event is the first of a part that continues the stream. */
+  #atJoin = false
 
   private constructor (
     private readonly response: ServerResponse,
@@ -74,6 +76,7 @@
   openStream (head: AnswerHead): void {
     this.#head ??= head
     this.#splitter.reset()
+    this.#atJoin = this.#started
   }
 
   /**
@@ -84,6 +87,7 @@
     let flows = true
     for (const event of this.#splitter.push(chunk)) {
       if (!this.#isNextEvent(event.id)) return StreamFault.Gap
+      this.#atJoin = false
       if (event.id !== undefined) this.#lastEventId = event.id
       this.#start()
       this.#eventCount += 1
@@ -113,8 +117,9 @@
     setImmediate(() => socket.destroySoon())
   }
 
-  /** Event ids must be consecutive. */
+  /** Event ids must be consecutive. Only an id shows that a part continues the stream, and isn't the text of an error. */
   #isNextEvent (id: number | undefined): boolean {
+    if (this.#atJoin && (id === undefined || this.#lastEventId === undefined)) return false
     return id === undefined || this.#lastEventId === undefined || id === this.#lastEventId + 1
   }
 
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -81,7 +81,10 @@
     if (facts.notRun || facts.misdirected) return this.#skipRest(Outcome.NotRun, facts.misdirected ? 'misdirected' : 'refused by the runner')
     if (facts.encoded) return this.#reject('the answer is encoded')
     if (!facts.signed) return this.#reject('the answer is not signed')
-    if (facts.isEventStream && status === 200) {
+    const isStream = facts.isEventStream && status === 200
+    // The caller is in the middle of a stream: the text of any other answer would become a part of it.
+    if (this.writer.started && !isStream) return this.#skipRest(Outcome.RunnerFailed, `status ${status} does not continue the stream`)
+    if (isStream) {
       this.#mode = Mode.Stream
       this.#eventsBefore = this.writer.eventCount
       this.writer.openStream(this.#head)
--- a/packages/gateway/src/serve/outcome.ts
+++ b/packages/gateway/src/serve/outcome.ts
@@ -13,7 +13,7 @@
   NotRun: 'not-run',
   /** The request may have run; no complete answer was received. */
   Unknown: 'unknown',
-  /** The runner answered with a server error. */
+  /** The runner answered with a server error, or with anything but a stream when the caller has received a part of one. */
   RunnerFailed: 'runner-failed'
 } as const
 export type Outcome = (typeof Outcome)[keyof typeof Outcome]
