A refusal that a runner writes once more no longer answers the next request under its id

What callers saw: a request was refused at a runner; it came again under the same id on the same kept connection; the runner wrote the earlier refusal once more and ran the request. The caller was told 503, not run.

Cause: an answer is assigned by its id alone, which is the same for both.

Now each connection remembers the last 64 ids that were refused on it. A request with one of them is sent on a new connection; all others keep theirs, so refusals under load cost no new connections.

--- a/packages/gateway/src/forward/attempt.ts
+++ b/packages/gateway/src/forward/attempt.ts
@@ -1,10 +1,12 @@
 /** One attempt to send a request to a runner and receive its answer. */
 import type { Clock, Timer } from '@figloom/runtime'
 import type { Dispatcher } from 'undici'
+import type { IdentifiedRequest } from './bounded-client.js'
 import type { RawHeaders } from './types.js'
 
 /** The request as it is written to the runner. */
 export type AttemptRequest = {
+  id: string
   method: string
   /** Path and query, unchanged. */
   target: string
@@ -69,7 +71,9 @@
   /** Sends the request and reports what follows to the observer. */
   static start (dispatcher: Dispatcher, request: AttemptRequest, observer: AttemptObserver, clock: Clock): Attempt {
     const attempt = new Attempt(observer, clock)
-    const options = {
+    const options: IdentifiedRequest = {
+      requestId: request.id,
+      wasRefused: () => attempt.#skipTimer !== undefined,
       method: request.method as Dispatcher.HttpMethod,
       path: request.target,
       headers: request.headers,
--- a/packages/gateway/src/forward/bounded-client.ts
+++ b/packages/gateway/src/forward/bounded-client.ts
@@ -11,15 +11,26 @@
  * what a socket buffers while its reader is paused.
  */
 const MAX_BYTES_WITHOUT_PROGRESS = 262_144
+/** Refused ids that are remembered for each connection; a caller that was refused comes back within seconds. */
+const MAX_REFUSED_IDS = 64
 /** Lower status codes belong to interim answers. */
 const FIRST_FINAL_STATUS = 200
 
 export type BoundedClientOptions = Client.Options & { connect: buildConnector.connector }
 
+/** A request with what its connection has to know about it. */
+export type IdentifiedRequest = Dispatcher.DispatchOptions & {
+  requestId?: string
+  /** Whether the head of its answer was a refusal. */
+  wasRefused?: () => boolean
+}
+
 export class BoundedClient extends Client {
   #socket: Socket | undefined
   /** Bytes received on the socket when the answer last made progress. */
   #progressBytes = 0
+  /** Ids of requests that were refused on the connection. */
+  readonly #refusedIds = new Set<string>()
 
   private constructor (origin: URL, options: BoundedClientOptions, private readonly onOverlong: (reason: string) => void) {
     super(origin, { ...options, connect: (target, callback) => this.#connect(options.connect, target, callback) })
@@ -29,8 +40,20 @@
     return new BoundedClient(origin, options, onOverlong)
   }
 
-  override dispatch (options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-    return super.dispatch(options, this.#trackProgress(handler))
+  override dispatch (options: IdentifiedRequest, handler: Dispatcher.DispatchHandler): boolean {
+    this.#leaveIfRefusedHere(options)
+    return super.dispatch(options, this.#trackProgress(options, handler))
+  }
+
+  /** A runner may write a refusal once more, where the next answer is due: for the same id it would pass for that answer. */
+  #leaveIfRefusedHere ({ requestId }: IdentifiedRequest): void {
+    if (requestId !== undefined && this.#refusedIds.has(requestId)) this.#socket?.destroy()
+  }
+
+  #onRefused (requestId: string): void {
+    this.#refusedIds.add(requestId)
+    const [oldest] = this.#refusedIds
+    if (oldest !== undefined && this.#refusedIds.size > MAX_REFUSED_IDS) this.#refusedIds.delete(oldest)
   }
 
   #connect (connect: buildConnector.connector, target: buildConnector.Options, callback: buildConnector.Callback): void {
@@ -44,6 +67,7 @@
   #limitUnexpectedBytes (socket: Socket): void {
     this.#socket = socket
     this.#progressBytes = 0
+    this.#refusedIds.clear()
     socket.prependListener('readable', () => {
       if (socket.bytesRead - this.#progressBytes <= MAX_BYTES_WITHOUT_PROGRESS || socket.destroyed) return
       this.onOverlong('bytes that are not part of an answer')
@@ -55,12 +79,14 @@
     this.#progressBytes = this.#socket?.bytesRead ?? 0
   }
 
-  #trackProgress (handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+  #trackProgress ({ requestId, wasRefused }: IdentifiedRequest, handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
     return {
       onConnect: (abort) => handler.onConnect?.(abort),
       onHeaders: (status, headers, resume, reason) => {
         if (status >= FIRST_FINAL_STATUS) this.#onProgress()
-        return handler.onHeaders?.(status, headers, resume, reason) ?? true
+        const goesOn = handler.onHeaders?.(status, headers, resume, reason) ?? true
+        if (requestId !== undefined && wasRefused?.() === true) this.#onRefused(requestId)
+        return goesOn
       },
       onData: (chunk) => {
         this.#onProgress()
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -227,8 +227,8 @@
     runner.inFlight += 1
     runner.health.onSent(request.id)
     context.closures.onChosen(runner.entry, request.id)
-    const { method, target, body } = request
-    this.#attempt = Attempt.start(dispatcher.value, { method, target, headers, body }, observer, context.clock)
+    const { id: requestId, method, target, body } = request
+    this.#attempt = Attempt.start(dispatcher.value, { id: requestId, method, target, headers, body }, observer, context.clock)
   }
 
   /** The platform's list of runners has an address to which no connection can be opened. */
