--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -83,7 +83,10 @@
     if (facts.notRun || facts.misdirected) return this.#skipRest(Outcome.NotRun, facts.misdirected ? 'misdirected' : 'refused by the runner')
     if (facts.encoded) return this.#reject('the answer is encoded')
     if (!facts.signed) return this.#reject('the answer is not signed')
-    if (facts.isEventStream && status === 200) return this.#openStream(this.#head, facts)
+    const isStream = facts.isEventStream && status === 200
+    // The caller is in the middle of a stream: the text of any other answer would become a part of it.
+    if (this.writer.started && !isStream) return this.#skipRest(Outcome.RunnerFailed, `status ${status} does not continue the stream`)
+    if (isStream) return this.#openStream(this.#head, facts)
     this.#mode = Mode.Buffered
     return Flow.Continue
   }
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -227,8 +227,8 @@
     })
     this.#attemptCount += 1
     this.#attempts.add(attempt)
-    const { method, target, body } = request
-    attempt.start(dispatcher.value, { method, target, headers, body }, observer)
+    const { id: requestId, method, target, body } = request
+    attempt.start(dispatcher.value, { id: requestId, method, target, headers, body }, observer)
     return true
   }
 
