Ends of runners: another host confirms them

A host that lost its own links to runners by reset and refusal reported the ends of these runners, and all hosts believed it: they refused streams at sound runners and counted evidence against sound prompts. The cause: connections that break together and a refused new one are what this host sees of its path as much as of the runner.

One that is refused confirms the end only if other runners accept its connections at that moment; one that is accepted refutes it. Hosts whose links broke as well can't tell, so nothing is reported.

Operators see one log line and a counter for each refuted or unconfirmed end, and what confirmed the others.

The interface of ListenerProbe tells refusal from silence; the detector's tests keep their checks with a witness that confirms.

--- a/packages/gateway/src/config/config-fetcher.test.ts
+++ b/packages/gateway/src/config/config-fetcher.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap'
 import { ManualClock, silentLogger } from '@figloom/runtime'
+import type { RunnerCheck } from '../crashes/types.js'
 import type { PermitReply } from '../limits/types.js'
 import { PeerClient, type AdapterReply, type HostReport } from '../members/types.js'
 import { ConfigFetcher } from './config-fetcher.js'
@@ -23,6 +24,10 @@
     throw new Error('not used')
   }
 
+  override async checkRunner (): Promise<RunnerCheck> {
+    throw new Error('not used')
+  }
+
   override async readConfig (peerAddress: string): Promise<Uint8Array> {
     this.requestedFrom.push(peerAddress)
     if (this.answer === undefined) throw new Error('no answer')
--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -16,7 +16,7 @@
 import type { BlockDecision } from './likely-causes.js'
 import { RefusalMeter, type LargeBlock } from './refusal-meter.js'
 import { isRequestKey } from './request-key.js'
-import { Departure, type CrashLog, type CrashUpdate, type EndRecord, type FeatureBlock, type ListenerProbe, type ProcessEnd, type SentRequest } from './types.js'
+import { Departure, EndVerdict, type CrashLog, type CrashUpdate, type EndRecord, type FeatureBlock, type ListenerProbe, type ProcessEnd, type RunnerWitness, type SentRequest, type WitnessReport } from './types.js'
 
 /** Other hosts' records of an end arrive within this time; a decision without them might block the wrong part. */
 const DECISION_DELAY_MS = 60
@@ -33,6 +33,10 @@
   log: Logger
   metrics: CrashMetrics
   probe: ListenerProbe
+  /** Confirms that a runner ended, and that not only this host's links to it broke. */
+  witness: RunnerWitness
+  /** The path from this host to a runner is broken, as another host reaches the runner. */
+  onPathBroken: (runner: LocatedRunner) => void
   crashLog: CrashLog
   /** Name of this host. */
   host: string
@@ -74,7 +78,7 @@
     const { clock, instants, log, crashLog, host, random, readsThroughPeers, hasLivePeers } = parts
     this.#evidence = CrashEvidence.create(parts.startedMs)
     this.#facts = CrashFacts.create(parts.incarnation)
-    this.#ends = EndDetector.create({ ...parts, onEnd: (end) => this.#onProcessEnd(end) })
+    this.#ends = EndDetector.create({ ...parts, onEnd: (end) => this.#onProcessEnd(end), onUnconfirmed: (runner, report) => this.#onUnconfirmedEnd(runner, report) })
     this.#store = CrashStore.create({
       clock,
       startedMs: parts.startedMs,
@@ -227,6 +231,18 @@
     this.#sendSoon()
   }
 
+  #onUnconfirmedEnd (runner: LocatedRunner, { verdict, basis }: WitnessReport): void {
+    const { log, metrics, onPathBroken } = this.parts
+    const fields = { runner: runner.id, address: runner.address, basis }
+    metrics.unconfirmedEnds.inc({ verdict })
+    if (verdict !== EndVerdict.Alive) {
+      log.warn('end of a runner is not confirmed', fields)
+      return
+    }
+    log.warn('runner has not ended: another host reaches it', fields)
+    onPathBroken(runner)
+  }
+
   #addEnds (ends: EndRecord[]): void {
     const added = ends.filter((end) => this.#evidence.addEnd(end))
     if (added.length === 0) return
@@ -353,7 +369,7 @@
     this.parts.log.warn('block refuses a large share of the requests', { ...feature, ...fields })
   }
 
-  #logEnd ({ runner, endedMs, requests }: ProcessEnd): void {
+  #logEnd ({ runner, endedMs, requests, confirmedBy }: ProcessEnd): void {
     const { log, metrics } = this.parts
     const waiting = requests.filter(({ begun }) => !begun)
     metrics.ends.inc()
@@ -364,6 +380,7 @@
       address: runner.address,
       startedUnixMs: runner.startedUnixMs,
       endedAgoMs: Math.round(this.#nowMs() - endedMs),
+      confirmedBy,
       begun: requests.length - waiting.length,
       notBegun: waiting.length,
       requests: waiting.slice(0, MAX_LOGGED_REQUESTS).map(describe).join('; ')
--- a/packages/gateway/src/crashes/end-detector.test.ts
+++ b/packages/gateway/src/crashes/end-detector.test.ts
@@ -3,7 +3,7 @@
 import t from 'tap'
 import { InstantSource } from '../lease/instant.js'
 import { EndDetector } from './end-detector.js'
-import { Departure, ListenerProbe, type ProcessEnd, type SentRequest } from './types.js'
+import { Departure, EndVerdict, ListenerProbe, ProbeResult, RunnerWitness, type ProcessEnd, type SentRequest, type WitnessReport } from './types.js'
 
 const RUNNER = { id: 'runner', address: '10.0.0.1:80', startedUnixMs: 5 }
 
@@ -14,9 +14,17 @@
     super()
   }
 
-  override async isRefused (): Promise<boolean> {
+  override async probe (): Promise<ProbeResult> {
     this.probes += 1
-    return this.refused
+    return this.refused ? ProbeResult.Refused : ProbeResult.Accepted
+  }
+}
+
+class FixedWitness extends RunnerWitness {
+  verdict: EndVerdict = EndVerdict.Ended
+
+  override async confirmEnd (): Promise<WitnessReport> {
+    return { verdict: this.verdict, basis: 'a test' }
   }
 }
 
@@ -24,13 +32,23 @@
   const clock = ManualClock.create()
   const ends: ProcessEnd[] = []
   const probe = new FixedProbe(refused)
-  const detector = EndDetector.create({ clock, instants: InstantSource.create(clock), log: silentLogger, probe, onEnd: (end) => ends.push(end) })
+  const witness = new FixedWitness()
+  const unconfirmed: EndVerdict[] = []
+  const detector = EndDetector.create({
+    clock,
+    instants: InstantSource.create(clock),
+    log: silentLogger,
+    probe,
+    witness,
+    onEnd: (end) => ends.push(end),
+    onUnconfirmed: (_runner, { verdict }) => unconfirmed.push(verdict)
+  })
   const send = (requestId: string): SentRequest => {
     const request = { requestId, featureIds: [requestId], attempt: 1, begun: false }
     detector.onSent(RUNNER, request)
     return request
   }
-  return { clock, ends, probe, detector, send }
+  return { clock, ends, probe, witness, unconfirmed, detector, send }
 }
 
 t.test('an end is reported once, with all requests that were at the process', async (t) => {
@@ -78,3 +96,20 @@
   await clock.advance(50)
   t.same(ends[0]?.requests.map(({ requestId }) => requestId), ['second'])
 })
+
+t.test('refused connections are no end as long as nobody confirms it, and a later end is reported', async (t) => {
+  const { clock, detector, ends, witness, unconfirmed, send } = createDetector()
+  for (const verdict of [EndVerdict.Alive, EndVerdict.Unconfirmed]) {
+    witness.verdict = verdict
+    send(verdict)
+    detector.onLeft(RUNNER, verdict, Departure.Broken)
+    await clock.advance(50)
+  }
+  t.same(ends, [])
+  t.same(unconfirmed, [EndVerdict.Alive, EndVerdict.Unconfirmed])
+  witness.verdict = EndVerdict.Ended
+  send('last')
+  detector.onLeft(RUNNER, 'last', Departure.Broken)
+  await clock.advance(50)
+  t.same(ends.map(({ requests }) => requests.map(({ requestId }) => requestId)), [['last']])
+})
--- a/packages/gateway/src/crashes/end-detector.ts
+++ b/packages/gateway/src/crashes/end-detector.ts
@@ -1,23 +1,29 @@
 /**
  * Detects that a runner's process ended while requests of this host were at it. When a process ends, all its connections break
- * and new ones are refused; a single broken connection, or a runner that can't be reached, is no end.
+ * and new ones are refused; a single broken connection, or a runner that can't be reached, is no end. Neither is a refusal that only
+ * this host meets: its own links may be broken, so a witness has to confirm the end.
  */
 import type { Clock, Logger } from '@figloom/runtime'
 import type { LocatedRunner } from '../gates/types.js'
 import type { InstantSource } from '../lease/instant.js'
-import { Departure, type ListenerProbe, type ProcessEnd, type SentRequest } from './types.js'
+import { Departure, EndVerdict, ProbeResult, type ListenerProbe, type ProcessEnd, type RunnerWitness, type SentRequest, type WitnessReport } from './types.js'
 
 /** The connections of a process that ended break within this time of each other. */
 const COLLECT_MS = 20
 /** An end is reported once: further connections that break within this time belong to the same process. */
 const SAME_END_MS = 1_000
+/** A live host refuses a connection to a closed port in one round trip. */
+const PROBE_TIMEOUT_MS = 700
 
 export type EndDetectorParts = {
   clock: Clock
   instants: InstantSource
   log: Logger
   probe: ListenerProbe
+  witness: RunnerWitness
   onEnd: (end: ProcessEnd) => void
+  /** A runner refuses this host's connections and has not ended, as far as is known. */
+  onUnconfirmed: (runner: LocatedRunner, report: WitnessReport) => void
 }
 
 type ProcessRequests = {
@@ -67,21 +73,28 @@
     process.broken.push(request)
     if (process.brokenSinceMs !== undefined) return
     process.brokenSinceMs = this.parts.instants.nowMs()
-    this.#confirm(process).catch((error: Error) => this.parts.log.error('end of a runner could not be confirmed', { runner: process.runner.id, reason: error.message }))
+    this.#confirm(process).catch((error: Error) => {
+      this.#reset(process)
+      this.parts.log.error('end of a runner could not be confirmed', { runner: process.runner.id, reason: error.message })
+    })
   }
 
   async #confirm (process: ProcessRequests): Promise<void> {
-    const { clock, probe } = this.parts
+    const { clock, probe, witness, onUnconfirmed } = this.parts
+    const { runner } = process
     await clock.sleep(COLLECT_MS)
-    if (await probe.isRefused(process.runner.address)) this.#report(process)
     // Requests whose connections break later than this belong to another event.
-    else this.#reset(process)
+    if (await probe.probe(runner.address, PROBE_TIMEOUT_MS) !== ProbeResult.Refused) return this.#reset(process)
+    const report = await witness.confirmEnd(runner)
+    if (report.verdict === EndVerdict.Ended) return this.#report(process, report.basis)
+    this.#reset(process)
+    onUnconfirmed(runner, report)
   }
 
-  #report (process: ProcessRequests): void {
+  #report (process: ProcessRequests, confirmedBy: string): void {
     const { runner, broken, open, brokenSinceMs } = process
     const endedMs = brokenSinceMs ?? this.parts.instants.nowMs()
-    this.parts.onEnd({ runner, endedMs, requests: [...broken, ...open.values()] })
+    this.parts.onEnd({ runner, endedMs, requests: [...broken, ...open.values()], confirmedBy })
     this.parts.clock.setTimer(SAME_END_MS, () => this.#reset(process))
   }
 
--- a/packages/gateway/src/crashes/tcp-probe.ts
+++ b/packages/gateway/src/crashes/tcp-probe.ts
@@ -1,9 +1,7 @@
 /** Probes a runner's address with a TCP connection that carries no request. */
 import { connect } from 'node:net'
-import { ListenerProbe } from './types.js'
+import { ListenerProbe, ProbeResult } from './types.js'
 
-/** A live host refuses a connection to a closed port in one round trip. */
-const PROBE_TIMEOUT_MS = 700
 const REFUSED = 'ECONNREFUSED'
 
 export class TcpProbe extends ListenerProbe {
@@ -11,17 +9,17 @@
     return new TcpProbe()
   }
 
-  override isRefused (address: string): Promise<boolean> {
+  override probe (address: string, timeoutMs: number): Promise<ProbeResult> {
     const [host, port] = address.split(':')
     return new Promise((resolve) => {
-      const socket = connect({ host, port: Number(port), timeout: PROBE_TIMEOUT_MS })
-      const settle = (refused: boolean) => {
+      const socket = connect({ host, port: Number(port), timeout: timeoutMs })
+      const settle = (result: ProbeResult) => {
         socket.destroy()
-        resolve(refused)
+        resolve(result)
       }
-      socket.on('connect', () => settle(false))
-      socket.on('timeout', () => settle(false))
-      socket.on('error', (error: NodeJS.ErrnoException) => settle(error.code === REFUSED))
+      socket.on('connect', () => settle(ProbeResult.Accepted))
+      socket.on('timeout', () => settle(ProbeResult.Silent))
+      socket.on('error', (error: NodeJS.ErrnoException) => settle(error.code === REFUSED ? ProbeResult.Refused : ProbeResult.Silent))
     })
   }
 }
--- a/packages/gateway/src/crashes/testing/monitor-fleet.ts
+++ b/packages/gateway/src/crashes/testing/monitor-fleet.ts
@@ -1,17 +1,39 @@
 /** Crash monitors of several hosts on a manual clock, with one platform. */
 import { ManualClock, Registry, silentLogger } from '@figloom/runtime'
+import type { HostSummary } from '../../members/types.js'
+import type { LocatedRunner } from '../../gates/types.js'
 import { InstantSource } from '../../lease/instant.js'
 import { CrashRecords, MemoryCrashLog } from '../../testing/memory-crash-log.js'
+import { addressOf } from '../../testing/host-network.js'
+import { createEntry } from '../../testing/gateway-fixture.js'
 import { createCrashMetrics } from '../crash-metrics.js'
 import { CrashMonitor } from '../crash-monitor.js'
-import { Departure, ListenerProbe } from '../types.js'
+import { PeerWitness } from '../peer-witness.js'
+import { RunnerChecks } from '../runner-checks.js'
+import { Departure, ListenerProbe, ProbeResult, type RunnerCheck } from '../types.js'
 
 const PROMPT = ['shared', 'deadly']
 const LONG_AGO_MS = -600_000
+/** Runners that never end, besides those that `crash` and `end` name. */
+const LASTING_RUNNERS = ['10.0.3.1:80', '10.0.3.2:80']
 
-class RefusedProbe extends ListenerProbe {
-  override async isRefused (): Promise<boolean> {
-    return true
+/** Runners whose processes ended, and hosts that lost their links to all runners: what either is asked for is refused. */
+class Links {
+  readonly ended = new Set<string>()
+  readonly cutHosts = new Set<number>()
+
+  isRefused (host: number, address: string): boolean {
+    return this.ended.has(address) || this.cutHosts.has(host)
+  }
+}
+
+class LinkProbe extends ListenerProbe {
+  constructor (private readonly links: Links, private readonly host: number) {
+    super()
+  }
+
+  override async probe (address: string): Promise<ProbeResult> {
+    return this.links.isRefused(this.host, address) ? ProbeResult.Refused : ProbeResult.Accepted
   }
 }
 
@@ -22,6 +44,11 @@
   readonly urgent: number[] = []
   /** Whether hosts know of live peers. */
   livePeers = true
+  readonly links = new Links()
+  /** Runners that were found to be out of reach of one host, by host. */
+  readonly brokenPaths: { host: number, runner: string }[] = []
+  readonly #checks: RunnerChecks[] = []
+  readonly #addresses = new Set(LASTING_RUNNERS)
   #requests = 0
 
   /** Adds a host that has been up for long. @param mayTry whether this host may run trials */
@@ -36,13 +63,28 @@
   }
 
   #start (index: number, mayTry: boolean, startedMs: number): CrashMonitor {
-    const { clock, records, monitors, urgent } = this
+    const { clock, records, monitors, urgent, links } = this
+    const probe = new LinkProbe(links, index)
+    const listed = () => [...this.#addresses].map((address) => createEntry({ address }))
+    const checks = RunnerChecks.create({ probe, listed, hasEnded: (runner) => monitor.hasEnded(runner), random: () => 0.5 })
+    this.#checks[index] = checks
+    const witness = PeerWitness.create({
+      clock,
+      calls: { checkRunner: (peerAddress, address) => this.#check(peerAddress, address) },
+      checks,
+      availabilityZone: 'z',
+      hosts: () => this.livePeers ? this.#hostsExcept(index) : [],
+      isCutOff: () => false,
+      random: () => 0.5
+    })
     const monitor = CrashMonitor.create({
       clock,
       instants: InstantSource.create(clock),
       log: silentLogger,
       metrics: createCrashMetrics(new Registry()),
-      probe: new RefusedProbe(),
+      probe,
+      witness,
+      onPathBroken: ({ id }) => this.brokenPaths.push({ host: index, runner: id }),
       crashLog: MemoryCrashLog.create(records),
       host: `host-${index}`,
       incarnation: `host-${index}/${clock.monotonicMs()}`,
@@ -58,14 +100,44 @@
     return monitor
   }
 
-  /** A request of this host ends the process of a runner. */
+  #hostsExcept (index: number): HostSummary[] {
+    const others = [...this.monitors.keys()].filter((other) => other !== index)
+    return others.map((other) => ({ address: addressOf(`${other}`), incarnation: '', ready: true, leaving: false, relay: true, holdsLease: false, hearsay: false }))
+  }
+
+  async #check (peerAddress: string, address: string): Promise<RunnerCheck> {
+    const checks = this.#checks[Number(peerAddress.split(':')[0])]
+    if (checks === undefined) throw new Error('host is unreachable')
+    return await checks.check(address)
+  }
+
+  /** A request of this host ends the process of a new runner. */
   async crash (monitor: CrashMonitor, partIds: string[] = PROMPT, key?: string, begun = false): Promise<void> {
+    const number = this.#requests + 1
+    const runner = { id: `runner-${number}`, address: `10.0.0.${number}:80`, startedUnixMs: 1 }
+    this.end(monitor, runner, [...partIds, key ?? `request-${number}`], begun)
+    await this.clock.advance(400)
+    this.#addresses.delete(runner.address)
+  }
+
+  /** The process of a runner ends with a request of this host. */
+  end (monitor: CrashMonitor, runner: LocatedRunner, featureIds = PROMPT, begun = false): void {
+    this.links.ended.add(runner.address)
+    this.#break(monitor, runner, featureIds, begun)
+  }
+
+  /** A host loses its links to all runners: its connections are reset and new ones are refused. Its requests were at these runners. */
+  async loseLinks (monitor: CrashMonitor, runners: readonly LocatedRunner[], partIds: string[] = PROMPT): Promise<void> {
+    this.links.cutHosts.add(this.monitors.indexOf(monitor))
+    for (const runner of runners) this.#break(monitor, runner, [...partIds, `request-${this.#requests + 1}`])
+    await this.clock.advance(400)
+  }
+
+  #break (monitor: CrashMonitor, runner: LocatedRunner, featureIds: string[], begun = false): void {
     this.#requests += 1
-    const featureIds = [...partIds, key ?? `request-${this.#requests}`]
-    const runner = { id: `runner-${this.#requests}`, address: `10.0.0.${this.#requests}:80`, startedUnixMs: 1 }
+    this.#addresses.add(runner.address)
     monitor.onSent(runner, { requestId: `r${this.#requests}`, featureIds, attempt: 1, begun })
     monitor.onLeft(runner, `r${this.#requests}`, Departure.Broken)
-    await this.clock.advance(400)
   }
 
   /** A request of this host is answered. */
--- a/packages/gateway/src/crashes/types.ts
+++ b/packages/gateway/src/crashes/types.ts
@@ -23,12 +23,45 @@
   endedMs: number
   /** Requests of this host that were at the process. */
   requests: readonly SentRequest[]
+  /** What confirmed it, for logs. */
+  confirmedBy: string
 }
 
-/** Finds out whether a process still listens on an address. */
+/** What became of a connection without a request. */
+export const ProbeResult = {
+  Accepted: 'accepted',
+  /** The address answered that nothing listens there. */
+  Refused: 'refused',
+  /** Nothing answered in time, or there is no way to the address. */
+  Silent: 'silent'
+} as const
+export type ProbeResult = (typeof ProbeResult)[keyof typeof ProbeResult]
+
+/** Finds out whether a process listens on an address, as seen from this host. */
 export abstract class ListenerProbe {
-  /** Resolves true if the address refuses connections, false if it accepts one or doesn't answer. */
-  abstract isRefused (address: string): Promise<boolean>
+  abstract probe (address: string, timeoutMs: number): Promise<ProbeResult>
+}
+
+/** What a host says about a runner's address. `Refused` and `Silent` only if it reaches other runners, so that its own links work. */
+export const RunnerCheck = { ...ProbeResult, /** The host can't tell. */ Unknown: 'unknown' } as const
+export type RunnerCheck = (typeof RunnerCheck)[keyof typeof RunnerCheck]
+
+/** Whether a runner that refuses this host's connections has ended. */
+export const EndVerdict = {
+  Ended: 'ended',
+  /** Another host reaches it: only the path from this host is broken. */
+  Alive: 'alive',
+  Unconfirmed: 'unconfirmed'
+} as const
+export type EndVerdict = (typeof EndVerdict)[keyof typeof EndVerdict]
+
+/** A verdict, and what it is based on, for logs. */
+export type WitnessReport = { verdict: EndVerdict, basis: string }
+
+/** Tells a runner that ended from a broken path: what one host sees of a runner may be a fact about that host's links. */
+export abstract class RunnerWitness {
+  /** @param runner a runner that broke this host's connections and refuses new ones */
+  abstract confirmEnd (runner: LocatedRunner): Promise<WitnessReport>
 }
 
 /** How a request left its runner. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,10 @@
 import { CrashMonitor } from './crashes/crash-monitor.js'
 import { StreamOrigins } from './streams/stream-origins.js'
 import { VersionHistory } from './streams/version-history.js'
+import { PeerWitness } from './crashes/peer-witness.js'
+import { RunnerChecks } from './crashes/runner-checks.js'
 import { TcpProbe } from './crashes/tcp-probe.js'
+import type { ListenerProbe } from './crashes/types.js'
 import { ConfigFetcher } from './config/config-fetcher.js'
 import { ConfigState } from './config/config-state.js'
 import type { GatewayConfig } from './config/types.js'
@@ -66,6 +69,8 @@
   clock: Clock
   log: Logger
   random: () => number
+  /** Checks whether a runner accepts connections; by TCP unless given. */
+  probe?: ListenerProbe
 }
 
 export class Gateway {
@@ -77,6 +82,7 @@
   readonly #runnerList: RunnerListSync
   readonly #limits: LimitControl
   readonly #closures: RunnerGates
+  readonly #runnerChecks: RunnerChecks
   readonly #crashes: CrashMonitor
   readonly #versions: VersionHistory
   readonly #origins: StreamOrigins
@@ -142,7 +148,9 @@
       limits: this.#limits,
       leaving: this.#leavingRunners
     })
-    this.#crashes = this.#createCrashMonitor()
+    const probe = parts.probe ?? TcpProbe.create()
+    this.#runnerChecks = RunnerChecks.create({ probe, listed: () => this.#runners.all().map(({ entry }) => entry), hasEnded: (runner) => this.#crashes.hasEnded(runner), random: parts.random })
+    this.#crashes = this.#createCrashMonitor(probe)
     const { streamLog } = parts.platform
     this.#versions = VersionHistory.create({ clock, log, runners: this.#runners, streamLog })
     this.#origins = StreamOrigins.create({ clock, log, history: this.#versions, streamLog, hostCount: () => this.#members.live(this.#nowMs()).length + 1 })
@@ -289,7 +297,8 @@
         onReport: (report) => this.#exchanger.onIncoming(report),
         onAdapterRequest: (request) => this.#orderDispatcher.ensureAdapter(request),
         onPermitRequest: (request) => this.#limits.onPermitRequest(request),
-        onConfigRequest: () => this.#config.encoded
+        onConfigRequest: () => this.#config.encoded,
+        onCheckRequest: (address) => this.#runnerChecks.check(address)
       }
     })
   }
@@ -317,14 +326,16 @@
     })
   }
 
-  #createCrashMonitor (): CrashMonitor {
+  #createCrashMonitor (probe: ListenerProbe): CrashMonitor {
     const { settings, clock, log, platform, random } = this.parts
     return CrashMonitor.create({
       clock,
       instants: this.#instants,
       log,
       metrics: createCrashMetrics(this.#registry),
-      probe: TcpProbe.create(),
+      probe,
+      witness: this.#createWitness(),
+      onPathBroken: () => {},
       crashLog: platform.crashLog,
       host: settings.self.host,
       incarnation: this.#incarnation,
@@ -339,6 +350,19 @@
     })
   }
 
+  #createWitness (): PeerWitness {
+    const { settings, clock, random } = this.parts
+    return PeerWitness.create({
+      clock,
+      calls: this.#peerCalls,
+      checks: this.#runnerChecks,
+      availabilityZone: settings.self.availabilityZone,
+      hosts: () => this.#members.live(this.#nowMs()).map(({ summary }) => summary),
+      isCutOff: () => false,
+      random
+    })
+  }
+
   /** Relays read the platform's records for the hosts that report to them. */
   #readsThroughPeers (): boolean {
     return !this.#exchanger.relay && this.#runnerList.ageMs() < this.#runnerList.freshMs
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -3,7 +3,9 @@
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { GatewayService } from '@figloom/protocol'
 import { Agent } from 'node:http'
+import type { RunnerCheck } from '../crashes/types.js'
 import type { PermitReply, PermitRequest } from '../limits/types.js'
+import { toCheck, toCheckMessage } from './check-messages.js'
 import { toPermitMessage, toPermitReply, toPermitReplyMessage, toPermitRequest } from './limit-messages.js'
 import { fromMessage, toMessage } from './report-messages.js'
 import { PeerClient, type AdapterReply, type AdapterRequest, type HostReport } from './types.js'
@@ -23,6 +25,8 @@
   abstract onPermitRequest (request: PermitRequest): PermitReply
   /** Returns the configuration in force at this host, in the platform's encoding; empty if there is none. */
   abstract onConfigRequest (): Uint8Array
+  /** Checks whether this host reaches a runner's address. */
+  abstract onCheckRequest (runnerAddress: string): Promise<RunnerCheck>
 }
 
 export function registerPeerService (router: ConnectRouter, handler: PeerHandler): void {
@@ -30,7 +34,8 @@
     exchange: (message) => toMessage(handler.onReport(fromMessage(message))),
     ensureAdapter: (message) => handler.onAdapterRequest(message),
     takePermits: (message) => toPermitReplyMessage(handler.onPermitRequest(toPermitRequest(message))),
-    readConfig: () => ({ encoded: handler.onConfigRequest() })
+    readConfig: () => ({ encoded: handler.onConfigRequest() }),
+    checkRunner: async ({ address }) => ({ check: toCheckMessage(await handler.onCheckRequest(address)) })
   })
 }
 
@@ -61,6 +66,11 @@
     return encoded
   }
 
+  override async checkRunner (peerAddress: string, runnerAddress: string, timeoutMs: number): Promise<RunnerCheck> {
+    const { check } = await this.#client(peerAddress).checkRunner({ address: runnerAddress }, { timeoutMs })
+    return toCheck(check)
+  }
+
   #client (peerAddress: string): Client<typeof GatewayService> {
     const known = this.#clients.get(peerAddress)
     if (known !== undefined) return known
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -1,6 +1,6 @@
 /** Data that hosts of the gateway exchange about each other, directly or through relays. Times are monotonic milliseconds. */
 
-import type { CrashUpdate } from '../crashes/types.js'
+import type { CrashUpdate, RunnerCheck } from '../crashes/types.js'
 import type { Position } from '../eras/position.js'
 import type { LeavingReport } from '../gates/types.js'
 import type { LimitReport, PermitReply, PermitRequest } from '../limits/types.js'
@@ -103,6 +103,8 @@
   abstract takePermits (peerAddress: string, request: PermitRequest, timeoutMs: number): Promise<PermitReply>
   /** Returns the configuration in force at a host, in the platform's encoding; empty if the host has none. */
   abstract readConfig (peerAddress: string): Promise<Uint8Array>
+  /** Asks a host whether it reaches a runner's address. */
+  abstract checkRunner (peerAddress: string, runnerAddress: string, timeoutMs: number): Promise<RunnerCheck>
 }
 
 /** Request to load an adapter on a runner, sent to the lease holder, which alone may order it. */
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -7,6 +7,8 @@
 import { RunnerGates } from '../gates/runner-gates.js'
 import { createCrashMetrics } from '../crashes/crash-metrics.js'
 import { CrashMonitor } from '../crashes/crash-monitor.js'
+import { PeerWitness } from '../crashes/peer-witness.js'
+import { RunnerChecks } from '../crashes/runner-checks.js'
 import { TcpProbe } from '../crashes/tcp-probe.js'
 import { ConfigState } from '../config/config-state.js'
 import { RouteKind, type Route, type Service } from '../config/types.js'
@@ -91,18 +93,23 @@
 }
 
 /** Crash monitor of a host that knows no other hosts. */
-function createCrashMonitor (clock: Clock, instants: InstantSource): CrashMonitor {
+function createCrashMonitor (clock: Clock, instants: InstantSource, runners: RunnerTable): CrashMonitor {
+  const probe = TcpProbe.create()
+  const random = () => 0.5
+  const checks = RunnerChecks.create({ probe, listed: () => runners.all().map(({ entry }) => entry), hasEnded: () => false, random })
   return CrashMonitor.create({
     clock,
     instants,
     log: silentLogger,
     metrics: createCrashMetrics(new Registry()),
-    probe: TcpProbe.create(),
+    probe,
+    witness: PeerWitness.create({ clock, calls: ConnectPeerClient.create(), checks, availabilityZone: 'zone-1', hosts: () => [], isCutOff: () => false, random }),
+    onPathBroken: () => {},
     crashLog: MemoryCrashLog.create(),
     host: 'host',
     incarnation: 'host-1',
     startedMs: instants.nowMs(),
-    random: () => 0.5,
+    random,
     mayTry: () => false,
     readsThroughPeers: () => false,
     hasLivePeers: () => false,
@@ -151,7 +158,7 @@
       runners,
       limits,
       closures: RunnerGates.create({ clock, instants, log: silentLogger, metrics: createGateMetrics(new Registry()), host: 'host', limits, leaving }),
-      crashes: createCrashMonitor(clock, instants),
+      crashes: createCrashMonitor(clock, instants, runners),
       versions: history,
       origins: StreamOrigins.create({ clock, log: silentLogger, history, streamLog, hostCount: () => 1 }),
       connections: RunnerConnections.create((runnerId, reason) => overlong.push(`${runnerId}: ${reason}`)),
--- a/packages/gateway/src/testing/host-network.ts
+++ b/packages/gateway/src/testing/host-network.ts
@@ -1,5 +1,6 @@
 /** A simulated network of many hosts on a manual clock, without sockets. */
 import { silentLogger, ManualClock, type Clock } from '@figloom/runtime'
+import { RunnerCheck } from '../crashes/types.js'
 import { InstantSource } from '../lease/instant.js'
 import { LimitControl } from '../limits/limit-control.js'
 import type { PermitReply, PermitRequest } from '../limits/types.js'
@@ -87,6 +88,10 @@
     return new Uint8Array()
   }
 
+  override async checkRunner (): Promise<RunnerCheck> {
+    return RunnerCheck.Unknown
+  }
+
   override async ensureAdapter (): Promise<AdapterReply> {
     return { accepted: false, readyInMs: 0 }
   }
