--- a/packages/gateway/src/crashes/testing/crashing-fleet.ts
+++ b/packages/gateway/src/crashes/testing/crashing-fleet.ts
@@ -2,18 +2,37 @@
 import { Agent, request } from 'undici'
 import { startHost, createConfig, type TestHost } from '../../testing/gateway-host.js'
 import { CrashRecords } from '../../testing/memory-crash-log.js'
+import { TcpProbe } from '../tcp-probe.js'
+import { ListenerProbe, ProbeResult } from '../types.js'
 import { CrashingRunner, type IsDeadly } from './crashing-runner.js'
 
+/** Probes by TCP until the host's links to runners are lost. */
+class LinkProbe extends ListenerProbe {
+  lost = false
+  readonly #tcp = TcpProbe.create()
+
+  override async probe (address: string, timeoutMs: number): Promise<ProbeResult> {
+    return this.lost ? ProbeResult.Refused : await this.#tcp.probe(address, timeoutMs)
+  }
+}
+
 export type CrashingFleetOptions = { hosts: number, runners: number, isDeadly: IsDeadly }
 
 /** A call's status, and whether its answer was whole. */
 export type CallResult = { status: number, whole: boolean }
 
+const POLL_MS = 20
+
+const sleep = (durationMs: number) => new Promise((resolve) => setTimeout(resolve, durationMs))
+
 export class CrashingFleet {
   readonly hosts: TestHost[] = []
   readonly runners: CrashingRunner[] = []
   readonly records = CrashRecords.create()
   readonly #agent = new Agent()
+  readonly #probes: LinkProbe[] = []
+  /** Ids of the requests to each host. */
+  readonly #requestIds: Set<string>[] = []
   #position = 1
   #calls = 0
 
@@ -23,7 +42,10 @@
     const fleet = new CrashingFleet()
     const seeds: string[] = []
     for (let index = 0; index < hosts; index += 1) {
-      const host = await startHost([...seeds], fleet.records)
+      const probe = new LinkProbe()
+      const host = await startHost([...seeds], fleet.records, probe)
+      fleet.#probes.push(probe)
+      fleet.#requestIds.push(new Set())
       seeds.push(host.peerAddress)
       fleet.hosts.push(host)
     }
@@ -48,14 +70,44 @@
     return this.#send('POST', target ?? `/stream/${number}`, { 'prompt-parts': [...parts, `own-${number}`].join(',') }, 'id: 1\n')
   }
 
+  /** Sends a resumable stream request with these prompt parts to a certain host. */
+  callAt (index: number, parts: string[]): Promise<CallResult> {
+    const number = this.#calls + 1
+    return this.#send('POST', `/resumable/${number}`, { 'prompt-parts': [...parts, `own-${number}`].join(',') }, 'id: 1\n', index)
+  }
+
+  /** A host loses its links to all runners: its requests are reset, and what it probes refuses it. */
+  loseLinks (index: number): void {
+    const probe = this.#probes[index] as LinkProbe
+    probe.lost = true
+    for (const runner of this.runners) runner.reset(this.#requestIds[index] as Set<string>)
+  }
+
+  /** Resolves when each host knows all others. */
+  async meet (): Promise<void> {
+    for (const index of this.hosts.keys()) {
+      while (await this.countOf(index, 'figloom_gateway_live_hosts') < this.hosts.length - 1) await sleep(POLL_MS)
+    }
+  }
+
+  /** Sum over a metric's series at a host. */
+  async countOf (index: number, metric: string): Promise<number> {
+    const { peerAddress } = this.hosts[index] as TestHost
+    const text = await (await fetch(`http://${peerAddress}/metrics`)).text()
+    const lines = text.split('\n').filter((line) => line.startsWith(metric) && !line.startsWith('#'))
+    return lines.reduce((sum, line) => sum + Number(line.split(' ').at(-1)), 0)
+  }
+
   /** Sends a request without a prompt or body to one of the hosts in turn. */
   read (target: string): Promise<CallResult> {
     return this.#send('GET', target, {}, 'ok')
   }
 
-  async #send (method: 'GET' | 'POST', target: string, headers: Record<string, string>, end: string): Promise<CallResult> {
+  async #send (method: 'GET' | 'POST', target: string, headers: Record<string, string>, end: string, toHost?: number): Promise<CallResult> {
     this.#calls += 1
-    const host = this.hosts[this.#calls % this.hosts.length] as TestHost
+    const index = toHost ?? this.#calls % this.hosts.length
+    const host = this.hosts[index] as TestHost
+    this.#requestIds[index]?.add(`call-${this.#calls}`)
     const options = { method, headers: { host: 'test', 'request-id': `call-${this.#calls}`, ...headers }, dispatcher: this.#agent }
     try {
       const { statusCode, body } = await request(`http://${host.callerAddress}${target}`, options)
--- a/packages/gateway/src/crashes/testing/crashing-runner.ts
+++ b/packages/gateway/src/crashes/testing/crashing-runner.ts
@@ -14,6 +14,8 @@
 
 export class CrashingRunner {
   readonly #sockets = new Set<Socket>()
+  /** The last request of each connection. */
+  readonly #requestIds = new Map<Socket, string>()
   #server: Server
   #port = 0
   #starts = 1
@@ -47,6 +49,11 @@
     setTimeout(() => this.#restart(), RESTART_MS)
   }
 
+  /** Resets the connections on which these requests arrived, as a lost link does. */
+  reset (requestIds: ReadonlySet<string>): void {
+    for (const [socket, requestId] of this.#requestIds) if (requestIds.has(requestId)) socket.resetAndDestroy()
+  }
+
   /** Ends the runner for good. */
   close (): void {
     this.#closed = true
@@ -68,7 +75,10 @@
   #createServer (): Server {
     return createServer((socket) => {
       this.#sockets.add(socket)
-      socket.on('close', () => this.#sockets.delete(socket))
+      socket.on('close', () => {
+        this.#sockets.delete(socket)
+        this.#requestIds.delete(socket)
+      })
       socket.on('error', () => {})
       socket.on('data', (chunk) => this.#onRequest(socket, chunk.toString('latin1')))
     })
@@ -76,6 +86,7 @@
 
   #onRequest (socket: Socket, text: string): void {
     const requestId = /request-id: (\S+)/i.exec(text)?.[1] ?? ''
+    this.#requestIds.set(socket, requestId)
     const promptParts = /prompt-parts: (\S+)/i.exec(text)?.[1]?.split(',') ?? []
     const target = /^\S+ (\S+)/.exec(text)?.[1] ?? ''
     const isDeadly = this.isDeadly({ promptParts, target })
--- a/packages/gateway/src/testing/gateway-host.ts
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -1,5 +1,6 @@
 /** Complete gateway hosts over loopback, on a platform whose configuration and runner list the test sets. */
 import { silentLogger, SystemClock } from '@figloom/runtime'
+import type { ListenerProbe } from '../crashes/types.js'
 import { RouteKind, type GatewayConfig } from '../config/types.js'
 import { EraTracker } from '../eras/era-tracker.js'
 import { Gateway } from '../gateway.js'
@@ -52,8 +53,11 @@
 
 export type TestHost = { gateway: Gateway, watch: FixedWatch, callerAddress: string, lookupAddress: string, readinessAddress: string, peerAddress: string }
 
-/** Starts a host without a configuration or runners; the test must stop it. */
-export async function startHost (seedPeerAddresses: string[] = [], records = CrashRecords.create()): Promise<TestHost> {
+/**
+ * Starts a host without a configuration or runners; the test must stop it.
+ * @param probe checks whether runners accept this host's connections; by TCP unless given
+ */
+export async function startHost (seedPeerAddresses: string[] = [], records = CrashRecords.create(), probe?: ListenerProbe): Promise<TestHost> {
   const [callers, lookup, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()])
   const clock = SystemClock.create()
   const watch = new FixedWatch()
@@ -61,6 +65,7 @@
     clock,
     log: silentLogger,
     random: Math.random,
+    probe,
     settings: {
       self: { host: `host-${callers}`, availabilityZone: 'z', callerAddress: callers, peerAddress: peers, capacityCores: 1 },
       callerListener: callers,
@@ -96,6 +101,7 @@
     version,
     routes: [
       createRoute({ pathPrefix: '/stream/', kind: RouteKind.Stream, timeoutMs: 20_000 }),
+      createRoute({ pathPrefix: '/resumable/', kind: RouteKind.Stream, timeoutMs: 20_000, resumable: true }),
       createRoute({ pathPrefix: '/plain/', kind: RouteKind.Idempotent, timeoutMs: 5_000 })
     ],
     services: new Map([['plain', { name: 'plain', maxConnections: 200 }]]),
