Orders: a holder that lost its links to most runners orders no copies on the rest

While the lease's holder couldn't connect to most runners of a service, it planned with the rest alone: the others' copies counted as missing, so it loaded their models on the reachable runners and evicted what served there. The cause: the guard that asks for half of the runners counted them after those were left out that this host found unreachable, a fact about its own links.

Now half of all usable runners is asked for. Those whose processes are known to have ended don't count, so a power failure of most runners doesn't stop the orders.

Test: 'a host that lost its links to most runners orders no second copies on the rest of them' failed before (an order on the reachable runner).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -186,6 +186,7 @@
       onOrder: () => this.#lease.onOrder(),
       demand: () => this.#allDemand(),
       limitPerS: (runner) => this.#limits.limitOf(runner)?.requestsPerS,
+      hasEnded: (runner) => this.#crashes.hasEnded(runner),
       takesOrders: (runner) => this.#closures.acceptsOrders(runner)
     })
     this.#context = this.#createContext()
--- a/packages/gateway/src/orders/order-dispatcher.test.ts
+++ b/packages/gateway/src/orders/order-dispatcher.test.ts
@@ -26,6 +26,8 @@
   demand: DemandRate[] = []
   token: number | undefined = 1
   takesOrders = true
+  /** Runners whose processes are known to have ended. */
+  ended: ReadonlySet<string> = new Set()
 
   private constructor (held: string[][], nextOutcome: () => DeliveryOutcome) {
     this.runners = held.map((models, index) => FakeRunner.create(`r${index}`, engine, this.clock, models))
@@ -47,7 +49,8 @@
       onOrder: () => {},
       demand: () => this.demand,
       limitPerS: () => undefined,
-      takesOrders: () => this.takesOrders
+      takesOrders: () => this.takesOrders,
+      hasEnded: ({ id }) => this.ended.has(id)
     })
     this.#updateList()
     this.dispatcher.start()
@@ -149,3 +152,35 @@
   t.ok(ends <= 9)
   t.ok(fixture.isResident('a'))
 })
+
+/** The host's own requests find most runners unreachable, again and again. */
+async function runWithoutLinks (fixture: DispatcherFixture, runners: readonly FakeRunner[]): Promise<void> {
+  for (let round = 0; round < 20; round += 1) {
+    for (const { id } of runners) fixture.table.markUnreachable(id, fixture.clock.monotonicMs())
+    await fixture.clock.advance(500)
+  }
+}
+
+/** Four runners with a model each, all in demand, and their orders so far. */
+async function createDemanded () {
+  const fixture = DispatcherFixture.create([['a'], ['b'], ['c'], ['d']])
+  await fixture.clock.advance(20_000)
+  for (const model of ['a', 'b', 'c', 'd']) fixture.addDemand(model, 4)
+  const orderCounts = () => fixture.runners.map(({ orders }) => orders.length)
+  return { fixture, orderCounts, before: orderCounts() }
+}
+
+t.test('a host that lost its links to most runners orders no second copies on the rest of them', async (t) => {
+  const { fixture, orderCounts, before } = await createDemanded()
+  await runWithoutLinks(fixture, fixture.runners.slice(0, 3))
+  t.same(orderCounts(), before)
+  fixture.dispatcher.stop()
+})
+
+t.test('where most runners have ended, the rest gets orders', async (t) => {
+  const { fixture, orderCounts, before } = await createDemanded()
+  fixture.ended = new Set(['r0', 'r1', 'r2'])
+  await runWithoutLinks(fixture, fixture.runners.slice(0, 3))
+  t.ok((orderCounts()[3] ?? 0) > (before[3] ?? 0))
+  fixture.dispatcher.stop()
+})
--- a/packages/gateway/src/orders/order-dispatcher.ts
+++ b/packages/gateway/src/orders/order-dispatcher.ts
@@ -45,6 +45,8 @@
   limitPerS: (runner: RunnerProcess) => number | undefined
   /** Whether report reads and orders may be sent to a runner now; false while its own signals ask for a pause or say that it leaves. */
   takesOrders: (runner: LocatedRunner) => boolean
+  /** Whether a runner's listed process is known to have ended. */
+  hasEnded: (runner: LocatedRunner) => boolean
 }
 
 /** Orders to one runner, and what is known of the runner. */
@@ -174,10 +176,12 @@
 
   #planService (name: string, service: Service, engine: EngineSpec): void {
     const startMs = this.parts.clock.monotonicMs()
-    const states = this.parts.runners.usable(name).filter(({ unreachableUntilMs }) => unreachableUntilMs <= startMs)
+    const running = this.parts.runners.usable(name).filter(({ entry }) => !this.parts.hasEnded(entry))
+    const states = running.filter(({ unreachableUntilMs }) => unreachableUntilMs <= startMs)
     for (const state of states) this.#refresh(state, engine)
     const known = states.filter((state) => this.#queueOf(state).inventory.acceptedOrders !== undefined)
-    if (known.length < states.length / 2) return
+    // Where this host reaches few of the runners, its own links are broken, and the others' copies still serve.
+    if (known.length < running.length / 2) return
     const nowMs = this.parts.clock.monotonicMs()
     const rates = this.parts.demand().filter(({ service }) => service === name)
     this.#preloadAdapters(known, engine, rates)
