--- a/packages/gateway/src/crashes/lost-links.test.ts
+++ b/packages/gateway/src/crashes/lost-links.test.ts
@@ -30,3 +30,25 @@
     t.ok(monitor.hasEnded(runner))
   }
 })
+
+t.test('hosts that lost their links together confirm nothing to each other, whether or not a third one reaches the runners', async (t) => {
+  for (const sound of [0, 1]) {
+    const fleet = new MonitorFleet()
+    const [first, second] = [fleet.add(), fleet.add()]
+    if (sound > 0) fleet.add()
+    fleet.links.cutHosts.add(0).add(1)
+    for (const monitor of [first, second]) await fleet.loseLinks(monitor, RUNNERS)
+    t.same(RUNNERS.filter((runner) => first.hasEnded(runner) || second.hasEnded(runner)), [])
+    t.equal(fleet.brokenPaths.length, sound * 2 * RUNNERS.length)
+  }
+})
+
+t.test('a real end is confirmed while a third host has lost its links', async (t) => {
+  const fleet = new MonitorFleet()
+  const [a] = [fleet.add(), fleet.add(), fleet.add()] as const
+  fleet.links.cutHosts.add(2)
+  const [runner] = RUNNERS as [typeof RUNNERS[number]]
+  fleet.end(a, runner)
+  await fleet.clock.advance(60)
+  t.ok(a.hasEnded(runner))
+})
