Hosts report that they are cut off from runners, and lookups leave them out

Callers were still sent to hosts that reach no runner. The state goes into host summaries at once on change; an answer is never empty for it, and readiness is unchanged, since the host still serves.

--- a/packages/gateway/src/gateway.test.ts
+++ b/packages/gateway/src/gateway.test.ts
@@ -79,7 +79,7 @@
 /** Ids of the runners that a host receives in the answer to its report. */
 async function receivedRunners ({ peerAddress }: Host): Promise<string[]> {
   const address = { host: 'reporting', availabilityZone: 'z', callerAddress: '127.0.0.1:1', peerAddress: '127.0.0.1:2', capacityCores: 1 }
-  const sender = { address, incarnation: 'i', ready: true, leaving: false, relay: false, holdsLease: false, hearsay: false }
+  const sender = { address, incarnation: 'i', ready: true, leaving: false, relay: false, holdsLease: false, hearsay: false, cutOff: false }
   const lease = { heldBySender: false, fencingToken: 0 }
   const report = { sender, number: 1, configVersion: 0, runnerUses: new Map(), demand: [], expectedLoads: [], lease, sentAt: new Date(), speaksForAll: false, limitReports: [], leavingReports: [], storeEra: 0 }
   const answer = await ConnectPeerClient.create().exchange(peerAddress, report, 1_000)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,6 +34,11 @@
 import { KnownLoads } from './orders/known-loads.js'
 import { AdapterRequests } from './orders/adapter-requests.js'
 import { OrderDispatcher } from './orders/order-dispatcher.js'
+import { ConnectWitness } from './paths/connect-witness.js'
+import { PassingHosts } from './paths/passing-hosts.js'
+import { createPathMetrics } from './paths/path-metrics.js'
+import { PathMonitor } from './paths/path-monitor.js'
+import { TcpConnectProbe } from './paths/tcp-connect-probe.js'
 import { SharedBudget } from './retry/shared-budget.js'
 import { RunnerListSync } from './runners/runner-list-sync.js'
 import { RunnerTable } from './runners/runner-table.js'
@@ -81,6 +86,7 @@
   readonly #versions: VersionHistory
   readonly #origins: StreamOrigins
   readonly #connections: RunnerConnections
+  readonly #paths: PathMonitor
   readonly #demand = DemandMeter.create()
   readonly #loopLag: LoopLag
   readonly #peerCalls = ConnectPeerClient.create()
@@ -151,6 +157,7 @@
       overlong.inc()
       log.warn('runner sends without end; its connection is closed', { runner, reason })
     })
+    this.#paths = this.#createPathMonitor()
     this.#hostObservation = HostObservation.create(clock, this.#members, this.#contactTiming)
     this.#usage = UsageAggregator.create(this.#contactTiming.relayReportTtlMs)
     this.#reportWriter = ReportWriter.create({
@@ -193,6 +200,8 @@
       liveHosts: () => this.#members.live(this.#nowMs()).length,
       relay: () => this.#exchanger.relay,
       holdsLease: () => this.#lease.holds,
+      cutOff: () => this.#paths.isCutOff,
+      brokenPaths: () => this.#paths.brokenCount,
       runnerLimits: () => this.#limits.inForce(),
       blockedParts: () => this.#crashes.blockedParts,
       blockedRequests: () => this.#crashes.blockedRequests,
@@ -227,6 +236,7 @@
     this.#lease.start()
     this.#orderDispatcher.start()
     this.#crashes.start()
+    this.#paths.start()
     this.#origins.start()
     this.#sweep()
     log.info('gateway started', { callerListener: settings.callerListener, peerListener: settings.peerListener, incarnation: this.#incarnation })
@@ -296,7 +306,7 @@
 
   #lookupAddresses (): string[] {
     const ownAddress = this.ready ? this.#settings.self.callerAddress : undefined
-    return lookupHosts({ members: this.#members, self: this.#settings.self.host, ownAddress, nowMs: this.#nowMs() })
+    return lookupHosts({ members: this.#members, self: this.#settings.self.host, ownAddress, isCutOff: this.#paths.isCutOff, nowMs: this.#nowMs() })
   }
 
   #createExchanger (): Exchanger {
@@ -339,6 +349,25 @@
     })
   }
 
+  #createPathMonitor (): PathMonitor {
+    const { settings, clock, log, random } = this.parts
+    const hosts = PassingHosts.create({ clock, self: settings.self, liveHosts: () => this.#members.live(this.#nowMs()).map(({ summary }) => summary), random })
+    return PathMonitor.create({
+      clock,
+      log,
+      metrics: createPathMetrics(this.#registry),
+      probe: TcpConnectProbe.create(),
+      witness: ConnectWitness.create(),
+      hosts,
+      placeOf: ({ id }) => this.#runners.get(id)?.entry,
+      random,
+      onCutOffChanged: () => {
+        this.#exchanger.reportToRelays().catch((error: Error) => log.error('paths to runners were not reported at once', { reason: error.message }))
+      },
+      onBroken: ({ id }) => this.#connections.drop(id)
+    })
+  }
+
   /** Relays read the platform's records for the hosts that report to them. */
   #readsThroughPeers (): boolean {
     return !this.#exchanger.relay && this.#runnerList.ageMs() < this.#runnerList.freshMs
@@ -448,6 +477,7 @@
       ready: this.ready,
       leaving: this.#leaving,
       relay: this.#exchanger.relay,
+      cutOff: this.#paths.isCutOff,
       configVersion: this.#config.version,
       configReadAgoMs: this.parts.platform.watch.configReadAgoMs(),
       runnerUses: new Map(usedRunners.map(({ entry, inFlight }) => [entry.id, inFlight])),
@@ -470,13 +500,16 @@
     this.#closures.sweep()
     this.#crashes.sweep()
     this.#origins.sweep()
-    this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
+    const listed = this.#runners.all().map(({ entry }) => entry)
+    this.#connections.retain(new Set(listed.map(({ id }) => id)))
+    this.#paths.retain(new Set(listed.map(({ address }) => address)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
   }
 
   async #destroy (): Promise<void> {
     this.#exchanger.stop()
     this.#crashes.stop()
+    this.#paths.stop()
     this.#versions.stop()
     this.#origins.stop()
     this.#sweepTimer?.cancel()
--- a/packages/gateway/src/gauges.ts
+++ b/packages/gateway/src/gauges.ts
@@ -9,6 +9,8 @@
   liveHosts: () => number
   relay: () => boolean
   holdsLease: () => boolean
+  cutOff: () => boolean
+  brokenPaths: () => number
   /** Limits in force by runner id. */
   runnerLimits: () => Map<string, number>
   /** Prompt parts whose requests are not run. */
@@ -28,6 +30,8 @@
   addGauge('figloom_gateway_live_hosts', 'Other hosts that are up.', sources.liveHosts)
   addGauge('figloom_gateway_relay', '1 while this host passes on the word of others.', () => sources.relay() ? 1 : 0)
   addGauge('figloom_gateway_holds_lease', '1 while this host holds the lease on orders.', () => sources.holdsLease() ? 1 : 0)
+  addGauge('figloom_gateway_cut_off', '1 while this host is cut off from runners that other hosts reach.', () => sources.cutOff() ? 1 : 0)
+  addGauge('figloom_gateway_broken_paths', 'Runners that other hosts reach and this one does not.', sources.brokenPaths)
   addGauge('figloom_gateway_blocked_prompt_parts', 'Prompt parts whose requests are not run.', sources.blockedParts)
   addGauge('figloom_gateway_blocked_requests', 'Requests whose content is blocked.', sources.blockedRequests)
   addGauge('figloom_gateway_largest_block_share', 'Largest share of the requests that one block refused, within ten seconds.', sources.largestBlockShare)
--- a/packages/gateway/src/lookup/lookup.ts
+++ b/packages/gateway/src/lookup/lookup.ts
@@ -8,19 +8,29 @@
   self: string
   /** Caller address of this host, if it is ready. */
   ownAddress: string | undefined
+  /** This host is cut off from runners. */
+  isCutOff: boolean
   nowMs: number
 }
 
 /** Callers read no more addresses than this. */
 const MAX_ADDRESSES = 64
 
-/** Caller addresses of the hosts that are ready; empty if none is. */
+type ReadyHost = { callerAddress: string, cutOff: boolean }
+
+/** Caller addresses of the hosts that are ready; empty if none is. Hosts that are cut off from runners are left out as long as others aren't. */
 export function lookupHosts (input: LookupInput): string[] {
-  const others = input.members.ready(input.nowMs).map(({ summary }) => summary.address.callerAddress)
-  const all = input.ownAddress === undefined ? others : [input.ownAddress, ...others]
+  const others = input.members.ready(input.nowMs).map(({ summary }) => ({ callerAddress: summary.address.callerAddress, cutOff: summary.cutOff }))
+  const own = input.ownAddress === undefined ? [] : [{ callerAddress: input.ownAddress, cutOff: input.isCutOff }]
+  const all = preferConnected([...own, ...others]).map(({ callerAddress }) => callerAddress)
   return all.length <= MAX_ADDRESSES ? all : pickSubset(input.self, all)
 }
 
+function preferConnected (hosts: readonly ReadyHost[]): readonly ReadyHost[] {
+  const connected = hosts.filter(({ cutOff }) => !cutOff)
+  return connected.length > 0 ? connected : hosts
+}
+
 /** Each host omits different addresses, so that callers spread over all hosts. */
 function pickSubset (self: string, addresses: readonly string[]): string[] {
   return addresses
--- a/packages/gateway/src/members/change-list.test.ts
+++ b/packages/gateway/src/members/change-list.test.ts
@@ -4,7 +4,7 @@
 
 function summary (host: string, changes: Partial<HostSummary> = {}): HostSummary {
   const address = { host, availabilityZone: 'z', callerAddress: `${host}:80`, peerAddress: `${host}:7380`, capacityCores: 1 }
-  return { address, incarnation: host, ready: true, leaving: false, relay: false, holdsLease: false, hearsay: false, ...changes }
+  return { address, incarnation: host, ready: true, leaving: false, relay: false, holdsLease: false, hearsay: false, cutOff: false, ...changes }
 }
 
 const names = (hosts: Iterable<HostSummary>) => [...hosts].map(({ address }) => address.host).sort()
--- a/packages/gateway/src/members/host-list.ts
+++ b/packages/gateway/src/members/host-list.ts
@@ -7,7 +7,7 @@
 /** Of the address only the peer address is compared: its other fields change only with the incarnation. */
 function isSame (a: HostSummary, b: HostSummary): boolean {
   return a.incarnation === b.incarnation && a.ready === b.ready && a.leaving === b.leaving &&
-    a.relay === b.relay && a.holdsLease === b.holdsLease && a.hearsay === b.hearsay &&
+    a.relay === b.relay && a.holdsLease === b.holdsLease && a.hearsay === b.hearsay && a.cutOff === b.cutOff &&
     a.address.peerAddress === b.address.peerAddress
 }
 
--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -6,7 +6,7 @@
 import type { HostReport, HostSummary } from './types.js'
 
 function report (host: string, changes: Partial<HostSummary> = {}): HostReport {
-  const sender = { address: address(host), incarnation: host, ready: true, leaving: false, relay: true, holdsLease: false, hearsay: false, ...changes }
+  const sender = { address: address(host), incarnation: host, ready: true, leaving: false, relay: true, holdsLease: false, hearsay: false, cutOff: false, ...changes }
   return {
     sender,
     number: 1,
@@ -192,16 +192,16 @@
   const members = MemberTable.create('a', TIMING)
   members.applyReport(report('b'), 0, false)
   members.applyReport(report('c', { ready: false }), 0, false)
-  t.same(lookupHosts({ members, self: 'a', ownAddress: 'a:80', nowMs: 100 }), ['a:80', 'b:80'])
-  t.same(lookupHosts({ members, self: 'a', ownAddress: undefined, nowMs: 100 }), ['b:80'])
-  t.same(lookupHosts({ members, self: 'a', ownAddress: 'a:80', nowMs: TIMING.silentMs }), ['a:80'])
+  t.same(lookupHosts({ members, self: 'a', ownAddress: 'a:80', isCutOff: false, nowMs: 100 }), ['a:80', 'b:80'])
+  t.same(lookupHosts({ members, self: 'a', ownAddress: undefined, isCutOff: false, nowMs: 100 }), ['b:80'])
+  t.same(lookupHosts({ members, self: 'a', ownAddress: 'a:80', isCutOff: false, nowMs: TIMING.silentMs }), ['a:80'])
 })
 
 t.test('lookups at different hosts return different subsets when there are too many hosts', async (t) => {
   const answers = ['a', 'b'].map((self) => {
     const members = MemberTable.create(self, TIMING)
     for (let index = 0; index < 80; index += 1) members.applyReport(report(`h${index}`), 0, false)
-    return lookupHosts({ members, self, ownAddress: undefined, nowMs: 0 })
+    return lookupHosts({ members, self, ownAddress: undefined, isCutOff: false, nowMs: 0 })
   })
   t.same(answers.map((addresses) => addresses.length), [64, 64])
   t.not(answers[0]?.sort().join(), answers[1]?.sort().join())
--- a/packages/gateway/src/members/report-messages.test.ts
+++ b/packages/gateway/src/members/report-messages.test.ts
@@ -13,7 +13,8 @@
   leaving: false,
   relay: true,
   holdsLease: true,
-  hearsay: false
+  hearsay: false,
+  cutOff: true
 }
 
 const full: HostReport = {
--- a/packages/gateway/src/members/report-messages.ts
+++ b/packages/gateway/src/members/report-messages.ts
@@ -126,7 +126,8 @@
     leaving: message?.leaving ?? false,
     relay: message?.relay ?? false,
     holdsLease: message?.holdsLease ?? false,
-    hearsay: message?.hearsay ?? false
+    hearsay: message?.hearsay ?? false,
+    cutOff: message?.cutOff ?? false
   }
 }
 
--- a/packages/gateway/src/members/report-writer.ts
+++ b/packages/gateway/src/members/report-writer.ts
@@ -16,6 +16,8 @@
   ready: boolean
   leaving: boolean
   relay: boolean
+  /** This host doesn't reach the runners, though other hosts do. */
+  cutOff: boolean
   configVersion: number
   configReadAgoMs: number | undefined
   /** Requests in flight by runner id. */
@@ -99,9 +101,9 @@
     return { ...report, ...(peer === undefined || peer.relay ? this.#groupFields(state, live, peer) : this.#allFields(state, live, peer)) }
   }
 
-  #summary ({ ready, leaving, relay, lease }: ReportedState): HostSummary {
+  #summary ({ ready, leaving, relay, cutOff, lease }: ReportedState): HostSummary {
     const { self, incarnation } = this.parts
-    return { address: self, incarnation, ready, leaving, relay, holdsLease: lease.heldBySender, hearsay: false }
+    return { address: self, incarnation, ready, leaving, relay, holdsLease: lease.heldBySender, hearsay: false, cutOff }
   }
 
   /** What a host reports to its relay. Relays forward demand to the lease holder, which plans loads by it. */
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -53,6 +53,8 @@
   holdsLease: boolean
   /** The sender knows the host's address, but not whether the host is up. */
   hearsay: boolean
+  /** It doesn't reach the runners, though other hosts do. */
+  cutOff: boolean
 }
 
 /** A host's report on itself and on the hosts that it reports for. */
--- a/packages/gateway/src/testing/host-network.ts
+++ b/packages/gateway/src/testing/host-network.ts
@@ -103,6 +103,7 @@
       ready: true,
       leaving: false,
       relay: true,
+      cutOff: false,
       configVersion: 1,
       configReadAgoMs: 0,
       runnerUses: new Map([['runner', 1]]),
