Paths to runners: tests over simulated hosts; longer hold after repeated cuts

Links that come and go changed the state eleven times in twenty seconds, and a cut host forgot runners that it hadn't written to for ten seconds, so that it took itself for connected (both failed in these tests before): each cut soon after the last one now holds three times as long, and a runner counts as used when a path to it is asked for.

--- a/packages/gateway/src/paths/cut-off-detector.ts
+++ b/packages/gateway/src/paths/cut-off-detector.ts
@@ -18,9 +18,10 @@
 /** It also ends when all but one of the last probes succeeded. */
 const LAST_PROBES = 6
 const LAST_SUCCESSES = 5
-/** Shortest duration of the state, and of one that began soon after the last one ended: links may come and go. */
+/** Shortest duration of the state. It grows with each cut that begins soon after the last one: links may come and go. */
 const MIN_HOLD_MS = 1_000
-const MIN_REPEATED_HOLD_MS = 4_000
+const HOLD_FACTOR = 3
+const MAX_HOLD_MS = 10_000
 const REPEATED_WITHIN_MS = 15_000
 
 type Sample = { startedMs: number, members: readonly TrackedRunner[] }
@@ -89,7 +90,8 @@
   }
 
   #begin (startedMs: number, nowMs: number): void {
-    this.#holdMs = nowMs - this.#endedMs < REPEATED_WITHIN_MS ? MIN_REPEATED_HOLD_MS : MIN_HOLD_MS
+    const isRepeated = nowMs - this.#endedMs < REPEATED_WITHIN_MS
+    this.#holdMs = isRepeated ? Math.min(MAX_HOLD_MS, this.#holdMs * HOLD_FACTOR) : MIN_HOLD_MS
     this.#sample = undefined
     this.#sinceMs = startedMs
     this.#lastProbes = []
--- a/packages/gateway/src/paths/path-monitor.ts
+++ b/packages/gateway/src/paths/path-monitor.ts
@@ -100,6 +100,7 @@
   override pathTo (runner: LocatedRunner): RunnerPath {
     if (this.#broken.size === 0 && !this.isCutOff) return DIRECT
     const tracked = this.#track(runner)
+    tracked.usedMs = this.#nowMs()
     if (!this.#isOutOfReach(tracked)) {
       this.#probeAhead(tracked)
       return DIRECT
@@ -181,7 +182,6 @@
   /** While other paths are broken: finds out about a path before requests wait on it in vain. */
   #probeAhead (tracked: TrackedRunner): void {
     const nowMs = this.#nowMs()
-    tracked.usedMs = nowMs
     if (nowMs - Math.max(tracked.acceptedMs, tracked.unconfirmedMs) >= TRIED_TTL_MS) this.#probeSuspect(tracked)
   }
 
