Order lease: a holder that is cut off from runners leaves it to a host that reaches them

The holder kept the lease and logged that runners give no report for as long as its links were gone: nothing was placed. It now stops ordering, records the release with the rest of the gap, and claims again no sooner than hosts that aren't cut off; it keeps the lease while there is no such host. Runners that give no report are checked like those that accept no connection, so that a holder without callers learns of its cut. Without the change the lease's new tests fail: the first holder keeps ordering.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -185,7 +185,9 @@
       onOrder: () => this.#lease.onOrder(),
       demand: () => this.#allDemand(),
       limitPerS: (runner) => this.#limits.limitOf(runner)?.requestsPerS,
-      takesOrders: (runner) => this.#closures.acceptsOrders(runner)
+      takesOrders: (runner) => this.#closures.acceptsOrders(runner),
+      onReport: (runner) => this.#paths.onReached(runner),
+      onNoReport: (runner, reason) => this.#paths.onConnectFailed(runner, reason)
     })
     this.#context = this.#createContext()
     this.#front = HttpServer.create(createCallerHandler(async (request, response) => {
@@ -387,10 +389,19 @@
       lastOrderAgoMs: (fencingToken) => this.#hostObservation.lastOrderAgoMs(fencingToken),
       hasRestartedPeer: () => this.#members.hasRestartedHost(this.#nowMs()),
       era: () => platform.eras.current,
-      mayClaim: () => this.#config.hasConfig && !this.#leaving && this.#exchanger.ranked && this.#nowMs() - this.#startedMs > SETTLE_MS
+      mayClaim: () => this.#config.hasConfig && !this.#leaving && this.#exchanger.ranked && this.#nowMs() - this.#startedMs > SETTLE_MS && !this.#mustYieldLease(),
+      mustYield: () => this.#mustYieldLease(),
+      onYielded: () => {
+        this.#exchanger.reportToRelays().catch((error: Error) => log.error('the end of the order lease was not reported at once', { reason: error.message }))
+      }
     })
   }
 
+  /** A host that is cut off from runners leaves the lease to one that isn't. Relays alone claim it. */
+  #mustYieldLease (): boolean {
+    return this.#paths.isCutOff && this.#members.connected(this.#nowMs()).some(({ summary }) => summary.relay)
+  }
+
   #createContext (): ServeContext {
     const { settings, clock, log, platform, random } = this.parts
     return {
--- a/packages/gateway/src/lease/lease-eras.test.ts
+++ b/packages/gateway/src/lease/lease-eras.test.ts
@@ -38,6 +38,8 @@
       lastOrderAgoMs: () => undefined,
       hasRestartedPeer: () => false,
       mayClaim: () => true,
+      mustYield: () => false,
+      onYielded: () => {},
       // A host that can't reach the log doesn't know its era either.
       era: () => this.#eraAt(name)
     })
--- a/packages/gateway/src/lease/lease-keeper.test.ts
+++ b/packages/gateway/src/lease/lease-keeper.test.ts
@@ -1,4 +1,4 @@
-import t from 'tap'
+import t, { type Test } from 'tap'
 import { ManualClock, silentLogger } from '@figloom/runtime'
 import { InstantSource } from './instant.js'
 import { LEASE_DURATION_MS, LeaseKeeper } from './lease-keeper.js'
@@ -16,6 +16,9 @@
   readonly seeingRestart = new Set<string>()
   /** Hosts that exchange no reports with the others. */
   readonly silent = new Set<string>()
+  /** Hosts that are cut off from runners. */
+  readonly cutOff = new Set<string>()
+  yields = 0
   readonly #hosts = new Map<string, Host>()
 
   static create (): Hosts {
@@ -34,7 +37,9 @@
       holderIsLive: () => this.#reportingTo(name).some(({ keeper }) => keeper.status().held),
       lastOrderAgoMs: (fencingToken) => this.#lastOrderUnder(name, fencingToken),
       hasRestartedPeer: () => this.seeingRestart.has(name),
-      mayClaim: () => true,
+      mayClaim: () => !this.#mustYield(name),
+      mustYield: () => this.#mustYield(name),
+      onYielded: () => { this.yields += 1 },
       era: () => this.log.era
     })
     this.#hosts.set(incarnation, { keeper, name })
@@ -42,6 +47,10 @@
     return keeper
   }
 
+  #mustYield (name: string): boolean {
+    return this.cutOff.has(name) && this.#reportingTo(name).some((other) => !this.cutOff.has(other.name))
+  }
+
   #reportingTo (receiver: string): Host[] {
     if (this.silent.has(receiver)) return []
     return [...this.#hosts.values()].filter(({ name }) => name !== receiver && !this.silent.has(name))
@@ -262,3 +271,94 @@
     t.ok(others.get(restartedHost)?.status().held, restartedHost)
   }
 })
+
+/** Lets keepers give orders for a while; fails the test if two may at once. */
+async function giveOrders (t: Test, hosts: Hosts, keepers: readonly LeaseKeeper[], durationMs: number): Promise<void> {
+  const startMs = hosts.clock.monotonicMs()
+  while (hosts.clock.monotonicMs() - startMs < durationMs) {
+    const ordering = keepers.filter((keeper) => keeper.orderToken() !== undefined)
+    t.ok(ordering.length <= 1)
+    ordering[0]?.onOrder()
+    await hosts.clock.advance(50)
+  }
+}
+
+t.test('a holder that is cut off from runners leaves the lease to a host that reaches them, which waits for the gap', async (t) => {
+  const hosts = Hosts.create()
+  const first = hosts.start('a')
+  await hosts.clock.advance(1_000)
+  const others = ['b', 'c'].map((name) => hosts.start(name))
+  hosts.cutOff.add('a').add('b')
+  first.onOrder()
+  const lastOrderMs = hosts.clock.monotonicMs()
+  const [second, third] = others as [LeaseKeeper, LeaseKeeper]
+  await hosts.clock.advance(200)
+  t.equal(first.orderToken(), undefined)
+  t.notOk(first.holds)
+  while (third.orderToken() === undefined && hosts.clock.monotonicMs() < 20_000) {
+    t.notOk(first.holds || second.holds)
+    await hosts.clock.advance(50)
+  }
+  const waitedMs = hosts.clock.monotonicMs() - lastOrderMs
+  t.ok(waitedMs >= ORDER_GAP_MS && waitedMs < ORDER_GAP_MS + 1_000, `${waitedMs}`)
+  hosts.cutOff.clear()
+  await giveOrders(t, hosts, [first, second, third], 10_000)
+  t.ok(third.holds)
+  t.equal(hosts.yields, 1)
+})
+
+t.test('a holder keeps the lease while every host is cut off, or while it is alone', async (t) => {
+  const hosts = Hosts.create()
+  const first = hosts.start('a')
+  await hosts.clock.advance(1_000)
+  hosts.cutOff.add('a')
+  await hosts.clock.advance(3_000)
+  t.ok(first.holds)
+  hosts.start('b')
+  hosts.cutOff.add('b')
+  await hosts.clock.advance(3_000)
+  t.ok(first.holds)
+  t.equal(hosts.yields, 0)
+})
+
+t.test('hosts that are cut off in turn never order within the gap of each other', async (t) => {
+  const hosts = Hosts.create()
+  const names = ['a', 'b', 'c']
+  const keepers = names.map((name) => hosts.start(name))
+  let previous: LeaseKeeper | undefined
+  let lastOrderMs = -Infinity
+  for (let step = 0; step < 1_200; step += 1) {
+    if (step % 100 === 0) {
+      hosts.cutOff.clear()
+      hosts.cutOff.add(names[step / 100 % 3] as string)
+    }
+    const ordering = keepers.filter((keeper) => keeper.orderToken() !== undefined)
+    t.ok(ordering.length <= 1)
+    const [holder] = ordering
+    if (holder !== undefined) {
+      const nowMs = hosts.clock.monotonicMs()
+      if (previous !== undefined && holder !== previous) t.ok(nowMs - lastOrderMs >= ORDER_GAP_MS, `${nowMs - lastOrderMs}`)
+      previous = holder
+      lastOrderMs = nowMs
+      holder.onOrder()
+    }
+    await hosts.clock.advance(50)
+  }
+  t.ok(hosts.yields >= 2)
+})
+
+t.test('a release that gets no answer leaves no second holder', async (t) => {
+  const hosts = Hosts.create()
+  const first = hosts.start('a')
+  await hosts.clock.advance(1_000)
+  first.onOrder()
+  const second = hosts.start('b')
+  hosts.log.losesAnswerOf.add('a')
+  hosts.cutOff.add('a')
+  const orderedMs = hosts.clock.monotonicMs()
+  while (second.orderToken() === undefined && hosts.clock.monotonicMs() < 20_000) {
+    t.equal(hosts.clock.monotonicMs() - orderedMs > 300 ? first.orderToken() : undefined, undefined)
+    await hosts.clock.advance(50)
+  }
+  t.ok(hosts.clock.monotonicMs() - orderedMs >= ORDER_GAP_MS)
+})
--- a/packages/gateway/src/lease/lease-keeper.ts
+++ b/packages/gateway/src/lease/lease-keeper.ts
@@ -44,6 +44,10 @@
   hasRestartedPeer: () => boolean
   /** Whether this host may claim the lease now. */
   mayClaim: () => boolean
+  /** Whether this host doesn't reach the runners and another host, which does, may claim the lease. */
+  mustYield: () => boolean
+  /** Called when this host has given the lease up while it goes on, so that others learn it at once. */
+  onYielded: () => void
   /** The highest era of the platform's history that this host has heard of. */
   era: () => number
 }
@@ -115,7 +119,10 @@
     const holding = this.#holding
     this.#holding = undefined
     this.stop()
-    if (holding === undefined) return
+    if (holding !== undefined) await this.#appendRelease(holding)
+  }
+
+  async #appendRelease (holding: Holding): Promise<void> {
     const ordering = this.parts.clock.monotonicMs() >= holding.ordersAllowedFromMs
     const successorWaitMs = this.#successorWaitMs(holding)
     const record = { ...this.#record(LeaseRecordKind.Release, holding.fencingToken, ordering), successorWaitMs }
@@ -139,16 +146,26 @@
     if (this.#busy || this.#stopped) return
     this.#busy = true
     try {
-      if (this.#holding !== undefined) await this.#renew(this.#holding)
+      if (this.#holding !== undefined && this.parts.mustYield()) await this.#yield(this.#holding)
+      else if (this.#holding !== undefined) await this.#renew(this.#holding)
       else await this.#watch()
     } catch (error) {
       this.parts.log.warn('lease log is unreachable', { reason: (error as Error).message })
-      this.#nextAttemptMs = this.parts.clock.monotonicMs() + WATCH_INTERVAL_MS
+      this.#nextAttemptMs = Math.max(this.#nextAttemptMs, this.parts.clock.monotonicMs() + WATCH_INTERVAL_MS)
     }
     this.#giveUpIfNotRenewed()
     this.#busy = false
   }
 
+  /** Orders of a host that doesn't reach the runners go nowhere. Others may claim the lease before this host does so again. */
+  async #yield (holding: Holding): Promise<void> {
+    this.#holding = undefined
+    this.#nextAttemptMs = this.parts.clock.monotonicMs() + RECLAIM_DELAY_MS
+    this.parts.log.warn('order lease given up: this host is cut off from runners', { fencingToken: holding.fencingToken })
+    this.parts.onYielded()
+    await this.#appendRelease(holding)
+  }
+
   /** Without the log the lease expires anyway. Giving it up now, which reports show, spares a successor the wait for expiry. */
   #giveUpIfNotRenewed (): void {
     const holding = this.#holding
--- a/packages/gateway/src/members/member-table.ts
+++ b/packages/gateway/src/members/member-table.ts
@@ -134,6 +134,11 @@
     return this.live(nowMs).filter(({ summary }) => summary.ready && !summary.leaving)
   }
 
+  /** Of these hosts, the ones that reach their runners. */
+  connected (nowMs: number): Member[] {
+    return this.ready(nowMs).filter(({ summary }) => !summary.cutOff)
+  }
+
   /** Last reports of the hosts that report to this one. */
   groupReports (nowMs: number): HostReport[] {
     return [...this.#contacts.values()]
--- a/packages/gateway/src/orders/order-dispatcher.test.ts
+++ b/packages/gateway/src/orders/order-dispatcher.test.ts
@@ -47,6 +47,8 @@
       onOrder: () => {},
       demand: () => this.demand,
       limitPerS: () => undefined,
+      onReport: () => {},
+      onNoReport: () => {},
       takesOrders: () => this.takesOrders
     })
     this.#updateList()
--- a/packages/gateway/src/orders/order-dispatcher.ts
+++ b/packages/gateway/src/orders/order-dispatcher.ts
@@ -45,6 +45,10 @@
   limitPerS: (runner: RunnerProcess) => number | undefined
   /** Whether report reads and orders may be sent to a runner now; false while its own signals ask for a pause or say that it leaves. */
   takesOrders: (runner: LocatedRunner) => boolean
+  /** A runner answered a read of its report. */
+  onReport: (runner: LocatedRunner) => void
+  /** A runner gave no report: this host may not reach it. */
+  onNoReport: (runner: LocatedRunner, reason: string) => void
 }
 
 /** Orders to one runner, and what is known of the runner. */
@@ -245,6 +249,7 @@
     if (!uncertain || !this.parts.takesOrders(state.entry) || queue.isReadingReport || nowMs - queue.lastReportMs < MIN_REPORT_INTERVAL_MS) return
     this.#readReport(state, queue).catch((error: Error) => {
       this.parts.log.warn('runner gave no report', { runner: state.entry.id, reason: error.message })
+      this.parts.onNoReport(state.entry, error.message)
     })
   }
 
@@ -259,6 +264,7 @@
     queue.isReadingReport = true
     try {
       const report = await this.parts.orders.report(state.entry)
+      this.parts.onReport(state.entry)
       queue.inventory.applyReport(report, this.parts.clock.monotonicMs())
     } finally {
       queue.isReadingReport = false
