--- a/packages/gateway/src/members/members.test.ts
+++ b/packages/gateway/src/members/members.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap'
 import { ManualClock } from '@figloom/runtime'
 import { lookupHosts } from '../lookup/lookup.js'
-import { addressOf as address, CONTACT_MS, HostNetwork, TIMING } from '../testing/host-network.js'
+import { addressOf as address, CONTACT_MS, HostNetwork, TIMING, type NetworkHost } from '../testing/host-network.js'
 import { MemberTable } from './member-table.js'
 import type { HostReport, HostSummary } from './types.js'
 
@@ -120,6 +120,24 @@
   for (const host of hosts.filter((candidate) => candidate !== leaving)) t.notOk(network.readyAt(host).includes(name))
 })
 
+t.test('all hosts know within the relayed propagation time that a host is cut off from runners, and that it reaches them again', async (t) => {
+  const clock = ManualClock.create()
+  const network = HostNetwork.create(clock)
+  const hosts = network.startMany(30)
+  await clock.advance(4_000)
+  const cut = hosts.find(({ exchanger }) => !exchanger.relay)
+  if (cut === undefined) throw new Error('all hosts are relays')
+  const others = hosts.filter((candidate) => candidate !== cut)
+  const connectedAt = ({ members }: NetworkHost) => members.connected(clock.monotonicMs()).map(({ summary }) => summary.address.host)
+  for (const cutOff of [true, false]) {
+    cut.state.cutOff = cutOff
+    cut.exchanger.reportToRelays()
+    await clock.advance(TIMING.relayedPropagationMs)
+    t.same(others.filter((host) => connectedAt(host).includes(network.nameOf(cut)) === cutOff), [])
+    t.same(others.filter((host) => !network.readyAt(host).includes(network.nameOf(cut))), [])
+  }
+})
+
 t.test('a dead host is left out of all lookups within the contact bound', async (t) => {
   const clock = ManualClock.create()
   const network = HostNetwork.create(clock)
@@ -197,6 +215,19 @@
   t.same(lookupHosts({ members, self: 'a', ownAddress: 'a:80', isCutOff: false, nowMs: TIMING.silentMs }), ['a:80'])
 })
 
+t.test('a lookup leaves out hosts that are cut off from runners, unless all are', async (t) => {
+  const members = MemberTable.create('a', TIMING)
+  members.applyReport(report('b', { cutOff: true }), 0, false)
+  members.applyReport(report('c'), 0, false)
+  const lookup = (isCutOff: boolean, nowMs: number) => lookupHosts({ members, self: 'a', ownAddress: 'a:80', isCutOff, nowMs })
+  t.same(lookup(false, 100), ['a:80', 'c:80'])
+  t.same(lookup(true, 100), ['c:80'])
+  members.applyReport({ ...report('c', { cutOff: true }), number: 2 }, 100, false)
+  t.same(lookup(false, 200), ['a:80'])
+  t.same(lookup(true, 200), ['a:80', 'b:80', 'c:80'])
+  t.same(lookup(true, 60_000), ['a:80'])
+})
+
 t.test('lookups at different hosts return different subsets when there are too many hosts', async (t) => {
   const answers = ['a', 'b'].map((self) => {
     const members = MemberTable.create(self, TIMING)
--- a/packages/gateway/src/paths/cut-off-detector.ts
+++ b/packages/gateway/src/paths/cut-off-detector.ts
@@ -8,6 +8,8 @@
 const SAMPLE_SIZE = 8
 /** A sample is given up after this time. */
 const SAMPLE_MS = 2_000
+/** After other hosts didn't reach a runner either, it is probed, and they are asked, no sooner than after this time. */
+export const UNCONFIRMED_TTL_MS = 500
 /** Interval between the starts of two samples. */
 const SAMPLE_INTERVAL_MS = 500
 /** Broken paths of a host that is cut off, at least: a single one is a matter of its runner. */
@@ -64,7 +66,7 @@
     const { startedMs, members } = sample
     const broken = members.filter(({ isBroken }) => isBroken).length
     const reached = members.filter(({ isBroken, acceptedMs }) => !isBroken && acceptedMs >= startedMs).length
-    const unconfirmed = members.filter(({ isBroken, unconfirmedMs, acceptedMs }) => !isBroken && unconfirmedMs >= startedMs && acceptedMs < startedMs).length
+    const unconfirmed = members.filter(({ isBroken, unconfirmedMs, acceptedMs }) => !isBroken && unconfirmedMs >= startedMs - UNCONFIRMED_TTL_MS && acceptedMs < startedMs).length
     const isComplete = broken + reached + unconfirmed === members.length
     if (isComplete || nowMs - startedMs >= SAMPLE_MS) this.#sample = undefined
     const judged = isComplete ? broken + reached : members.length - unconfirmed
--- a/packages/gateway/src/paths/path-monitor.ts
+++ b/packages/gateway/src/paths/path-monitor.ts
@@ -5,7 +5,7 @@
 import type { Clock, Logger, Timer } from '@figloom/runtime'
 import type { LocatedRunner } from '../gates/types.js'
 import { ProbeResult, type ConnectProbe } from './connect-probe.js'
-import { CutOffDetector } from './cut-off-detector.js'
+import { CutOffDetector, UNCONFIRMED_TTL_MS } from './cut-off-detector.js'
 import type { PassingHosts } from './passing-hosts.js'
 import type { PathMetrics } from './path-metrics.js'
 import { ProbeBudget } from './probe-budget.js'
@@ -26,8 +26,6 @@
 const PROBES_PER_S = 30
 /** Runners of which this host asks others in a second. */
 const CHECKS_PER_S = 20
-/** After other hosts didn't reach a runner either, they are asked again after this time. */
-const UNCONFIRMED_TTL_MS = 500
 /** A direct path that wasn't tried for this long is probed before requests fail on it, while other paths are broken. */
 const TRIED_TTL_MS = 2_000
 /** Runners that were used within this time show whether the host is cut off. */
@@ -186,7 +184,9 @@
   }
 
   #probeSuspect (tracked: TrackedRunner): void {
-    if (tracked.isProbed || tracked.isChecked || !this.#probes.take(this.#nowMs())) return
+    const nowMs = this.#nowMs()
+    if (tracked.isProbed || tracked.isChecked || nowMs - tracked.unconfirmedMs < UNCONFIRMED_TTL_MS) return
+    if (!this.#probes.take(nowMs)) return
     this.#probe(tracked).then((isAccepted) => isAccepted ? undefined : this.#check(tracked)).catch((error: Error) => this.#logError(error))
   }
 
--- a/packages/gateway/src/paths/silence-watch.ts
+++ b/packages/gateway/src/paths/silence-watch.ts
@@ -16,7 +16,7 @@
 /** Interval between probes of single runners of a host. */
 const RUNNER_INTERVAL_MS = 2_000
 /** A check that runs later than planned by this much shows that the process was stalled: bytes may not have been read. */
-const MAX_LATE_MS = 100
+const MAX_LATE_MS = 200
 
 export class SilenceWatch {
   #lastByteMs = -Infinity
