--- a/packages/gateway/src/orders/order-dispatcher.test.ts
+++ b/packages/gateway/src/orders/order-dispatcher.test.ts
@@ -26,6 +26,9 @@
   demand: DemandRate[] = []
   token: number | undefined = 1
   takesOrders = true
+  /** Runners that gave a report, and those that gave none. */
+  readonly reporting = new Set<string>()
+  readonly silent = new Set<string>()
 
   private constructor (held: string[][], nextOutcome: () => DeliveryOutcome) {
     this.runners = held.map((models, index) => FakeRunner.create(`r${index}`, engine, this.clock, models))
@@ -47,8 +50,8 @@
       onOrder: () => {},
       demand: () => this.demand,
       limitPerS: () => undefined,
-      onReport: () => {},
-      onNoReport: () => {},
+      onReport: ({ id }) => { this.reporting.add(id) },
+      onNoReport: ({ id }) => { this.silent.add(id) },
       takesOrders: () => this.takesOrders
     })
     this.#updateList()
@@ -151,3 +154,13 @@
   t.ok(ends <= 9)
   t.ok(fixture.isResident('a'))
 })
+
+t.test('runners that give no report are told apart from those that do', async (t) => {
+  const fixture = DispatcherFixture.create([['a']])
+  const gone = FakeRunner.create('gone', engine, fixture.clock, ['a'])
+  fixture.table.upsert(gone.entry())
+  await fixture.clock.advance(2_000)
+  t.same([...fixture.reporting], ['r0'])
+  t.same([...fixture.silent], ['gone'])
+  fixture.dispatcher.stop()
+})
