--- a/packages/gateway/src/crashes/peer-witness.test.ts
+++ b/packages/gateway/src/crashes/peer-witness.test.ts
@@ -36,7 +36,7 @@
 }
 
 function createHost (name: string, availabilityZone: string, leaving = false): HostSummary {
-  return { address: { ...addressOf(name), availabilityZone }, incarnation: name, ready: true, leaving, relay: false, holdsLease: false, hearsay: false }
+  return { address: { ...addressOf(name), availabilityZone }, incarnation: name, ready: true, leaving, relay: false, holdsLease: false, hearsay: false, cutOff: false }
 }
 
 /** A witness at a host of zone `a`. @param answers what the other hosts answer, by name; the others never answer */
--- a/packages/gateway/src/crashes/testing/monitor-fleet.ts
+++ b/packages/gateway/src/crashes/testing/monitor-fleet.ts
@@ -102,7 +102,7 @@
 
   #hostsExcept (index: number): HostSummary[] {
     const others = [...this.monitors.keys()].filter((other) => other !== index)
-    return others.map((other) => ({ address: addressOf(`${other}`), incarnation: '', ready: true, leaving: false, relay: true, holdsLease: false, hearsay: false }))
+    return others.map((other) => ({ address: addressOf(`${other}`), incarnation: '', ready: true, leaving: false, relay: true, holdsLease: false, hearsay: false, cutOff: false }))
   }
 
   async #check (peerAddress: string, address: string): Promise<RunnerCheck> {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,11 @@
 import { KnownLoads } from './orders/known-loads.js'
 import { AdapterRequests } from './orders/adapter-requests.js'
 import { OrderDispatcher } from './orders/order-dispatcher.js'
+import { ConnectWitness } from './paths/connect-witness.js'
+import { PassingHosts } from './paths/passing-hosts.js'
+import { createPathMetrics } from './paths/path-metrics.js'
+import { PathMonitor } from './paths/path-monitor.js'
+import { TcpConnectProbe } from './paths/tcp-connect-probe.js'
 import { SharedBudget } from './retry/shared-budget.js'
 import { RunnerListSync } from './runners/runner-list-sync.js'
 import { RunnerTable } from './runners/runner-table.js'
@@ -87,6 +92,7 @@
   readonly #versions: VersionHistory
   readonly #origins: StreamOrigins
   readonly #connections: RunnerConnections
+  readonly #paths: PathMonitor
   readonly #demand = DemandMeter.create()
   readonly #loopLag: LoopLag
   readonly #peerCalls = ConnectPeerClient.create()
@@ -159,6 +165,7 @@
       overlong.inc()
       log.warn('runner sends without end; its connection is closed', { runner, reason })
     })
+    this.#paths = this.#createPathMonitor()
     this.#hostObservation = HostObservation.create(clock, this.#members, this.#contactTiming)
     this.#usage = UsageAggregator.create(this.#contactTiming.relayReportTtlMs)
     this.#reportWriter = ReportWriter.create({
@@ -187,7 +194,9 @@
       demand: () => this.#allDemand(),
       limitPerS: (runner) => this.#limits.limitOf(runner)?.requestsPerS,
       hasEnded: (runner) => this.#crashes.hasEnded(runner),
-      takesOrders: (runner) => this.#closures.acceptsOrders(runner)
+      takesOrders: (runner) => this.#closures.acceptsOrders(runner),
+      onReport: (runner) => this.#paths.onReached(runner),
+      onNoReport: (runner, reason) => this.#paths.onConnectFailed(runner, reason)
     })
     this.#context = this.#createContext()
     this.#front = this.#createFront()
@@ -199,6 +208,8 @@
       liveHosts: () => this.#members.live(this.#nowMs()).length,
       relay: () => this.#exchanger.relay,
       holdsLease: () => this.#lease.holds,
+      cutOff: () => this.#paths.isCutOff,
+      brokenPaths: () => this.#paths.brokenCount,
       runnerLimits: () => this.#limits.inForce(),
       blockedParts: () => this.#crashes.blockedParts,
       blockedRequests: () => this.#crashes.blockedRequests,
@@ -233,6 +244,7 @@
     this.#lease.start()
     this.#orderDispatcher.start()
     this.#crashes.start()
+    this.#paths.start()
     this.#origins.start()
     this.#sweep()
     log.info('gateway started', { callerListener: settings.callerListener, peerListener: settings.peerListener, incarnation: this.#incarnation })
@@ -318,7 +330,7 @@
 
   #lookupAddresses (): string[] {
     const ownAddress = this.ready ? this.#settings.self.callerAddress : undefined
-    return lookupHosts({ members: this.#members, self: this.#settings.self.host, ownAddress, nowMs: this.#nowMs() })
+    return lookupHosts({ members: this.#members, self: this.#settings.self.host, ownAddress, isCutOff: this.#paths.isCutOff, nowMs: this.#nowMs() })
   }
 
   #createExchanger (): Exchanger {
@@ -371,11 +383,30 @@
       checks: this.#runnerChecks,
       availabilityZone: settings.self.availabilityZone,
       hosts: () => this.#members.live(this.#nowMs()).map(({ summary }) => summary),
-      isCutOff: () => false,
+      isCutOff: ({ cutOff }) => cutOff,
       random
     })
   }
 
+  #createPathMonitor (): PathMonitor {
+    const { settings, clock, log, random } = this.parts
+    const hosts = PassingHosts.create({ clock, self: settings.self, liveHosts: () => this.#members.live(this.#nowMs()).map(({ summary }) => summary), random })
+    return PathMonitor.create({
+      clock,
+      log,
+      metrics: createPathMetrics(this.#registry),
+      probe: TcpConnectProbe.create(),
+      witness: ConnectWitness.create(),
+      hosts,
+      placeOf: ({ id }) => this.#runners.get(id)?.entry,
+      random,
+      onCutOffChanged: () => {
+        this.#exchanger.reportToRelays().catch((error: Error) => log.error('paths to runners were not reported at once', { reason: error.message }))
+      },
+      onBroken: ({ id }) => this.#connections.drop(id)
+    })
+  }
+
   /** Relays read the platform's records for the hosts that report to them. */
   #readsThroughPeers (): boolean {
     return !this.#exchanger.relay && this.#runnerList.ageMs() < this.#runnerList.freshMs
@@ -395,10 +426,19 @@
       lastOrderAgoMs: (fencingToken) => this.#hostObservation.lastOrderAgoMs(fencingToken),
       hasRestartedPeer: () => this.#members.hasRestartedHost(this.#nowMs()),
       era: () => platform.eras.current,
-      mayClaim: () => this.#config.hasConfig && !this.#leaving && this.#exchanger.ranked && this.#nowMs() - this.#startedMs > SETTLE_MS
+      mayClaim: () => this.#config.hasConfig && !this.#leaving && this.#exchanger.ranked && this.#nowMs() - this.#startedMs > SETTLE_MS && !this.#mustYieldLease(),
+      mustYield: () => this.#mustYieldLease(),
+      onYielded: () => {
+        this.#exchanger.reportToRelays().catch((error: Error) => log.error('the end of the order lease was not reported at once', { reason: error.message }))
+      }
     })
   }
 
+  /** A host that is cut off from runners leaves the lease to one that isn't. Relays alone claim it. */
+  #mustYieldLease (): boolean {
+    return this.#paths.isCutOff && this.#members.connected(this.#nowMs()).some(({ summary }) => summary.relay)
+  }
+
   #createContext (): ServeContext {
     const { settings, clock, log, platform, random } = this.parts
     return {
@@ -485,6 +525,7 @@
       ready: this.ready,
       leaving: this.#leaving,
       relay: this.#exchanger.relay,
+      cutOff: this.#paths.isCutOff,
       configVersion: this.#config.version,
       configReadAgoMs: this.parts.platform.watch.configReadAgoMs(),
       runnerUses: new Map(usedRunners.map(({ entry, inFlight }) => [entry.id, inFlight])),
@@ -507,13 +548,16 @@
     this.#closures.sweep()
     this.#crashes.sweep()
     this.#origins.sweep()
-    this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
+    const listed = this.#runners.all().map(({ entry }) => entry)
+    this.#connections.retain(new Set(listed.map(({ id }) => id)))
+    this.#paths.retain(new Set(listed.map(({ address }) => address)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
   }
 
   async #destroy (): Promise<void> {
     this.#exchanger.stop()
     this.#crashes.stop()
+    this.#paths.stop()
     this.#versions.stop()
     this.#origins.stop()
     this.#sweepTimer?.cancel()
--- a/packages/gateway/src/orders/order-dispatcher.test.ts
+++ b/packages/gateway/src/orders/order-dispatcher.test.ts
@@ -28,6 +28,9 @@
   takesOrders = true
   /** Runners whose processes are known to have ended. */
   ended: ReadonlySet<string> = new Set()
+  /** Runners that gave a report, and those that gave none. */
+  readonly reporting = new Set<string>()
+  readonly silent = new Set<string>()
 
   private constructor (held: string[][], nextOutcome: () => DeliveryOutcome) {
     this.runners = held.map((models, index) => FakeRunner.create(`r${index}`, engine, this.clock, models))
@@ -49,8 +52,10 @@
       onOrder: () => {},
       demand: () => this.demand,
       limitPerS: () => undefined,
-      takesOrders: () => this.takesOrders,
-      hasEnded: ({ id }) => this.ended.has(id)
+      hasEnded: ({ id }) => this.ended.has(id),
+      onReport: ({ id }) => { this.reporting.add(id) },
+      onNoReport: ({ id }) => { this.silent.add(id) },
+      takesOrders: () => this.takesOrders
     })
     this.#updateList()
     this.dispatcher.start()
@@ -184,3 +189,13 @@
   t.ok((orderCounts()[3] ?? 0) > (before[3] ?? 0))
   fixture.dispatcher.stop()
 })
+
+t.test('runners that give no report are told apart from those that do', async (t) => {
+  const fixture = DispatcherFixture.create([['a']])
+  const gone = FakeRunner.create('gone', engine, fixture.clock, ['a'])
+  fixture.table.upsert(gone.entry())
+  await fixture.clock.advance(2_000)
+  t.same([...fixture.reporting], ['r0'])
+  t.same([...fixture.silent], ['gone'])
+  fixture.dispatcher.stop()
+})
--- a/packages/gateway/src/orders/order-dispatcher.ts
+++ b/packages/gateway/src/orders/order-dispatcher.ts
@@ -47,6 +47,10 @@
   takesOrders: (runner: LocatedRunner) => boolean
   /** Whether a runner's listed process is known to have ended. */
   hasEnded: (runner: LocatedRunner) => boolean
+  /** A runner answered a read of its report. */
+  onReport: (runner: LocatedRunner) => void
+  /** A runner gave no report: this host may not reach it. */
+  onNoReport: (runner: LocatedRunner, reason: string) => void
 }
 
 /** Orders to one runner, and what is known of the runner. */
@@ -249,6 +253,7 @@
     if (!uncertain || !this.parts.takesOrders(state.entry) || queue.isReadingReport || nowMs - queue.lastReportMs < MIN_REPORT_INTERVAL_MS) return
     this.#readReport(state, queue).catch((error: Error) => {
       this.parts.log.warn('runner gave no report', { runner: state.entry.id, reason: error.message })
+      this.parts.onNoReport(state.entry, error.message)
     })
   }
 
@@ -263,6 +268,7 @@
     queue.isReadingReport = true
     try {
       const report = await this.parts.orders.report(state.entry)
+      this.parts.onReport(state.entry)
       queue.inventory.applyReport(report, this.parts.clock.monotonicMs())
     } finally {
       queue.isReadingReport = false
