Test of a stream that ends at its silent runner: waits for events in place of times

The silence of 1.4 s left 0.2 s for the move to begin, and 0.05 s for the other runner to see its connection close; the case failed once beside other runs (load 24). The stream now ends when the other runner has the request, and the close has to come within the stated half second.

--- a/packages/gateway/src/serve/stream-moves.test.ts
+++ b/packages/gateway/src/serve/stream-moves.test.ts
@@ -3,6 +3,7 @@
 import { connect } from 'node:net'
 import t, { type Test } from 'tap'
 import { RouteKind } from '../config/types.js'
+import { waitUntil } from '../testing/delayed-connections.js'
 import { createEntry, createRoute, GatewayFixture, type RawAnswer } from '../testing/gateway-fixture.js'
 import type { RawExchange, RawRunner } from '../testing/raw-runner.js'
 
@@ -198,15 +199,16 @@
 })
 
 t.test('a stream that ends at its silent runner is taken back from the other one', async (t) => {
-  const scene = await Scene.create(t, (exchange) => {
+  const scene: Scene = await Scene.create(t, (exchange) => {
     begin(exchange)
-    setTimeout(() => writeEnd(exchange), SILENT_MS)
+    waitUntil(() => scene.secondCount === 1).then(() => writeEnd(exchange), (error: Error) => t.fail(error.message))
   })
   const { text } = await scene.call()
   t.same(idsOf(text), [0, 1])
   t.match(text, /\r\n0\r\n\r\n$/)
-  await sleep(50)
-  t.same(scene.closes.includes('runner-2'), true)
+  const endedMs = performance.now()
+  await waitUntil(() => scene.closes.includes('runner-2'))
+  t.ok(performance.now() - endedMs < 500)
   t.same(scene.inFlight, [0, 0])
 })
 
