Requests passed on by another host, where this one does not reach the runner

Callers of a host that lost its links to runners got 503 or a timeout from each of its runners in turn, although other hosts reach these runners. The host now asks for the path to each runner; with a path by way of another host it sends the request as encoded for the runner to that host, which sends it once on a connection of its own and streams back what arrives.

Everything but the transport stays with the first host: choice, attempts, retry budget, permits, versions, checks of answers.

The default paths are direct; nothing chooses others yet.

--- a/packages/gateway/src/forward/attempt.ts
+++ b/packages/gateway/src/forward/attempt.ts
@@ -1,6 +1,4 @@
-/** One attempt to send a request to a runner and receive its answer. */
-import type { Clock, Timer } from '@figloom/runtime'
-import type { Dispatcher } from 'undici'
+/** One attempt to send a request to a runner and receive its answer, on whichever path. */
 import type { RawHeaders } from './types.js'
 
 /** The request as it is written to the runner. */
@@ -25,6 +23,15 @@
 } as const
 export type FailureStage = (typeof FailureStage)[keyof typeof FailureStage]
 
+/** Where an attempt failed. */
+export const FaultAt = {
+  /** At the runner, or on the connection to it. */
+  Runner: 'runner',
+  /** On the way to the runner: the host that passes the request on failed, or this host is cut off from the runner. */
+  Path: 'path'
+} as const
+export type FaultAt = (typeof FaultAt)[keyof typeof FaultAt]
+
 /** How to go on with the rest of an answer. */
 export const Flow = {
   Continue: 'continue',
@@ -39,120 +46,26 @@
 
 /** Receives the parts of an answer in order. The last call is `onEnd` or `onFailure`, unless the rest is skipped or the attempt is closed. */
 export abstract class AttemptObserver {
-  /** Called when a connection is available, just before the request is written. Returning false withdraws the attempt. */
+  /** Called just before the request is written to the runner, or to the host that passes it on. Returning false withdraws the attempt. */
   abstract beforeWrite (): boolean
   abstract onHead (status: number, headers: RawHeaders): Flow
   /** A chunk of the body. */
   abstract onData (chunk: Buffer): Flow
   abstract onEnd (): void
-  abstract onFailure (stage: FailureStage, error: Error): void
+  abstract onFailure (stage: FailureStage, error: Error, at: FaultAt): void
 }
 
 /** Bytes of a skipped answer that are read so that its connection can be reused; beyond that it is closed. */
-const MAX_SKIPPED_BYTES = 65_536
+export const MAX_SKIPPED_BYTES = 65_536
 /** The same limit as a time. */
-const MAX_SKIP_MS = 1_000
+export const MAX_SKIP_MS = 1_000
 
 /** Handle of an attempt in progress. */
-export class Attempt {
-  #abort: ((error: Error) => void) | undefined
-  #resume: (() => void) | undefined
-  #sent = false
-  #withdrawn = false
-  #headReceived = false
-  #closed = false
-  #skipTimer: Timer | undefined
-  #skippedBytes = 0
-
-  private constructor (private readonly observer: AttemptObserver, private readonly clock: Clock) {}
-
-  /** Sends the request and reports what follows to the observer. */
-  static start (dispatcher: Dispatcher, request: AttemptRequest, observer: AttemptObserver, clock: Clock): Attempt {
-    const attempt = new Attempt(observer, clock)
-    const options = {
-      method: request.method as Dispatcher.HttpMethod,
-      path: request.target,
-      headers: request.headers,
-      body: request.body
-    }
-    dispatcher.dispatch(options, attempt.#handlers())
-    return attempt
-  }
-
+export abstract class Attempt {
   /** A byte of the request may have reached the runner. */
-  get sent (): boolean {
-    return this.#sent
-  }
-
+  abstract get sent (): boolean
   /** Cancels the attempt. Its connection is closed and the observer isn't called again. */
-  cancel (): void {
-    if (this.#closed) return
-    this.#closed = true
-    this.#skipTimer?.cancel()
-    this.#abort?.(new Error('attempt canceled'))
-  }
-
+  abstract cancel (): void
   /** Resumes reading of a paused body. */
-  resume (): void {
-    this.#resume?.()
-  }
-
-  #handlers (): Dispatcher.DispatchHandler {
-    return {
-      onConnect: (abort) => this.#onConnect(abort),
-      onHeaders: (status, headers, resume) => this.#onHeaders(status, headers, resume),
-      onData: (chunk) => this.#onData(chunk),
-      onComplete: () => this.#finish(() => this.observer.onEnd()),
-      onError: (error) => this.#finish(() => this.observer.onFailure(this.#failureStage(), error))
-    }
-  }
-
-  #onConnect (abort: (error?: Error) => void): void {
-    if (this.#closed) {
-      abort(new Error('attempt canceled'))
-      return
-    }
-    if (!this.observer.beforeWrite()) {
-      this.#withdrawn = true
-      abort(new Error('attempt withdrawn'))
-      return
-    }
-    this.#sent = true
-    this.#abort = abort
-  }
-
-  #onHeaders (status: number, headers: Buffer[], resume: () => void): boolean {
-    if (status < 200 || this.#closed) return true
-    this.#headReceived = true
-    this.#resume = resume
-    return this.#applyFlow(this.observer.onHead(status, headers.map((part) => part.toString('latin1'))))
-  }
-
-  #onData (chunk: Buffer): boolean {
-    if (this.#closed) return true
-    if (this.#skipTimer === undefined) return this.#applyFlow(this.observer.onData(chunk))
-    this.#skippedBytes += chunk.length
-    if (this.#skippedBytes > MAX_SKIPPED_BYTES) this.cancel()
-    return true
-  }
-
-  /** Acts on the observer's decision; returns whether the HTTP client goes on reading. */
-  #applyFlow (flow: Flow): boolean {
-    if (flow === Flow.Close) this.cancel()
-    if (flow === Flow.Skip) this.#skipTimer = this.clock.setTimer(MAX_SKIP_MS, () => this.cancel())
-    return flow !== Flow.Pause
-  }
-
-  #finish (report: () => void): void {
-    if (this.#closed) return
-    this.#closed = true
-    this.#skipTimer?.cancel()
-    report()
-  }
-
-  #failureStage (): FailureStage {
-    if (this.#withdrawn) return FailureStage.Withdrawn
-    if (!this.#sent) return FailureStage.Connect
-    return this.#headReceived ? FailureStage.Answer : FailureStage.Sent
-  }
+  abstract resume (): void
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,6 +34,11 @@
 import { KnownLoads } from './orders/known-loads.js'
 import { AdapterRequests } from './orders/adapter-requests.js'
 import { OrderDispatcher } from './orders/order-dispatcher.js'
+import { createPassOnMetrics, type PassOnMetrics } from './pass-on/metrics.js'
+import { PassOnClient } from './pass-on/pass-on-client.js'
+import { PassOnServer } from './pass-on/pass-on-server.js'
+import { DirectPaths } from './paths/direct-paths.js'
+import type { RunnerPaths } from './paths/types.js'
 import { SharedBudget } from './retry/shared-budget.js'
 import { RunnerListSync } from './runners/runner-list-sync.js'
 import { RunnerTable } from './runners/runner-table.js'
@@ -66,6 +71,8 @@
   clock: Clock
   log: Logger
   random: () => number
+  /** Paths to the runners; the runners are always reached directly if absent. */
+  paths?: RunnerPaths
 }
 
 export class Gateway {
@@ -81,6 +88,10 @@
   readonly #versions: VersionHistory
   readonly #origins: StreamOrigins
   readonly #connections: RunnerConnections
+  readonly #paths: RunnerPaths
+  readonly #passOnMetrics: PassOnMetrics
+  readonly #passOnClient: PassOnClient
+  readonly #passOnServer: PassOnServer
   readonly #demand = DemandMeter.create()
   readonly #loopLag: LoopLag
   readonly #peerCalls = ConnectPeerClient.create()
@@ -151,6 +162,14 @@
       overlong.inc()
       log.warn('runner sends without end; its connection is closed', { runner, reason })
     })
+    this.#paths = parts.paths ?? DirectPaths.create()
+    this.#passOnMetrics = createPassOnMetrics(this.#registry)
+    this.#passOnClient = PassOnClient.create({
+      clock,
+      metrics: this.#passOnMetrics,
+      isLive: (host) => this.#members.live(this.#nowMs()).some(({ summary }) => summary.address.host === host)
+    })
+    this.#passOnServer = this.#createPassOnServer()
     this.#hostObservation = HostObservation.create(clock, this.#members, this.#contactTiming)
     this.#usage = UsageAggregator.create(this.#contactTiming.relayReportTtlMs)
     this.#reportWriter = ReportWriter.create({
@@ -239,16 +258,16 @@
     this.#leavingSinceMs = this.#nowMs()
     const { clock, log } = this.parts
     const endMs = this.#nowMs() + this.#settings.graceMs - EXIT_MARGIN_MS
-    log.info('gateway is leaving', { inFlight: this.#inFlight })
+    log.info('gateway is leaving', { inFlight: this.#inFlight, forHosts: this.#passOnServer.inFlight })
     await Promise.allSettled([this.#exchanger.reportToRelays(), this.#lease.release()])
     this.#orderDispatcher.stop()
     await clock.sleep(LOOKUP_TTL_MS * MAX_LOOKUP_TTL_FACTOR + this.#hostObservation.propagationMs)
     this.#front.stopAccepting()
-    while (this.#inFlight > 0 && this.#nowMs() < endMs) {
+    while (this.#inFlight + this.#passOnServer.inFlight > 0 && this.#nowMs() < endMs) {
       await clock.sleep(50)
       this.#front.closeIdle()
     }
-    log.info('gateway stopped', { inFlight: this.#inFlight })
+    log.info('gateway stopped', { inFlight: this.#inFlight, forHosts: this.#passOnServer.inFlight })
     await this.#destroy()
   }
 
@@ -289,7 +308,8 @@
         onReport: (report) => this.#exchanger.onIncoming(report),
         onAdapterRequest: (request) => this.#orderDispatcher.ensureAdapter(request),
         onPermitRequest: (request) => this.#limits.onPermitRequest(request),
-        onConfigRequest: () => this.#config.encoded
+        onConfigRequest: () => this.#config.encoded,
+        onPassOn: (request, signal) => this.#passOnServer.serve(request, signal)
       }
     })
   }
@@ -362,6 +382,20 @@
     })
   }
 
+  #createPassOnServer (): PassOnServer {
+    return PassOnServer.create({
+      clock: this.parts.clock,
+      log: this.parts.log,
+      metrics: this.#passOnMetrics,
+      codec: this.parts.platform.codec,
+      runners: this.#runners,
+      closures: this.#closures,
+      connections: this.#connections,
+      paths: this.#paths,
+      isLeaving: () => this.#leaving
+    })
+  }
+
   #createContext (): ServeContext {
     const { settings, clock, log, platform, random } = this.parts
     return {
@@ -378,6 +412,8 @@
       versions: this.#versions,
       origins: this.#origins,
       connections: this.#connections,
+      paths: this.#paths,
+      passOn: this.#passOnClient,
       budget: SharedBudget.create(settings.budget),
       demand: this.#demand,
       adapters: AdapterRequests.create({
@@ -484,6 +520,7 @@
     this.parts.platform.watch.stop()
     this.#front.destroy()
     this.#sideListeners.destroy()
+    this.#passOnClient.destroy()
     await this.#connections.destroy()
   }
 }
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -1,7 +1,7 @@
 /** The protocol between hosts over connect-es: the client and the routes of the service. */
 import { createClient, type Client, type ConnectRouter } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
-import { GatewayService } from '@figloom/protocol'
+import { GatewayService, type PassOnPart, type PassOnRequest } from '@figloom/protocol'
 import { Agent } from 'node:http'
 import type { PermitReply, PermitRequest } from '../limits/types.js'
 import { toPermitMessage, toPermitReply, toPermitReplyMessage, toPermitRequest } from './limit-messages.js'
@@ -23,6 +23,8 @@
   abstract onPermitRequest (request: PermitRequest): PermitReply
   /** Returns the configuration in force at this host, in the platform's encoding; empty if there is none. */
   abstract onConfigRequest (): Uint8Array
+  /** Sends a request to a runner for another host; `signal` aborts when that host no longer waits for the answer. */
+  abstract onPassOn (request: PassOnRequest, signal: AbortSignal): AsyncIterable<PassOnPart>
 }
 
 export function registerPeerService (router: ConnectRouter, handler: PeerHandler): void {
@@ -30,7 +32,8 @@
     exchange: (message) => toMessage(handler.onReport(fromMessage(message))),
     ensureAdapter: (message) => handler.onAdapterRequest(message),
     takePermits: (message) => toPermitReplyMessage(handler.onPermitRequest(toPermitRequest(message))),
-    readConfig: () => ({ encoded: handler.onConfigRequest() })
+    readConfig: () => ({ encoded: handler.onConfigRequest() }),
+    passOn: (message, { signal }) => handler.onPassOn(message, signal)
   })
 }
 
--- /dev/null
+++ b/packages/gateway/src/pass-on/pass-on-client.ts
@@ -0,0 +1,125 @@
+/** Passes requests on to other hosts, and ends the attempts at hosts that no longer report. */
+import { create } from '@bufbuild/protobuf'
+import { createClient, type Client } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { GatewayService, PassOnPartSchema, PassOnRequestSchema, type PassOnPart, type PassOnRequest } from '@figloom/protocol'
+import type { Clock, Timer } from '@figloom/runtime'
+import { FailureStage, type Attempt, type AttemptObserver, type AttemptRequest } from '../forward/attempt.js'
+import type { LocatedRunner } from '../gates/types.js'
+import type { PathKind, RunnerPath } from '../paths/types.js'
+import { HostAttempt } from './host-attempt.js'
+import { HostConnections } from './host-connections.js'
+import { MAX_BODY_BYTES, MAX_PART_BYTES } from './limits.js'
+import type { PassOnMetrics } from './metrics.js'
+import { RefusalReason } from './refusal-reason.js'
+import { toStageMessage } from './stages.js'
+
+/** Interval between checks whether the hosts still report. */
+const LIVENESS_CHECK_MS = 200
+
+export type HostPath = RunnerPath & { kind: typeof PathKind.ViaHost }
+
+/** A request as it is encoded for its runner. */
+export type RequestToPassOn = {
+  requestId: string
+  runner: LocatedRunner
+  request: AttemptRequest
+  timeLeftMs: number
+}
+
+export type PassOnClientParts = {
+  clock: Clock
+  metrics: PassOnMetrics
+  /** Whether a host reports. */
+  isLive: (host: string) => boolean
+}
+
+type OpenAttempt = { host: string, attempt: HostAttempt }
+
+export class PassOnClient {
+  readonly #connections = HostConnections.create()
+  readonly #clients = new Map<string, Client<typeof GatewayService>>()
+  readonly #open = new Set<OpenAttempt>()
+  #livenessTimer: Timer | undefined
+
+  private constructor (private readonly parts: PassOnClientParts) {}
+
+  static create (parts: PassOnClientParts): PassOnClient {
+    return new PassOnClient(parts)
+  }
+
+  start ({ host, peerAddress }: HostPath, request: RequestToPassOn, observer: AttemptObserver): Attempt {
+    const { clock, metrics } = this.parts
+    const attempt = HostAttempt.start({
+      call: (signal) => this.#call(peerAddress, request, signal),
+      observer,
+      clock,
+      onOver: (outcome) => {
+        this.#open.delete(entry)
+        metrics.passedOn.inc({ outcome })
+      }
+    })
+    const entry = { host, attempt }
+    this.#open.add(entry)
+    this.#livenessTimer ??= this.#scheduleCheck()
+    return attempt
+  }
+
+  /** Closes everything at once. */
+  destroy (): void {
+    for (const { attempt } of [...this.#open]) attempt.cancel()
+    this.#livenessTimer?.cancel()
+    this.#connections.destroy()
+  }
+
+  #call (peerAddress: string, request: RequestToPassOn, signal: AbortSignal): AsyncIterable<PassOnPart> {
+    if ((request.request.body?.length ?? 0) > MAX_BODY_BYTES) return refuseTooLarge()
+    return this.#client(peerAddress).passOn(toMessage(request), { signal })
+  }
+
+  #scheduleCheck (): Timer {
+    return this.parts.clock.setTimer(LIVENESS_CHECK_MS, () => this.#checkLiveness())
+  }
+
+  #checkLiveness (): void {
+    for (const { host, attempt } of [...this.#open]) {
+      if (!this.parts.isLive(host)) attempt.onHostSilent()
+    }
+    this.#livenessTimer = this.#open.size === 0 ? undefined : this.#scheduleCheck()
+  }
+
+  #client (peerAddress: string): Client<typeof GatewayService> {
+    const known = this.#clients.get(peerAddress)
+    if (known !== undefined) return known
+    const transport = createConnectTransport({
+      baseUrl: `http://${peerAddress}`,
+      httpVersion: '1.1',
+      useBinaryFormat: true,
+      acceptCompression: [],
+      readMaxBytes: MAX_PART_BYTES,
+      nodeOptions: { agent: this.#connections }
+    })
+    const client = createClient(GatewayService, transport)
+    this.#clients.set(peerAddress, client)
+    return client
+  }
+}
+
+async function * refuseTooLarge (): AsyncGenerator<PassOnPart> {
+  const value = { stage: toStageMessage(FailureStage.Withdrawn), reason: RefusalReason.TooLarge }
+  yield create(PassOnPartSchema, { part: { case: 'failure', value } })
+}
+
+function toMessage ({ requestId, runner, request, timeLeftMs }: RequestToPassOn): PassOnRequest {
+  return create(PassOnRequestSchema, {
+    requestId,
+    runnerId: runner.id,
+    address: runner.address,
+    startedUnixMs: runner.startedUnixMs === undefined ? undefined : BigInt(Math.round(runner.startedUnixMs)),
+    method: request.method,
+    target: request.target,
+    headers: request.headers,
+    body: request.body,
+    timeLeftMs
+  })
+}
--- /dev/null
+++ b/packages/gateway/src/pass-on/refusal-reason.ts
@@ -0,0 +1,19 @@
+/** Why a host doesn't pass a request on. Sent as the reason of a failure; hosts recognize the texts, so they stay letter for letter. */
+export const RefusalReason = {
+  Stopping: 'the host is stopping',
+  CutOff: 'the host does not reach the runner',
+  Full: 'the host passes on too many requests',
+  NotListed: 'the host lists no such runner at this address',
+  Closed: 'the runner is closed to requests',
+  TooLarge: 'the body is too large to pass on',
+  Late: 'no time is left for the request',
+  Malformed: 'the request can not be sent'
+} as const
+export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason]
+
+const REASONS_OF_THE_HOST: readonly string[] = [RefusalReason.Stopping, RefusalReason.CutOff, RefusalReason.Full]
+
+/** Whether another host could pass the request on to the same runner. */
+export function isReasonOfHost (reason: string): boolean {
+  return REASONS_OF_THE_HOST.includes(reason)
+}
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -1,5 +1,5 @@
 /** Determines the outcome of one attempt, and passes the bytes of valid answers to the writer. */
-import { AttemptObserver, FailureStage, Flow } from '../forward/attempt.js'
+import { AttemptObserver, FailureStage, FaultAt, Flow } from '../forward/attempt.js'
 import type { AnswerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
 import { AnswerWriter, createHead, StreamFault, type AnswerHead } from './answer-writer.js'
 import { Outcome } from './outcome.js'
@@ -10,8 +10,10 @@
   /** Description for the log. */
   reason: string
   facts?: AnswerFacts
-  /** The connection failed after the request was sent. */
+  /** The connection to the runner failed after the request was sent. */
   connectionBroke?: boolean
+  /** Where the attempt failed; absent if it didn't, or if the runner itself answered so. */
+  faultAt?: FaultAt
   /** A complete answer that hasn't been sent to the caller yet. */
   bufferedAnswer?: { head: AnswerHead, body: Buffer }
 }
@@ -19,6 +21,8 @@
 export type ResultCallbacks = {
   /** Called before the request is written to its runner; false withdraws the attempt. */
   beforeWrite: () => boolean
+  /** Bytes of an answer were received. */
+  onBytes: () => void
   /** The head of an answer to this request was received. */
   onHead: (facts: AnswerFacts) => void
   /** The first chunk of a stream's body was received. */
@@ -54,6 +58,7 @@
   #eventsBefore = 0
   #done = false
   #connectionBroke = false
+  #faultAt: FaultAt | undefined
 
   private constructor (
     private readonly requestId: string,
@@ -73,6 +78,7 @@
   }
 
   override onHead (status: number, headers: RawHeaders): Flow {
+    this.callbacks.onBytes()
     const facts = this.codec.decodeAnswer(status, headers)
     this.#facts = facts
     this.#head = createHead(status, headers)
@@ -92,6 +98,7 @@
   }
 
   override onData (chunk: Buffer): Flow {
+    this.callbacks.onBytes()
     return this.#mode === Mode.Stream ? this.#onStreamData(chunk) : this.#onBufferedData(chunk)
   }
 
@@ -100,8 +107,10 @@
     if (this.#mode === Mode.Buffered) this.#finishBuffered()
   }
 
-  override onFailure (stage: FailureStage, error: Error): void {
-    this.#connectionBroke = stage === FailureStage.Sent || stage === FailureStage.Answer
+  override onFailure (stage: FailureStage, error: Error, at: FaultAt): void {
+    const wasSent = stage === FailureStage.Sent || stage === FailureStage.Answer
+    this.#connectionBroke = wasSent && at === FaultAt.Runner
+    this.#faultAt = at
     this.#finish(FAILURE_OUTCOMES[stage], `${stage}: ${error.message}`)
   }
 
@@ -162,6 +171,6 @@
     if (this.#done) return
     this.#done = true
     this.#chunks = []
-    this.callbacks.onResult({ outcome, reason, facts: this.#facts, connectionBroke: this.#connectionBroke, bufferedAnswer })
+    this.callbacks.onResult({ outcome, reason, facts: this.#facts, connectionBroke: this.#connectionBroke, faultAt: this.#faultAt, bufferedAnswer })
   }
 }
--- a/packages/gateway/src/serve/record-attempt.ts
+++ b/packages/gateway/src/serve/record-attempt.ts
@@ -11,6 +11,8 @@
   result: AttemptResult
   /** Monotonic time at which the attempt started. */
   startedMs: number
+  /** It failed on the way to the runner, which says nothing about the runner. */
+  pathFailed: boolean
 }
 
 export function recordAttempt (context: ServeContext, attempt: EndedAttempt): void {
@@ -19,6 +21,7 @@
   const nowMs = context.clock.monotonicMs()
   if (facts?.misdirected === true) return recordMisdirected(context, attempt, nowMs)
   if (outcome === Outcome.Answered) recordAnswered(context, attempt, nowMs)
+  else if (attempt.pathFailed) runner.health.onNeutral(request.id)
   else if (facts?.notRun === true || outcome === Outcome.Withdrawn) runner.health.onNeutral(request.id)
   else if (outcome === Outcome.ConnectFailed) context.runners.markUnreachable(runner.entry.id, nowMs)
   else runner.health.onFailure(request.id, nowMs)
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -8,12 +8,13 @@
 import { Departure } from '../crashes/types.js'
 import { ClosedBy } from '../gates/types.js'
 import { RouteKind } from '../config/types.js'
-import { Attempt } from '../forward/attempt.js'
+import { FaultAt, type Attempt } from '../forward/attempt.js'
 import { afterNextPoll, hasDisconnected } from '../front/caller-check.js'
 import { limitFields } from '../limits/limit-fields.js'
 import type { Permit } from '../limits/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
 import { AnswerWriter } from './answer-writer.js'
+import { AttemptPath } from './attempt-path.js'
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
 import { decideNextStep, departureOf, NextStep, Outcome, wasNotSent, type Progress } from './outcome.js'
 import { writeFailure } from './gateway-answer.js'
@@ -48,6 +49,7 @@
   #resolveFinished: () => void = () => {}
   #attempt: Attempt | undefined
   #runner: RunnerState | undefined
+  #path: AttemptPath | undefined
   #deadlineTimer: Timer | undefined
   #loadPollTimer: Timer | undefined
   #loadWait: LoadWait | undefined
@@ -200,8 +202,10 @@
     })
     const dispatcher = context.connections.dispatcherFor(id, address)
     if (dispatcher.isErr()) return this.#onUnusableAddress(runner, dispatcher.error)
+    const path = AttemptPath.create(context, runner.entry)
     const observer = ResultObserver.create(request.id, context.codec, this.#writer, {
       beforeWrite: () => this.#guard(() => this.#beforeWrite(runner, permit)) ?? false,
+      onBytes: () => path.onBytes(),
       onHead: (facts) => this.#guard(() => recordAnswerHead(context, { requestId: request.id, runner, facts, writtenInstantMs: this.#writtenInstantMs })),
       onFirstByte: () => this.#guard(() => this.#onFirstByte()),
       onEvents: () => this.#guard(() => this.#onEvents(runner)),
@@ -212,6 +216,7 @@
     if (this.#writer.lastEventId !== undefined || request.facts.lastEventId !== undefined) this.#log.mark()
     this.#log.note('sent to a runner', {
       runner: id,
+      ...path.logFields,
       sending: this.#attemptCount + 1,
       inFlight: candidate.inFlight,
       slots: candidate.slots,
@@ -224,11 +229,12 @@
     this.#attemptCount += 1
     this.#attemptStartMs = nowMs
     this.#runner = runner
+    this.#path = path
     runner.inFlight += 1
     runner.health.onSent(request.id)
     context.closures.onChosen(runner.entry, request.id)
     const { method, target, body } = request
-    this.#attempt = Attempt.start(dispatcher.value, { method, target, headers, body }, observer, context.clock)
+    this.#attempt = path.start(dispatcher.value, { request: { method, target, headers, body }, requestId: request.id, timeLeftMs: request.dueMs - nowMs }, observer)
   }
 
   /** The platform's list of runners has an address to which no connection can be opened. */
@@ -250,6 +256,7 @@
     if (!limits.beforeWrite(runner.entry, permit)) return false
     if (permit !== undefined) metrics.limitedAttempts.inc()
     this.#requestGuard.onSent(runner.entry, this.#progress.possibleRuns + 1)
+    this.#path?.onWritten(() => this.#guard(() => this.#onPathBroken(runner)))
     return true
   }
 
@@ -266,16 +273,18 @@
   }
 
   #onResult (runner: RunnerState, result: AttemptResult): void {
+    const path = this.#path?.assess(result)
     this.#releaseRunner(departureOf(result.outcome, result.connectionBroke === true))
     if (this.#ended) return
-    recordAttempt(this.context, { request: this.request, runner, result, startedMs: this.#attemptStartMs })
+    recordAttempt(this.context, { request: this.request, runner, result, startedMs: this.#attemptStartMs, pathFailed: path?.failed === true })
     if (result.facts?.misdirected !== true) this.#weightsVersion ??= result.facts?.weightsVersion
     this.#countOutcome(result)
-    this.#excluded.add(runner.entry.id)
+    if (path?.hasOther !== true) this.#excluded.add(runner.entry.id)
     this.#lastFailureReason = result.reason
     const step = decideNextStep(this.request.route, result.outcome, this.#progress)
     this.#log.note('attempt ended', {
       runner: runner.entry.id,
+      ...path?.logFields,
       outcome: result.outcome,
       reason: result.reason,
       status: result.facts?.status,
@@ -309,10 +318,26 @@
     this.#onResult(runner, { outcome: Outcome.Unknown, reason: 'the stream stalled' })
   }
 
+  /** The direct path to the runner is broken, and no answer will arrive on it. A request that may run again is sent again at once. */
+  #onPathBroken (runner: RunnerState): void {
+    if (this.#ended || this.#runner !== runner) return
+    const { budget, clock, host } = this.context
+    const { route, service } = this.request
+    const progress = { ...this.#progress, possibleRuns: this.#progress.possibleRuns + 1, answerStarted: this.#writer.started }
+    const mayMove = decideNextStep(route, Outcome.Unknown, progress) === NextStep.Retry &&
+      budget.mayTake(service.name, host.hostCount(), clock.monotonicMs())
+    this.#log.note('path to the runner broke', { runner: runner.entry.id, mayMove, lastEventId: this.#writer.lastEventId })
+    if (!mayMove) return
+    this.#attempt?.cancel()
+    this.#onResult(runner, { outcome: Outcome.Unknown, reason: 'the path to the runner broke', faultAt: FaultAt.Path })
+  }
+
   #releaseRunner (departure: Departure = Departure.Other): void {
     if (this.#runner === undefined) return
     this.#requestGuard.onLeft(this.#runner.entry, departure)
     this.context.closures.onEnded(this.#runner.entry, this.request.id)
+    this.#path?.leave()
+    this.#path = undefined
     this.#runner.inFlight -= 1
     this.#runner = undefined
   }
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -10,6 +10,8 @@
 import type { CallerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
 import type { InstantSource } from '../lease/instant.js'
 import type { LimitControl } from '../limits/limit-control.js'
+import type { PassOnClient } from '../pass-on/pass-on-client.js'
+import type { RunnerPaths } from '../paths/types.js'
 import type { SharedBudget } from '../retry/shared-budget.js'
 import type { RunnerTable } from '../runners/runner-table.js'
 import type { StreamOrigins } from '../streams/stream-origins.js'
@@ -75,6 +77,8 @@
   versions: VersionHistory
   origins: StreamOrigins
   connections: RunnerConnections
+  paths: RunnerPaths
+  passOn: PassOnClient
   budget: SharedBudget
   demand: DemandMeter
   adapters: AdapterLoader
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -20,6 +20,9 @@
 import { CallerCheck } from '../front/caller-check.js'
 import { LoopLag } from '../front/loop-lag.js'
 import { RunnerConnections } from '../forward/runner-connections.js'
+import { createPassOnMetrics } from '../pass-on/metrics.js'
+import { PassOnClient } from '../pass-on/pass-on-client.js'
+import { DirectPaths } from '../paths/direct-paths.js'
 import { SharedBudget } from '../retry/shared-budget.js'
 import { RunnerTable } from '../runners/runner-table.js'
 import type { RunnerEntry } from '../runners/types.js'
@@ -155,6 +158,8 @@
       versions: history,
       origins: StreamOrigins.create({ clock, log: silentLogger, history, streamLog, hostCount: () => 1 }),
       connections: RunnerConnections.create((runnerId, reason) => overlong.push(`${runnerId}: ${reason}`)),
+      paths: DirectPaths.create(),
+      passOn: PassOnClient.create({ clock, metrics: createPassOnMetrics(new Registry()), isLive: () => true }),
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
       adapters: new NoAdapters(),
@@ -201,6 +206,7 @@
   async close (): Promise<void> {
     this.#server.closeAllConnections()
     await new Promise((resolve) => this.#server.close(resolve))
+    this.context.passOn.destroy()
     await this.context.connections.destroy()
     await Promise.all(this.#runners.map((runner) => runner.close()))
   }
