Passed-on requests: broken direct paths, silent and stopping hosts, and two complete hosts under test

A connection that breaks on a direct path that is known to be broken by then no longer counts against its runner. A host to which the caller's host has stopped talking takes a request from its runner shortly after the request's time is over.

The tests of broken paths, of bounds and of a host that falls silent are new.

--- a/packages/gateway/src/pass-on/passed-on-requests.test.ts
+++ b/packages/gateway/src/pass-on/passed-on-requests.test.ts
@@ -1,11 +1,20 @@
 // Guards against answers that differ, get lost or are run twice when a host passes requests on for one that doesn't reach the runners.
-import { connect } from 'node:net'
+import { setMaxListeners } from 'node:events'
+import { connect, createServer, type AddressInfo } from 'node:net'
+import { create } from '@bufbuild/protobuf'
+import { PassOnRequestSchema, PassOnStage, type PassOnPart } from '@figloom/protocol'
+import { Registry } from '@figloom/runtime'
 import t, { type Test } from 'tap'
 import { RouteKind, type Route } from '../config/types.js'
+import { Departure } from '../crashes/types.js'
 import { FixedPaths } from '../testing/fixed-paths.js'
 import { createEntry, createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
 import { PassingHost } from '../testing/passing-host.js'
 import { RawRunner, type RawExchange } from '../testing/raw-runner.js'
+import { MAX_BODY_BYTES, MAX_CONCURRENT_REQUESTS } from './limits.js'
+import { createPassOnMetrics } from './metrics.js'
+import { PassOnClient } from './pass-on-client.js'
+import { RefusalReason } from './refusal-reason.js'
 
 type Hosts = { host: GatewayFixture, paths: FixedPaths, passing: PassingHost, runner: RawRunner }
 
@@ -41,6 +50,12 @@
   socket.write(`${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`)
 }
 
+async function partsOf (answer: AsyncIterable<PassOnPart>): Promise<PassOnPart[]> {
+  const parts: PassOnPart[] = []
+  for await (const part of answer) parts.push(part)
+  return parts
+}
+
 async function until (condition: () => boolean, withinMs = 3_000): Promise<boolean> {
   const endMs = performance.now() + withinMs
   while (!condition() && performance.now() < endMs) await new Promise((resolve) => setTimeout(resolve, 5))
@@ -94,7 +109,7 @@
 })
 
 t.test('a caller that does not read makes the runner wait', async (t) => {
-  const chunk = `id: 1\ndata: ${'z'.repeat(65_000)}\n\n`.replace('id: 1\n', '')
+  const chunk = `data: ${'z'.repeat(65_000)}\n\n`
   let writtenBytes = 0
   let socketWaits = false
   const { host } = await startHosts(t, { kind: RouteKind.Stream, timeoutMs: 10_000 }, (exchange) => {
@@ -167,16 +182,41 @@
   t.ok(host.context.runners.get('runner-1')?.health.accepts(host.context.clock.monotonicMs()))
 })
 
-t.test('a host that breaks while the runner has the request: an idempotent one is repeated within its attempts', async (t) => {
-  const { host, paths, passing, runner } = await startHosts(t, { maxAttempts: 2 }, () => passing.kill())
+/** Adds a second runner and a second host that passes requests on, which the first host uses once the other is lost. */
+async function addSecond (t: Test, { host, paths }: Hosts): Promise<RawRunner> {
   const second = await PassingHost.create()
-  const other = await RawRunner.create(answerOk)
-  t.teardown(() => Promise.all([second.close(), other.close()]))
+  const runner = await RawRunner.create(answerOk)
+  t.teardown(() => Promise.all([second.close(), runner.close()]))
   paths.hosts.push(second.peerAddress)
-  for (const { context } of [host, passing.fixture, second.fixture]) context.runners.upsert(createEntry({ id: 'runner-2', address: other.address, availabilityZone: 'far' }))
-  const reply = await host.call({})
-  t.equal(reply.status, 200)
-  t.equal(runner.requests.length + other.requests.length, runner.requests.length === 0 ? 1 : 2)
+  for (const { context } of [host, second.fixture]) context.runners.upsert(createEntry({ id: 'runner-2', address: runner.address }))
+  return runner
+}
+
+t.test('a host that breaks while the runner has the request: an idempotent one is repeated within its attempts', async (t) => {
+  for (const maxAttempts of [1, 2]) {
+    const hosts = await startHosts(t, { maxAttempts }, () => {})
+    const { host, passing, runner } = hosts
+    const reply = host.call({})
+    t.ok(await until(() => runner.requests.length === 1))
+    const other = await addSecond(t, hosts)
+    passing.kill()
+    t.equal((await reply).status, maxAttempts === 2 ? 200 : 502)
+    t.equal(runner.requests.length, 1)
+    t.equal(other.requests.length, maxAttempts - 1)
+  }
+})
+
+t.test('a host that breaks while the runner has the request: without a retry left in the budget it is not repeated', async (t) => {
+  const hosts = await startHosts(t, { maxAttempts: 2 }, () => {})
+  const { host, passing, runner } = hosts
+  const reply = host.call({})
+  t.ok(await until(() => runner.requests.length === 1))
+  const other = await addSecond(t, hosts)
+  const { budget, clock } = host.context
+  while (budget.take('plain', 1, clock.monotonicMs()));
+  passing.kill()
+  t.equal((await reply).status, 502)
+  t.equal(other.requests.length, 0)
 })
 
 t.test('a host that breaks after the head: a booking fails as possibly run', async (t) => {
@@ -191,7 +231,7 @@
 })
 
 t.test('a host that breaks during a stream: the stream goes on at another runner without a gap', async (t) => {
-  const { host, paths, passing } = await startHosts(t, { kind: RouteKind.Stream, resumable: true }, (exchange) => {
+  const { host, passing } = await startHosts(t, { kind: RouteKind.Stream, resumable: true }, (exchange) => {
     openStream(exchange)
     writeChunk(exchange, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n')
     setTimeout(() => passing.kill(), 100)
@@ -205,7 +245,6 @@
   t.teardown(() => other.close())
   const reply = host.call({})
   await until(() => passing.passOn.inFlight === 1)
-  paths.dropsFailedHosts = true
   host.context.runners.upsert(createEntry({ id: 'runner-2', address: other.address, availabilityZone: 'far' }))
   const { body } = await reply
   t.same([...body.matchAll(/id: (\d+)/g)].map(([, id]) => id), ['1', '2', '3'])
@@ -262,3 +301,76 @@
   t.equal(runner.requests.length, 0)
   t.equal(third.passOn.inFlight, 0)
 })
+
+t.test('a host that falls silent without closing its connections loses the requests at it', async (t) => {
+  const { host, paths, runner } = await startHosts(t, { kind: RouteKind.NonIdempotent, maxAttempts: 1, timeoutMs: 20_000 }, () => {})
+  let live = true
+  host.context.passOn = PassOnClient.create({ clock: host.context.clock, metrics: createPassOnMetrics(new Registry()), isLive: () => live })
+  const reply = host.call({ method: 'POST' })
+  t.ok(await until(() => runner.requests.length === 1))
+  live = false
+  const silentMs = performance.now()
+  t.equal((await reply).status, 502)
+  t.ok(performance.now() - silentMs < 1_000)
+  t.equal(paths.hostFailed.length, 1)
+})
+
+t.test('a host that accepts connections and answers nothing holds a request no longer than its time', async (t) => {
+  const silent = createServer()
+  await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve))
+  const { host, paths } = await startHosts(t, { kind: RouteKind.NonIdempotent, maxAttempts: 1, timeoutMs: 400 }, answerOk)
+  paths.hosts.unshift(`127.0.0.1:${(silent.address() as AddressInfo).port}`)
+  t.teardown(() => { silent.close() })
+  const reply = await host.call({ method: 'POST' })
+  t.equal(reply.status, 504)
+  t.match(reply.body, /"ran":"unknown"/)
+})
+
+t.test('a runner whose connection breaks at the other host is reported as broken, a lost host is not', async (t) => {
+  const departures: string[] = []
+  const watch = ({ context: { crashes } }: GatewayFixture) => {
+    const onLeft = crashes.onLeft.bind(crashes)
+    crashes.onLeft = (runner, requestId, departure) => {
+      departures.push(departure)
+      onLeft(runner, requestId, departure)
+    }
+  }
+  const first = await startHosts(t, { kind: RouteKind.NonIdempotent, maxAttempts: 1 }, ({ socket }) => socket.destroy())
+  watch(first.host)
+  t.equal((await first.host.call({ method: 'POST' })).status, 502)
+  const second = await startHosts(t, { kind: RouteKind.NonIdempotent, maxAttempts: 1 }, () => second.passing.kill())
+  watch(second.host)
+  t.equal((await second.host.call({ method: 'POST' })).status, 502)
+  t.same(departures, [Departure.Broken, Departure.Other])
+})
+
+t.test('a body above the bound is not passed on', async (t) => {
+  const { passing, runner } = await startHosts(t, {}, answerOk)
+  const message = create(PassOnRequestSchema, { requestId: '1', runnerId: 'runner-1', address: runner.address, method: 'POST', target: '/', body: new Uint8Array(MAX_BODY_BYTES + 1), timeLeftMs: 1_000 })
+  const parts = await partsOf(passing.passOn.serve(message, new AbortController().signal))
+  t.equal(parts.length, 1)
+  t.match(parts[0]?.part, { case: 'failure', value: { stage: PassOnStage.WITHDRAWN, reason: RefusalReason.TooLarge } })
+  t.equal(runner.requests.length, 0)
+})
+
+t.test('requests beyond the bound on concurrent ones are refused as not sent', async (t) => {
+  const { passing, runner } = await startHosts(t, {}, () => {})
+  const message = (requestId: number) => create(PassOnRequestSchema, { requestId: String(requestId), runnerId: 'runner-1', address: runner.address, method: 'GET', target: '/', headers: ['request-id', String(requestId)], timeLeftMs: 20_000 })
+  const leaving = new AbortController()
+  setMaxListeners(MAX_CONCURRENT_REQUESTS, leaving.signal)
+  for (let id = 0; id < MAX_CONCURRENT_REQUESTS; id += 1) passing.passOn.serve(message(id), leaving.signal)
+  const [first] = await partsOf(passing.passOn.serve(message(-1), leaving.signal))
+  t.match(first?.part, { case: 'failure', value: { stage: PassOnStage.WITHDRAWN, reason: RefusalReason.Full } })
+  leaving.abort()
+  t.equal(passing.passOn.inFlight, 0)
+})
+
+t.test('a request whose host does not end it in its time is taken from the runner', async (t) => {
+  let closed = false
+  const { passing, runner } = await startHosts(t, {}, ({ socket }) => { socket.on('close', () => { closed = true }) })
+  const message = create(PassOnRequestSchema, { requestId: '1', runnerId: 'runner-1', address: runner.address, method: 'GET', target: '/', headers: ['request-id', '1'], timeLeftMs: 50 })
+  const parts = await partsOf(passing.passOn.serve(message, new AbortController().signal))
+  t.match(parts.at(-1)?.part, { case: 'failure', value: { stage: PassOnStage.SENT, reason: RefusalReason.Overdue } })
+  t.ok(await until(() => closed))
+  t.equal(passing.passOn.inFlight, 0)
+})
--- a/packages/gateway/src/pass-on/refusal-reason.ts
+++ b/packages/gateway/src/pass-on/refusal-reason.ts
@@ -1,4 +1,4 @@
-/** Why a host doesn't pass a request on. Sent as the reason of a failure; hosts recognize the texts, so they stay letter for letter. */
+/** Why a host doesn't pass a request on, or gives it up. Sent as the reason of a failure; hosts recognize the texts, so they stay letter for letter. */
 export const RefusalReason = {
   Stopping: 'the host is stopping',
   CutOff: 'the host does not reach the runner',
@@ -7,13 +7,14 @@
   Closed: 'the runner is closed to requests',
   TooLarge: 'the body is too large to pass on',
   Late: 'no time is left for the request',
+  Overdue: 'the host that asked has not ended the request in its time',
   Malformed: 'the request can not be sent'
 } as const
 export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason]
 
-const REASONS_OF_THE_HOST: readonly string[] = [RefusalReason.Stopping, RefusalReason.CutOff, RefusalReason.Full]
+const REASONS_OF_THE_HOST: readonly string[] = [RefusalReason.Stopping, RefusalReason.CutOff, RefusalReason.Full, RefusalReason.Overdue]
 
-/** Whether another host could pass the request on to the same runner. */
+/** Whether the reason is at the host and says nothing about the runner: another host could pass the request on. */
 export function isReasonOfHost (reason: string): boolean {
   return REASONS_OF_THE_HOST.includes(reason)
 }
--- a/packages/gateway/src/pass-on/served-request.ts
+++ b/packages/gateway/src/pass-on/served-request.ts
@@ -11,6 +11,9 @@
 import type { PassOnServerParts } from './pass-on-server.js'
 import { RefusalReason } from './refusal-reason.js'
 
+/** The other host ends a request itself when its time is over; one that doesn't by then is lost or stopped. */
+const OVERDUE_MARGIN_MS = 250
+
 export type ServedRequestOptions = {
   parts: PassOnServerParts
   message: PassOnRequest
@@ -89,7 +92,7 @@
     const { parts: { clock, closures }, message, runner, dispatcher, signal } = this.options
     const { method, target, headers, body, requestId, timeLeftMs } = message
     closures.onChosen(runner.entry, requestId)
-    this.#deadlineTimer = clock.setTimer(timeLeftMs, () => this.#onDeadline())
+    this.#deadlineTimer = clock.setTimer(timeLeftMs + OVERDUE_MARGIN_MS, () => this.#onOverdue())
     signal.addEventListener('abort', () => this.#end(), { once: true })
     const bytes = body === undefined ? undefined : Buffer.from(body.buffer, body.byteOffset, body.byteLength)
     this.#attempt = DirectAttempt.start(dispatcher, { method, target, headers, body: bytes }, this, clock)
@@ -104,10 +107,10 @@
     if (signals.requestId === requestId && !isFromOtherRunner) closures.onAnswer({ runner: runner.entry, requestId, signals })
   }
 
-  #onDeadline (): void {
-    const wasSent = this.#attempt?.sent === true
+  #onOverdue (): void {
+    const stage = this.#attempt?.sent !== true ? FailureStage.Withdrawn : this.#headReceived ? FailureStage.Answer : FailureStage.Sent
     this.#attempt?.cancel()
-    this.#fail(!wasSent ? FailureStage.Withdrawn : this.#headReceived ? FailureStage.Answer : FailureStage.Sent, RefusalReason.Late)
+    this.#fail(stage, RefusalReason.Overdue)
   }
 
   #fail (stage: FailureStage, reason: string): void {
--- a/packages/gateway/src/serve/attempt-path.ts
+++ b/packages/gateway/src/serve/attempt-path.ts
@@ -53,8 +53,9 @@
     if (this.path.kind === PathKind.ViaHost && failedOnPath) paths.onHostFailed(this.path.host)
     if (this.path.kind === PathKind.Direct && result.outcome === Outcome.ConnectFailed) paths.onConnectFailed(this.runner, result.reason)
     const unreached = result.outcome === Outcome.ConnectFailed || (failedOnPath && wasNotSent(result.outcome))
-    const hasOther = unreached && !isSame(this.path, paths.pathTo(this.runner))
-    return { failed: failedOnPath || hasOther, hasOther, logFields: this.logFields }
+    const isReplaced = result.faultAt !== undefined && !isSame(this.path, paths.pathTo(this.runner))
+    const directFailed = this.path.kind === PathKind.Direct && isReplaced
+    return { failed: failedOnPath || directFailed, hasOther: unreached && isReplaced, logFields: this.logFields }
   }
 
   /** The request is no longer at the runner. */
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -205,7 +205,7 @@
     const path = AttemptPath.create(context, runner.entry)
     const observer = ResultObserver.create(request.id, context.codec, this.#writer, {
       beforeWrite: () => this.#guard(() => this.#beforeWrite(runner, permit)) ?? false,
-      onBytes: () => path.onBytes(),
+      onBytes: () => this.#guard(() => path.onBytes()),
       onHead: (facts) => this.#guard(() => recordAnswerHead(context, { requestId: request.id, runner, facts, writtenInstantMs: this.#writtenInstantMs })),
       onFirstByte: () => this.#guard(() => this.#onFirstByte()),
       onEvents: () => this.#guard(() => this.#onEvents(runner)),
@@ -274,7 +274,7 @@
 
   #onResult (runner: RunnerState, result: AttemptResult): void {
     const path = this.#path?.assess(result)
-    this.#releaseRunner(departureOf(result.outcome, result.connectionBroke === true))
+    this.#releaseRunner(departureOf(result.outcome, result.connectionBroke === true && path?.failed !== true))
     if (this.#ended) return
     recordAttempt(this.context, { request: this.request, runner, result, startedMs: this.#attemptStartMs, pathFailed: path?.failed === true })
     if (result.facts?.misdirected !== true) this.#weightsVersion ??= result.facts?.weightsVersion
--- a/packages/gateway/src/testing/gateway-host.ts
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -5,6 +5,7 @@
 import { Gateway } from '../gateway.js'
 import { AppendOutcome, LeaseLog, type LeaseTail } from '../lease/types.js'
 import { HostRegistry } from '../members/types.js'
+import type { RunnerPaths } from '../paths/types.js'
 import { PlatformWatch, type PlatformEvents } from '../types.js'
 import { FakeRunnerOrders } from './fake-runner.js'
 import { CrashRecords, MemoryCrashLog } from './memory-crash-log.js'
@@ -53,7 +54,7 @@
 export type TestHost = { gateway: Gateway, watch: FixedWatch, callerAddress: string, lookupAddress: string, readinessAddress: string, peerAddress: string }
 
 /** Starts a host without a configuration or runners; the test must stop it. */
-export async function startHost (seedPeerAddresses: string[] = [], records = CrashRecords.create()): Promise<TestHost> {
+export async function startHost (seedPeerAddresses: string[] = [], records = CrashRecords.create(), paths?: RunnerPaths): Promise<TestHost> {
   const [callers, lookup, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()])
   const clock = SystemClock.create()
   const watch = new FixedWatch()
@@ -61,6 +62,7 @@
     clock,
     log: silentLogger,
     random: Math.random,
+    paths,
     settings: {
       self: { host: `host-${callers}`, availabilityZone: 'z', callerAddress: callers, peerAddress: peers, capacityCores: 1 },
       callerListener: callers,
