--- a/packages/gateway/src/pass-on/pass-on-client.ts
+++ b/packages/gateway/src/pass-on/pass-on-client.ts
@@ -34,7 +34,8 @@
   isLive: (host: string) => boolean
 }
 
-type OpenAttempt = { host: string, attempt: HostAttempt }
+/** A host counts as silent only after it has reported: one that just started may not be known yet. */
+type OpenAttempt = { host: string, attempt: HostAttempt, hasReported: boolean }
 
 export class PassOnClient {
   readonly #connections = HostConnections.create()
@@ -59,7 +60,7 @@
         metrics.passedOn.inc({ outcome })
       }
     })
-    const entry = { host, attempt }
+    const entry = { host, attempt, hasReported: this.parts.isLive(host) }
     this.#open.add(entry)
     this.#livenessTimer ??= this.#scheduleCheck()
     return attempt
@@ -82,8 +83,9 @@
   }
 
   #checkLiveness (): void {
-    for (const { host, attempt } of [...this.#open]) {
-      if (!this.parts.isLive(host)) attempt.onHostSilent()
+    for (const open of [...this.#open]) {
+      if (this.parts.isLive(open.host)) open.hasReported = true
+      else if (open.hasReported) open.attempt.onHostSilent()
     }
     this.#livenessTimer = this.#open.size === 0 ? undefined : this.#scheduleCheck()
   }
