--- a/packages/gateway/src/pass-on/passed-on-requests.test.ts
+++ b/packages/gateway/src/pass-on/passed-on-requests.test.ts
@@ -1,5 +1,6 @@
 // Guards against answers that differ, get lost or are run twice when a host passes requests on for one that doesn't reach the runners.
 import { setMaxListeners } from 'node:events'
+import { createServer as createHttpServer } from 'node:http'
 import { connect, createServer, type AddressInfo } from 'node:net'
 import { create } from '@bufbuild/protobuf'
 import { PassOnRequestSchema, PassOnStage, type PassOnPart } from '@figloom/protocol'
@@ -374,3 +375,37 @@
   t.ok(await until(() => closed))
   t.equal(passing.passOn.inFlight, 0)
 })
+
+t.test('a host of a release that passes nothing on counts as not sent', async (t) => {
+  const earlier = createHttpServer((_, response) => response.writeHead(404).end())
+  await new Promise<void>((resolve) => earlier.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => { earlier.close() })
+  const { host, paths, runner } = await startHosts(t, { kind: RouteKind.NonIdempotent, maxAttempts: 1 }, answerOk)
+  paths.hosts.unshift(`127.0.0.1:${(earlier.address() as AddressInfo).port}`)
+  t.equal((await host.call({ method: 'POST' })).status, 200)
+  t.equal(runner.requests.length, 1)
+  t.equal(paths.hostFailed.length, 1)
+})
+
+t.test('a host that closes the connection without an answer may have sent the request', async (t) => {
+  const lost = createServer((socket) => { socket.once('data', () => socket.destroy()) })
+  await new Promise<void>((resolve) => lost.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => { lost.close() })
+  const { host, paths, runner } = await startHosts(t, { kind: RouteKind.NonIdempotent, maxAttempts: 1 }, answerOk)
+  paths.hosts.unshift(`127.0.0.1:${(lost.address() as AddressInfo).port}`)
+  const reply = await host.call({ method: 'POST' })
+  t.equal(reply.status, 502)
+  t.match(reply.body, /"ran":"unknown"/)
+  t.equal(runner.requests.length, 0)
+})
+
+t.test('one connection between the hosts carries one request after the other, refused ones too', async (t) => {
+  const { host, passing, runner } = await startHosts(t, {}, (exchange) => {
+    if (exchange.number % 2 === 1) return answerOk(exchange)
+    exchange.socket.write(`HTTP/1.1 503 Busy\r\nRequest-Id: ${exchange.requestId}\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nbusy`)
+  })
+  for (let id = 0; id < 6; id += 1) await host.call({ id: String(id) })
+  t.equal(runner.requests.length, 6)
+  t.equal(passing.connectionCount, 1)
+  t.equal(runner.connections, 1)
+})
--- a/packages/gateway/src/testing/passing-host.ts
+++ b/packages/gateway/src/testing/passing-host.ts
@@ -58,6 +58,11 @@
     return this.passOn.serve(request, signal)
   }
 
+  /** Connections of other hosts. */
+  get connectionCount (): number {
+    return this.#server.connectionCount
+  }
+
   /** Breaks all connections of other hosts, as the loss of the process does. */
   kill (): void {
     this.#server.destroy()
