--- a/packages/gateway/src/crashes/testing/crashing-fleet.ts
+++ b/packages/gateway/src/crashes/testing/crashing-fleet.ts
@@ -43,7 +43,7 @@
     const seeds: string[] = []
     for (let index = 0; index < hosts; index += 1) {
       const probe = new LinkProbe()
-      const host = await startHost([...seeds], fleet.records, probe)
+      const host = await startHost([...seeds], fleet.records, { probe })
       fleet.#probes.push(probe)
       fleet.#requestIds.push(new Set())
       seeds.push(host.peerAddress)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,10 @@
 import { createPathMetrics } from './paths/path-metrics.js'
 import { PathMonitor } from './paths/path-monitor.js'
 import { TcpConnectProbe } from './paths/tcp-connect-probe.js'
+import { createPassOnMetrics, type PassOnMetrics } from './pass-on/metrics.js'
+import { PassOnClient } from './pass-on/pass-on-client.js'
+import { PassOnServer } from './pass-on/pass-on-server.js'
+import type { RunnerPaths } from './paths/types.js'
 import { SharedBudget } from './retry/shared-budget.js'
 import { RunnerListSync } from './runners/runner-list-sync.js'
 import { RunnerTable } from './runners/runner-table.js'
@@ -76,6 +80,8 @@
   random: () => number
   /** Checks whether a runner accepts connections; by TCP unless given. */
   probe?: ListenerProbe
+  /** Paths to the runners; what this host and the others observe decides unless given. */
+  paths?: RunnerPaths
 }
 
 export class Gateway {
@@ -92,7 +98,10 @@
   readonly #versions: VersionHistory
   readonly #origins: StreamOrigins
   readonly #connections: RunnerConnections
-  readonly #paths: PathMonitor
+  readonly #paths: RunnerPaths
+  readonly #passOnMetrics: PassOnMetrics
+  readonly #passOnClient: PassOnClient
+  readonly #passOnServer: PassOnServer
   readonly #demand = DemandMeter.create()
   readonly #loopLag: LoopLag
   readonly #peerCalls = ConnectPeerClient.create()
@@ -165,7 +174,14 @@
       overlong.inc()
       log.warn('runner sends without end; its connection is closed', { runner, reason })
     })
-    this.#paths = this.#createPathMonitor()
+    this.#paths = parts.paths ?? this.#createPathMonitor()
+    this.#passOnMetrics = createPassOnMetrics(this.#registry)
+    this.#passOnClient = PassOnClient.create({
+      clock,
+      metrics: this.#passOnMetrics,
+      isLive: (host) => this.#members.live(this.#nowMs()).some(({ summary }) => summary.address.host === host)
+    })
+    this.#passOnServer = this.#createPassOnServer()
     this.#hostObservation = HostObservation.create(clock, this.#members, this.#contactTiming)
     this.#usage = UsageAggregator.create(this.#contactTiming.relayReportTtlMs)
     this.#reportWriter = ReportWriter.create({
@@ -257,16 +273,16 @@
     this.#leavingSinceMs = this.#nowMs()
     const { clock, log } = this.parts
     const endMs = this.#nowMs() + this.#settings.graceMs - EXIT_MARGIN_MS
-    log.info('gateway is leaving', { inFlight: this.#inFlight })
+    log.info('gateway is leaving', { inFlight: this.#inFlight, forHosts: this.#passOnServer.inFlight })
     await Promise.allSettled([this.#exchanger.reportToRelays(), this.#lease.release()])
     this.#orderDispatcher.stop()
     await clock.sleep(LOOKUP_TTL_MS * MAX_LOOKUP_TTL_FACTOR + this.#hostObservation.propagationMs)
     this.#front.stopAccepting()
-    while (this.#inFlight > 0 && this.#nowMs() < endMs) {
+    while (this.#inFlight + this.#passOnServer.inFlight > 0 && this.#nowMs() < endMs) {
       await clock.sleep(50)
       this.#front.closeIdle()
     }
-    log.info('gateway stopped', { inFlight: this.#inFlight })
+    log.info('gateway stopped', { inFlight: this.#inFlight, forHosts: this.#passOnServer.inFlight })
     await this.#destroy()
   }
 
@@ -308,7 +324,8 @@
         onAdapterRequest: (request) => this.#orderDispatcher.ensureAdapter(request),
         onPermitRequest: (request) => this.#limits.onPermitRequest(request),
         onConfigRequest: () => this.#config.encoded,
-        onCheckRequest: (address) => this.#runnerChecks.check(address)
+        onCheckRequest: (address) => this.#runnerChecks.check(address),
+        onPassOn: (request, signal) => this.#passOnServer.serve(request, signal)
       }
     })
   }
@@ -439,6 +456,20 @@
     return this.#paths.isCutOff && this.#members.connected(this.#nowMs()).some(({ summary }) => summary.relay)
   }
 
+  #createPassOnServer (): PassOnServer {
+    return PassOnServer.create({
+      clock: this.parts.clock,
+      log: this.parts.log,
+      metrics: this.#passOnMetrics,
+      codec: this.parts.platform.codec,
+      runners: this.#runners,
+      closures: this.#closures,
+      connections: this.#connections,
+      paths: this.#paths,
+      isLeaving: () => this.#leaving
+    })
+  }
+
   #createContext (): ServeContext {
     const { settings, clock, log, platform, random } = this.parts
     return {
@@ -455,6 +486,8 @@
       versions: this.#versions,
       origins: this.#origins,
       connections: this.#connections,
+      paths: this.#paths,
+      passOn: this.#passOnClient,
       budget: SharedBudget.create(settings.budget),
       demand: this.#demand,
       adapters: AdapterRequests.create({
@@ -565,6 +598,7 @@
     this.parts.platform.watch.stop()
     this.#front.destroy()
     this.#sideListeners.destroy()
+    this.#passOnClient.destroy()
     await this.#connections.destroy()
   }
 }
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -1,7 +1,7 @@
 /** The protocol between hosts over connect-es: the client and the routes of the service. */
 import { createClient, type Client, type ConnectRouter } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
-import { GatewayService } from '@figloom/protocol'
+import { GatewayService, type PassOnPart, type PassOnRequest } from '@figloom/protocol'
 import { Agent } from 'node:http'
 import type { RunnerCheck } from '../crashes/types.js'
 import type { PermitReply, PermitRequest } from '../limits/types.js'
@@ -27,6 +27,8 @@
   abstract onConfigRequest (): Uint8Array
   /** Checks whether this host reaches a runner's address. */
   abstract onCheckRequest (runnerAddress: string): Promise<RunnerCheck>
+  /** Sends a request to a runner for another host; `signal` aborts when that host no longer waits for the answer. */
+  abstract onPassOn (request: PassOnRequest, signal: AbortSignal): AsyncIterable<PassOnPart>
 }
 
 export function registerPeerService (router: ConnectRouter, handler: PeerHandler): void {
@@ -35,7 +37,8 @@
     ensureAdapter: (message) => handler.onAdapterRequest(message),
     takePermits: (message) => toPermitReplyMessage(handler.onPermitRequest(toPermitRequest(message))),
     readConfig: () => ({ encoded: handler.onConfigRequest() }),
-    checkRunner: async ({ address }) => ({ check: toCheckMessage(await handler.onCheckRequest(address)) })
+    checkRunner: async ({ address }) => ({ check: toCheckMessage(await handler.onCheckRequest(address)) }),
+    passOn: (message, { signal }) => handler.onPassOn(message, signal)
   })
 }
 
--- a/packages/gateway/src/paths/path-monitor.ts
+++ b/packages/gateway/src/paths/path-monitor.ts
@@ -77,11 +77,11 @@
     return new PathMonitor(parts)
   }
 
-  start (): void {
+  override start (): void {
     this.#timer = this.parts.clock.setTimer(TICK_MS, () => this.#tick())
   }
 
-  stop (): void {
+  override stop (): void {
     this.#stopped = true
     this.#timer?.cancel()
   }
@@ -91,7 +91,7 @@
   }
 
   /** Number of runners that other hosts reach and this one doesn't. */
-  get brokenCount (): number {
+  override get brokenCount (): number {
     return this.#broken.size
   }
 
@@ -139,7 +139,7 @@
   }
 
   /** Forgets runners that are no longer listed. @param addresses of the runners that are */
-  retain (addresses: ReadonlySet<string>): void {
+  override retain (addresses: ReadonlySet<string>): void {
     for (const [address, tracked] of this.#tracked) {
       if (addresses.has(address) || tracked.waiting.size > 0) continue
       this.#tracked.delete(address)
--- a/packages/gateway/src/paths/types.ts
+++ b/packages/gateway/src/paths/types.ts
@@ -25,4 +25,16 @@
   abstract onHostFailed (host: string): void
   /** This host reaches none or few of the runners, though other hosts reach them. */
   abstract get isCutOff (): boolean
+
+  /** Number of runners that are reached through other hosts. */
+  get brokenCount (): number {
+    return 0
+  }
+
+  start (): void {}
+
+  stop (): void {}
+
+  /** Forgets the runners whose addresses are no longer listed. */
+  retain (_addresses: ReadonlySet<string>): void {}
 }
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -7,6 +7,7 @@
 import { isRequestKey } from '../crashes/request-key.js'
 import { ClosedBy } from '../gates/types.js'
 import { RouteKind } from '../config/types.js'
+import { FaultAt } from '../forward/attempt.js'
 import type { AnswerFacts } from '../forward/types.js'
 import { afterNextPoll, hasDisconnected } from '../front/caller-check.js'
 import { limitFields } from '../limits/limit-fields.js'
@@ -14,6 +15,7 @@
 import type { RunnerState } from '../runners/runner-table.js'
 import { AnswerWriter } from './answer-writer.js'
 import { AttemptPair } from './attempt-pair.js'
+import { INTACT, type PathAssessment } from './attempt-path.js'
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
 import { decideNextStep, departureOf, NextStep, Outcome, wasNotSent, type Progress } from './outcome.js'
 import { writeFailure } from './gateway-answer.js'
@@ -203,9 +205,17 @@
       this.#onUnusableAddress(runner, dispatcher.error)
       return false
     }
-    const attempt = RunnerAttempt.create({ context, request, requestGuard: this.#requestGuard, runner, permit })
+    const attempt: RunnerAttempt = RunnerAttempt.create({
+      context,
+      request,
+      requestGuard: this.#requestGuard,
+      runner,
+      permit,
+      onPathBroken: () => this.#guard(() => this.#onPathBroken(attempt))
+    })
     const observer = ResultObserver.create(request.id, context.codec, this.#writer, {
       beforeWrite: () => this.#guard(() => attempt.beforeWrite(this.#progress.possibleRuns + this.#attempts.sentCount + 1)) ?? false,
+      onBytes: () => this.#guard(() => attempt.path.onBytes()),
       onHead: (facts) => this.#guard(() => recordAnswerHead(context, { requestId: request.id, runner, facts, writtenInstantMs: attempt.writtenInstantMs })),
       onStream: (facts) => this.#guard(() => this.#onStream(attempt, facts)),
       onFirstByte: () => this.#guard(() => this.#onFirstByte()),
@@ -216,6 +226,7 @@
     if (this.#writer.lastEventId !== undefined || request.facts.lastEventId !== undefined) this.#log.mark()
     this.#log.note('sent to a runner', {
       runner: id,
+      ...attempt.path.logFields,
       sending: this.#attemptCount + 1,
       inFlight: candidate.inFlight,
       slots: candidate.slots,
@@ -273,12 +284,13 @@
   }
 
   #onResult (attempt: RunnerAttempt, result: AttemptResult): void {
-    attempt.leave(departureOf(result.outcome, result.connectionBroke === true))
+    const path = attempt.path.assess(result)
+    attempt.leave(departureOf(result.outcome, result.connectionBroke === true && !path.failed))
     if (this.#ended) return
     const wasNext = attempt === this.#attempts.next
     if (!wasNext && result.outcome === Outcome.Answered) this.#dropNext('the stream ended at its runner')
     this.#attempts.remove(attempt)
-    const step = this.#recordEnd(attempt, result)
+    const step = this.#recordEnd(attempt, result, path)
     if (wasNext) return this.#onMoveFailed(result.outcome)
     if (result.facts?.misdirected !== true) this.#weightsVersion ??= result.facts?.weightsVersion
     this.#lastFailureReason = result.reason
@@ -289,14 +301,15 @@
   }
 
   /** Counts and logs an attempt that has ended, and decides what follows if no other attempt is in progress. */
-  #recordEnd ({ runner, startedMs, writtenAfterMs }: RunnerAttempt, result: AttemptResult): NextStep {
-    recordAttempt(this.context, { request: this.request, runner, result, startedMs })
+  #recordEnd ({ runner, startedMs, writtenAfterMs, path }: RunnerAttempt, result: AttemptResult, { failed, hasOther }: PathAssessment = INTACT): NextStep {
+    recordAttempt(this.context, { request: this.request, runner, result, startedMs, pathFailed: failed })
     this.#countOutcome(result.outcome)
-    this.#excluded.add(runner.entry.id)
+    if (!hasOther) this.#excluded.add(runner.entry.id)
     const step = decideNextStep(this.request.route, result.outcome, this.#progress)
     const remaining = this.#attempts.current?.runner.entry.id
     this.#log.note('attempt ended', {
       runner: runner.entry.id,
+      ...path.logFields,
       outcome: result.outcome,
       reason: result.reason,
       status: result.facts?.status,
@@ -331,6 +344,25 @@
     this.#send(runner, chosen)
   }
 
+  /** The direct path to the runner is broken, and no answer will arrive on it. A request that may run again is sent again at once. */
+  #onPathBroken (attempt: RunnerAttempt): void {
+    const { current, next } = this.#attempts
+    if (this.#ended || (attempt !== current && attempt !== next)) return
+    const mayMove = next !== undefined || this.#mayRepeat()
+    this.#log.note('path to the runner broke', { runner: attempt.runner.entry.id, mayMove, lastEventId: this.#writer.lastEventId })
+    if (!mayMove) return
+    attempt.cancel()
+    this.#onResult(attempt, { outcome: Outcome.Unknown, reason: 'the path to the runner broke', faultAt: FaultAt.Path })
+  }
+
+  /** Whether the request may be sent again if the attempt in progress is given up. */
+  #mayRepeat (): boolean {
+    const { budget, clock, host } = this.context
+    const { route, service } = this.request
+    const progress = { ...this.#progress, possibleRuns: this.#progress.possibleRuns + 1, answerStarted: this.#writer.started }
+    return decideNextStep(route, Outcome.Unknown, progress) === NextStep.Retry && budget.mayTake(service.name, host.hostCount(), clock.monotonicMs())
+  }
+
   /** Tries another runner at once where the last one didn't run the request: the stream is still silent. */
   #onMoveFailed (outcome: Outcome): void {
     if (wasNotSent(outcome) || outcome === Outcome.NotRun) this.#onStall(this.#stallDetector?.silentMs ?? 0)
--- a/packages/gateway/src/testing/gateway-host.ts
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -1,9 +1,8 @@
 /** Complete gateway hosts over loopback, on a platform whose configuration and runner list the test sets. */
 import { silentLogger, SystemClock } from '@figloom/runtime'
-import type { ListenerProbe } from '../crashes/types.js'
 import { RouteKind, type GatewayConfig } from '../config/types.js'
 import { EraTracker } from '../eras/era-tracker.js'
-import { Gateway } from '../gateway.js'
+import { Gateway, type GatewayParts } from '../gateway.js'
 import { AppendOutcome, LeaseLog, type LeaseTail } from '../lease/types.js'
 import { HostRegistry } from '../members/types.js'
 import { PlatformWatch, type PlatformEvents } from '../types.js'
@@ -55,9 +54,8 @@
 
 /**
  * Starts a host without a configuration or runners; the test must stop it.
- * @param probe checks whether runners accept this host's connections; by TCP unless given
  */
-export async function startHost (seedPeerAddresses: string[] = [], records = CrashRecords.create(), probe?: ListenerProbe): Promise<TestHost> {
+export async function startHost (seedPeerAddresses: string[] = [], records = CrashRecords.create(), { probe, paths }: Pick<GatewayParts, 'probe' | 'paths'> = {}): Promise<TestHost> {
   const [callers, lookup, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()])
   const clock = SystemClock.create()
   const watch = new FixedWatch()
@@ -66,6 +64,7 @@
     log: silentLogger,
     random: Math.random,
     probe,
+    paths,
     settings: {
       self: { host: `host-${callers}`, availabilityZone: 'z', callerAddress: callers, peerAddress: peers, capacityCores: 1 },
       callerListener: callers,
