Passing on, paths and checks of runners joined: one probe and one call for checks, confirmed ends tell the paths

A runner to which the path broke while a request was at it comes after all others instead of never: where it holds the only copy, the request goes on there over another host (serve/broken-paths, the last case; failed before with no other runner).

--- a/packages/gateway/src/paths/tcp-connect-probe.test.ts
+++ b/packages/gateway/src/crashes/tcp-probe.test.ts
@@ -2,8 +2,8 @@
 import t from 'tap'
 import { createServer, type AddressInfo } from 'node:net'
 import { freeAddress } from '../testing/free-address.js'
-import { ProbeResult } from './connect-probe.js'
-import { TcpConnectProbe } from './tcp-connect-probe.js'
+import { ProbeResult } from './types.js'
+import { TcpProbe } from './tcp-probe.js'
 
 t.test('a listener accepts a probe, which sends nothing and ends', async (t) => {
   let receivedBytes = 0
@@ -16,7 +16,7 @@
     t.teardown(() => server.close())
     server.listen(0, '127.0.0.1', async () => {
       const { port } = server.address() as AddressInfo
-      t.equal(await TcpConnectProbe.create().probe(`127.0.0.1:${port}`, 2_000), ProbeResult.Accepted)
+      t.equal(await TcpProbe.create().probe(`127.0.0.1:${port}`, 2_000), ProbeResult.Accepted)
     })
   })
   await ended
@@ -24,5 +24,5 @@
 })
 
 t.test('a closed port refuses a probe', async (t) => {
-  t.equal(await TcpConnectProbe.create().probe(await freeAddress(), 2_000), ProbeResult.Refused)
+  t.equal(await TcpProbe.create().probe(await freeAddress(), 2_000), ProbeResult.Refused)
 })
--- a/packages/gateway/src/crashes/tcp-probe.ts
+++ b/packages/gateway/src/crashes/tcp-probe.ts
@@ -12,13 +12,15 @@
   override probe (address: string, timeoutMs: number): Promise<ProbeResult> {
     const [host, port] = address.split(':')
     return new Promise((resolve) => {
-      const socket = connect({ host, port: Number(port), timeout: timeoutMs })
+      const socket = connect({ host, port: Number(port) })
       const settle = (result: ProbeResult) => {
+        clearTimeout(timer)
         socket.destroy()
         resolve(result)
       }
+      // After a stall of the event loop the timer fires before the socket's events are read: those go first.
+      const timer = setTimeout(() => setImmediate(settle, ProbeResult.Silent), timeoutMs)
       socket.on('connect', () => settle(ProbeResult.Accepted))
-      socket.on('timeout', () => settle(ProbeResult.Silent))
       socket.on('error', (error: NodeJS.ErrnoException) => settle(error.code === REFUSED ? ProbeResult.Refused : ProbeResult.Silent))
     })
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,7 +11,7 @@
 import { PeerWitness } from './crashes/peer-witness.js'
 import { RunnerChecks } from './crashes/runner-checks.js'
 import { TcpProbe } from './crashes/tcp-probe.js'
-import type { ListenerProbe } from './crashes/types.js'
+import { RunnerCheck, type ListenerProbe } from './crashes/types.js'
 import { ConfigFetcher } from './config/config-fetcher.js'
 import { ConfigState } from './config/config-state.js'
 import type { GatewayConfig } from './config/types.js'
@@ -37,11 +37,9 @@
 import { KnownLoads } from './orders/known-loads.js'
 import { AdapterRequests } from './orders/adapter-requests.js'
 import { OrderDispatcher } from './orders/order-dispatcher.js'
-import { ConnectWitness } from './paths/connect-witness.js'
 import { PassingHosts } from './paths/passing-hosts.js'
 import { createPathMetrics } from './paths/path-metrics.js'
 import { PathMonitor } from './paths/path-monitor.js'
-import { TcpConnectProbe } from './paths/tcp-connect-probe.js'
 import { createPassOnMetrics, type PassOnMetrics } from './pass-on/metrics.js'
 import { PassOnClient } from './pass-on/pass-on-client.js'
 import { PassOnServer } from './pass-on/pass-on-server.js'
@@ -93,6 +91,7 @@
   readonly #runnerList: RunnerListSync
   readonly #limits: LimitControl
   readonly #closures: RunnerGates
+  readonly #probe: ListenerProbe
   readonly #runnerChecks: RunnerChecks
   readonly #crashes: CrashMonitor
   readonly #versions: VersionHistory
@@ -163,9 +162,9 @@
       limits: this.#limits,
       leaving: this.#leavingRunners
     })
-    const probe = parts.probe ?? TcpProbe.create()
-    this.#runnerChecks = RunnerChecks.create({ probe, listed: () => this.#runners.all().map(({ entry }) => entry), hasEnded: (runner) => this.#crashes.hasEnded(runner), random: parts.random })
-    this.#crashes = this.#createCrashMonitor(probe)
+    this.#probe = parts.probe ?? TcpProbe.create()
+    this.#runnerChecks = RunnerChecks.create({ probe: this.#probe, listed: () => this.#runners.all().map(({ entry }) => entry), hasEnded: (runner) => this.#crashes.hasEnded(runner), random: parts.random })
+    this.#crashes = this.#createCrashMonitor()
     const { streamLog } = parts.platform
     this.#versions = VersionHistory.create({ clock, log, runners: this.#runners, streamLog })
     this.#origins = StreamOrigins.create({ clock, log, history: this.#versions, streamLog, hostCount: () => this.#members.live(this.#nowMs()).length + 1 })
@@ -324,7 +323,7 @@
         onAdapterRequest: (request) => this.#orderDispatcher.ensureAdapter(request),
         onPermitRequest: (request) => this.#limits.onPermitRequest(request),
         onConfigRequest: () => this.#config.encoded,
-        onCheckRequest: (address) => this.#runnerChecks.check(address),
+        onCheckRequest: async (address) => this.#paths.isCutOff ? RunnerCheck.Unknown : await this.#runnerChecks.check(address),
         onPassOn: (request, signal) => this.#passOnServer.serve(request, signal)
       }
     })
@@ -368,16 +367,16 @@
     })
   }
 
-  #createCrashMonitor (probe: ListenerProbe): CrashMonitor {
+  #createCrashMonitor (): CrashMonitor {
     const { settings, clock, log, platform, random } = this.parts
     return CrashMonitor.create({
       clock,
       instants: this.#instants,
       log,
       metrics: createCrashMetrics(this.#registry),
-      probe,
+      probe: this.#probe,
       witness: this.#createWitness(),
-      onPathBroken: () => {},
+      onPathBroken: (runner) => this.#paths.onConnectFailed(runner, 'refused here, and reached by another host'),
       crashLog: platform.crashLog,
       host: settings.self.host,
       incarnation: this.#incarnation,
@@ -412,8 +411,8 @@
       clock,
       log,
       metrics: createPathMetrics(this.#registry),
-      probe: TcpConnectProbe.create(),
-      witness: ConnectWitness.create(),
+      probe: this.#probe,
+      calls: this.#peerCalls,
       hosts,
       placeOf: ({ id }) => this.#runners.get(id)?.entry,
       random,
--- a/packages/gateway/src/paths/path-monitor.ts
+++ b/packages/gateway/src/paths/path-monitor.ts
@@ -4,12 +4,12 @@
  */
 import type { Clock, Logger, Timer } from '@figloom/runtime'
 import type { LocatedRunner } from '../gates/types.js'
-import { ProbeResult, type ConnectProbe } from './connect-probe.js'
+import { ProbeResult, type ListenerProbe } from '../crashes/types.js'
 import { CutOffDetector, UNCONFIRMED_TTL_MS } from './cut-off-detector.js'
 import type { PassingHosts } from './passing-hosts.js'
 import type { PathMetrics } from './path-metrics.js'
 import { ProbeBudget } from './probe-budget.js'
-import type { RunnerWitness } from './runner-witness.js'
+import type { PeerClient } from '../members/types.js'
 import { ServiceCuts } from './service-cuts.js'
 import { shuffle, SilenceWatch } from './silence-watch.js'
 import { TrackedRunner, type RunnerPlace } from './tracked-runner.js'
@@ -41,8 +41,8 @@
   clock: Clock
   log: Logger
   metrics: PathMetrics
-  probe: ConnectProbe
-  witness: RunnerWitness
+  probe: ListenerProbe
+  calls: Pick<PeerClient, 'checkRunner'>
   hosts: PassingHosts
   /** Where a runner is; undefined if it isn't listed. */
   placeOf: (runner: LocatedRunner) => RunnerPlace | undefined
@@ -219,11 +219,11 @@
   }
 
   async #askHosts (tracked: TrackedRunner) {
-    const { clock, witness, hosts, log } = this.parts
+    const { clock, calls, hosts, log } = this.parts
     const { runner, place } = tracked
     const result = await WitnessRound.run({
       clock,
-      witness,
+      calls,
       hosts: hosts.witnesses(place.availabilityZone),
       runnerAddress: runner.address,
       needsSecondOpinion: this.#hasOtherSuspects(tracked),
--- a/packages/gateway/src/paths/testing/linked-fleet.ts
+++ b/packages/gateway/src/paths/testing/linked-fleet.ts
@@ -1,13 +1,12 @@
 /** Hosts that send requests to runners over links that a test cuts, each with a path monitor, on a manual clock without sockets. */
 import { createRegistry, ManualClock, silentLogger } from '@figloom/runtime'
 import type { LocatedRunner } from '../../gates/types.js'
-import type { HostSummary } from '../../members/types.js'
+import type { HostSummary, PeerClient } from '../../members/types.js'
 import { createRandom } from '../../testing/seeded-random.js'
-import { ConnectProbe, ProbeResult } from '../connect-probe.js'
+import { ListenerProbe, ProbeResult, RunnerCheck } from '../../crashes/types.js'
 import { PassingHosts } from '../passing-hosts.js'
 import { createPathMetrics } from '../path-metrics.js'
 import { PathMonitor } from '../path-monitor.js'
-import { RunnerWitness, WitnessAnswer } from '../runner-witness.js'
 import { PathKind, type RunnerPath } from '../types.js'
 
 /** What a link between a host and a runner does. */
@@ -111,7 +110,7 @@
       log: silentLogger,
       metrics: createPathMetrics(createRegistry({ host: name, availabilityZone: zone })),
       probe: new LinkProbe(this, () => host),
-      witness: new LinkWitness(this, () => host),
+      calls: new LinkWitness(this, () => host),
       hosts: PassingHosts.create({ clock: this.clock, self: address, liveHosts, random: this.#random }),
       placeOf: ({ id }) => this.runners.find((runner) => runner.id === id),
       random: this.#random,
@@ -177,7 +176,7 @@
   return ProbeResult.Silent
 }
 
-class LinkProbe extends ConnectProbe {
+class LinkProbe extends ListenerProbe {
   constructor (private readonly fleet: LinkedFleet, private readonly host: () => FleetHost) {
     super()
   }
@@ -190,17 +189,15 @@
 
 const WITNESS_PROBE_MS = 300
 
-class LinkWitness extends RunnerWitness {
-  constructor (private readonly fleet: LinkedFleet, private readonly host: () => FleetHost) {
-    super()
-  }
+class LinkWitness implements Pick<PeerClient, 'checkRunner'> {
+  constructor (private readonly fleet: LinkedFleet, private readonly host: () => FleetHost) {}
 
-  override async check (peerAddress: string, runnerAddress: string): Promise<WitnessAnswer> {
+  async checkRunner (peerAddress: string, runnerAddress: string): Promise<RunnerCheck> {
     this.host().checks += 1
     const witness = this.fleet.host(peerAddress)
     const result = await probeLink(this.fleet, witness, runnerAddress, WITNESS_PROBE_MS)
-    if (result === ProbeResult.Accepted) return WitnessAnswer.Accepted
-    if (witness.monitor.isCutOff) return WitnessAnswer.Unknown
-    return result === ProbeResult.Refused ? WitnessAnswer.Refused : WitnessAnswer.Silent
+    if (result === ProbeResult.Accepted) return RunnerCheck.Accepted
+    if (witness.monitor.isCutOff) return RunnerCheck.Unknown
+    return result === ProbeResult.Refused ? RunnerCheck.Refused : RunnerCheck.Silent
   }
 }
--- a/packages/gateway/src/paths/witness-round.ts
+++ b/packages/gateway/src/paths/witness-round.ts
@@ -1,7 +1,7 @@
 /** One question to other hosts: does a runner that this host doesn't reach accept their connections? */
 import type { Clock, Timer } from '@figloom/runtime'
-import type { HostAddress } from '../members/types.js'
-import { WitnessAnswer, type RunnerWitness } from './runner-witness.js'
+import { RunnerCheck } from '../crashes/types.js'
+import type { HostAddress, PeerClient } from '../members/types.js'
 
 /** The next host is asked after this time: a host that is cut off itself answers late. */
 const NEXT_WITNESS_MS = 100
@@ -10,7 +10,7 @@
 
 export type WitnessRoundParts = {
   clock: Clock
-  witness: RunnerWitness
+  calls: Pick<PeerClient, 'checkRunner'>
   /** In the order in which they are asked. */
   hosts: readonly HostAddress[]
   runnerAddress: string
@@ -46,11 +46,11 @@
   }
 
   async #ask (host: HostAddress): Promise<void> {
-    const { witness, runnerAddress } = this.parts
-    const answer = await witness.check(host.peerAddress, runnerAddress, ANSWER_TIMEOUT_MS)
+    const { calls, runnerAddress } = this.parts
+    const answer = await calls.checkRunner(host.peerAddress, runnerAddress, ANSWER_TIMEOUT_MS)
     this.#outstanding -= 1
-    if (answer === WitnessAnswer.Accepted) return this.#finish({ reachedBy: host })
-    const isDecided = answer !== WitnessAnswer.Unknown && !this.parts.needsSecondOpinion
+    if (answer === RunnerCheck.Accepted) return this.#finish({ reachedBy: host })
+    const isDecided = answer !== RunnerCheck.Unknown && !this.parts.needsSecondOpinion
     if (isDecided) return this.#finish({})
     this.#askNext()
   }
--- a/packages/gateway/src/serve/attempt-path.ts
+++ b/packages/gateway/src/serve/attempt-path.ts
@@ -7,7 +7,7 @@
 import type { RequestToPassOn } from '../pass-on/pass-on-client.js'
 import { PathKind, type PathListener, type RunnerPath } from '../paths/types.js'
 import type { AttemptResult } from './attempt-result.js'
-import { Outcome } from './outcome.js'
+import { Outcome, wasNotSent } from './outcome.js'
 import type { ServeContext } from './types.js'
 
 export type PathAssessment = {
@@ -15,10 +15,12 @@
   failed: boolean
   /** The runner hasn't received the request and can be reached on another path. */
   hasOther: boolean
+  /** The runner may have received the request, and can be reached on another path: it comes after all others. */
+  isLastResort: boolean
 }
 
 /** The attempt tells nothing against its path. */
-export const INTACT: PathAssessment = { failed: false, hasOther: false }
+export const INTACT: PathAssessment = { failed: false, hasOther: false, isLastResort: false }
 
 export class AttemptPath {
   #leave: (() => void) | undefined
@@ -54,10 +56,10 @@
     const failedOnPath = result.faultAt === FaultAt.Path
     if (this.path.kind === PathKind.ViaHost && failedOnPath) paths.onHostFailed(this.path.host)
     if (this.path.kind === PathKind.Direct && result.outcome === Outcome.ConnectFailed) paths.onConnectFailed(this.runner, result.reason)
-    const unreached = result.outcome === Outcome.ConnectFailed || failedOnPath
+    const unreached = result.outcome === Outcome.ConnectFailed || (failedOnPath && wasNotSent(result.outcome))
     const isReplaced = result.faultAt !== undefined && !isSame(this.path, paths.pathTo(this.runner))
     const directFailed = this.path.kind === PathKind.Direct && isReplaced
-    return { failed: failedOnPath || directFailed, hasOther: unreached && isReplaced }
+    return { failed: failedOnPath || directFailed, hasOther: unreached && isReplaced, isLastResort: !unreached && failedOnPath && isReplaced }
   }
 
   /** The request is no longer at the runner. */
--- a/packages/gateway/src/serve/broken-paths.test.ts
+++ b/packages/gateway/src/serve/broken-paths.test.ts
@@ -102,3 +102,15 @@
   paths.breakPaths()
   t.same([...(await reply).body.matchAll(/id: (\d+)/g)].map(([, id]) => id), ['1', '2'])
 })
+
+t.test('a request on a path that breaks goes on over another host to the same runner where no other one is left', async (t) => {
+  const hosts = await startHosts(t, { kind: RouteKind.Idempotent, maxAttempts: 2 })
+  const { host, paths, passing } = hosts
+  const runner = await addRunner(t, hosts, 'runner-1', (exchange) => { if (exchange.number > 1) answerOk(exchange) })
+  const reply = host.call({})
+  t.ok(await until(() => runner.requests.length === 1))
+  paths.hosts.push(passing.peerAddress)
+  paths.breakPaths()
+  t.equal((await reply).status, 200)
+  t.equal(runner.requests.length, 2)
+})
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -46,6 +46,8 @@
   readonly #requestGuard: RequestGuard
   readonly #continuity: StreamContinuity
   readonly #excluded = new Set<string>()
+  /** Runners to which the path broke while the request was at them: they are tried again where no other runner is left. */
+  readonly #lastResorts = new Set<string>()
   readonly #attempts = AttemptPair.create()
   readonly #progress: Progress = { possibleRuns: 0, refusals: 0, unsentAttempts: 0, answerStarted: false }
   readonly #finished: Promise<void>
@@ -132,7 +134,7 @@
     if (this.request.dueMs - nowMs < MIN_ATTEMPT_MS) return this.#onDeadline()
     const block = this.#requestGuard.block()
     if (block !== undefined) return this.#refuseBlocked(block.featureId, block.reason)
-    const set = findCandidates(this.context.runners, createNeed(this.context, this.request, this.#continuity, this.#excluded), nowMs)
+    const set = this.#findCandidates(nowMs)
     const chosen = this.#chooseRunner(this.#continuity.preferred(set.open), affinityKey(this.request.facts))
     if (chosen?.needsPermit === true) return this.#startAttemptWithPermit(chosen)
     if (chosen !== undefined) return this.#startAttempt(chosen)
@@ -143,6 +145,14 @@
     this.#refuse(set)
   }
 
+  #findCandidates (nowMs: number): CandidateSet {
+    const find = (excluded: ReadonlySet<string>) => findCandidates(this.context.runners, createNeed(this.context, this.request, this.#continuity, excluded), nowMs)
+    const set = find(new Set([...this.#excluded, ...this.#lastResorts]))
+    if (set.open.length > 0 || set.withoutAdapter.length > 0 || this.#lastResorts.size === 0) return set
+    this.#lastResorts.clear()
+    return find(this.#excluded)
+  }
+
   #chooseRunner (candidates: readonly Candidate[], affinity: string): Candidate | undefined {
     const { host, random } = this.context
     return chooseRunner({
@@ -301,10 +311,11 @@
   }
 
   /** Counts and logs an attempt that has ended, and decides what follows if no other attempt is in progress. */
-  #recordEnd ({ runner, startedMs, writtenAfterMs, path }: RunnerAttempt, result: AttemptResult, { failed, hasOther }: PathAssessment = INTACT): NextStep {
+  #recordEnd ({ runner, startedMs, writtenAfterMs, path }: RunnerAttempt, result: AttemptResult, { failed, hasOther, isLastResort }: PathAssessment = INTACT): NextStep {
     recordAttempt(this.context, { request: this.request, runner, result, startedMs, pathFailed: failed })
     this.#countOutcome(result.outcome)
-    if (!hasOther) this.#excluded.add(runner.entry.id)
+    if (isLastResort) this.#lastResorts.add(runner.entry.id)
+    else if (!hasOther) this.#excluded.add(runner.entry.id)
     const step = decideNextStep(this.request.route, result.outcome, this.#progress)
     const remaining = this.#attempts.current?.runner.entry.id
     this.#log.note('attempt ended', {
