Paths that have not returned yet after a cut are not taken for another cut

Seen in plays: a host left lookups again 0.1 s after it came back, for another three seconds and more, since the paths that return one by one were counted as broken by a new sample. Test paths/path-monitor (60 runners) failed before: 4 changes of state for one cut. A sample now leaves out paths that broke before the last cut ended; those that break anew count as before.

--- a/packages/gateway/src/paths/cut-off-detector.ts
+++ b/packages/gateway/src/paths/cut-off-detector.ts
@@ -53,7 +53,8 @@
 
   /** Starts a sample of runners; returns those to be probed. @param recent the runners used of late, in random order */
   sample (recent: readonly TrackedRunner[], nowMs: number): TrackedRunner[] {
-    const members = recent.slice(0, SAMPLE_SIZE)
+    // Paths that broke in the last cut return one by one: they say nothing of a new one.
+    const members = recent.filter(({ brokenSinceMs }) => brokenSinceMs === undefined || brokenSinceMs > this.#endedMs).slice(0, SAMPLE_SIZE)
     this.#sample = { startedMs: nowMs, members }
     this.#sampledMs = nowMs
     return members.filter(({ isBroken }) => !isBroken)
--- a/packages/gateway/src/paths/path-monitor.test.ts
+++ b/packages/gateway/src/paths/path-monitor.test.ts
@@ -195,6 +195,21 @@
   t.ok(counts.every((count, index) => count - (counts[index - 1] ?? 0) < 60), counts.join())
 })
 
+t.test('paths that have not returned yet are not taken for another cut', async (t) => {
+  for (const link of [Link.Silent, Link.Refused]) {
+    const fleet = await startFleet(t, ZONES, { a: 20, b: 20, c: 20 })
+    const host = fleet.host('a-h0')
+    for (let round = 0; round < 5; round += 1) {
+      const changesBefore = host.cutOffChanges
+      cutHost(fleet, host.name, link)
+      await fleet.clock.advance(8_000)
+      fleet.cut(() => Link.Up)
+      await fleet.clock.advance(20_000)
+      t.equal(host.cutOffChanges - changesBefore, 2)
+    }
+  }
+})
+
 t.test('probes of a host that is cut off are bounded', async (t) => {
   const fleet = await startFleet(t, ZONES, { a: 100, b: 100, c: 100 })
   const host = fleet.host('a-h0')
