Beside a release, models in demand get a second copy at the version of their streams

Callers saw: beside a release of half of the runners, none of the streams that broke off with one runner could be taken up (LOST): a model that asked for 18 slots had a single copy, and no other runner of the version that began the streams held it.

Cause: the planner valued copies by the slots that they serve alone. It knew no versions, and one copy served the model's demand.

The last copy of a model that is requested now and then is worth more.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -178,7 +178,8 @@
       onOrder: () => this.#lease.onOrder(),
       demand: () => this.#allDemand(),
       limitPerS: (runner) => this.#limits.limitOf(runner)?.requestsPerS,
-      takesOrders: (runner) => this.#closures.acceptsOrders(runner)
+      takesOrders: (runner) => this.#closures.acceptsOrders(runner),
+      isMixed: (service) => this.#versions.isMixed(service)
     })
     this.#context = this.#createContext()
     this.#front = this.#createFront()
--- a/packages/gateway/src/orders/order-dispatcher.test.ts
+++ b/packages/gateway/src/orders/order-dispatcher.test.ts
@@ -26,6 +26,7 @@
   demand: DemandRate[] = []
   token: number | undefined = 1
   takesOrders = true
+  isMixed = false
 
   private constructor (held: string[][], nextOutcome: () => DeliveryOutcome) {
     this.runners = held.map((models, index) => FakeRunner.create(`r${index}`, engine, this.clock, models))
@@ -47,7 +48,8 @@
       onOrder: () => {},
       demand: () => this.demand,
       limitPerS: () => undefined,
-      takesOrders: () => this.takesOrders
+      takesOrders: () => this.takesOrders,
+      isMixed: () => this.isMixed
     })
     this.#updateList()
     this.dispatcher.start()
@@ -149,3 +151,15 @@
   t.ok(ends <= 9)
   t.ok(fixture.isResident('a'))
 })
+
+t.test('while two versions serve, a model in demand gets a second copy at the version of its first', async (t) => {
+  const fixture = DispatcherFixture.create([['a', 'b'], ['c', 'd'], ['b', 'e']])
+  for (const [index, runner] of fixture.runners.entries()) runner.softwareVersion = index < 2 ? 'v1' : 'v2'
+  fixture.addDemand('a', 5)
+  const holders = () => fixture.runners.filter(({ models }) => models.some(({ name }) => name === 'a')).map(({ id }) => id)
+  await fixture.clock.advance(10_000)
+  t.same(holders(), ['r0'])
+  fixture.isMixed = true
+  await fixture.clock.advance(10_000)
+  t.same(holders(), ['r0', 'r1'])
+})
--- a/packages/gateway/src/orders/order-dispatcher.ts
+++ b/packages/gateway/src/orders/order-dispatcher.ts
@@ -45,6 +45,8 @@
   limitPerS: (runner: RunnerProcess) => number | undefined
   /** Whether report reads and orders may be sent to a runner now; false while its own signals ask for a pause or say that it leaves. */
   takesOrders: (runner: LocatedRunner) => boolean
+  /** Whether several versions of the runners' software may have streams of a service. */
+  isMixed: (service: string) => boolean
 }
 
 /** Orders to one runner, and what is known of the runner. */
@@ -190,7 +192,8 @@
       demand,
       missingMs: this.#missingCopies.update(name, demand, runners, nowMs),
       storeLoads: this.#loadLimiter.available(engine.loadsPerS, nowMs),
-      maxLoads: this.#loadFailures.maxLoads(new Set(runners.flatMap(({ loading }) => loading ?? [])), nowMs)
+      maxLoads: this.#loadFailures.maxLoads(new Set(runners.flatMap(({ loading }) => loading ?? [])), nowMs),
+      isMixed: this.parts.isMixed(name)
     })
     for (const order of plan) this.#enqueueModelOrder(order)
     const taken = known.reduce((sum, state) => sum + this.parts.runners.totalInFlight(state), 0)
@@ -225,6 +228,7 @@
     const limitPerS = this.parts.limitPerS(state.entry)
     return {
       id: state.entry.id,
+      softwareVersion: state.entry.softwareVersion,
       models: inventory.models,
       loading: pending?.kind === OrderKind.Load ? pending.model : undefined,
       busy: pending !== undefined || queuedTasks > 0 || !this.parts.takesOrders(state.entry),
--- a/packages/gateway/src/orders/plan-models.test.ts
+++ b/packages/gateway/src/orders/plan-models.test.ts
@@ -1,3 +1,4 @@
+// Guards against loads and unloads that serve less than they displace, and against models with one copy at the version of their streams (issue 43).
 import t from 'tap'
 import type { EngineSpec, ModelSpec } from '../config/types.js'
 import { planModels, type PlanInput, type PlannedRunner } from './plan-models.js'
@@ -79,3 +80,36 @@
   const orders = plan({ runners: [runner('limited', [], { copyShare: 0.05 }), runner('other', ['b'])], demand: steadyDemand({ a: 8, b: 8 }) })
   t.match(orders[0], { runnerId: 'other', model: 'a' })
 })
+
+function versioned (id: string, softwareVersion: string, models: string[]): PlannedRunner {
+  return runner(id, models, { softwareVersion })
+}
+
+t.test('a second copy of a model in demand goes to a runner of the version that its streams begin at', async (t) => {
+  const runners = [versioned('r1', 'v1', ['a', 'b']), versioned('r2', 'v2', ['c']), versioned('r3', 'v2', ['c', 'd']), versioned('r4', 'v1', ['b', 'c', 'd']), versioned('r5', 'v1', ['b', 'c', 'd'])]
+  const demand = steadyDemand({ a: 12, b: 1, c: 1, d: 1 })
+  t.match(plan({ runners, demand, isMixed: true }), [{ runnerId: /r4|r5/, kind: 'unload' }])
+  t.same(plan({ runners, demand }), [])
+})
+
+t.test('a second copy at a version is not unloaded for a copy that serves little more', async (t) => {
+  const runners = [versioned('r1', 'v1', ['a', 'b', 'c']), versioned('r2', 'v1', ['a', 'b', 'c']), versioned('r3', 'v2', ['b', 'c'])]
+  const demand = steadyDemand({ a: 8, d: 6, b: 9, c: 9 })
+  const unloaded = plan({ runners, demand, isMixed: true }).filter(({ kind }) => kind === 'unload').map(({ model }) => model)
+  t.notOk(unloaded.includes('a'))
+})
+
+t.test('no second copy at a version displaces the only copy of a model that is requested', async (t) => {
+  const runners = [versioned('r1', 'v1', ['a']), versioned('r2', 'v1', ['b', 'c', 'd']), versioned('r3', 'v2', [])]
+  t.same(plan({ runners, demand: steadyDemand({ a: 20, b: 0.5, c: 0.5, d: 0.5 }), isMixed: true, storeLoads: 0 }), [])
+})
+
+t.test('a copy for more demand goes to the version at which the streams of the model go on', async (t) => {
+  const runners = [versioned('r1', 'v2', []), versioned('r2', 'v1', ['a']), versioned('r3', 'v1', ['a']), versioned('r4', 'v1', [])]
+  t.match(plan({ runners, demand: steadyDemand({ a: 60 }), isMixed: true })[0], { runnerId: 'r4', kind: 'load', model: 'a' })
+})
+
+t.test('once a version has lost most of its runners, second copies go to the other one', async (t) => {
+  const runners = [versioned('r1', 'v1', ['a']), ...['r2', 'r3', 'r4'].map((id) => versioned(id, 'v2', ['b']))]
+  t.match(plan({ runners, demand: steadyDemand({ a: 12 }), isMixed: true }).filter(({ model }) => model === 'a'), [{ kind: 'load' }, { kind: 'load' }])
+})
--- a/packages/gateway/src/orders/plan-models.ts
+++ b/packages/gateway/src/orders/plan-models.ts
@@ -7,10 +7,13 @@
 import { CopyValues } from './copy-values.js'
 import type { ModelDemand } from './demand-forecast.js'
 import { OrderKind, type OrderTarget } from './types.js'
+import { VersionCopies } from './version-copies.js'
 
 /** State of a runner that the plan depends on. */
 export type PlannedRunner = {
   id: string
+  /** Version of its software; absent if it states none. */
+  softwareVersion?: string
   /** Resident models that are not being unloaded. */
   models: readonly string[]
   /** Model being loaded. */
@@ -34,6 +37,8 @@
   storeLoads: number
   /** Loads that may start now of models whose loads have ended runners; other models have no such limit. */
   maxLoads?: ReadonlyMap<string, number>
+  /** Several versions of the runners' software may have streams, each of which goes on only at its own. */
+  isMixed?: boolean
 }
 
 export type PlannedOrder = OrderTarget & { runnerId: string, fromStore: boolean }
@@ -63,6 +68,7 @@
   readonly #orders: PlannedOrder[] = []
   readonly #orderedRunners = new Set<string>()
   readonly #values: CopyValues
+  readonly #versions: VersionCopies
   readonly #held = new Map<string, Set<string>>()
   readonly #victims = new Set<string>()
   readonly #loadsLeft: Map<string, number>
@@ -72,6 +78,7 @@
     this.#storeLoads = input.storeLoads
     this.#loadsLeft = new Map(input.maxLoads)
     this.#values = CopyValues.create(input.engine, input.demand, input.missingMs)
+    this.#versions = input.isMixed === true ? VersionCopies.create(input.runners, input.demand) : VersionCopies.none()
     for (const runner of input.runners) {
       this.#held.set(runner.id, new Set(copiesOf(runner)))
       for (const model of copiesOf(runner)) this.#values.addCopies(model, runner.copyShare)
@@ -92,16 +99,21 @@
   /** Treats each unload in progress as one more copy of the model that gains most by it: its memory will be free for that model. */
   #reserveMemoryBeingFreed (): void {
     const unloading = this.input.runners.filter((runner) => runner.busy && runner.loading === undefined)
-    for (let room = unloading.length; room > 0; room -= 1) {
-      const model = minBy(this.#underserved(), ({ name }) => -this.#values.gain(name))
-      if (model === undefined) return
-      this.#values.addCopies(model.name, 1)
+    for (const { softwareVersion } of unloading) {
+      const gain = (name: string) => this.#values.gain(name) + this.#versions.gain(name, softwareVersion)
+      const model = minBy(this.#underserved().filter(({ name }) => gain(name) >= MIN_NET_SLOTS), ({ name }) => -gain(name))
+      if (model !== undefined) this.#addCopies(model.name, softwareVersion, 1)
     }
   }
 
   #underserved (): ModelSpec[] {
     const models = [...this.input.engine.models.values()].filter(({ name }) => this.#values.isRequested(name))
-    return models.filter(({ name }) => this.#values.gain(name) >= MIN_NET_SLOTS)
+    return models.filter(({ name }) => this.#values.gain(name) >= MIN_NET_SLOTS || this.#versions.isShort(name))
+  }
+
+  #addCopies (model: string, softwareVersion: string | undefined, copies: number): void {
+    this.#values.addCopies(model, copies)
+    this.#versions.addCopies(model, softwareVersion, Math.sign(copies))
   }
 
   #bestOption (): PlacementOption | undefined {
@@ -115,11 +127,15 @@
   #optionsOn (runner: PlannedRunner, model: ModelSpec): PlacementOption[] {
     const fromStore = !runner.localWeights.includes(model.name)
     if (this.#holds(runner, model.name) || (fromStore && this.#storeLoads < 1)) return []
+    // Streams stay open while demand shifts: a late copy is worth as much to them.
+    const versionGain = this.#versions.gain(model.name, runner.softwareVersion)
+    if (this.#values.gain(model.name) + versionGain < MIN_NET_SLOTS) return []
     const gain = this.#values.gain(model.name, runner.copyShare) - this.#utilization(runner) * UTILIZATION_COST_SLOTS
     const loadMs = fromStore ? model.loadMs : model.diskLoadMs
-    if (this.#fits(runner, model)) return [{ model, runner, fromStore, netSlots: gain * timeliness(loadMs) }]
+    if (this.#fits(runner, model)) return [{ model, runner, fromStore, netSlots: gain * timeliness(loadMs) + versionGain }]
     return runner.models.filter((victim) => !this.#victims.has(victim)).map((victim) => {
-      const netSlots = gain * timeliness(loadMs + this.#unloadMs(victim)) - this.#values.loss(victim, runner.copyShare)
+      const loss = this.#values.loss(victim, runner.copyShare) + this.#versions.loss(victim, runner.softwareVersion)
+      const netSlots = gain * timeliness(loadMs + this.#unloadMs(victim)) + versionGain - loss
       return { model, runner, victim, fromStore, netSlots }
     })
   }
@@ -135,13 +151,13 @@
 
   #apply ({ model, runner, victim, fromStore }: PlacementOption): void {
     this.#countLoad(model.name)
-    this.#values.addCopies(model.name, runner.copyShare)
+    this.#addCopies(model.name, runner.softwareVersion, runner.copyShare)
     if (fromStore) this.#storeLoads -= 1
     if (victim === undefined) {
       this.#addOrder(runner, { kind: OrderKind.Load, model: model.name }, fromStore)
       return
     }
-    this.#values.addCopies(victim, -runner.copyShare)
+    this.#addCopies(victim, runner.softwareVersion, -runner.copyShare)
     // At most one copy of a model is unloaded in a plan; the next plan decides on more.
     this.#victims.add(victim)
     this.#addOrder(runner, { kind: OrderKind.Unload, model: victim }, false)
@@ -181,7 +197,7 @@
     if (fromStore && this.#storeLoads < 1) return
     if (fromStore) this.#storeLoads -= 1
     this.#countLoad(model.name)
-    this.#values.addCopies(model.name, runner.copyShare)
+    this.#addCopies(model.name, runner.softwareVersion, runner.copyShare)
     this.#addOrder(runner, { kind: OrderKind.Load, model: model.name }, fromStore)
   }
 
--- a/packages/gateway/src/orders/testing/placement-replay.ts
+++ b/packages/gateway/src/orders/testing/placement-replay.ts
@@ -28,6 +28,19 @@
   /** Times at which demand starts to shift by two positions in the list of busy models. */
   shiftsMs: readonly number[]
   shiftLengthMs: number
+  /** Runners that are started again, empty, at another version, one after another. */
+  release?: ReplayRelease
+}
+
+export type ReplayRelease = {
+  /** After the first request. */
+  startMs: number
+  runners: number
+  intervalMs: number
+  /** Time from the drain to the start at the other version. */
+  restartMs: number
+  /** Time behind the last restart from which on `atRiskModels` are counted. */
+  settleMs: number
 }
 
 export type ReplayResult = {
@@ -38,6 +51,10 @@
   /** Models that were requested four times or more and never served. */
   neverServed: number
   loads: number
+  /** Models of which as many streams were at the only holder of their version as `AT_RISK_STREAMS`, from the end of a release on. */
+  atRiskModels: ReadonlySet<string>
+  /** Part of the streams that were at the only holder of their version then, on average. */
+  atRiskShare: number
 }
 
 export type Planner = (input: PlanInput) => PlannedOrder[]
@@ -58,9 +75,16 @@
 const MIN_REQUESTS = 4
 const RETRY_AFTER_MS = 1_500
 const MAX_MODELS_ON_DISK = 6
+/** More than chance brings to a model that is seldom requested. */
+const AT_RISK_STREAMS = 8
+const OLD_VERSION = 'v1'
+const NEW_VERSION = 'v2'
 
 type Runner = {
   id: string
+  softwareVersion: string
+  /** It drains or starts again until then. */
+  downUntilMs: number
   models: Set<string>
   disk: string[]
   inFlight: number
@@ -86,6 +110,9 @@
   readonly #late = new Map<string, number>()
   #departures: Departure[] = []
   #retries: { atMs: number, model: string }[] = []
+  readonly #atRiskModels = new Set<string>()
+  #atRisk = 0
+  #counted = 0
   #loads = 0
   #nowMs = 0
 
@@ -103,9 +130,11 @@
     for (this.#nowMs = 0; this.#nowMs < WARM_UP_MS + this.spec.lengthMs; this.#nowMs += STEP_MS) {
       this.#finishOrders()
       this.#depart()
+      this.#release()
       if (this.#nowMs >= WARM_UP_MS) this.#arrive()
       this.#retryRefused()
       if (this.#nowMs % PLANNING_INTERVAL_MS === 0) this.#plan()
+      if (this.#nowMs % PLANNING_INTERVAL_MS === 0 && this.#isSettled()) this.#countAtRisk()
     }
     return this.#result()
   }
@@ -123,7 +152,7 @@
       late += lateCount
       if (count >= MIN_REQUESTS && servedCount + lateCount === 0) neverServed += 1
     }
-    return { servedShare: served / requested, lateShare: late / requested, neverServed, loads: this.#loads }
+    return { servedShare: served / requested, lateShare: late / requested, neverServed, loads: this.#loads, atRiskModels: this.#atRiskModels, atRiskShare: this.#atRisk / Math.max(1, this.#counted) }
   }
 
   #arrive (): void {
@@ -164,9 +193,54 @@
 
   #leastLoaded (model: string): Runner | undefined {
     const limit = this.spec.slots * UTILIZATION_LIMIT
-    const open = this.#runners.filter((runner) => runner.models.has(model) && runner.inFlight < limit)
-    const usable = open.filter((runner) => runner.pending?.kind !== OrderKind.Unload || runner.pending.model !== model)
-    return usable.sort((a, b) => a.inFlight - b.inFlight)[0]
+    const holders = this.#holders(model)
+    const open = holders.filter((runner) => runner.inFlight < limit)
+    return this.#preferred(open, holders).sort((a, b) => a.inFlight - b.inFlight)[0]
+  }
+
+  #holders (model: string): Runner[] {
+    const holders = this.#runners.filter((runner) => runner.models.has(model) && runner.downUntilMs <= this.#nowMs)
+    return holders.filter((runner) => runner.pending?.kind !== OrderKind.Unload || runner.pending.model !== model)
+  }
+
+  /** As requests choose while several versions serve. */
+  #preferred (open: Runner[], holders: Runner[]): Runner[] {
+    if (!this.#isMixed()) return open
+    const preferred = open.filter(({ softwareVersion }) => holders.filter((holder) => holder.softwareVersion === softwareVersion).length > 1)
+    return preferred.length > 0 ? preferred : open
+  }
+
+  #isMixed (): boolean {
+    return this.#runners.some(({ softwareVersion }) => softwareVersion === NEW_VERSION)
+  }
+
+  /** Starts one runner after another again, without models: what was in progress there completes. */
+  #release (): void {
+    const { release } = this.spec
+    if (release === undefined) return
+    const sinceMs = this.#nowMs - WARM_UP_MS - release.startMs
+    if (sinceMs < 0 || sinceMs % release.intervalMs !== 0) return
+    const runner = sinceMs / release.intervalMs < release.runners ? this.#runners[sinceMs / release.intervalMs] : undefined
+    if (runner === undefined) return
+    this.#departures = this.#departures.filter((departure) => departure.runner !== runner)
+    Object.assign(runner, createRunner(runner.id, NEW_VERSION), { disk: runner.disk, downUntilMs: this.#nowMs + release.restartMs })
+  }
+
+  #isSettled (): boolean {
+    const { release } = this.spec
+    return release !== undefined && this.#nowMs >= WARM_UP_MS + release.startMs + release.runners * release.intervalMs + release.restartMs + release.settleMs
+  }
+
+  #countAtRisk (): void {
+    for (const runner of this.#runners) {
+      for (const [model, streams] of runner.modelInFlight) {
+        this.#counted += streams
+        const others = this.#holders(model).filter((holder) => holder !== runner && holder.softwareVersion === runner.softwareVersion)
+        if (others.length > 0) continue
+        this.#atRisk += streams
+        if (streams >= AT_RISK_STREAMS) this.#atRiskModels.add(model)
+      }
+    }
   }
 
   #depart (): void {
@@ -198,11 +272,11 @@
   }
 
   #plan (): void {
-    const runners = this.#runners.map(toPlanned)
+    const runners = this.#runners.filter(({ downUntilMs }) => downUntilMs <= this.#nowMs).map(toPlanned)
     const demand = forecastDemand(this.#meter.rates(this.#nowMs), SERVICE)
     const missingMs = this.#missingCopies.update(SERVICE, demand, runners, this.#nowMs)
     const storeLoads = this.#loadLimiter.available(this.spec.loadsPerS, this.#nowMs)
-    const orders = this.planner({ engine: this.#engine, runners, demand, missingMs, storeLoads })
+    const orders = this.planner({ engine: this.#engine, runners, demand, missingMs, storeLoads, isMixed: this.#isMixed() })
     for (const order of orders) this.#carryOut(order)
   }
 
@@ -236,7 +310,7 @@
 function createRunners (spec: ReplaySpec): Runner[] {
   const runners: Runner[] = []
   for (let position = 0; position < spec.runners; position += 1) {
-    runners.push({ id: `r${position}`, models: new Set(), disk: [], inFlight: 0, modelInFlight: new Map() })
+    runners.push(createRunner(`r${position}`, OLD_VERSION))
   }
   const copies = BUSY_SHARES.map((share) => Math.max(1, Math.round(share * spec.runners)))
   const modelsToPlace = [...copies.entries()].flatMap(([model, count]) => Array.from({ length: count }, () => model))
@@ -246,6 +320,10 @@
   return runners
 }
 
+function createRunner (id: string, softwareVersion: string): Runner {
+  return { id, softwareVersion, downUntilMs: -Infinity, models: new Set(), disk: [], inFlight: 0, modelInFlight: new Map(), pending: undefined }
+}
+
 function addCopy (runners: Runner[], model: string, resident: number): void {
   const open = runners.filter(({ models }) => models.size < resident && !models.has(model))
   const target = open.sort((a, b) => a.models.size - b.models.size)[0]
@@ -271,6 +349,7 @@
   const weights = new Set([...runner.models, ...(loading === undefined ? [] : [loading])])
   return {
     id: runner.id,
+    softwareVersion: runner.softwareVersion,
     models: [...runner.models].filter((model) => model !== unloading && model !== loading),
     loading,
     busy: pending !== undefined,
--- /dev/null
+++ b/packages/gateway/src/orders/version-copies.ts
@@ -0,0 +1,108 @@
+/**
+ * Values copies of models by the streams that go on at them, while several versions of the runners' software serve side by side: a
+ * stream goes on only at the version that began it, so a model in demand needs two copies at one version. Pure; values are in slots.
+ */
+import type { ModelDemand } from './demand-forecast.js'
+
+/** A runner's version, with the models that it holds or loads. */
+export type VersionedRunner = { softwareVersion?: string, models: readonly string[], loading?: string }
+
+/** Part of the streams at the only copy of a model that count for a second one: a runner is lost now and then, not always. */
+const AT_RISK_SHARE = 0.3
+/** Less than the last copy of a model that is requested now and then is worth. */
+const MAX_SECOND_COPY_SLOTS = 2.5
+/** From this demand on, a second copy is worth the unload of a model that nobody requests. */
+export const MIN_SECOND_COPY_DEMAND_SLOTS = 4
+/** Models with a second copy at one version, the most requested first: one for this many runners. */
+const RUNNERS_PER_SECOND_COPY = 3
+/** Holders at a version with which its streams can go on when one is lost. */
+const ENOUGH_COPIES = 2
+
+/** A model whose streams may need another copy. New ones begin at `preferredVersion`; at others only the copies there are count. */
+type Protected = { slots: number, preferredVersion: string, copies: Map<string, number> }
+
+export class VersionCopies {
+  readonly #protected = new Map<string, Protected>()
+
+  private constructor () {}
+
+  /** Counts nothing: all runners have one version. */
+  static none (): VersionCopies {
+    return new VersionCopies()
+  }
+
+  /** @param runners those that stay: runners that drain or leave take no streams */
+  static create (runners: readonly VersionedRunner[], demand: ReadonlyMap<string, ModelDemand>): VersionCopies {
+    const copies = new VersionCopies()
+    const maxModels = Math.ceil(runners.length / RUNNERS_PER_SECOND_COPY)
+    const requested = [...demand].map(([model, { currentSlots, forecastSlots }]) => ({ model, slots: Math.max(currentSlots, forecastSlots) }))
+    const mostRequested = requested.filter(({ slots }) => slots >= MIN_SECOND_COPY_DEMAND_SLOTS).sort((a, b) => b.slots - a.slots).slice(0, maxModels)
+    const sizes = countVersions(runners)
+    for (const { model, slots } of mostRequested) {
+      const held = countVersions(runners.filter(({ models, loading }) => models.includes(model) || loading === model))
+      const preferredVersion = preferVersion(held, sizes)
+      if (preferredVersion !== undefined) copies.#protected.set(model, { slots, preferredVersion, copies: held })
+    }
+    return copies
+  }
+
+  addCopies (model: string, softwareVersion: string | undefined, count: number): void {
+    const held = this.#protected.get(model)?.copies
+    if (held !== undefined && softwareVersion !== undefined) held.set(softwareVersion, (held.get(softwareVersion) ?? 0) + count)
+  }
+
+  /** Whether one more copy at some version would let its streams go on when a runner is lost. */
+  isShort (model: string): boolean {
+    return this.gain(model, this.#protected.get(model)?.preferredVersion) > 0
+  }
+
+  /** Value that one more copy adds at this version; negative where streams would begin at it that go on nowhere else. */
+  gain (model: string, softwareVersion: string | undefined): number {
+    const known = this.#protected.get(model)
+    if (known === undefined || softwareVersion === undefined) return 0
+    const held = known.copies.get(softwareVersion) ?? 0
+    const total = sumOf(known.copies)
+    if (softwareVersion !== known.preferredVersion) return held === 0 ? -secondCopySlots(known.slots / (total + 1)) : 0
+    if (held >= ENOUGH_COPIES || total === 0) return 0
+    return secondCopySlots(known.slots) * (held + 1) / ENOUGH_COPIES
+  }
+
+  /** Value that is lost with one copy at this version. */
+  loss (model: string, softwareVersion: string | undefined): number {
+    const known = this.#protected.get(model)
+    if (known === undefined || softwareVersion === undefined || known.copies.get(softwareVersion) !== ENOUGH_COPIES) return 0
+    const share = softwareVersion === known.preferredVersion ? 1 : ENOUGH_COPIES / sumOf(known.copies)
+    return secondCopySlots(known.slots * share)
+  }
+}
+
+function secondCopySlots (demandSlots: number): number {
+  return Math.min(MAX_SECOND_COPY_SLOTS, demandSlots * AT_RISK_SHARE)
+}
+
+/** Runners that state no version are left out: no stream goes on there. */
+function countVersions (runners: readonly VersionedRunner[]): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const { softwareVersion } of runners) {
+    if (softwareVersion !== undefined) counts.set(softwareVersion, (counts.get(softwareVersion) ?? 0) + 1)
+  }
+  return counts
+}
+
+/**
+ * The version at which streams can go on already, as new ones begin there. Where there is none, a version that most runners have
+ * left is not chosen; of the others the one with more copies, and then with more runners.
+ */
+function preferVersion (held: ReadonlyMap<string, number>, sizes: ReadonlyMap<string, number>): string | undefined {
+  const maxSize = Math.max(...sizes.values())
+  const versions = [...sizes].map(([softwareVersion, size]) => ({ softwareVersion, size, copies: held.get(softwareVersion) ?? 0 }))
+  const mayGoOn = versions.filter(({ copies }) => copies >= ENOUGH_COPIES)
+  const open = mayGoOn.length > 0 ? mayGoOn : versions.filter(({ size }) => size * 2 >= maxSize)
+  const byCopies = (a: number, b: number) => Math.min(ENOUGH_COPIES, b) - Math.min(ENOUGH_COPIES, a)
+  const [best] = open.sort((a, b) => byCopies(a.copies, b.copies) || b.size - a.size || (a.softwareVersion < b.softwareVersion ? 1 : -1))
+  return best?.softwareVersion
+}
+
+function sumOf (counts: ReadonlyMap<string, number>): number {
+  return [...counts.values()].reduce((sum, count) => sum + count, 0)
+}
--- a/packages/gateway/src/testing/fake-runner.ts
+++ b/packages/gateway/src/testing/fake-runner.ts
@@ -22,6 +22,7 @@
   readonly orders: RunnerOrder[] = []
   /** Models whose load ends the runner's process; it starts again empty. */
   readonly deadlyModels = new Set<string>()
+  softwareVersion: string | undefined
   #starts = 1
 
   private constructor (readonly id: string, private readonly engine: EngineSpec, private readonly clock: Clock) {}
@@ -37,7 +38,7 @@
   }
 
   entry (): RunnerEntry {
-    return { id: this.id, service: 'engine', address: this.id, availabilityZone: 'z', slots: this.engine.slots, draining: false, startedUnixMs: this.#starts, models: this.models, localWeights: [] }
+    return { id: this.id, service: 'engine', address: this.id, availabilityZone: 'z', softwareVersion: this.softwareVersion, slots: this.engine.slots, draining: false, startedUnixMs: this.#starts, models: this.models, localWeights: [] }
   }
 
   report (): RunnerReport {
