A take-up waits for a load at its version, and the planner learns that the version lacks the model

Cause: demand, loads in progress and the wait for a load knew models but no versions.

Evidence: serve/joined-streams (three cases: the time in Retry-After, the loads that keep the version's runners busy, the wait) and one of orders/plan-models failed before.

Why it works: take-ups that find no holder at their version are reported as demand at that version, few and bounded, and the first copy there is worth what any first copy is. Loads in progress name the version. A take-up waits as long as its deadline and the gap after which callers abandon a stream allow, and is refused with the time until a load there has ended otherwise.

--- a/packages/gateway/src/members/report-messages.test.ts
+++ b/packages/gateway/src/members/report-messages.test.ts
@@ -22,8 +22,11 @@
   configVersion: 7,
   configReadAgoMs: 12.5,
   runnerUses: new Map([['runner', 3]]),
-  demand: [{ service: 's', model: 'm', adapter: undefined, requestsPerS: 2, slowRequestsPerS: 1, holdMs: 900 }],
-  expectedLoads: [{ service: 's', model: 'm', readyInMs: 100 }],
+  demand: [
+    { service: 's', model: 'm', adapter: undefined, softwareVersion: undefined, requestsPerS: 2, slowRequestsPerS: 1, holdMs: 900 },
+    { service: 's', model: 'm', adapter: undefined, softwareVersion: 'v1', requestsPerS: 2, slowRequestsPerS: 1, holdMs: 900 }
+  ],
+  expectedLoads: [{ service: 's', model: 'm', softwareVersion: 'v1', readyInMs: 100 }],
   lease: { heldBySender: true, fencingToken: 9, lastOrderAgoMs: 4 },
   sentAt: new Date(1_000),
   speaksForAll: true,
--- a/packages/gateway/src/members/report-messages.ts
+++ b/packages/gateway/src/members/report-messages.ts
@@ -20,7 +20,7 @@
     configVersion: BigInt(report.configVersion),
     configReadAgoMs: report.configReadAgoMs,
     runnerUses: [...report.runnerUses].map(([runnerId, inFlight]) => ({ runnerId, inFlight })),
-    demand: report.demand.map((rate) => ({ ...rate, adapter: rate.adapter ?? '' })),
+    demand: report.demand.map((rate) => ({ ...rate, adapter: rate.adapter ?? '', softwareVersion: rate.softwareVersion ?? '' })),
     expectedLoads: report.expectedLoads,
     lease: { ...report.lease, fencingToken: BigInt(report.lease.fencingToken) },
     sentUnixMs: BigInt(report.sentAt.getTime()),
@@ -48,7 +48,7 @@
     configReadAgoMs: message.configReadAgoMs,
     runnerUses: new Map(message.runnerUses.map(({ runnerId, inFlight }) => [runnerId, inFlight])),
     demand: message.demand.map(toDemandRate),
-    expectedLoads: message.expectedLoads.map(({ service, model, readyInMs }) => ({ service, model, readyInMs })),
+    expectedLoads: message.expectedLoads.map(({ service, model, softwareVersion, readyInMs }) => ({ service, model, softwareVersion: toOptional(softwareVersion), readyInMs })),
     lease: {
       fencingToken: Number(message.lease?.fencingToken ?? 0n),
       heldBySender: message.lease?.heldBySender ?? false,
@@ -130,8 +130,12 @@
   }
 }
 
-function toDemandRate ({ service, model, adapter, requestsPerS, slowRequestsPerS, holdMs }: TargetDemand): DemandRate {
-  return { service, model, adapter: adapter === '' ? undefined : adapter, requestsPerS, slowRequestsPerS, holdMs }
+function toDemandRate ({ service, model, adapter, softwareVersion, requestsPerS, slowRequestsPerS, holdMs }: TargetDemand): DemandRate {
+  return { service, model, adapter: toOptional(adapter), softwareVersion: toOptional(softwareVersion), requestsPerS, slowRequestsPerS, holdMs }
+}
+
+function toOptional (text: string): string | undefined {
+  return text === '' ? undefined : text
 }
 
 function toAddress (message: GatewayAddress | undefined): HostAddress {
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -30,6 +30,8 @@
   service: string
   model: string
   adapter?: string
+  /** Counts only callers that continue a stream of this version where no runner of it holds the model; absent for all requests. */
+  softwareVersion?: string
   /** Average over the last second or so. */
   requestsPerS: number
   /** Average over several seconds. */
@@ -39,7 +41,7 @@
 }
 
 /** A model load in progress, and the time until the model is expected to serve. */
-export type ExpectedLoad = { service: string, model: string, readyInMs: number }
+export type ExpectedLoad = { service: string, model: string, softwareVersion?: string, readyInMs: number }
 
 /** State of a host as relays pass it on to hosts that have no direct contact with it. */
 export type HostSummary = {
--- a/packages/gateway/src/members/usage-aggregator.ts
+++ b/packages/gateway/src/members/usage-aggregator.ts
@@ -78,11 +78,11 @@
   return total
 }
 
-/** Merges rates of the same model or adapter. `holdMs` is averaged, weighted by the rate of requests. */
+/** Merges rates of the same model or adapter, and of the same version where one is given. `holdMs` is averaged, weighted by the rate of requests. */
 export function mergeDemand (rates: readonly DemandRate[]): DemandRate[] {
   const merged = new Map<string, DemandRate>()
   for (const rate of rates) {
-    const key = `${rate.service}\n${rate.model}\n${rate.adapter ?? ''}`
+    const key = `${rate.service}\n${rate.model}\n${rate.adapter ?? ''}\n${rate.softwareVersion ?? ''}`
     const known = merged.get(key)
     merged.set(key, known === undefined ? rate : addRates(known, rate))
   }
--- a/packages/gateway/src/orders/copy-values.ts
+++ b/packages/gateway/src/orders/copy-values.ts
@@ -5,9 +5,9 @@
 /** Part of a runner's slots that one copy should fill: models share runners, and full runners answer late. */
 const TARGET_UTILIZATION = 0.7
 /** Additional value of a model's first copy: without one, all requests for the model are refused. */
-const FIRST_COPY_SLOTS = 2
+export const FIRST_COPY_SLOTS = 2
 /** Demand from which the first copy gets this additional value in full; below, it is proportional. */
-const FULL_FIRST_COPY_DEMAND_SLOTS = 0.5
+export const FULL_FIRST_COPY_DEMAND_SLOTS = 0.5
 /** The additional value grows by 100% in this time while a requested model has no copy, so that rare models are loaded too. */
 const FIRST_COPY_WAIT_MS = 2_000
 const MAX_FIRST_COPY_FACTOR = 2
--- a/packages/gateway/src/orders/demand-forecast.test.ts
+++ b/packages/gateway/src/orders/demand-forecast.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap'
 import type { DemandRate } from '../members/types.js'
-import { forecastDemand } from './demand-forecast.js'
+import { forecastDemand, takeUpDemand } from './demand-forecast.js'
 
 function rate (model: string, requestsPerS: number, slowRequestsPerS: number, changes: Partial<DemandRate> = {}): DemandRate {
   return { service: 's', model, requestsPerS, slowRequestsPerS, holdMs: 2_000, ...changes }
@@ -33,3 +33,9 @@
 t.test('without demand there is no forecast', async (t) => {
   t.equal(forecastDemand([], 's').size, 0)
 })
+
+t.test('take-ups at a version are no demand of their own', async (t) => {
+  const rates = [rate('a', 10, 10), rate('a', 3, 3, { softwareVersion: 'v1' })]
+  t.same(forecastDemand(rates, 's').get('a'), { currentSlots: 20, forecastSlots: 20 })
+  t.same(takeUpDemand(rates, 's'), [{ model: 'a', softwareVersion: 'v1', slots: 6 }])
+})
--- a/packages/gateway/src/orders/demand-forecast.ts
+++ b/packages/gateway/src/orders/demand-forecast.ts
@@ -8,6 +8,9 @@
 /** Slots that the requests for a model occupy at any moment: their rate times how long each one holds its slot. */
 export type ModelDemand = { currentSlots: number, forecastSlots: number }
 
+/** Slots that streams need at a version at which no runner holds their model. */
+export type TakeUpDemand = { model: string, softwareVersion: string, slots: number }
+
 type Rate = { model: string, fastPerS: number, slowPerS: number, holdMs: number }
 
 /** Time ahead that trends are extrapolated: somewhat less than a load takes, as trends end. */
@@ -31,10 +34,18 @@
   }))
 }
 
+/** Demand of callers that continue streams, over all hosts; over several seconds, as they come at once when a runner is lost. */
+export function takeUpDemand (rates: readonly DemandRate[], service: string): TakeUpDemand[] {
+  return rates.flatMap((rate) => {
+    if (rate.service !== service || rate.softwareVersion === undefined) return []
+    return [{ model: rate.model, softwareVersion: rate.softwareVersion, slots: rate.slowRequestsPerS * rate.holdMs / 1000 }]
+  })
+}
+
 function sumOverHosts (rates: readonly DemandRate[], service: string): Map<string, Rate> {
   const sums = new Map<string, Rate>()
   for (const rate of rates) {
-    if (rate.service !== service || rate.adapter !== undefined) continue
+    if (rate.service !== service || rate.adapter !== undefined || rate.softwareVersion !== undefined) continue
     const sum = sums.get(rate.model) ?? { model: rate.model, fastPerS: 0, slowPerS: 0, holdMs: 0 }
     const slowPerS = sum.slowPerS + rate.slowRequestsPerS
     if (slowPerS > 0) sum.holdMs += (rate.holdMs - sum.holdMs) * rate.slowRequestsPerS / slowPerS
--- a/packages/gateway/src/orders/known-loads.ts
+++ b/packages/gateway/src/orders/known-loads.ts
@@ -11,8 +11,19 @@
     return new KnownLoads(loads)
   }
 
-  override readyInMs (service: string, model: string): number | undefined {
-    const readyTimesMs = this.loads().filter((load) => load.service === service && load.model === model).map(({ readyInMs }) => readyInMs)
+  override readyInMs (service: string, model: string, softwareVersion?: string): number | undefined {
+    const loads = this.#loadsAt(service, softwareVersion).filter((load) => load.model === model)
+    const readyTimesMs = loads.map(({ readyInMs }) => readyInMs)
     return readyTimesMs.length === 0 ? undefined : Math.min(...readyTimesMs)
   }
+
+  override freeInMs (service: string, softwareVersion: string, runners: number): number {
+    const readyTimesMs = this.#loadsAt(service, softwareVersion).map(({ readyInMs }) => readyInMs)
+    return readyTimesMs.length < runners ? 0 : Math.min(...readyTimesMs)
+  }
+
+  #loadsAt (service: string, softwareVersion: string | undefined): ExpectedLoad[] {
+    const loads = this.loads().filter((load) => load.service === service)
+    return softwareVersion === undefined ? loads : loads.filter((load) => load.softwareVersion === softwareVersion)
+  }
 }
--- a/packages/gateway/src/orders/order-dispatcher.ts
+++ b/packages/gateway/src/orders/order-dispatcher.ts
@@ -7,7 +7,7 @@
 import type { AdapterReply, AdapterRequest, DemandRate, ExpectedLoad } from '../members/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
 import { copyShareOf } from './copy-values.js'
-import { forecastDemand } from './demand-forecast.js'
+import { forecastDemand, takeUpDemand } from './demand-forecast.js'
 import { planAdapters, type AdapterLoad } from './plan-adapters.js'
 import { PlacementLog } from './placement-log.js'
 import { planModels, type PlannedOrder, type PlannedRunner } from './plan-models.js'
@@ -100,7 +100,7 @@
       const queue = this.#queues.get(entry.id)
       const pending = queue?.inventory.pending
       if (queue === undefined || pending?.kind !== OrderKind.Load || pending.model === UNKNOWN_MODEL) return []
-      return [{ service: entry.service, model: pending.model, readyInMs: Math.max(0, pending.sinceMs + queue.expectedMs - nowMs) }]
+      return [{ service: entry.service, model: pending.model, softwareVersion: entry.softwareVersion, readyInMs: Math.max(0, pending.sinceMs + queue.expectedMs - nowMs) }]
     })
   }
 
@@ -193,7 +193,8 @@
       missingMs: this.#missingCopies.update(name, demand, runners, nowMs),
       storeLoads: this.#loadLimiter.available(engine.loadsPerS, nowMs),
       maxLoads: this.#loadFailures.maxLoads(new Set(runners.flatMap(({ loading }) => loading ?? [])), nowMs),
-      isMixed: this.parts.isMixed(name)
+      isMixed: this.parts.isMixed(name),
+      takeUps: takeUpDemand(rates, name)
     })
     for (const order of plan) this.#enqueueModelOrder(order)
     const taken = known.reduce((sum, state) => sum + this.parts.runners.totalInFlight(state), 0)
@@ -342,7 +343,7 @@
 
 /** Average time that a request holds its slot, weighted by the request rates of the models. */
 function meanHoldMs (rates: readonly DemandRate[]): number {
-  const models = rates.filter(({ adapter }) => adapter === undefined)
+  const models = rates.filter(({ adapter, softwareVersion }) => adapter === undefined && softwareVersion === undefined)
   const totalPerS = models.reduce((sum, { slowRequestsPerS }) => sum + slowRequestsPerS, 0)
   if (totalPerS === 0) return DEFAULT_HOLD_MS
   return models.reduce((sum, { slowRequestsPerS, holdMs }) => sum + slowRequestsPerS * holdMs, 0) / totalPerS
--- a/packages/gateway/src/orders/plan-models.test.ts
+++ b/packages/gateway/src/orders/plan-models.test.ts
@@ -113,3 +113,13 @@
   const runners = [versioned('r1', 'v1', ['a']), ...['r2', 'r3', 'r4'].map((id) => versioned(id, 'v2', ['b']))]
   t.match(plan({ runners, demand: steadyDemand({ a: 12 }), isMixed: true }).filter(({ model }) => model === 'a'), [{ kind: 'load' }, { kind: 'load' }])
 })
+
+t.test('a model that callers continue streams of is loaded first at the version that began them', async (t) => {
+  const runners = [versioned('r1', 'v2', ['a']), versioned('r2', 'v1', ['b']), versioned('r3', 'v2', [])]
+  const demand = steadyDemand({ a: 2, b: 2, c: 1 })
+  const takeUps = [{ model: 'a', softwareVersion: 'v1', slots: 6 }]
+  t.match(plan({ runners, demand, takeUps, isMixed: true })[0], { runnerId: 'r2', kind: 'load', model: 'a' })
+  t.notOk(plan({ runners, demand, takeUps }).some(({ model }) => model === 'a'))
+  const loading = [runner('r2', ['b'], { softwareVersion: 'v1', loading: 'a', busy: true }), versioned('r4', 'v1', ['b'])]
+  t.notOk(plan({ runners: loading, demand, takeUps, isMixed: true }).some(({ model }) => model === 'a'))
+})
--- a/packages/gateway/src/orders/plan-models.ts
+++ b/packages/gateway/src/orders/plan-models.ts
@@ -5,7 +5,7 @@
  */
 import type { EngineSpec, ModelSpec } from '../config/types.js'
 import { CopyValues } from './copy-values.js'
-import type { ModelDemand } from './demand-forecast.js'
+import type { ModelDemand, TakeUpDemand } from './demand-forecast.js'
 import { OrderKind, type OrderTarget } from './types.js'
 import { VersionCopies } from './version-copies.js'
 
@@ -39,6 +39,8 @@
   maxLoads?: ReadonlyMap<string, number>
   /** Several versions of the runners' software may have streams, each of which goes on only at its own. */
   isMixed?: boolean
+  /** Streams that callers continue at versions at which no runner holds their model. */
+  takeUps?: readonly TakeUpDemand[]
 }
 
 export type PlannedOrder = OrderTarget & { runnerId: string, fromStore: boolean }
@@ -78,7 +80,7 @@
     this.#storeLoads = input.storeLoads
     this.#loadsLeft = new Map(input.maxLoads)
     this.#values = CopyValues.create(input.engine, input.demand, input.missingMs)
-    this.#versions = input.isMixed === true ? VersionCopies.create(input.runners, input.demand) : VersionCopies.none()
+    this.#versions = input.isMixed === true ? VersionCopies.create(input.runners, input.demand, input.takeUps) : VersionCopies.none()
     for (const runner of input.runners) {
       this.#held.set(runner.id, new Set(copiesOf(runner)))
       for (const model of copiesOf(runner)) this.#values.addCopies(model, runner.copyShare)
@@ -100,15 +102,15 @@
   #reserveMemoryBeingFreed (): void {
     const unloading = this.input.runners.filter((runner) => runner.busy && runner.loading === undefined)
     for (const { softwareVersion } of unloading) {
-      const gain = (name: string) => this.#values.gain(name) + this.#versions.gain(name, softwareVersion)
+      const gain = (name: string) => this.#values.gain(name) + this.#versions.gain(name, softwareVersion) + this.#versions.takeUpGain(name, softwareVersion)
       const model = minBy(this.#underserved().filter(({ name }) => gain(name) >= MIN_NET_SLOTS), ({ name }) => -gain(name))
       if (model !== undefined) this.#addCopies(model.name, softwareVersion, 1)
     }
   }
 
   #underserved (): ModelSpec[] {
-    const models = [...this.input.engine.models.values()].filter(({ name }) => this.#values.isRequested(name))
-    return models.filter(({ name }) => this.#values.gain(name) >= MIN_NET_SLOTS || this.#versions.isShort(name))
+    const isUnderserved = (name: string) => this.#values.isRequested(name) && this.#values.gain(name) >= MIN_NET_SLOTS
+    return [...this.input.engine.models.values()].filter(({ name }) => isUnderserved(name) || this.#versions.isShort(name))
   }
 
   #addCopies (model: string, softwareVersion: string | undefined, copies: number): void {
@@ -129,8 +131,9 @@
     if (this.#holds(runner, model.name) || (fromStore && this.#storeLoads < 1)) return []
     // Streams stay open while demand shifts: a late copy is worth as much to them.
     const versionGain = this.#versions.gain(model.name, runner.softwareVersion)
-    if (this.#values.gain(model.name) + versionGain < MIN_NET_SLOTS) return []
-    const gain = this.#values.gain(model.name, runner.copyShare) - this.#utilization(runner) * UTILIZATION_COST_SLOTS
+    const takeUpGain = this.#versions.takeUpGain(model.name, runner.softwareVersion)
+    if (this.#values.gain(model.name) + versionGain + takeUpGain < MIN_NET_SLOTS) return []
+    const gain = this.#values.gain(model.name, runner.copyShare) + takeUpGain - this.#utilization(runner) * UTILIZATION_COST_SLOTS
     const loadMs = fromStore ? model.loadMs : model.diskLoadMs
     if (this.#fits(runner, model)) return [{ model, runner, fromStore, netSlots: gain * timeliness(loadMs) + versionGain }]
     return runner.models.filter((victim) => !this.#victims.has(victim)).map((victim) => {
--- a/packages/gateway/src/orders/version-copies.ts
+++ b/packages/gateway/src/orders/version-copies.ts
@@ -2,7 +2,8 @@
  * Values copies of models by the streams that go on at them, while several versions of the runners' software serve side by side: a
  * stream goes on only at the version that began it, so a model in demand needs two copies at one version. Pure; values are in slots.
  */
-import type { ModelDemand } from './demand-forecast.js'
+import { FIRST_COPY_SLOTS, FULL_FIRST_COPY_DEMAND_SLOTS } from './copy-values.js'
+import type { ModelDemand, TakeUpDemand } from './demand-forecast.js'
 
 /** A runner's version, with the models that it holds or loads. */
 export type VersionedRunner = { softwareVersion?: string, models: readonly string[], loading?: string }
@@ -19,10 +20,14 @@
 const ENOUGH_COPIES = 2
 
 /** A model whose streams may need another copy. New ones begin at `preferredVersion`; at others only the copies there are count. */
+type Missing = { slots: number, copies: number }
+
 type Protected = { slots: number, preferredVersion: string, copies: Map<string, number> }
 
 export class VersionCopies {
   readonly #protected = new Map<string, Protected>()
+  /** Slots of demand and copies by model and version, where callers continue streams that no runner of the version could serve. */
+  readonly #takeUps = new Map<string, Map<string, Missing>>()
 
   private constructor () {}
 
@@ -32,28 +37,49 @@
   }
 
   /** @param runners those that stay: runners that drain or leave take no streams */
-  static create (runners: readonly VersionedRunner[], demand: ReadonlyMap<string, ModelDemand>): VersionCopies {
+  static create (runners: readonly VersionedRunner[], demand: ReadonlyMap<string, ModelDemand>, takeUps: readonly TakeUpDemand[] = []): VersionCopies {
     const copies = new VersionCopies()
     const maxModels = Math.ceil(runners.length / RUNNERS_PER_SECOND_COPY)
     const requested = [...demand].map(([model, { currentSlots, forecastSlots }]) => ({ model, slots: Math.max(currentSlots, forecastSlots) }))
     const mostRequested = requested.filter(({ slots }) => slots >= MIN_SECOND_COPY_DEMAND_SLOTS).sort((a, b) => b.slots - a.slots).slice(0, maxModels)
     const sizes = countVersions(runners)
     for (const { model, slots } of mostRequested) {
-      const held = countVersions(runners.filter(({ models, loading }) => models.includes(model) || loading === model))
+      const held = countVersions(holdersOf(model, runners))
       const preferredVersion = preferVersion(held, sizes)
       if (preferredVersion !== undefined) copies.#protected.set(model, { slots, preferredVersion, copies: held })
     }
+    for (const takeUp of takeUps) copies.#addTakeUp(takeUp, runners)
     return copies
   }
 
+  #addTakeUp ({ model, softwareVersion, slots }: TakeUpDemand, runners: readonly VersionedRunner[]): void {
+    const versions = this.#takeUps.get(model) ?? new Map<string, Missing>()
+    this.#takeUps.set(model, versions)
+    const copies = holdersOf(model, runners).filter((runner) => runner.softwareVersion === softwareVersion).length
+    versions.set(softwareVersion, { slots: (versions.get(softwareVersion)?.slots ?? 0) + slots, copies })
+  }
+
   addCopies (model: string, softwareVersion: string | undefined, count: number): void {
+    const missing = this.#missing(model, softwareVersion)
+    if (missing !== undefined) missing.copies += count
     const held = this.#protected.get(model)?.copies
     if (held !== undefined && softwareVersion !== undefined) held.set(softwareVersion, (held.get(softwareVersion) ?? 0) + count)
   }
 
   /** Whether one more copy at some version would let its streams go on when a runner is lost. */
   isShort (model: string): boolean {
-    return this.gain(model, this.#protected.get(model)?.preferredVersion) > 0
+    const lacksTakeUps = [...this.#takeUps.get(model)?.keys() ?? []].some((softwareVersion) => this.takeUpGain(model, softwareVersion) > 0)
+    return lacksTakeUps || this.gain(model, this.#protected.get(model)?.preferredVersion) > 0
+  }
+
+  /** Value that the first copy at this version has for streams that callers continue: nothing else can serve them. */
+  takeUpGain (model: string, softwareVersion: string | undefined): number {
+    const missing = this.#missing(model, softwareVersion)
+    return missing === undefined || missing.copies > 0 ? 0 : takeUpSlots(missing.slots)
+  }
+
+  #missing (model: string, softwareVersion: string | undefined): Missing | undefined {
+    return softwareVersion === undefined ? undefined : this.#takeUps.get(model)?.get(softwareVersion)
   }
 
   /** Value that one more copy adds at this version; negative where streams would begin at it that go on nowhere else. */
@@ -69,6 +95,8 @@
 
   /** Value that is lost with one copy at this version. */
   loss (model: string, softwareVersion: string | undefined): number {
+    const missing = this.#missing(model, softwareVersion)
+    if (missing?.copies === 1) return takeUpSlots(missing.slots)
     const known = this.#protected.get(model)
     if (known === undefined || softwareVersion === undefined || known.copies.get(softwareVersion) !== ENOUGH_COPIES) return 0
     const share = softwareVersion === known.preferredVersion ? 1 : ENOUGH_COPIES / sumOf(known.copies)
@@ -80,6 +108,14 @@
   return Math.min(MAX_SECOND_COPY_SLOTS, demandSlots * AT_RISK_SHARE)
 }
 
+function takeUpSlots (demandSlots: number): number {
+  return demandSlots + FIRST_COPY_SLOTS * Math.min(1, demandSlots / FULL_FIRST_COPY_DEMAND_SLOTS)
+}
+
+function holdersOf (model: string, runners: readonly VersionedRunner[]): VersionedRunner[] {
+  return runners.filter(({ models, loading }) => models.includes(model) || loading === model)
+}
+
 /** Runners that state no version are left out: no stream goes on there. */
 function countVersions (runners: readonly VersionedRunner[]): Map<string, number> {
   const counts = new Map<string, number>()
--- a/packages/gateway/src/serve/demand-meter.test.ts
+++ b/packages/gateway/src/serve/demand-meter.test.ts
@@ -1,3 +1,4 @@
+// Guards against demand that is measured wrongly or late, and against take-ups that count as other demand or fill a report.
 import t from 'tap'
 import { DemandMeter } from './demand-meter.js'
 
@@ -43,3 +44,14 @@
   const [rates] = meter.rates(1_000)
   t.ok(Math.abs((rates?.requestsPerS ?? 0) - (rates?.slowRequestsPerS ?? 0)) < 3)
 })
+
+t.test('take-ups are counted by version, apart from the model\'s requests, for a bounded number of models and for some seconds', async (t) => {
+  const meter = DemandMeter.create()
+  for (let index = 0; index < 200; index += 1) meter.countTakeUp('s', `m-${index}`, 'v1', 1_000)
+  meter.countTakeUp('s', 'm-0', 'v1', 1_000)
+  const rates = meter.rates(1_000)
+  t.equal(rates.length, 32)
+  t.ok((rates[0]?.requestsPerS ?? 0) > (rates[1]?.requestsPerS ?? 0))
+  t.ok(rates.every(({ softwareVersion }) => softwareVersion === 'v1'))
+  t.equal(meter.rates(16_000).length, 0)
+})
--- a/packages/gateway/src/serve/demand-meter.ts
+++ b/packages/gateway/src/serve/demand-meter.ts
@@ -4,7 +4,9 @@
  */
 import type { DemandRate } from '../members/types.js'
 
-type Entry = { service: string, model: string, adapter?: string, fast: number, slow: number, updatedMs: number }
+type Counted = { service: string, model: string, adapter?: string, softwareVersion?: string }
+
+type Entry = Counted & { fast: number, slow: number, updatedMs: number }
 
 /** Time constants: the counts decay to 1/e, about a third, in these times. */
 export const FAST_MS = 1_000
@@ -15,6 +17,8 @@
 /** Assumed time for which a request holds its slot, until one has completed. */
 const DEFAULT_HOLD_MS = 2_500
 const HOLD_WEIGHT = 0.1
+/** Models and versions of which take-ups are counted: more than a loss of some runners takes, and little in a report. */
+const MAX_TAKE_UP_ENTRIES = 32
 
 export class DemandMeter {
   readonly #entries = new Map<string, Entry>()
@@ -28,9 +32,20 @@
   }
 
   count (service: string, model: string, adapter: string | undefined, nowMs: number): void {
+    this.#count({ service, model, adapter }, nowMs)
+  }
+
+  /** Counts a caller that continues a stream at whose version no runner holds the model. */
+  countTakeUp (service: string, model: string, softwareVersion: string, nowMs: number): void {
+    const isKnown = this.#entries.has(keyOf({ service, model, softwareVersion }))
+    const count = [...this.#entries.values()].filter((entry) => entry.softwareVersion !== undefined).length
+    if (isKnown || count < MAX_TAKE_UP_ENTRIES) this.#count({ service, model, softwareVersion }, nowMs)
+  }
+
+  #count (counted: Counted, nowMs: number): void {
     this.#firstMs ??= nowMs
-    const key = `${service}\n${model}\n${adapter ?? ''}`
-    const entry = this.#entries.get(key) ?? { service, model, adapter, fast: 0, slow: 0, updatedMs: nowMs }
+    const key = keyOf(counted)
+    const entry = this.#entries.get(key) ?? { ...counted, fast: 0, slow: 0, updatedMs: nowMs }
     decay(entry, nowMs)
     entry.fast += 1
     entry.slow += 1
@@ -53,11 +68,12 @@
         this.#entries.delete(key)
         continue
       }
-      const { service, model, adapter } = entry
+      const { service, model, adapter, softwareVersion } = entry
       rates.push({
         service,
         model,
         adapter,
+        softwareVersion,
         requestsPerS: averagePerS(entry.fast, FAST_MS, ageMs),
         slowRequestsPerS: averagePerS(entry.slow, SLOW_MS, ageMs),
         holdMs: this.#holdMs.get(`${service}\n${model}`) ?? DEFAULT_HOLD_MS
@@ -67,6 +83,10 @@
   }
 }
 
+function keyOf ({ service, model, adapter, softwareVersion }: Counted): string {
+  return [service, model, adapter ?? '', softwareVersion ?? ''].join('\n')
+}
+
 function decay (entry: Entry, nowMs: number): void {
   const elapsedMs = nowMs - entry.updatedMs
   entry.fast *= Math.exp(-elapsedMs / FAST_MS)
--- a/packages/gateway/src/serve/joined-streams.test.ts
+++ b/packages/gateway/src/serve/joined-streams.test.ts
@@ -1,6 +1,6 @@
 // Guards against streams that go on at another version of the runners' software than the one that began them (issue 39).
 import t, { type Test } from 'tap'
-import { RouteKind } from '../config/types.js'
+import { RouteKind, type Service } from '../config/types.js'
 import { waitUntil } from '../testing/delayed-connections.js'
 import { createRoute, GatewayFixture, type RawAnswer } from '../testing/gateway-fixture.js'
 import { StreamRecords } from '../testing/memory-stream-log.js'
@@ -8,8 +8,22 @@
 
 const HEAD = 'Signed: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n'
 
-async function createFixture (t: Test, records = StreamRecords.create()): Promise<GatewayFixture> {
-  const fixture = await GatewayFixture.create([createRoute({ kind: RouteKind.Stream, resumable: true, maxAttempts: 3 })], undefined, records)
+const ENGINE: Service = {
+  name: 'plain',
+  maxConnections: 50,
+  engine: {
+    slots: 8,
+    memoryTokens: 1_000,
+    weightsMb: 100,
+    adapterSlots: 2,
+    loadsPerS: 2,
+    models: new Map([['m', { name: 'm', sizeMb: 70, loadMs: 9_000, diskLoadMs: 2_000, adapters: [], adapterSizeMb: 1 }]])
+  }
+}
+const HOLDS_M = { models: [{ name: 'm', version: 1, adapters: [] }] }
+
+async function createFixture (t: Test, records = StreamRecords.create(), service?: Service): Promise<GatewayFixture> {
+  const fixture = await GatewayFixture.create([createRoute({ kind: RouteKind.Stream, resumable: true, maxAttempts: 3 })], service, records)
   t.teardown(() => fixture.close())
   return fixture
 }
@@ -175,3 +189,45 @@
   t.equal((await fixture.call({ id: 'last' })).status, 200)
   t.equal(alone.requests.length, 1)
 })
+
+/** A stream of v1 broke off with the only runner of v1 that held its model; another one of v1 doesn't hold it, one of v2 does. */
+async function createWithoutHolder (t: Test) {
+  const fixture = await createFixture(t, undefined, ENGINE)
+  await fixture.addRunner('runner-1', breakOff, { softwareVersion: 'v1', ...HOLDS_M })
+  await fixture.call({ id: 'began', headers: ['Model: m'] })
+  fixture.context.runners.remove('runner-1', 0, 0)
+  const same = await fixture.addRunner('runner-2', complete, { softwareVersion: 'v1' })
+  const other = await fixture.addRunner('runner-3', complete, { softwareVersion: 'v2', ...HOLDS_M })
+  const takeUp = (id: string) => fixture.call({ id, headers: ['Last-Event-Id: 1', 'Continues: began', 'Model: m'] })
+  return { fixture, same, other, takeUp }
+}
+
+t.test('a take-up whose version holds its model no longer is refused with the time until a load there has ended, and counted for the planner', async (t) => {
+  const { fixture, other, takeUp } = await createWithoutHolder(t)
+  fixture.expectedLoads.push({ service: 'plain', model: 'm', softwareVersion: 'v2', readyInMs: 50 })
+  const { status, body, headers } = await takeUp('again')
+  t.equal(status, 503)
+  t.match(JSON.parse(body), { error: { code: 2003, ran: 'no' } })
+  t.match(headers, /retry-after: 10\.2\r/i)
+  t.match(fixture.context.demand.rates(fixture.context.clock.monotonicMs()).filter(({ softwareVersion }) => softwareVersion !== undefined), [{ model: 'm', softwareVersion: 'v1' }])
+  t.equal(other.requests.length, 0)
+})
+
+t.test('the time until a load has ended counts the loads that keep all runners of the version busy, and the weights on their disks', async (t) => {
+  const { fixture, takeUp } = await createWithoutHolder(t)
+  fixture.expectedLoads.push({ service: 'plain', model: 'n', softwareVersion: 'v1', readyInMs: 4_000 })
+  t.match((await takeUp('again')).headers, /retry-after: 14\.2\r/i)
+  fixture.context.runners.upsert({ ...fixture.context.runners.get('runner-2')!.entry, localWeights: ['m'] })
+  t.match((await takeUp('on-disk')).headers, /retry-after: 7\.2\r/i)
+})
+
+t.test('a take-up waits for a load at its version that ends before its caller abandons the stream, and for no other', async (t) => {
+  const { fixture, same, other, takeUp } = await createWithoutHolder(t)
+  fixture.expectedLoads.push({ service: 'plain', model: 'm', softwareVersion: 'v1', readyInMs: 9_000 })
+  t.match(await takeUp('too-late'), { status: 503, headers: /retry-after: 10\.2\r/i })
+  fixture.expectedLoads.splice(0, 1, { service: 'plain', model: 'm', softwareVersion: 'v1', readyInMs: 600 })
+  const call = takeUp('in-time')
+  setTimeout(() => fixture.context.runners.upsert({ ...fixture.context.runners.get('runner-2')!.entry, ...HOLDS_M }), 700)
+  t.equal((await call).status, 200)
+  t.same([same, other].map(({ requests }) => requests.length), [1, 0])
+})
--- a/packages/gateway/src/serve/load-wait.test.ts
+++ b/packages/gateway/src/serve/load-wait.test.ts
@@ -17,6 +17,10 @@
   override readyInMs (): number | undefined {
     return this.readyMs
   }
+
+  override freeInMs (): number {
+    return 0
+  }
 }
 
 function create (forecast: LoadForecast, targetLatencyMs = 10_000): LoadWait {
--- a/packages/gateway/src/serve/load-wait.ts
+++ b/packages/gateway/src/serve/load-wait.ts
@@ -12,7 +12,15 @@
 /** Interval between two checks for the model. */
 const POLL_INTERVAL_MS = 100
 
-export type LoadWaitInput = { service: string, model: string, arrivedMs: number, targetLatencyMs: number }
+export type LoadWaitInput = {
+  service: string
+  model: string
+  /** The load has to be at this version of the runners' software; absent if any will do. */
+  softwareVersion?: string
+  arrivedMs: number
+  /** Time from the arrival within which the answer has to begin. */
+  targetLatencyMs: number
+}
 
 export class LoadWait {
   #lastSeenMs: number | undefined
@@ -25,10 +33,10 @@
 
   /** Time until the next check for the model; undefined if there is nothing to wait for. */
   nextPollMs (nowMs: number): number | undefined {
-    const { service, model, arrivedMs, targetLatencyMs } = this.input
+    const { service, model, softwareVersion, arrivedMs, targetLatencyMs } = this.input
     const latestMs = arrivedMs + targetLatencyMs * TARGET_FRACTION
     if (nowMs >= latestMs) return undefined
-    const readyInMs = this.forecast.readyInMs(service, model)
+    const readyInMs = this.forecast.readyInMs(service, model, softwareVersion)
     if (readyInMs !== undefined && nowMs + readyInMs > latestMs) return undefined
     if (readyInMs !== undefined) this.#lastSeenMs = nowMs
     if (this.#lastSeenMs === undefined || nowMs - this.#lastSeenMs > LIST_GRACE_MS) return undefined
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -360,13 +360,15 @@
   /** Schedules another try if the model is being loaded and will be ready in time; false: there is nothing to wait for. */
   #waitForLoad (): boolean {
     const { clock, loads, host } = this.context
-    const { service, facts, route, arrivedMs } = this.request
+    const { service, facts, arrivedMs } = this.request
+    const { softwareVersion, targetMs } = this.#continuity
     if (service.engine === undefined || facts.model === undefined || host.isLeaving()) return false
     const isFirstPoll = this.#loadWait === undefined
-    this.#loadWait ??= LoadWait.create(loads, { service: service.name, model: facts.model, arrivedMs, targetLatencyMs: route.targetLatencyMs })
+    this.#loadWait ??= LoadWait.create(loads, { service: service.name, model: facts.model, softwareVersion, arrivedMs, targetLatencyMs: targetMs })
+    if (isFirstPoll) this.#continuity.onMissing()
     const pollMs = this.#loadWait.nextPollMs(clock.monotonicMs())
     if (pollMs === undefined) return false
-    if (isFirstPoll) this.#log.note('waits for a load', { model: facts.model, readyInMs: loads.readyInMs(service.name, facts.model) })
+    if (isFirstPoll) this.#log.note('waits for a load', { model: facts.model, softwareVersion, readyInMs: loads.readyInMs(service.name, facts.model, softwareVersion) })
     this.#loadPollTimer = clock.setTimer(pollMs, () => this.#guard(() => this.#dispatch()))
     return true
   }
@@ -379,7 +381,7 @@
     this.#logLeaving()
     if (this.#writer.started) return this.#abortAnswer('no runner to resume the stream')
     if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastFailureReason}; no other runner is free`))
-    const { code, message, retryAfterMs } = createRefusal(this.context, this.request, set, this.#timeLeftMs())
+    const { code, message, retryAfterMs } = createRefusal(this.context, this.request, set, this.#timeLeftMs(), this.#continuity.softwareVersion)
     this.#giveUp(this.#failure(code, message, retryAfterMs))
   }
 
--- a/packages/gateway/src/serve/retry-after.ts
+++ b/packages/gateway/src/serve/retry-after.ts
@@ -38,9 +38,18 @@
  */
 export function retryAfterMissing (model: ModelSpec | undefined, onDisk: boolean, readyInMs: number | undefined, { timeLeftMs, random }: RetryAfterInput): number {
   if (model === undefined) return bounded(UNKNOWN_MODEL_MS, timeLeftMs)
+  return bounded(retryAfterLoad(model, { onDisk, readyInMs, freeInMs: 0 }, random), timeLeftMs)
+}
+
+/** What is known of the load that a request waits for. `freeInMs`: time until a runner can start it. */
+export type AwaitedLoad = { onDisk: boolean, readyInMs: number | undefined, freeInMs: number }
+
+/** The same, however long the caller has: a retry before the load has ended is refused again. */
+export function retryAfterLoad (model: ModelSpec | undefined, { onDisk, readyInMs, freeInMs }: AwaitedLoad, random: () => number): number {
+  if (model === undefined) return UNKNOWN_MODEL_MS
   const loadMs = onDisk ? model.diskLoadMs : model.loadMs
-  const waitMs = readyInMs === undefined ? ORDER_DELAY_MS + loadMs : readyInMs + LIST_LAG_MS
-  return bounded(waitMs + random() * JITTER_MS, timeLeftMs)
+  const waitMs = readyInMs === undefined ? freeInMs + ORDER_DELAY_MS + loadMs : readyInMs + LIST_LAG_MS
+  return waitMs + random() * JITTER_MS
 }
 
 function bounded (delayMs: number, timeLeftMs: number): number {
--- a/packages/gateway/src/serve/stream-continuity.ts
+++ b/packages/gateway/src/serve/stream-continuity.ts
@@ -9,6 +9,7 @@
 import { preferContinuable } from '../streams/prefer-continuable.js'
 import { KnownBy } from '../streams/stream-origins.js'
 import { UNSTATED_VERSION } from '../streams/types.js'
+import { takeUpWaitMs } from './take-up-wait.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
 
 /** By which the clocks of hosts and runners may differ. */
@@ -60,6 +61,13 @@
     return this.context.versions.mayBegin(this.request.service.name, softwareVersion)
   }
 
+  /** No runner of the version holds the model: the planner of loads learns of it. */
+  onMissing (): void {
+    const { clock, demand } = this.context
+    const { service, facts: { model } } = this.request
+    if (this.isTakeUp && model !== undefined && this.#isAtVersion()) demand.countTakeUp(service.name, model, this.#softwareVersion ?? UNSTATED_VERSION, clock.monotonicMs())
+  }
+
   /** Of the candidates for a new stream those at versions at which it can go on elsewhere, if there are any. */
   preferred (candidates: Candidate[]): Candidate[] {
     const { clock, runners, versions } = this.context
@@ -71,6 +79,12 @@
     return preferContinuable(candidates, holders.map(({ entry }) => entry))
   }
 
+  /** Time from the arrival within which the stream has to begin or to go on. */
+  get targetMs (): number {
+    const { route, dueMs, arrivedMs } = this.request
+    return this.isTakeUp ? takeUpWaitMs(route, dueMs - arrivedMs) : route.targetLatencyMs
+  }
+
   /** Fields for the log where a sending continues a stream; none otherwise. */
   logFields (lastEventId: number | undefined): { continues?: string, beganAtVersion?: string, versionKnownBy?: KnownBy } {
     if (!this.isTakeUp && lastEventId === undefined) return {}
@@ -92,6 +106,10 @@
     return this.request.route.kind === RouteKind.Stream && this.request.route.resumable
   }
 
+  #isAtVersion (): boolean {
+    return this.#softwareVersion !== undefined && this.#softwareVersion !== UNSTATED_VERSION
+  }
+
   /** The list showed later that another process used the runner's id when the stream began. */
   #wasOtherProcess (): boolean {
     if (this.#begun === undefined) return false
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -42,8 +42,10 @@
 
 /** Estimates of when the loads in progress will end. */
 export abstract class LoadForecast {
-  /** Time until a model that is being loaded is expected to be ready; undefined if no load of it is known. */
-  abstract readyInMs (service: string, model: string): number | undefined
+  /** Time until a model that is being loaded, at this version if one is given, is expected to be ready; undefined if no load of it is known. */
+  abstract readyInMs (service: string, model: string, softwareVersion?: string): number | undefined
+  /** Time until the first of the runners of a version can start another load; 0 if one can now. */
+  abstract freeInMs (service: string, softwareVersion: string, runners: number): number
 }
 
 /** This host's own state and what it knows of the other hosts. */
