A copy that is being loaded makes no second copy at a version dispensable

Cause: the second copy's value counted loads in progress as copies. Beside it, a copy for more demand went to the other version, alone there, as the streams that would begin at it counted at most 2.5 slots; and a model without any copy waited for a runner of the larger version.

Evidence: the two cases added to orders/plan-models failed before.

Why it works: the value lost with a copy counts resident copies alone, the value gained by one counts loads too.

--- a/packages/gateway/src/orders/plan-models.test.ts
+++ b/packages/gateway/src/orders/plan-models.test.ts
@@ -123,3 +123,17 @@
   const loading = [runner('r2', ['b'], { softwareVersion: 'v1', loading: 'a', busy: true }), versioned('r4', 'v1', ['b'])]
   t.notOk(plan({ runners: loading, demand, takeUps, isMixed: true }).some(({ model }) => model === 'a'))
 })
+
+t.test('a model without a copy is loaded at either version while no runner of the larger one is free', async (t) => {
+  const runners = [
+    ...['r1', 'r2'].map((id) => runner(id, ['b'], { softwareVersion: 'v1', busy: true, loading: 'c' })),
+    versioned('r3', 'v2', ['b', 'c', 'd'])
+  ]
+  t.match(plan({ runners, demand: steadyDemand({ a: 5 }), isMixed: true }), [{ runnerId: 'r3', kind: 'unload' }])
+})
+
+t.test('a second copy at a version is not unloaded while a third one is still being loaded', async (t) => {
+  const runners = [versioned('r1', 'v1', ['a', 'b', 'c']), versioned('r2', 'v1', ['a', 'b', 'c']), runner('r3', ['b'], { softwareVersion: 'v1', loading: 'a', busy: true }), versioned('r4', 'v2', ['b', 'c'])]
+  const unloaded = plan({ runners, demand: steadyDemand({ a: 10, b: 4, c: 4, d: 8 }), isMixed: true }).filter(({ kind }) => kind === 'unload')
+  t.notOk(unloaded.some(({ model }) => model === 'a'))
+})
--- a/packages/gateway/src/orders/version-copies.ts
+++ b/packages/gateway/src/orders/version-copies.ts
@@ -20,14 +20,22 @@
 const ENOUGH_COPIES = 2
 
 /** A model whose streams may need another copy. New ones begin at `preferredVersion`; at others only the copies there are count. */
-type Missing = { slots: number, copies: number }
+type Protected = {
+  slots: number
+  preferredVersion: string
+  /** By version, with those that are being loaded. */
+  copies: Map<string, number>
+  /** By version; those that are being loaded serve nothing until seconds later. */
+  resident: Map<string, number>
+}
 
-type Protected = { slots: number, preferredVersion: string, copies: Map<string, number> }
+/** Streams that callers continue at a version, in slots, and copies of their model there. */
+type TakeUps = { slots: number, copies: number }
 
 export class VersionCopies {
   readonly #protected = new Map<string, Protected>()
-  /** Slots of demand and copies by model and version, where callers continue streams that no runner of the version could serve. */
-  readonly #takeUps = new Map<string, Map<string, Missing>>()
+  /** By model and version, where callers continue streams that no runner of the version could serve. */
+  readonly #takeUps = new Map<string, Map<string, TakeUps>>()
 
   private constructor () {}
 
@@ -45,25 +53,28 @@
     const sizes = countVersions(runners)
     for (const { model, slots } of mostRequested) {
       const held = countVersions(holdersOf(model, runners))
+      const resident = countVersions(runners.filter(({ models }) => models.includes(model)))
       const preferredVersion = preferVersion(held, sizes)
-      if (preferredVersion !== undefined) copies.#protected.set(model, { slots, preferredVersion, copies: held })
+      if (preferredVersion !== undefined) copies.#protected.set(model, { slots, preferredVersion, copies: held, resident })
     }
     for (const takeUp of takeUps) copies.#addTakeUp(takeUp, runners)
     return copies
   }
 
   #addTakeUp ({ model, softwareVersion, slots }: TakeUpDemand, runners: readonly VersionedRunner[]): void {
-    const versions = this.#takeUps.get(model) ?? new Map<string, Missing>()
+    const versions = this.#takeUps.get(model) ?? new Map<string, TakeUps>()
     this.#takeUps.set(model, versions)
     const copies = holdersOf(model, runners).filter((runner) => runner.softwareVersion === softwareVersion).length
     versions.set(softwareVersion, { slots: (versions.get(softwareVersion)?.slots ?? 0) + slots, copies })
   }
 
   addCopies (model: string, softwareVersion: string | undefined, count: number): void {
-    const missing = this.#missing(model, softwareVersion)
-    if (missing !== undefined) missing.copies += count
-    const held = this.#protected.get(model)?.copies
-    if (held !== undefined && softwareVersion !== undefined) held.set(softwareVersion, (held.get(softwareVersion) ?? 0) + count)
+    const takeUps = this.#takeUpsOf(model, softwareVersion)
+    if (takeUps !== undefined) takeUps.copies += count
+    const known = this.#protected.get(model)
+    if (known === undefined || softwareVersion === undefined) return
+    known.copies.set(softwareVersion, (known.copies.get(softwareVersion) ?? 0) + count)
+    if (count < 0) known.resident.set(softwareVersion, (known.resident.get(softwareVersion) ?? 0) + count)
   }
 
   /** Whether one more copy at some version would let its streams go on when a runner is lost. */
@@ -74,11 +85,11 @@
 
   /** Value that the first copy at this version has for streams that callers continue: nothing else can serve them. */
   takeUpGain (model: string, softwareVersion: string | undefined): number {
-    const missing = this.#missing(model, softwareVersion)
-    return missing === undefined || missing.copies > 0 ? 0 : takeUpSlots(missing.slots)
+    const takeUps = this.#takeUpsOf(model, softwareVersion)
+    return takeUps === undefined || takeUps.copies > 0 ? 0 : takeUpSlots(takeUps.slots)
   }
 
-  #missing (model: string, softwareVersion: string | undefined): Missing | undefined {
+  #takeUpsOf (model: string, softwareVersion: string | undefined): TakeUps | undefined {
     return softwareVersion === undefined ? undefined : this.#takeUps.get(model)?.get(softwareVersion)
   }
 
@@ -88,18 +99,19 @@
     if (known === undefined || softwareVersion === undefined) return 0
     const held = known.copies.get(softwareVersion) ?? 0
     const total = sumOf(known.copies)
-    if (softwareVersion !== known.preferredVersion) return held === 0 ? -secondCopySlots(known.slots / (total + 1)) : 0
-    if (held >= ENOUGH_COPIES || total === 0) return 0
+    if (total === 0) return 0
+    if (softwareVersion !== known.preferredVersion) return held === 0 ? -AT_RISK_SHARE * known.slots / (total + 1) : 0
+    if (held >= ENOUGH_COPIES) return 0
     return secondCopySlots(known.slots) * (held + 1) / ENOUGH_COPIES
   }
 
   /** Value that is lost with one copy at this version. */
   loss (model: string, softwareVersion: string | undefined): number {
-    const missing = this.#missing(model, softwareVersion)
-    if (missing?.copies === 1) return takeUpSlots(missing.slots)
+    const takeUps = this.#takeUpsOf(model, softwareVersion)
+    if (takeUps?.copies === 1) return takeUpSlots(takeUps.slots)
     const known = this.#protected.get(model)
-    if (known === undefined || softwareVersion === undefined || known.copies.get(softwareVersion) !== ENOUGH_COPIES) return 0
-    const share = softwareVersion === known.preferredVersion ? 1 : ENOUGH_COPIES / sumOf(known.copies)
+    if (known === undefined || softwareVersion === undefined || known.resident.get(softwareVersion) !== ENOUGH_COPIES) return 0
+    const share = softwareVersion === known.preferredVersion ? 1 : ENOUGH_COPIES / sumOf(known.resident)
     return secondCopySlots(known.slots * share)
   }
 }
