Joined streams' test: waits until the request is at the runner

The case "a stream that began at a process that the list showed only later" failed in 2 of 15 runs beside others, on this code and on: it waited for the request in flight, which is counted before the request is written, and then the host rightly sends it elsewhere. Six runs of the file passed since, and with the guard (the listed process is another one) taken out the case fails.

--- a/packages/gateway/src/serve/joined-streams.test.ts
+++ b/packages/gateway/src/serve/joined-streams.test.ts
@@ -149,9 +149,10 @@
 
 t.test('a stream that began at a process that the list showed only later goes on nowhere', async (t) => {
   const fixture = await createFixture(t)
-  await fixture.addRunner('runner-1', breakOff, { softwareVersion: 'v1', startedUnixMs: 1 })
+  const first = await fixture.addRunner('runner-1', breakOff, { softwareVersion: 'v1', startedUnixMs: 1 })
   const call = fixture.call({ id: 'began' })
-  await waitUntil(() => fixture.context.runners.get('runner-1')?.inFlight === 1)
+  // Before the request is written, the host would rightly send it elsewhere.
+  await waitUntil(() => first.requests.length === 1)
   const { entry } = fixture.context.runners.get('runner-1')!
   fixture.context.runners.upsert({ ...entry, softwareVersion: 'v2', startedUnixMs: Date.now() - 100 })
   const second = await fixture.addRunner('runner-2', complete, { softwareVersion: 'v1' })
