--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -211,7 +211,8 @@
       hasEnded: (runner) => this.#crashes.hasEnded(runner),
       takesOrders: (runner) => this.#closures.acceptsOrders(runner),
       onReport: (runner) => this.#paths.onReached(runner),
-      onNoReport: (runner, reason) => this.#paths.onConnectFailed(runner, reason)
+      onNoReport: (runner, reason) => this.#paths.onConnectFailed(runner, reason),
+      isMixed: (service) => this.#versions.isMixed(service)
     })
     this.#context = this.#createContext()
     this.#front = this.#createFront()
--- a/packages/gateway/src/orders/order-dispatcher.test.ts
+++ b/packages/gateway/src/orders/order-dispatcher.test.ts
@@ -31,6 +31,7 @@
   /** Runners that gave a report, and those that gave none. */
   readonly reporting = new Set<string>()
   readonly silent = new Set<string>()
+  isMixed = false
 
   private constructor (held: string[][], nextOutcome: () => DeliveryOutcome) {
     this.runners = held.map((models, index) => FakeRunner.create(`r${index}`, engine, this.clock, models))
@@ -55,7 +56,8 @@
       hasEnded: ({ id }) => this.ended.has(id),
       onReport: ({ id }) => { this.reporting.add(id) },
       onNoReport: ({ id }) => { this.silent.add(id) },
-      takesOrders: () => this.takesOrders
+      takesOrders: () => this.takesOrders,
+      isMixed: () => this.isMixed
     })
     this.#updateList()
     this.dispatcher.start()
@@ -199,3 +201,15 @@
   t.same([...fixture.silent], ['gone'])
   fixture.dispatcher.stop()
 })
+
+t.test('while two versions serve, a model in demand gets a second copy at the version of its first', async (t) => {
+  const fixture = DispatcherFixture.create([['a', 'b'], ['c', 'd'], ['b', 'e']])
+  for (const [index, runner] of fixture.runners.entries()) runner.softwareVersion = index < 2 ? 'v1' : 'v2'
+  fixture.addDemand('a', 5)
+  const holders = () => fixture.runners.filter(({ models }) => models.some(({ name }) => name === 'a')).map(({ id }) => id)
+  await fixture.clock.advance(10_000)
+  t.same(holders(), ['r0'])
+  fixture.isMixed = true
+  await fixture.clock.advance(10_000)
+  t.same(holders(), ['r0', 'r1'])
+})
