Runners that fail when they reject too many requests: all hosts together fill their slots and no more

Server-Brittle = N was read by nobody. Callers saw whole services fail again and again: with 6 hosts and 6 runners at 0.9 of the slots, every runner failed about once in its restart time, since hosts choose by loads that are up to a second old and a queue that has become short rejects the excess.

The header is decoded beside the limit on requests and goes to the other hosts in the same reports. While it is named, a request needs a permit of the host that allocates the runner's permits. That host counts what every host has at the runner, from what each request for permits states, and grants as many as fit into nine tenths of the slots; above what the runner has recently been shown to take, few at a time. A rejection stops permits.

--- a/packages/gateway/src/forward/types.ts
+++ b/packages/gateway/src/forward/types.ts
@@ -41,7 +41,7 @@
   Unreadable: 'unreadable'
 } as const
 
-/** The limit that an answer states; `requestsPerS` applies to all hosts together. */
+/** The limit that an answer states; `requestsPerS` counts the requests of all hosts together. */
 export type AnswerLimit =
   { signal: typeof LimitSignal.None } |
   { signal: typeof LimitSignal.Named, requestsPerS: number } |
@@ -77,6 +77,10 @@
   isEventStream: boolean
   weightsVersion?: number
   limit: AnswerLimit
+  /** The runner fails if it has to reject more requests than this for want of room. */
+  rejectionLimit: AnswerLimit
+  /** The runner rejected the request for want of room, or because its time was over. */
+  rejected: boolean
   /** The runner announces that it is leaving. */
   leaving: boolean
   pause: AnswerPause
--- a/packages/gateway/src/gates/gates.test.ts
+++ b/packages/gateway/src/gates/gates.test.ts
@@ -101,7 +101,7 @@
   askPause()
   await clock.advance(PAUSE_MS)
   closures.onChosen(RUNNER, 'second')
-  closures.onEnded(RUNNER, 'second')
+  closures.onEnded(RUNNER, 'second', false)
   t.equal(state(), GateState.Open)
   closures.onChosen(RUNNER, 'third')
   t.equal(state(), GateState.Closed)
--- a/packages/gateway/src/gates/runner-gates.ts
+++ b/packages/gateway/src/gates/runner-gates.ts
@@ -70,9 +70,10 @@
     this.#applyPause(runner, isReadable ? pause.pauseMs : UNREADABLE_PAUSE_MS, isReadable ? undefined : pause.text)
   }
 
-  /** A request ended, with or without an answer. */
-  onEnded (runner: LocatedRunner, requestId: string): void {
+  /** A request has left the runner. @param answered with its whole answer */
+  onEnded (runner: LocatedRunner, requestId: string, answered: boolean): void {
     this.#pauses.onEnded(runner, requestId)
+    this.parts.limits.onEnded(runner, answered)
   }
 
   /** Applies the reports of another host. @param transitMs longest time that its message can have been in flight */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -131,6 +131,7 @@
       members: this.#members,
       calls: this.#peerCalls,
       isLeaving: () => this.#leaving,
+      runnerLoad: (runnerId) => this.#runners.loadOf(runnerId),
       random: parts.random
     })
     this.#closures = RunnerGates.create({
@@ -194,6 +195,7 @@
       relay: () => this.#exchanger.relay,
       holdsLease: () => this.#lease.holds,
       runnerLimits: () => this.#limits.inForce(),
+      rejectionLimits: () => this.#limits.rejectionLimitsInForce(),
       blockedParts: () => this.#crashes.blockedParts,
       blockedRequests: () => this.#crashes.blockedRequests,
       largestBlockShare: () => this.#crashes.largestBlockShare,
@@ -416,6 +418,7 @@
     // The sending host gives up after this timeout, so its report was in flight for no longer.
     const transitMs = Math.min(writtenAgoMs, this.#contactTiming.timeoutMs)
     this.#limits.receive(report.limitReports, transitMs)
+    this.#limits.receiveRejectionLimits(report.rejectionLimitReports, transitMs)
     this.#closures.receive(report.leavingReports, transitMs)
     if (report.crashes !== undefined) this.#crashes.receive(report.sender.address.host, report.crashes)
   }
@@ -455,6 +458,7 @@
       lease: { heldBySender: lease.held, fencingToken: lease.fencingToken, lastOrderAgoMs: lease.lastOrderAgoMs },
       expectedLoads: this.#expectedLoads(),
       limitReports: this.#limits.reports(),
+      rejectionLimitReports: this.#limits.rejectionLimitReports(),
       leavingReports: this.#closures.leavingReports()
     }
   }
--- a/packages/gateway/src/gauges.ts
+++ b/packages/gateway/src/gauges.ts
@@ -11,6 +11,8 @@
   holdsLease: () => boolean
   /** Limits in force by runner id. */
   runnerLimits: () => Map<string, number>
+  /** Limits on rejected requests in force by runner id. */
+  rejectionLimits: () => Map<string, number>
   /** Prompt parts whose requests are not run. */
   blockedParts: () => number
   blockedRequests: () => number
@@ -33,14 +35,15 @@
   addGauge('figloom_gateway_largest_block_share', 'Largest share of the requests that one block refused, within ten seconds.', sources.largestBlockShare)
   addGauge('figloom_gateway_store_era', 'Era of the platform\'s store; rises when it comes back from an older copy.', sources.storeEra)
   addGauge('figloom_gateway_store_rewinds', 'Rises of the era since this process started.', sources.storeRewinds)
-  addLimitGauge(registry, sources.runnerLimits)
+  addRunnerGauge(registry, 'figloom_gateway_runner_limit_per_second', 'Requests a second that a runner takes from all hosts, where it names a limit.', sources.runnerLimits)
+  addRunnerGauge(registry, 'figloom_gateway_runner_rejection_limit_per_second', 'Rejected requests a second above which a runner fails, where it names a limit.', sources.rejectionLimits)
 }
 
 /** Only runners with a limit have a time series. */
-function addLimitGauge (registry: Registry, read: () => Map<string, number>): Gauge {
+function addRunnerGauge (registry: Registry, name: string, help: string, read: () => Map<string, number>): Gauge {
   return new Gauge({
-    name: 'figloom_gateway_runner_limit_per_second',
-    help: 'Requests a second that a runner takes from all hosts, where it names a limit.',
+    name,
+    help,
     labelNames: ['runner'],
     registers: [registry],
     collect () {
--- a/packages/gateway/src/limits/limit-control.ts
+++ b/packages/gateway/src/limits/limit-control.ts
@@ -1,9 +1,9 @@
 /**
- * Enforces the limits that runners name across all hosts: estimates each runner's limit, requests permits for this host's
+ * Enforces the limits that runners name across all hosts: estimates each runner's limits, requests permits for this host's
  * requests, and allocates permits to the hosts for those runners that this host is responsible for. A request needs a permit
- * as soon as this host knows of its runner's limit.
+ * as soon as this host knows of a limit of its runner, on the rate of requests or on that of rejected ones.
  */
-import type { Clock, Logger } from '@figloom/runtime'
+import type { Clock, Logger, Timer } from '@figloom/runtime'
 import { ClosedBy, GateState, type RunnerGate } from '../gates/types.js'
 import { pickByWeight } from '../choose/rendezvous.js'
 import type { AnswerLimit } from '../forward/types.js'
@@ -11,15 +11,22 @@
 import type { MemberTable } from '../members/member-table.js'
 import type { HostAddress, PeerClient } from '../members/types.js'
 import { PermitAllocator } from './permit-allocator.js'
+import { OwnUse } from './own-use.js'
 import { PermitQueue } from './permit-queue.js'
-import { RunnerLimits } from './runner-limits.js'
+import { RejectionLimits } from './rejection-limits.js'
+import { RoomAllocator } from './room-allocator.js'
+import { REJECTION_LIMIT_TEXTS, REQUEST_LIMIT_TEXTS, RunnerLimits } from './runner-limits.js'
 import { SlidingWindowCounter } from './sliding-window-counter.js'
-import type { LimitReport, Permit, PermitReply, PermitRequest, RunnerLimit, RunnerProcess } from './types.js'
+import type { Grant, LimitReport, Permit, PermitReply, PermitRequest, RunnerLimit, RunnerLoad, RunnerProcess } from './types.js'
 
 /** A permit that arrives later than this is of no use to a request for a plain service. */
 const PERMIT_TIMEOUT_MS = 200
 /** Retry delay after a permit request that reached a host other than the allocator: for a moment the two hosts know different hosts. */
 const WRONG_ALLOCATOR_RETRY_MS = 300
+/** The same where the allocator doesn't list the runner yet. */
+const UNLISTED_RETRY_MS = 300
+/** Requests that end within this time are stated to the allocator together. */
+const STATEMENT_DELAY_MS = 5
 
 export type LimitControlParts = {
   clock: Clock
@@ -31,23 +38,39 @@
   members: MemberTable
   calls: PeerClient
   isLeaving: () => boolean
+  /** Undefined for a runner that isn't listed. */
+  runnerLoad: (runnerId: string) => RunnerLoad | undefined
   random: () => number
 }
 
 export class LimitControl {
   readonly #limits: RunnerLimits
+  readonly #rejectionLimits: RejectionLimits
   readonly #allocator = PermitAllocator.create()
+  readonly #rooms = RoomAllocator.create()
+  readonly #use: OwnUse
   readonly #queues = new Map<string, PermitQueue>()
   /** Requests that this host sent to each runner without permits. */
   readonly #unpermitted = new Map<string, SlidingWindowCounter>()
+  readonly #statementTimers = new Map<string, Timer>()
 
   private constructor (private readonly parts: LimitControlParts) {
+    const { instants, log, incarnation: origin, runnerLoad } = parts
     this.#limits = RunnerLimits.create({
-      instants: parts.instants,
-      log: parts.log,
-      origin: parts.incarnation,
+      instants,
+      log,
+      texts: REQUEST_LIMIT_TEXTS,
+      origin,
       onChange: (runner, before) => this.#onChange(runner, before)
     })
+    this.#rejectionLimits = RejectionLimits.create({
+      instants,
+      log,
+      texts: REJECTION_LIMIT_TEXTS,
+      origin,
+      onChange: (runner, before) => this.#onRejectionLimitChange(runner, before)
+    }, (runnerId) => runnerLoad(runnerId)?.service)
+    this.#use = OwnUse.create(origin, (runnerId) => runnerLoad(runnerId)?.ownInFlight ?? 0)
   }
 
   static create (parts: LimitControlParts): LimitControl {
@@ -59,59 +82,97 @@
     this.#limits.onAnswer(runner, limit, requestedMs)
   }
 
+  /** The same for the limit on rejected requests. */
+  onAnswerToRejections (runner: RunnerProcess, limit: AnswerLimit, requestedMs: number): void {
+    this.#rejectionLimits.onAnswer(runner, limit, requestedMs)
+  }
+
+  /** The runner rejected a request of this host. */
+  onRejected (runner: RunnerProcess): void {
+    if (this.#rejectionLimits.limitOf(runner) === undefined) return
+    this.#use.onRejected(runner.id)
+    this.#queueOf(runner).refresh()
+  }
+
+  /** A request of this host has left the runner. @param answered with its whole answer */
+  onEnded (runner: RunnerProcess, answered: boolean): void {
+    if (this.#rejectionLimits.limitOf(runner) === undefined) return
+    if (!answered) this.#use.onUnanswered(runner.id, this.#nowMs())
+    this.#scheduleStatement(runner)
+  }
+
   /** Applies another host's reports. @param transitMs longest time that its message can have been in flight */
   receive (reports: readonly LimitReport[], transitMs: number): void {
     this.#limits.receive(reports, transitMs)
   }
 
+  /** The same for limits on rejected requests. */
+  receiveRejectionLimits (reports: readonly LimitReport[] | undefined, transitMs: number): void {
+    if (reports !== undefined) this.#rejectionLimits.receive(reports, transitMs)
+  }
+
   reports (): LimitReport[] {
     return this.#limits.reports()
   }
 
+  /** Absent if there are none. */
+  rejectionLimitReports (): LimitReport[] | undefined {
+    return this.#rejectionLimits.reports()
+  }
+
   limitOf (runner: RunnerProcess): RunnerLimit | undefined {
     return this.#limits.limitOf(runner)
   }
 
+  /** Rejections a second at which the runner fails; undefined if it bears any number. */
+  rejectionLimitOf (runner: RunnerProcess): number | undefined {
+    return this.#rejectionLimits.limitOf(runner)
+  }
+
   /** Limits in force by runner id. */
   inForce (): Map<string, number> {
     return this.#limits.inForce()
   }
 
+  /** Limits on rejected requests in force by runner id. */
+  rejectionLimitsInForce (): Map<string, number> {
+    return this.#rejectionLimits.inForce()
+  }
+
   /** Whether the runner's limit admits a request; closed: a permit should not be requested before `opensInMs`. */
   gate (runner: RunnerProcess): RunnerGate {
-    if (this.#limits.limitOf(runner) === undefined) return { state: GateState.Open }
+    if (!this.#needsPermit(runner)) return { state: GateState.Open }
     const opensInMs = this.#queues.get(runner.id)?.opensInMs ?? 0
     return opensInMs > 0 ? { state: GateState.Closed, by: ClosedBy.Limit, opensInMs } : { state: GateState.NeedsPermit }
   }
 
   /** Requests a permit for one request; undefined if none is available now. */
   takePermit (runner: RunnerProcess): Promise<Permit | undefined> {
-    const known = this.#queues.get(runner.id)
-    const queue = known ?? this.#createQueue(runner)
-    this.#queues.set(runner.id, queue)
-    return queue.take()
+    return this.#queueOf(runner).take()
   }
 
   /** Called just before a request is written to its runner; false if it needs a permit and has no valid one. */
   beforeWrite (runner: RunnerProcess, permit: Permit | undefined): boolean {
     const nowMs = this.#nowMs()
-    const limited = this.#limits.limitOf(runner) !== undefined
-    if (limited && (permit === undefined || permit.runnerId !== runner.id || permit.validUntilMs < nowMs)) return false
-    if (!limited) this.#unpermittedWindow(runner.id).add(1, nowMs)
+    const isPermitted = permit !== undefined && permit.runnerId === runner.id && permit.validUntilMs >= nowMs
+    if (!isPermitted && this.#needsPermit(runner)) return false
+    if (this.#limits.limitOf(runner) === undefined) this.#unpermittedWindow(runner.id).add(1, nowMs)
     return true
   }
 
   /** Handles a permit request from another host. */
   onPermitRequest (request: PermitRequest): PermitReply {
-    // The requesting host gives up after this timeout, so its message was in flight for no longer.
-    this.#limits.receive(request.limitReports, PERMIT_TIMEOUT_MS)
-    return { ...this.#grant(request), limitReports: this.#reportsAbout(request.runner) }
+    this.#receiveAll(request)
+    return { ...this.#grant(request), ...this.#reportsAbout(request.runner) }
   }
 
   sweep (): void {
     const nowMs = this.#nowMs()
     this.#limits.sweep()
+    this.#rejectionLimits.sweep()
     this.#allocator.sweep(nowMs)
+    this.#rooms.sweep(nowMs)
+    this.#restate(nowMs)
     for (const [id, queue] of this.#queues) {
       if (queue.idle) this.#queues.delete(id)
     }
@@ -124,19 +185,77 @@
     this.#queues.get(runner.id)?.reopen()
     if (before !== undefined || this.#unpermittedWindow(runner.id).total(this.#nowMs()) === 0) return
     // The runner's allocator has to count the requests that were sent before the limit was known.
-    this.#requestPermits(runner, 0).catch((error: Error) => this.#logFailedRequest(runner, error))
+    this.#queueOf(runner).refresh()
+  }
+
+  /** The runner's allocator has to count the requests that are at the runner already. */
+  #onRejectionLimitChange (runner: RunnerProcess, before: number | undefined): void {
+    this.#queues.get(runner.id)?.reopen()
+    if (before === undefined && this.#use.isDue(runner.id, this.#nowMs())) this.#queueOf(runner).refresh()
+  }
+
+  #needsPermit (runner: RunnerProcess): boolean {
+    return this.#limits.limitOf(runner) !== undefined || this.#rejectionLimits.limitOf(runner) !== undefined
+  }
+
+  /** States to the allocators what has changed, or would otherwise be forgotten there. */
+  #restate (nowMs: number): void {
+    const runners = this.#rejectionLimits.processes()
+    for (const runner of runners) {
+      if (this.#use.isDue(runner.id, nowMs)) this.#queueOf(runner).refresh()
+    }
+    const ids = new Set(runners.map(({ id }) => id))
+    this.#use.retain((id) => ids.has(id), nowMs)
+  }
+
+  #scheduleStatement (runner: RunnerProcess): void {
+    if (this.#statementTimers.has(runner.id)) return
+    this.#statementTimers.set(runner.id, this.parts.clock.setTimer(STATEMENT_DELAY_MS, () => {
+      this.#statementTimers.delete(runner.id)
+      this.#queueOf(runner).refresh()
+    }))
   }
 
   #logFailedRequest ({ id }: RunnerProcess, error: Error): void {
     this.parts.log.warn('permit for a runner could not be asked for', { runner: id, reason: error.message })
   }
 
-  #grant (request: PermitRequest): Omit<PermitReply, 'limitReports'> {
-    const limit = this.#limits.limitOf(request.runner)
-    if (limit === undefined) return { granted: request.wanted, retryAfterMs: 0 }
-    if (this.#allocatorOf(request.runner.id) !== undefined) return { granted: 0, retryAfterMs: WRONG_ALLOCATOR_RETRY_MS }
+  #grant (request: PermitRequest): Grant {
+    const { runner, wanted } = request
+    const limit = this.#limits.limitOf(runner)
+    const rejectionsPerS = this.#rejectionLimits.limitOf(runner)
+    if (limit === undefined && rejectionsPerS === undefined) return { granted: wanted, retryAfterMs: 0 }
+    if (this.#allocatorOf(runner.id) !== undefined) return { granted: 0, retryAfterMs: WRONG_ALLOCATOR_RETRY_MS }
+    const grantRate = (count: number) => limit === undefined ? { granted: count, retryAfterMs: 0 } : this.#grantRate(request, count, limit)
+    return rejectionsPerS === undefined ? grantRate(wanted) : this.#grantRoom(request, rejectionsPerS, grantRate)
+  }
+
+  /** Grants permits under the limit on the rate of requests. */
+  #grantRate (request: PermitRequest, wanted: number, limit: RunnerLimit): Grant {
     const options = { requestsPerS: limit.requestsPerS * this.#reachableShare(), random: this.parts.random }
-    return this.#allocator.grant(request, options, this.#nowMs())
+    return this.#allocator.grant({ ...request, wanted }, options, this.#nowMs())
+  }
+
+  /** Grants permits for requests that find room at a runner that fails if it rejects too many. */
+  #grantRoom (request: PermitRequest, rejectionsPerS: number, grantRate: (wanted: number) => Grant): Grant {
+    const load = this.parts.runnerLoad(request.runner.id)
+    if (load === undefined) return { granted: 0, retryAfterMs: UNLISTED_RETRY_MS }
+    const options = {
+      slots: load.slots,
+      rejectionsPerS,
+      reportedInFlight: load.totalInFlight,
+      share: this.#reachableShare(),
+      random: this.parts.random
+    }
+    return this.#rooms.grant(request, options, grantRate, this.#nowMs())
+  }
+
+  #queueOf (runner: RunnerProcess): PermitQueue {
+    const known = this.#queues.get(runner.id)
+    if (known !== undefined) return known
+    const queue = this.#createQueue(runner)
+    this.#queues.set(runner.id, queue)
+    return queue
   }
 
   #createQueue (runner: RunnerProcess): PermitQueue {
@@ -151,16 +270,20 @@
   async #requestPermits (runner: RunnerProcess, wanted: number): Promise<PermitReply> {
     const { calls, self } = this.parts
     const allocatorAddress = this.#allocatorOf(runner.id)
+    const use = this.#use.next(runner.id, this.#nowMs())
     const request = {
       host: self.host,
       runner,
       wanted,
       unpermitted: this.#unpermittedWindow(runner.id).total(this.#nowMs()),
-      limitReports: this.#reportsAbout(runner)
+      use,
+      ...this.#reportsAbout(runner)
     }
-    if (allocatorAddress === undefined) return { ...this.#grant(request), limitReports: [] }
-    const reply = await calls.takePermits(allocatorAddress, request, PERMIT_TIMEOUT_MS)
-    this.#limits.receive(reply.limitReports, PERMIT_TIMEOUT_MS)
+    const reply = allocatorAddress === undefined
+      ? { ...this.#grant(request), limitReports: [] }
+      : await calls.takePermits(allocatorAddress, request, PERMIT_TIMEOUT_MS)
+    this.#receiveAll(reply)
+    this.#use.onStated(runner.id, use)
     return reply
   }
 
@@ -180,8 +303,16 @@
     return Math.min(1, (members.live(nowMs).length + 1) / members.sharingHostCount(nowMs))
   }
 
-  #reportsAbout ({ id }: RunnerProcess): LimitReport[] {
-    return this.#limits.reports().filter(({ runnerId }) => runnerId === id)
+  /** The requesting host gives up after the timeout, so a message was in flight for no longer. */
+  #receiveAll ({ limitReports, rejectionLimitReports }: Pick<PermitReply, 'limitReports' | 'rejectionLimitReports'>): void {
+    this.#limits.receive(limitReports, PERMIT_TIMEOUT_MS)
+    this.receiveRejectionLimits(rejectionLimitReports, PERMIT_TIMEOUT_MS)
+  }
+
+  /** What another host has to know of a runner's limits; that of a runner which has just started may be assumed from others. */
+  #reportsAbout (runner: RunnerProcess): Pick<PermitReply, 'limitReports' | 'rejectionLimitReports'> {
+    const isAbout = ({ runnerId }: LimitReport) => runnerId === runner.id
+    return { limitReports: this.#limits.reports().filter(isAbout), rejectionLimitReports: this.#rejectionLimits.reportsFor(runner) }
   }
 
   #unpermittedWindow (runnerId: string): SlidingWindowCounter {
--- a/packages/gateway/src/limits/outdated-entries.test.ts
+++ b/packages/gateway/src/limits/outdated-entries.test.ts
@@ -3,13 +3,13 @@
 import t from 'tap'
 import { LimitSignal } from '../forward/types.js'
 import { InstantSource } from '../lease/instant.js'
-import { RunnerLimits } from './runner-limits.js'
+import { REQUEST_LIMIT_TEXTS, RunnerLimits } from './runner-limits.js'
 
 const EARLIER = { id: 'runner', startedUnixMs: 5 }
 const PRESENT = { id: 'runner', startedUnixMs: 9 }
 
 function createLimits () {
-  return RunnerLimits.create({ instants: InstantSource.create(ManualClock.create()), log: silentLogger, origin: 'host', onChange: () => {} })
+  return RunnerLimits.create({ instants: InstantSource.create(ManualClock.create()), log: silentLogger, texts: REQUEST_LIMIT_TEXTS, origin: 'host', onChange: () => {} })
 }
 
 t.test('the limit of the present process applies at a host that still lists the earlier one', async (t) => {
--- a/packages/gateway/src/limits/permit-queue.ts
+++ b/packages/gateway/src/limits/permit-queue.ts
@@ -18,6 +18,7 @@
 export class PermitQueue {
   #waiting: ((permit: Permit | undefined) => void)[] = []
   #requesting = false
+  #refreshDue = false
   #closedUntilMs = -Infinity
 
   private constructor (private readonly parts: PermitQueueParts) {}
@@ -49,10 +50,17 @@
     })
   }
 
+  /** Sends a request for no permits, which brings the allocator this host's present state. */
+  refresh (): void {
+    this.#refreshDue = true
+    if (!this.#requesting) this.#requestBatch()
+  }
+
   #requestBatch (): void {
     const batch = this.#waiting.splice(0)
-    if (batch.length === 0) return
+    if (batch.length === 0 && !this.#refreshDue) return
     this.#requesting = true
+    this.#refreshDue = false
     this.parts.requestPermits(batch.length).then(({ granted, retryAfterMs }) => this.#settle(batch, granted, retryAfterMs), (error: Error) => {
       this.parts.onFailure(error)
       this.#settle(batch, 0, FAILED_RETRY_MS)
@@ -61,11 +69,14 @@
 
   #settle (batch: ((permit: Permit | undefined) => void)[], granted: number, retryAfterMs: number): void {
     const nowMs = this.parts.nowMs()
-    this.#requesting = false
     this.#closedUntilMs = nowMs + retryAfterMs
     const permit = { runnerId: this.parts.runnerId, validUntilMs: nowMs + PERMIT_VALID_MS }
     for (const [index, resolve] of batch.entries()) resolve(index < granted ? permit : undefined)
-    if (retryAfterMs === 0) return this.#requestBatch()
-    for (const resolve of this.#waiting.splice(0)) resolve(undefined)
+    if (retryAfterMs > 0) for (const resolve of this.#waiting.splice(0)) resolve(undefined)
+    // The requests with permits count as in flight once their own callbacks have run, and the next request has to state them.
+    queueMicrotask(() => {
+      this.#requesting = false
+      this.#requestBatch()
+    })
   }
 }
--- a/packages/gateway/src/limits/runner-limits.ts
+++ b/packages/gateway/src/limits/runner-limits.ts
@@ -1,4 +1,4 @@
-/** Limits of all runners, estimated from the answers that this host receives and from the reports of other hosts. */
+/** Limits of one kind of all runners, estimated from the answers that this host receives and from the reports of other hosts. */
 import type { Logger } from '@figloom/runtime'
 import { LimitSignal, type AnswerLimit } from '../forward/types.js'
 import type { InstantSource } from '../lease/instant.js'
@@ -8,9 +8,29 @@
 /** Shortest time between two log lines about a runner whose limit can't be parsed. */
 const UNREADABLE_LOG_MS = 10_000
 
+/** Texts of the log lines about one kind of limits. */
+export type LimitTexts = { named: string, changed: string, ended: string, unreadable: string }
+
+/** Limits on the rate of requests. */
+export const REQUEST_LIMIT_TEXTS: LimitTexts = {
+  named: 'runner names a limit',
+  changed: 'limit of a runner changed',
+  ended: 'limit of a runner ended',
+  unreadable: 'limit in an answer of a runner can not be parsed'
+}
+
+/** Limits on the rate of rejected requests. */
+export const REJECTION_LIMIT_TEXTS: LimitTexts = {
+  named: 'runner fails if it rejects more requests a second than this',
+  changed: 'number of rejected requests at which a runner fails changed',
+  ended: 'runner bears rejected requests again',
+  unreadable: 'number of rejected requests at which a runner fails can not be parsed'
+}
+
 export type RunnerLimitsParts = {
   instants: InstantSource
   log: Logger
+  texts: LimitTexts
   /** Incarnation of this host. */
   origin: string
   /** Called when the limit in force at a runner changes. @param before former limit in requests a second; undefined if there was none */
@@ -30,10 +50,14 @@
     return new RunnerLimits(parts)
   }
 
-  /** Applies the limit in a runner's answer. @param requestedMs when its request was written, by the clock of `InstantSource` */
-  onAnswer (runner: RunnerProcess, limit: AnswerLimit, requestedMs: number): void {
+  /**
+   * Applies the limit in a runner's answer.
+   * @param requestedMs when its request was written, by the clock of `InstantSource`
+   * @param isExpected the answer counts also without a limit, since one is assumed for the runner
+   */
+  onAnswer (runner: RunnerProcess, limit: AnswerLimit, requestedMs: number, isExpected = false): void {
     if (limit.signal === LimitSignal.Unreadable) return this.#logUnreadable(runner, limit.text)
-    const isRelevant = limit.signal === LimitSignal.Named || this.#estimates.has(runner.id)
+    const isRelevant = limit.signal === LimitSignal.Named || isExpected || this.#estimates.has(runner.id)
     if (!isRelevant) return
     this.#lastNumber += 1
     this.receive([{
@@ -61,11 +85,26 @@
    * sends to the later one, so the limit of that one applies.
    */
   limitOf (runner: RunnerProcess): RunnerLimit | undefined {
-    const estimate = this.#estimates.get(runner.id)
+    return this.#estimateOf(runner)?.limit(this.parts.instants.nowMs())
+  }
+
+  /** Whether an answer of this start of a runner without a limit is known. */
+  isKnownUnlimited (runner: RunnerProcess): boolean {
+    const estimate = this.#estimateOf(runner)
+    const nowMs = this.parts.instants.nowMs()
+    return estimate !== undefined && estimate.limit(nowMs) === undefined && estimate.reports(nowMs).length > 0
+  }
+
+  /** Whether nothing is known of any runner. */
+  get isEmpty (): boolean {
+    return this.#estimates.size === 0
+  }
+
+  #estimateOf ({ id, startedUnixMs }: RunnerProcess): LimitEstimate | undefined {
+    const estimate = this.#estimates.get(id)
     if (estimate === undefined) return undefined
-    const isLaterStart = (estimate.startedUnixMs ?? 0) > (runner.startedUnixMs ?? Infinity)
-    if (estimate.startedUnixMs !== runner.startedUnixMs && !isLaterStart) return undefined
-    return estimate.limit(this.parts.instants.nowMs())
+    const isLaterStart = (estimate.startedUnixMs ?? 0) > (startedUnixMs ?? Infinity)
+    return estimate.startedUnixMs === startedUnixMs || isLaterStart ? estimate : undefined
   }
 
   /** Reports for other hosts. */
@@ -83,6 +122,13 @@
     }))
   }
 
+  /** Runners whose limit is in force. */
+  processes (): RunnerProcess[] {
+    const nowMs = this.parts.instants.nowMs()
+    return [...this.#estimates.values()].filter((estimate) => estimate.limit(nowMs) !== undefined)
+      .map(({ runnerId, startedUnixMs }) => ({ id: runnerId, startedUnixMs }))
+  }
+
   /** Drops the estimates that rest on no recent observation. */
   sweep (): void {
     const nowMs = this.parts.instants.nowMs()
@@ -120,14 +166,15 @@
       from: limit?.origin,
       heardAgoMs: limit && Math.round(limit.receivedAgoMs)
     }
-    if (before === undefined) this.parts.log.info('runner names a limit', fields)
-    else this.parts.log.info(limit === undefined ? 'limit of a runner ended' : 'limit of a runner changed', fields)
+    const { named, changed, ended } = this.parts.texts
+    if (before === undefined) this.parts.log.info(named, fields)
+    else this.parts.log.info(limit === undefined ? ended : changed, fields)
   }
 
   #logUnreadable ({ id }: RunnerProcess, text: string): void {
     const nowMs = this.parts.instants.nowMs()
     if (nowMs - (this.#unreadableLoggedMs.get(id) ?? -Infinity) < UNREADABLE_LOG_MS) return
     this.#unreadableLoggedMs.set(id, nowMs)
-    this.parts.log.warn('limit in an answer of a runner can not be parsed', { runner: id, text })
+    this.parts.log.warn(this.parts.texts.unreadable, { runner: id, text })
   }
 }
--- a/packages/gateway/src/limits/types.ts
+++ b/packages/gateway/src/limits/types.ts
@@ -1,6 +1,12 @@
-/** Limits that runners set on the rate of requests from all hosts together, and the permits under which hosts share them. */
+/**
+ * Limits that runners set on the rate of requests from all hosts together, or on the rate of requests that they reject, and the
+ * permits under which hosts share them.
+ */
 
-/** The limit in one answer of a runner, as observed by the host that received it. Times are ages in milliseconds. */
+/**
+ * The limit in one answer of a runner, as observed by the host that received it. In a list of rejection limits the rate is that
+ * of requests that the runner rejects. Times are ages in milliseconds.
+ */
 export type LimitReport = {
   runnerId: string
   /** Unix time of the runner's start; absent if the runner doesn't state it. A limit applies to this process only. */
@@ -43,6 +49,32 @@
   /** Requests that the host sent to the runner within the last window without permits. */
   unpermitted: number
   limitReports: LimitReport[]
+  /** Absent if there are none. */
+  rejectionLimitReports?: LimitReport[]
+  /** Absent if the host is of an earlier release. */
+  use?: RunnerUse
+}
+
+/** What one host has at a runner, as it states with each request for permits. */
+export type RunnerUse = {
+  /** Incarnation of the host. */
+  incarnation: string
+  /** Grows with each request for permits: one that arrives late is ignored. */
+  number: number
+  /** Requests at the runner, those included that are about to be written. */
+  inFlight: number
+  /** Requests that the runner rejected since the last answered request for permits. */
+  rejected: number
+}
+
+/** What a host knows of a runner's load. */
+export type RunnerLoad = {
+  service: string
+  slots: number
+  /** Requests of this host. */
+  ownInFlight: number
+  /** Requests of all hosts, as far as their reports tell. */
+  totalInFlight: number
 }
 
 export type PermitReply = {
@@ -50,7 +82,12 @@
   /** Delay before the next request for permits; 0 if all were granted. */
   retryAfterMs: number
   limitReports: LimitReport[]
+  /** Absent if there are none. */
+  rejectionLimitReports?: LimitReport[]
 }
 
+/** The decision on a request for permits. */
+export type Grant = Pick<PermitReply, 'granted' | 'retryAfterMs'>
+
 /** Length of the sliding window over which a limit is enforced. */
 export const LIMIT_WINDOW_MS = 4_000
--- a/packages/gateway/src/members/limit-messages.ts
+++ b/packages/gateway/src/members/limit-messages.ts
@@ -15,28 +15,48 @@
   return { runnerId, startedUnixMs: toUnix(startedUnixMs), origin, number: Number(number), requestsPerS, askedAgoMs, heardAgoMs }
 }
 
-export function toPermitMessage ({ host, runner, wanted, unpermitted, limitReports }: PermitRequest): TakePermitsRequest {
+/** Undefined if there are none, as from hosts of earlier releases. */
+export function toRejectionLimitReports (messages: readonly LimitReportMessage[]): LimitReport[] | undefined {
+  return messages.length === 0 ? undefined : messages.map(toLimitReport)
+}
+
+export function toPermitMessage ({ host, runner, wanted, unpermitted, limitReports, rejectionLimitReports, use }: PermitRequest): TakePermitsRequest {
   return create(TakePermitsRequestSchema, {
     host,
     runnerId: runner.id,
     startedUnixMs: toUnixMessage(runner.startedUnixMs),
     wanted,
     unpermitted,
-    limitReports: limitReports.map(toLimitMessage)
+    limitReports: limitReports.map(toLimitMessage),
+    rejectionLimitReports: rejectionLimitReports?.map(toLimitMessage),
+    ...(use && { ...use, number: BigInt(use.number) })
   })
 }
 
 export function toPermitRequest (message: TakePermitsRequest): PermitRequest {
-  const { host, runnerId, startedUnixMs, wanted, unpermitted, limitReports } = message
-  return { host, runner: { id: runnerId, startedUnixMs: toUnix(startedUnixMs) }, wanted, unpermitted, limitReports: limitReports.map(toLimitReport) }
+  const { host, runnerId, startedUnixMs, wanted, unpermitted, limitReports, rejectionLimitReports, incarnation, number, inFlight, rejected } = message
+  return {
+    host,
+    runner: { id: runnerId, startedUnixMs: toUnix(startedUnixMs) },
+    wanted,
+    unpermitted,
+    limitReports: limitReports.map(toLimitReport),
+    rejectionLimitReports: toRejectionLimitReports(rejectionLimitReports),
+    use: incarnation === '' ? undefined : { incarnation, number: Number(number), inFlight, rejected }
+  }
 }
 
-export function toPermitReplyMessage ({ granted, retryAfterMs, limitReports }: PermitReply): TakePermitsResponse {
-  return create(TakePermitsResponseSchema, { granted, retryAfterMs, limitReports: limitReports.map(toLimitMessage) })
+export function toPermitReplyMessage ({ granted, retryAfterMs, limitReports, rejectionLimitReports }: PermitReply): TakePermitsResponse {
+  return create(TakePermitsResponseSchema, {
+    granted,
+    retryAfterMs,
+    limitReports: limitReports.map(toLimitMessage),
+    rejectionLimitReports: rejectionLimitReports?.map(toLimitMessage)
+  })
 }
 
-export function toPermitReply ({ granted, retryAfterMs, limitReports }: TakePermitsResponse): PermitReply {
-  return { granted, retryAfterMs, limitReports: limitReports.map(toLimitReport) }
+export function toPermitReply ({ granted, retryAfterMs, limitReports, rejectionLimitReports }: TakePermitsResponse): PermitReply {
+  return { granted, retryAfterMs, limitReports: limitReports.map(toLimitReport), rejectionLimitReports: toRejectionLimitReports(rejectionLimitReports) }
 }
 
 export function toUnixMessage (unixMs: number | undefined): bigint | undefined {
--- a/packages/gateway/src/members/report-messages.ts
+++ b/packages/gateway/src/members/report-messages.ts
@@ -8,7 +8,7 @@
 import type { RunnerEntry, RunnerListUpdate } from '../runners/types.js'
 import { toCrashMessage, toCrashUpdate } from './crash-messages.js'
 import { toLeavingMessage, toLeavingReport } from './leaving-messages.js'
-import { toLimitMessage, toLimitReport } from './limit-messages.js'
+import { toLimitMessage, toLimitReport, toRejectionLimitReports } from './limit-messages.js'
 import { toVersion, toVersionMessage } from './list-version-messages.js'
 import type { ListUpdate } from './change-list.js'
 import type { DemandRate, HostAddress, HostReport, HostSummary } from './types.js'
@@ -32,6 +32,7 @@
     runnersEra: eraOf(report.runnersPosition ?? 0),
     storeEra: report.storeEra,
     limitReports: report.limitReports.map(toLimitMessage),
+    rejectionLimitReports: report.rejectionLimitReports?.map(toLimitMessage),
     leavingReports: report.leavingReports.map(toLeavingMessage),
     crashes: report.crashes && toCrashMessage(report.crashes),
     crashesSeen: toVersionMessage(report.crashesSeen)
@@ -62,6 +63,7 @@
     runnersPosition: toPosition(message.runnersEra, message.runnersPosition),
     storeEra: message.storeEra,
     limitReports: message.limitReports.map(toLimitReport),
+    rejectionLimitReports: toRejectionLimitReports(message.rejectionLimitReports),
     leavingReports: message.leavingReports.map(toLeavingReport),
     crashes: message.crashes && toCrashUpdate(message.crashes),
     crashesSeen: toVersion(message.crashesSeen)
--- a/packages/gateway/src/members/report-writer.ts
+++ b/packages/gateway/src/members/report-writer.ts
@@ -26,6 +26,8 @@
   expectedLoads: ExpectedLoad[]
   /** Runners' limits that this host knows. */
   limitReports: LimitReport[]
+  /** The same for runners that bear only few rejected requests; absent if there are none. */
+  rejectionLimitReports?: LimitReport[]
   /** Runners that recently announced that they leave. */
   leavingReports: LeavingReport[]
 }
@@ -89,6 +91,7 @@
       lease: state.lease,
       sentAt: clock.now(),
       limitReports: state.limitReports,
+      rejectionLimitReports: state.rejectionLimitReports,
       leavingReports: state.leavingReports,
       hostsSeen: peer === undefined ? undefined : members.hostsSeen(peer.address.host),
       storeEra: this.parts.storeEra(),
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -86,6 +86,8 @@
   storeEra: number
   /** Runners' limits that the sender knows, whichever host received them from the runner. */
   limitReports: LimitReport[]
+  /** The same for runners that bear only few rejected requests; absent if there are none. */
+  rejectionLimitReports?: LimitReport[]
   /** Runners that recently announced that they leave. */
   leavingReports: LeavingReport[]
   /** Ends of runners and blocked prompt parts; absent if the receiver lacks none that the sender knows. */
--- a/packages/gateway/src/runners/runner-table.ts
+++ b/packages/gateway/src/runners/runner-table.ts
@@ -4,6 +4,7 @@
  */
 import { RunnerHealth } from '@figloom/routing'
 import { LeavingRunners } from '../gates/leaving-runners.js'
+import type { RunnerLoad } from '../limits/types.js'
 import type { ResidentModel, RunnerEntry } from './types.js'
 
 /** For this long after a runner reported that it lacks a model or adapter, its entry is ignored for this model or adapter. */
@@ -109,6 +110,14 @@
     return state.inFlight + (this.#otherHostsInFlight.get(state.entry.id) ?? 0)
   }
 
+  /** What is known of a runner's load; undefined if it isn't listed. */
+  loadOf (id: string): RunnerLoad | undefined {
+    const state = this.#runners.get(id)
+    if (state === undefined) return undefined
+    const { service, slots } = state.entry
+    return { service, slots: Math.max(1, slots), ownInFlight: state.inFlight, totalInFlight: this.totalInFlight(state) }
+  }
+
   /** Sets the requests that all other hosts together have in flight, by runner id. */
   setOtherHostsInFlight (counts: ReadonlyMap<string, number>): void {
     this.#otherHostsInFlight = counts
--- a/packages/gateway/src/serve/record-attempt.ts
+++ b/packages/gateway/src/serve/record-attempt.ts
@@ -1,5 +1,5 @@
 /** Records what an attempt shows about its runner: its health, the models it holds, whether it can be reached. */
-import { LimitSignal, type AnswerFacts } from '../forward/types.js'
+import { LimitSignal, type AnswerFacts, type AnswerLimit } from '../forward/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
 import type { AttemptResult } from './attempt-result.js'
 import { Outcome } from './outcome.js'
@@ -38,14 +38,16 @@
   const isFromOtherRunner = facts.misdirected && facts.runnerId !== entry.id
   if (isFromOtherRunner) return
   context.closures.onAnswer({ runner: entry, requestId, signals: facts })
-  if (!facts.misdirected) recordLimit(context, received)
+  if (!facts.misdirected) recordLimits(context, received)
 }
 
-/** Any answer may state its runner's limit. The absence of a limit counts only in a signed answer. */
-function recordLimit ({ runners, limits }: ServeContext, { runner, facts, writtenInstantMs }: ReceivedHead): void {
+/** Any answer may state its runner's limits. The absence of a limit counts only in a signed answer. */
+function recordLimits ({ runners, limits }: ServeContext, { runner, facts, writtenInstantMs }: ReceivedHead): void {
   if (runners.get(runner.entry.id) !== runner) return
-  if (facts.limit.signal === LimitSignal.None && !facts.signed) return
-  limits.onAnswer(runner.entry, facts.limit, writtenInstantMs)
+  const counts = ({ signal }: AnswerLimit) => signal !== LimitSignal.None || facts.signed
+  if (counts(facts.limit)) limits.onAnswer(runner.entry, facts.limit, writtenInstantMs)
+  if (counts(facts.rejectionLimit)) limits.onAnswerToRejections(runner.entry, facts.rejectionLimit, writtenInstantMs)
+  if (facts.rejected) limits.onRejected(runner.entry)
 }
 
 /** Another runner uses the address, or this runner doesn't hold the requested model or adapter. */
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -312,7 +312,7 @@
   #releaseRunner (departure: Departure = Departure.Other): void {
     if (this.#runner === undefined) return
     this.#requestGuard.onLeft(this.#runner.entry, departure)
-    this.context.closures.onEnded(this.#runner.entry, this.request.id)
+    this.context.closures.onEnded(this.#runner.entry, this.request.id, departure === Departure.Answered)
     this.#runner.inFlight -= 1
     this.#runner = undefined
   }
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -75,7 +75,7 @@
 }
 
 /** Limit control of a host that knows no other hosts. */
-function createLimits (clock: Clock, instants: InstantSource): LimitControl {
+function createLimits (clock: Clock, instants: InstantSource, runners: RunnerTable): LimitControl {
   const self = { host: 'host', availabilityZone: 'zone-1', callerAddress: '', peerAddress: '', capacityCores: 1 }
   return LimitControl.create({
     clock,
@@ -86,6 +86,7 @@
     members: MemberTable.create(self.host, createContactTiming(3_000)),
     calls: ConnectPeerClient.create(),
     isLeaving: () => false,
+    runnerLoad: (runnerId) => runners.loadOf(runnerId),
     random: () => 0.5
   })
 }
@@ -134,11 +135,11 @@
       services: new Map([[service.name, service]]),
       limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
     })
-    const limits = createLimits(clock, instants)
     const leaving = LeavingRunners.create()
     const lag = LoopLag.create(clock)
     const overlong: string[] = []
     const runners = RunnerTable.create(leaving)
+    const limits = createLimits(clock, instants, runners)
     const streamLog = MemoryStreamLog.create(streamRecords)
     const history = VersionHistory.create({ clock, log: silentLogger, runners, streamLog })
     const fixture = new GatewayFixture({
--- a/packages/gateway/src/testing/host-network.ts
+++ b/packages/gateway/src/testing/host-network.ts
@@ -122,6 +122,7 @@
       members,
       calls: this,
       isLeaving: () => state.leaving,
+      runnerLoad: (runnerId) => runners.loadOf(runnerId),
       random: this.random
     })
     const writer = ReportWriter.create({
@@ -130,7 +131,7 @@
       incarnation,
       members,
       usage,
-      state: () => ({ ...state, relay: host.exchanger.relay, limitReports: limits.reports() }),
+      state: () => ({ ...state, relay: host.exchanger.relay, limitReports: limits.reports(), rejectionLimitReports: limits.rejectionLimitReports() }),
       runnersPosition: () => knowledge.position,
       runnersSince: (position) => knowledge.updateSince(position),
       crashes: { update: () => undefined, seenOf: () => undefined },
@@ -152,7 +153,9 @@
         const nowMs = clock.monotonicMs()
         const reportsDirectly = members.groupReports(nowMs).some(({ sender }) => sender.address.host === received.sender.address.host)
         usage.applyReport(received, reportsDirectly, nowMs)
-        limits.receive(received.limitReports, Math.min(writtenAgoMs, TIMING.timeoutMs))
+        const transitMs = Math.min(writtenAgoMs, TIMING.timeoutMs)
+        limits.receive(received.limitReports, transitMs)
+        limits.receiveRejectionLimits(received.rejectionLimitReports, transitMs)
         const { runners: update, sender } = received
         if (update !== undefined) knowledge.receive({ ...update, ageMs: update.ageMs === undefined ? undefined : update.ageMs + writtenAgoMs }, sender.address.host)
       }
--- a/packages/gateway/src/testing/test-codec.ts
+++ b/packages/gateway/src/testing/test-codec.ts
@@ -41,6 +41,8 @@
       encoded: valueOf(headers, 'content-encoding') !== undefined,
       isEventStream: valueOf(headers, 'content-type') === 'text/event-stream',
       limit: limitOf(valueOf(headers, 'limit-per-s')),
+      rejectionLimit: limitOf(valueOf(headers, 'rejections-per-s')),
+      rejected: status === 503 && valueOf(headers, 'not-run') !== undefined,
       leaving: valueOf(headers, 'leaving') !== undefined,
       pause: pauseOf(valueOf(headers, 'retry-after')),
       closes: false
