--- a/packages/gateway/src/limits/limit-control.ts
+++ b/packages/gateway/src/limits/limit-control.ts
@@ -89,7 +89,10 @@
 
   /** The runner rejected a request of this host. */
   onRejected (runner: RunnerProcess): void {
-    if (this.#rejectionLimits.limitOf(runner) === undefined) return
+    const rejectionsPerS = this.#rejectionLimits.limitOf(runner)
+    if (rejectionsPerS === undefined) return
+    const load = this.parts.runnerLoad(runner.id)
+    this.parts.log.info('runner rejected a request and fails at too many', { runner: runner.id, rejectionsPerS, ownInFlight: load?.ownInFlight, totalInFlight: load?.totalInFlight, slots: load?.slots })
     this.#use.onRejected(runner.id)
     this.#queueOf(runner).refresh()
   }
--- a/packages/gateway/src/limits/testing/brittle-fleet.ts
+++ b/packages/gateway/src/limits/testing/brittle-fleet.ts
@@ -221,6 +221,16 @@
     for (const takeBack of this.#atRunners.get(host) ?? []) takeBack()
   }
 
+  suspend (host: BrittleHost): void {
+    host.clock.suspend()
+    this.network.suspended.add(this.network.nameOf(host.network))
+  }
+
+  wake (host: BrittleHost): void {
+    host.clock.resume()
+    this.network.suspended.delete(this.network.nameOf(host.network))
+  }
+
   #retry (host: BrittleHost, id: string, excluded: Set<string>): void {
     excluded.add(id)
     if (excluded.size < MAX_ATTEMPTS) return this.#dispatch(host, excluded)
--- a/packages/gateway/src/limits/testing/brittle-runner.ts
+++ b/packages/gateway/src/limits/testing/brittle-runner.ts
@@ -1,4 +1,7 @@
-/** Simulates a runner on a manual clock that rejects requests for want of room, and fails if it rejects too many in a second. */
+/**
+ * Simulates a runner on a manual clock that rejects requests for want of room, and fails if it rejects too many in a second. It
+ * counts from the time at which it names its limit: no host can know it before.
+ */
 import type { Clock, Timer } from '@figloom/runtime'
 
 /** Time for which the runner lets as many requests wait as before after it has begun to name a limit. */
@@ -65,10 +68,27 @@
     return () => this.#remove(arrival)
   }
 
-  /** The most rejections within a second that ended between the two times. */
+  /** Its process ends; an empty one follows. */
+  restart (): void {
+    if (!this.isUp) return
+    this.isUp = false
+    const lost = [...this.#running, ...this.#waiting]
+    this.#running = []
+    this.#waiting = []
+    for (const { onEnd, timer } of lost) {
+      timer?.cancel()
+      onEnd({ outcome: ArrivalOutcome.Broken })
+    }
+    this.clock.setTimer(RESTART_MS, () => {
+      this.isUp = true
+      this.startedUnixMs += 1
+    })
+  }
+
+  /** The most rejections between the two times that fell within a second. */
   mostRejections (fromMs = 0, toMs = Infinity): number {
     const times = this.rejectionsMs.filter((atMs) => atMs >= fromMs && atMs <= toMs)
-    return Math.max(0, ...times.map((endMs) => this.rejectionsMs.filter((atMs) => atMs <= endMs && atMs > endMs - SECOND_MS).length))
+    return Math.max(0, ...times.map((endMs) => times.filter((atMs) => atMs <= endMs && atMs > endMs - SECOND_MS).length))
   }
 
   #queueLimit (): number {
@@ -100,7 +120,7 @@
     const nowMs = this.clock.monotonicMs()
     this.rejectionsMs.push(nowMs)
     arrival.onEnd({ outcome: ArrivalOutcome.Rejected, rejectionsPerS: this.#rejectionsPerS })
-    if (this.#rejectionsPerS !== undefined && this.mostRejections(nowMs) > this.#rejectionsPerS) this.#fall()
+    if (this.#rejectionsPerS !== undefined && this.mostRejections(Math.max(this.#namedMs, nowMs - SECOND_MS)) > this.#rejectionsPerS) this.#fall()
   }
 
   /** What waits beyond the shorter queue is rejected at once, and counts. */
@@ -113,17 +133,6 @@
 
   #fall (): void {
     this.fallsMs.push(this.clock.monotonicMs())
-    this.isUp = false
-    const lost = [...this.#running, ...this.#waiting]
-    this.#running = []
-    this.#waiting = []
-    for (const { onEnd, timer } of lost) {
-      timer?.cancel()
-      onEnd({ outcome: ArrivalOutcome.Broken })
-    }
-    this.clock.setTimer(RESTART_MS, () => {
-      this.isUp = true
-      this.startedUnixMs += 1
-    })
+    this.restart()
   }
 }
--- a/packages/gateway/src/serve/metrics.ts
+++ b/packages/gateway/src/serve/metrics.ts
@@ -6,6 +6,8 @@
   retries: Counter<'reason'>
   limitedAttempts: Counter
   passedOver: Counter
+  /** Rejections by runners that fail at too many. */
+  countedRejections: Counter
   takeUps: Counter<'outcome'>
   firstByteSeconds: Histogram<'route'>
   totalSeconds: Histogram<'route'>
@@ -20,6 +22,7 @@
     retries: new Counter({ name: 'figloom_gateway_repeats_total', help: 'Sendings of a request beyond its first, by outcome of the one before.', labelNames: ['reason'], registers }),
     limitedAttempts: new Counter({ name: 'figloom_gateway_limited_sendings_total', help: 'Requests sent to runners that name a limit.', registers }),
     passedOver: new Counter({ name: 'figloom_gateway_passed_over_for_limit_total', help: 'Choices of a runner that found no permit under its limit.', registers }),
+    countedRejections: new Counter({ name: 'figloom_gateway_counted_rejections_total', help: 'Requests of this host that runners rejected which fail at too many rejections.', registers }),
     takeUps: new Counter({ name: 'figloom_gateway_continued_streams_total', help: 'Requests of callers that continue a stream, by whether it can go on at the version that began it.', labelNames: ['outcome'], registers }),
     firstByteSeconds: new Histogram({ name: 'figloom_gateway_first_byte_seconds', help: 'Time from the request to the first byte of its answer.', labelNames: ['route'], buckets: BUCKETS_S, registers }),
     totalSeconds: new Histogram({ name: 'figloom_gateway_total_seconds', help: 'Time from the request to the end of its answer.', labelNames: ['route'], buckets: BUCKETS_S, registers })
--- a/packages/gateway/src/serve/record-attempt.ts
+++ b/packages/gateway/src/serve/record-attempt.ts
@@ -42,12 +42,14 @@
 }
 
 /** Any answer may state its runner's limits. The absence of a limit counts only in a signed answer. */
-function recordLimits ({ runners, limits }: ServeContext, { runner, facts, writtenInstantMs }: ReceivedHead): void {
+function recordLimits ({ runners, limits, metrics }: ServeContext, { runner, facts, writtenInstantMs }: ReceivedHead): void {
   if (runners.get(runner.entry.id) !== runner) return
   const counts = ({ signal }: AnswerLimit) => signal !== LimitSignal.None || facts.signed
   if (counts(facts.limit)) limits.onAnswer(runner.entry, facts.limit, writtenInstantMs)
   if (counts(facts.rejectionLimit)) limits.onAnswerToRejections(runner.entry, facts.rejectionLimit, writtenInstantMs)
-  if (facts.rejected) limits.onRejected(runner.entry)
+  if (!facts.rejected || limits.rejectionLimitOf(runner.entry) === undefined) return
+  metrics.countedRejections.inc()
+  limits.onRejected(runner.entry)
 }
 
 /** Another runner uses the address, or this runner doesn't hold the requested model or adapter. */
--- a/scripts/gateway-soak.mjs
+++ b/scripts/gateway-soak.mjs
@@ -5,7 +5,7 @@
 
 const cli = meow(`
   Usage
-    $ node scripts/gateway-soak.mjs [--seed N] [--seeds COUNT] [--seconds N] [--hosts N] [--releases] [--verbose]
+    $ node scripts/gateway-soak.mjs [--seed N] [--seeds COUNT] [--seconds N] [--hosts N] [--releases] [--brittle] [--verbose]
 
   Prints a line of JSON for each seed; exits with 1 if a promise was broken.
 `, {
@@ -16,14 +16,15 @@
     seconds: { type: 'number', default: 20 },
     hosts: { type: 'number', default: 4 },
     releases: { type: 'boolean', default: false },
+    brittle: { type: 'boolean', default: false },
     verbose: { type: 'boolean', default: false }
   }
 })
 
-const { seed, seeds, seconds, hosts, releases, verbose } = cli.flags
+const { seed, seeds, seconds, hosts, releases, brittle, verbose } = cli.flags
 let brokenCount = 0
 for (let currentSeed = seed; currentSeed < seed + seeds; currentSeed += 1) {
-  const report = await runSoak({ seed: currentSeed, seconds, hostCount: hosts, releases, verbose })
+  const report = await runSoak({ seed: currentSeed, seconds, hostCount: hosts, releases, brittle, verbose })
   brokenCount += report.broken.length
   console.log(JSON.stringify(report))
 }
