--- a/packages/gateway/src/limits/runner-room.ts
+++ b/packages/gateway/src/limits/runner-room.ts
@@ -11,6 +11,8 @@
 const FILLED_PART = 0.9
 /** The same for a runner that fails at a single rejection, and the part that counts as free without a recent proof. */
 const SAFE_PART = 0.5
+/** Rejections a second at which a runner may fail and all of its slots, if it has few, are filled all the same. */
+const MIN_FOR_ALL_SLOTS = 2
 /** A rejection arrives at the allocator within this time: the answer and one message between hosts. */
 const CONFIRM_MS = 150
 /** A number of requests that the runner had without rejecting any proves that it has room for as many, for one to two of these times. */
@@ -120,8 +122,9 @@
 
   #capacity ({ slots, rejectionsPerS, share }: RoomOptions): number {
     const part = rejectionsPerS < 1 ? SAFE_PART : FILLED_PART
-    const capacity = Math.floor(slots * part * share)
-    return share < 1 ? capacity : Math.max(1, capacity)
+    if (share < 1) return Math.floor(slots * part * share)
+    // Of few slots none is left free, unless a second rejection is one too many.
+    return Math.max(1, rejectionsPerS < MIN_FOR_ALL_SLOTS ? Math.floor(slots * part) : Math.round(slots * part))
   }
 
   #held ({ reportedInFlight }: RoomOptions, nowMs: number): number {
