--- a/packages/gateway/src/limits/runner-room.ts
+++ b/packages/gateway/src/limits/runner-room.ts
@@ -102,10 +102,12 @@
 
   /** Delay before a host that got fewer permits than it wanted asks again: when requests end, spread over the hosts that wait. */
   retryAfterMs (options: RoomOptions, nowMs: number): number {
-    const hostCount = [...this.#wantedMs.values()].filter((wantedMs) => nowMs - wantedMs < LIMIT_WINDOW_MS).length
+    for (const [incarnation, wantedMs] of this.#wantedMs) {
+      if (nowMs - wantedMs >= LIMIT_WINDOW_MS) this.#wantedMs.delete(incarnation)
+    }
     const isFull = this.#capacity(options) <= this.#held(options, nowMs)
     const intervalMs = isFull ? 1_000 / Math.max(MIN_ENDS_PER_S, this.#ended.total(nowMs) / (LIMIT_WINDOW_MS / 1_000)) : CONFIRM_MS
-    const spreadMs = options.random() * Math.max(1, hostCount) * intervalMs
+    const spreadMs = options.random() * Math.max(1, this.#wantedMs.size) * intervalMs
     return Math.max(0, this.#stoppedUntilMs - nowMs) + Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, spreadMs))
   }
 
