--- a/packages/gateway/src/limits/brittle-host-changes.test.ts
+++ b/packages/gateway/src/limits/rejections-host-changes.test.ts
@@ -1,6 +1,6 @@
 // Guards against runners that fail at too many rejections while hosts start, die, stand still or lose each other, and as they come back themselves.
 import t from 'tap'
-import { createBusyFleet, checkRejections, nameLimit } from './testing/brittle-checks.js'
+import { createBusyFleet, checkRejections, nameLimit } from './testing/checked-rejections.js'
 
 // Simulating several hosts in one process is slow beside other tests.
 t.setTimeout(280_000)
--- a/packages/gateway/src/limits/brittle-many-hosts.test.ts
+++ b/packages/gateway/src/limits/rejections-many-hosts.test.ts
@@ -1,6 +1,6 @@
 // Guards against runners that fail because hundreds of hosts, which know each other's load late, overfill them together.
 import t from 'tap'
-import { checkRejections, createBusyFleet, nameLimit } from './testing/brittle-checks.js'
+import { checkRejections, createBusyFleet, nameLimit } from './testing/checked-rejections.js'
 
 // Simulating hundreds of hosts in one process is slow.
 t.setTimeout(280_000)
--- a/packages/gateway/src/limits/brittle-runners.test.ts
+++ b/packages/gateway/src/limits/rejections.test.ts
@@ -1,6 +1,6 @@
 // Guards against runners that fail because all hosts together make them reject too many requests in a second.
 import t from 'tap'
-import { createBusyFleet, checkRejections, nameLimit } from './testing/brittle-checks.js'
+import { createBusyFleet, checkRejections, nameLimit } from './testing/checked-rejections.js'
 
 // Simulating several hosts in one process is slow beside other tests.
 t.setTimeout(280_000)
--- a/packages/gateway/src/limits/testing/brittle-fleet.ts
+++ b/packages/gateway/src/limits/testing/rejecting-fleet.ts
@@ -9,7 +9,7 @@
 import { createRandom } from '../../testing/seeded-random.js'
 import { SuspendableClock } from '../../testing/suspendable-clock.js'
 import type { Permit } from '../types.js'
-import { ArrivalOutcome, BrittleRunner, type BrittleRunnerOptions, type Departure } from './brittle-runner.js'
+import { ArrivalOutcome, RejectingRunner, type RejectingRunnerOptions, type Departure } from './rejecting-runner.js'
 
 const STEP_MS = 10
 const SWEEP_MS = 200
@@ -23,7 +23,7 @@
 const SERVICE: Service = { name: 'plain', maxConnections: 100_000 }
 const TARGET_MS = 1_000
 
-export type BrittleFleetOptions = Omit<BrittleRunnerOptions, 'id' | 'holdMs'> & {
+export type RejectingFleetOptions = Omit<RejectingRunnerOptions, 'id' | 'holdMs'> & {
   hosts: number
   runners: number
   seed: number
@@ -35,24 +35,24 @@
   maxDelayMs: number
 }
 
-export type BrittleHost = { network: NetworkHost, clock: SuspendableClock }
+export type FleetHost = { network: NetworkHost, clock: SuspendableClock }
 
 /** What became of callers' requests. */
 export type Results = { answered: number, refused: number, failed: number }
 
-export class BrittleFleet {
+export class RejectingFleet {
   readonly clock = ManualClock.create()
   readonly network = HostNetwork.create(this.clock)
-  readonly hosts: BrittleHost[] = []
-  readonly runners: BrittleRunner[] = []
+  readonly hosts: FleetHost[] = []
+  readonly runners: RejectingRunner[] = []
   results: Results = { answered: 0, refused: 0, failed: 0 }
   demandPerS: number
   /** Functions that take back each host's requests. */
-  readonly #atRunners = new Map<BrittleHost, (() => void)[]>()
+  readonly #atRunners = new Map<FleetHost, (() => void)[]>()
   readonly #random: () => number
   #pendingRequests = 0
 
-  private constructor (private readonly options: BrittleFleetOptions) {
+  private constructor (private readonly options: RejectingFleetOptions) {
     this.#random = createRandom(options.seed)
     this.demandPerS = options.demandPerS
     this.network.random = this.#random
@@ -60,17 +60,17 @@
     const { slots, queue, shrunkQueue, meanHoldMs } = options
     const holdMs = () => meanHoldMs * (0.3 + this.#random() * 1.4)
     for (let index = 0; index < options.runners; index += 1) {
-      this.runners.push(BrittleRunner.create({ id: `r${index}`, slots, queue, shrunkQueue, holdMs }, this.clock))
+      this.runners.push(RejectingRunner.create({ id: `r${index}`, slots, queue, shrunkQueue, holdMs }, this.clock))
     }
     for (let index = 0; index < options.hosts; index += 1) this.start()
   }
 
-  static create (options: BrittleFleetOptions): BrittleFleet {
-    return new BrittleFleet(options)
+  static create (options: RejectingFleetOptions): RejectingFleet {
+    return new RejectingFleet(options)
   }
 
   /** Starts another host. */
-  start (): BrittleHost {
+  start (): FleetHost {
     const clock = SuspendableClock.create(this.clock)
     const host = { network: this.network.start(`h${this.hosts.length}`, ['h0', 'h1', 'h2'], clock), clock }
     this.hosts.push(host)
@@ -116,14 +116,14 @@
   }
 
   /** The host's list shows runners that are up; one that fell is gone. */
-  #list ({ network: { runners } }: BrittleHost): void {
+  #list ({ network: { runners } }: FleetHost): void {
     for (const { options, isUp, startedUnixMs } of this.runners) {
       if (isUp) runners.upsert(createEntry({ id: options.id, slots: options.slots, startedUnixMs, service: SERVICE.name }))
       else runners.remove(options.id, 0, 0)
     }
   }
 
-  #report ({ network: { runners, state, usage } }: BrittleHost): void {
+  #report ({ network: { runners, state, usage } }: FleetHost): void {
     state.runnerUses = new Map(runners.all().map(({ entry, inFlight }) => [entry.id, inFlight]))
     runners.setOtherHostsInFlight(usage.othersUses())
   }
@@ -134,12 +134,12 @@
     this.#dispatch(host, new Set())
   }
 
-  #isUp ({ network }: BrittleHost): boolean {
+  #isUp ({ network }: FleetHost): boolean {
     const name = this.network.nameOf(network)
     return !this.network.down.has(name) && !this.network.suspended.has(name)
   }
 
-  #dispatch (host: BrittleHost, excluded: Set<string>): void {
+  #dispatch (host: FleetHost, excluded: Set<string>): void {
     const { runners, limits, clock } = host.network
     const { open } = findCandidates(runners, this.#need(host, excluded), clock.monotonicMs())
     const hostName = this.network.nameOf(host.network)
@@ -162,7 +162,7 @@
     }, () => { this.results.failed += 1 })
   }
 
-  #need ({ network: { limits } }: BrittleHost, excluded: ReadonlySet<string>): RequestRequirements {
+  #need ({ network: { limits } }: FleetHost, excluded: ReadonlySet<string>): RequestRequirements {
     return {
       service: SERVICE,
       acceptsVersion: () => true,
@@ -174,7 +174,7 @@
     }
   }
 
-  #connect (host: BrittleHost, id: string, permit: Permit | undefined, excluded: Set<string>): void {
+  #connect (host: FleetHost, id: string, permit: Permit | undefined, excluded: Set<string>): void {
     const state = host.network.runners.get(id)
     if (state === undefined) return this.#retry(host, id, excluded)
     state.inFlight += 1
@@ -191,7 +191,7 @@
     })
   }
 
-  #write (host: BrittleHost, runner: BrittleRunner, excluded: Set<string>, end: (answered: boolean) => void): void {
+  #write (host: FleetHost, runner: RejectingRunner, excluded: Set<string>, end: (answered: boolean) => void): void {
     const { limits, clock, runners } = host.network
     const requestedMs = clock.monotonicMs()
     const { id } = runner.options
@@ -216,22 +216,22 @@
   }
 
   /** Stops a host abruptly; its connections to runners close. */
-  kill (host: BrittleHost): void {
+  kill (host: FleetHost): void {
     this.network.kill(host.network)
     for (const takeBack of this.#atRunners.get(host) ?? []) takeBack()
   }
 
-  suspend (host: BrittleHost): void {
+  suspend (host: FleetHost): void {
     host.clock.suspend()
     this.network.suspended.add(this.network.nameOf(host.network))
   }
 
-  wake (host: BrittleHost): void {
+  wake (host: FleetHost): void {
     host.clock.resume()
     this.network.suspended.delete(this.network.nameOf(host.network))
   }
 
-  #retry (host: BrittleHost, id: string, excluded: Set<string>): void {
+  #retry (host: FleetHost, id: string, excluded: Set<string>): void {
     excluded.add(id)
     if (excluded.size < MAX_ATTEMPTS) return this.#dispatch(host, excluded)
     this.results.refused += 1
--- a/packages/gateway/src/limits/testing/brittle-runner.ts
+++ b/packages/gateway/src/limits/testing/rejecting-runner.ts
@@ -9,7 +9,7 @@
 const RESTART_MS = 4_000
 const SECOND_MS = 1_000
 
-export type BrittleRunnerOptions = {
+export type RejectingRunnerOptions = {
   id: string
   slots: number
   /** Requests that may wait as long as the runner names no limit. */
@@ -28,7 +28,7 @@
 
 type Arrival = { onEnd: (departure: Departure) => void, timer?: Timer }
 
-export class BrittleRunner {
+export class RejectingRunner {
   /** Differs for every process. */
   startedUnixMs = 1
   isUp = true
@@ -42,10 +42,10 @@
   #running: Arrival[] = []
   #waiting: Arrival[] = []
 
-  private constructor (readonly options: BrittleRunnerOptions, private readonly clock: Clock) {}
+  private constructor (readonly options: RejectingRunnerOptions, private readonly clock: Clock) {}
 
-  static create (options: BrittleRunnerOptions, clock: Clock): BrittleRunner {
-    return new BrittleRunner(options, clock)
+  static create (options: RejectingRunnerOptions, clock: Clock): RejectingRunner {
+    return new RejectingRunner(options, clock)
   }
 
   /** It names this limit from now on; undefined for none. */
--- a/packages/gateway/src/serve/brittle-runners.test.ts
+++ b/packages/gateway/src/serve/rejection-limits.test.ts
@@ -1,6 +1,6 @@
 // Guards against a host that makes a runner fail by requests that it has to reject for want of room.
 import t, { type Test } from 'tap'
-import { RouteKind } from '../config/types.js'
+import { RouteKind, type Service } from '../config/types.js'
 import { GateState } from '../gates/types.js'
 import { waitUntil } from '../testing/delayed-connections.js'
 import { createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
@@ -9,8 +9,11 @@
 const SLOTS = 4
 const REJECTIONS_HEADER = 'Rejections-Per-S: 2'
 
+/** Its connections limit nothing. */
+const SERVICE: Service = { name: 'plain', maxConnections: 1_000 }
+
 async function createFixture (t: Test): Promise<GatewayFixture> {
-  const fixture = await GatewayFixture.create([createRoute({})])
+  const fixture = await GatewayFixture.create([createRoute({})], SERVICE)
   t.teardown(() => fixture.close())
   return fixture
 }
@@ -39,7 +42,8 @@
   }, { slots: SLOTS })
   await fixture.call({})
   const calls: ReturnType<GatewayFixture['call']>[] = []
-  for (let round = 0; round < 12; round += 1) {
+  // Long enough for the host to rely on its own count alone.
+  for (let round = 0; round < 30; round += 1) {
     calls.push(fixture.call({ id: `a-${round}` }), fixture.call({ id: `b-${round}` }))
     await sleep(100)
   }
@@ -68,6 +72,7 @@
   const runner = await fixture.addRunner('runner-1', (exchange) => exchange.number === 2 ? reject(exchange) : answer(exchange), { slots: SLOTS })
   await fixture.call({})
   t.equal((await fixture.call({ id: '2' })).status, 503)
+  await sleep(300)
   const statuses = await Promise.all(['3', '4', '5'].map(async (id) => (await fixture.call({ id })).status))
   t.same(statuses, [503, 503, 503])
   t.equal(runner.requests.length, 2)
@@ -109,7 +114,7 @@
 const STREAMS = createRoute({ pathPrefix: '/stream/', kind: RouteKind.Stream, resumable: true })
 
 async function createStreamFixture (t: Test): Promise<GatewayFixture> {
-  const fixture = await GatewayFixture.create([STREAMS])
+  const fixture = await GatewayFixture.create([STREAMS], SERVICE)
   t.teardown(() => fixture.close())
   return fixture
 }
