--- a/packages/gateway/src/serve/runner-attempt.ts
+++ b/packages/gateway/src/serve/runner-attempt.ts
@@ -97,7 +97,7 @@
     this.#left = true
     const { context, request, requestGuard } = this.options
     requestGuard.onLeft(this.runner.entry, departure)
-    context.closures.onEnded(this.runner.entry, request.id)
+    context.closures.onEnded(this.runner.entry, request.id, departure === Departure.Answered)
     this.path.leave()
     this.runner.inFlight -= 1
   }
