Ends of runners: hosts that could not tell are asked again, three times at most

A busy host answers a check after its 120 ms, or its caller's 300 ms, and the end of a runner stayed unconfirmed: its evidence was lost. Test: crashes/end-detector, the last case, failed before.

Requests that are passed on don't count as use of the passing host at runners with a limit on rejections.

--- a/packages/gateway/src/crashes/end-detector.ts
+++ b/packages/gateway/src/crashes/end-detector.ts
@@ -10,6 +10,9 @@
 
 /** The connections of a process that ended break within this time of each other. */
 const COLLECT_MS = 20
+/** Other hosts are asked again after this time if none could tell: a busy host may answer too late. */
+const ASK_AGAIN_MS = 150
+const MAX_ASKED = 4
 /** An end is reported once: further connections that break within this time belong to the same process. */
 const SAME_END_MS = 1_000
 /** A live host refuses a connection to a closed port in one round trip. */
@@ -83,12 +86,17 @@
     const { clock, probe, witness, onUnconfirmed } = this.parts
     const { runner } = process
     await clock.sleep(COLLECT_MS)
-    // Requests whose connections break later than this belong to another event.
-    if (await probe.probe(runner.address, PROBE_TIMEOUT_MS) !== ProbeResult.Refused) return this.#reset(process)
-    const report = await witness.confirmEnd(runner)
-    if (report.verdict === EndVerdict.Ended) return this.#report(process, report.basis)
-    this.#reset(process)
-    onUnconfirmed(runner, report)
+    for (let asked = 1; ; asked += 1) {
+      // Requests whose connections break later than this belong to another event.
+      if (await probe.probe(runner.address, PROBE_TIMEOUT_MS) !== ProbeResult.Refused) return this.#reset(process)
+      const report = await witness.confirmEnd(runner)
+      if (report.verdict === EndVerdict.Ended) return this.#report(process, report.basis)
+      if (report.verdict === EndVerdict.Alive || asked === MAX_ASKED) {
+        this.#reset(process)
+        return onUnconfirmed(runner, report)
+      }
+      await clock.sleep(ASK_AGAIN_MS)
+    }
   }
 
   #report (process: ProcessRequests, confirmedBy: string): void {
--- a/packages/gateway/src/pass-on/served-request.ts
+++ b/packages/gateway/src/pass-on/served-request.ts
@@ -124,7 +124,8 @@
     this.#left = true
     this.#deadlineTimer?.cancel()
     this.#leavePath?.()
-    this.options.parts.closures.onEnded(this.options.runner.entry, this.options.message.requestId)
+    // The host that took the request from its caller counts what it occupies at the runner.
+    this.options.parts.closures.onEnded(this.options.runner.entry, this.options.message.requestId, true)
   }
 
   /** The answer was taken, or the other host no longer waits for it. */
