--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,10 @@
 import { CrashMonitor } from './crashes/crash-monitor.js'
 import { StreamOrigins } from './streams/stream-origins.js'
 import { VersionHistory } from './streams/version-history.js'
+import { PeerWitness } from './crashes/peer-witness.js'
+import { RunnerChecks } from './crashes/runner-checks.js'
 import { TcpProbe } from './crashes/tcp-probe.js'
+import { RunnerCheck, type ListenerProbe } from './crashes/types.js'
 import { ConfigFetcher } from './config/config-fetcher.js'
 import { ConfigState } from './config/config-state.js'
 import type { GatewayConfig } from './config/types.js'
@@ -34,6 +37,13 @@
 import { KnownLoads } from './orders/known-loads.js'
 import { AdapterRequests } from './orders/adapter-requests.js'
 import { OrderDispatcher } from './orders/order-dispatcher.js'
+import { PassingHosts } from './paths/passing-hosts.js'
+import { createPathMetrics } from './paths/path-metrics.js'
+import { PathMonitor } from './paths/path-monitor.js'
+import { createPassOnMetrics, type PassOnMetrics } from './pass-on/metrics.js'
+import { PassOnClient } from './pass-on/pass-on-client.js'
+import { PassOnServer } from './pass-on/pass-on-server.js'
+import type { RunnerPaths } from './paths/types.js'
 import { SharedBudget } from './retry/shared-budget.js'
 import { RunnerListSync } from './runners/runner-list-sync.js'
 import { RunnerTable } from './runners/runner-table.js'
@@ -66,6 +76,10 @@
   clock: Clock
   log: Logger
   random: () => number
+  /** Checks whether a runner accepts connections; by TCP unless given. */
+  probe?: ListenerProbe
+  /** Paths to the runners; what this host and the others observe decides unless given. */
+  paths?: RunnerPaths
 }
 
 export class Gateway {
@@ -77,10 +91,16 @@
   readonly #runnerList: RunnerListSync
   readonly #limits: LimitControl
   readonly #closures: RunnerGates
+  readonly #probe: ListenerProbe
+  readonly #runnerChecks: RunnerChecks
   readonly #crashes: CrashMonitor
   readonly #versions: VersionHistory
   readonly #origins: StreamOrigins
   readonly #connections: RunnerConnections
+  readonly #paths: RunnerPaths
+  readonly #passOnMetrics: PassOnMetrics
+  readonly #passOnClient: PassOnClient
+  readonly #passOnServer: PassOnServer
   readonly #demand = DemandMeter.create()
   readonly #loopLag: LoopLag
   readonly #peerCalls = ConnectPeerClient.create()
@@ -131,6 +151,7 @@
       members: this.#members,
       calls: this.#peerCalls,
       isLeaving: () => this.#leaving,
+      runnerLoad: (runnerId) => this.#runners.loadOf(runnerId),
       random: parts.random
     })
     this.#closures = RunnerGates.create({
@@ -142,6 +163,8 @@
       limits: this.#limits,
       leaving: this.#leavingRunners
     })
+    this.#probe = parts.probe ?? TcpProbe.create()
+    this.#runnerChecks = RunnerChecks.create({ probe: this.#probe, listed: () => this.#runners.all().map(({ entry }) => entry), hasEnded: (runner) => this.#crashes.hasEnded(runner), random: parts.random })
     this.#crashes = this.#createCrashMonitor()
     const { streamLog } = parts.platform
     this.#versions = VersionHistory.create({ clock, log, runners: this.#runners, streamLog })
@@ -151,6 +174,14 @@
       overlong.inc()
       log.warn('runner sends without end; its connection is closed', { runner, reason })
     })
+    this.#paths = parts.paths ?? this.#createPathMonitor()
+    this.#passOnMetrics = createPassOnMetrics(this.#registry)
+    this.#passOnClient = PassOnClient.create({
+      clock,
+      metrics: this.#passOnMetrics,
+      isLive: (host) => this.#members.live(this.#nowMs()).some(({ summary }) => summary.address.host === host)
+    })
+    this.#passOnServer = this.#createPassOnServer()
     this.#hostObservation = HostObservation.create(clock, this.#members, this.#contactTiming)
     this.#usage = UsageAggregator.create(this.#contactTiming.relayReportTtlMs)
     this.#reportWriter = ReportWriter.create({
@@ -178,7 +209,10 @@
       onOrder: () => this.#lease.onOrder(),
       demand: () => this.#allDemand(),
       limitPerS: (runner) => this.#limits.limitOf(runner)?.requestsPerS,
+      hasEnded: (runner) => this.#crashes.hasEnded(runner),
       takesOrders: (runner) => this.#closures.acceptsOrders(runner),
+      onReport: (runner) => this.#paths.onReached(runner),
+      onNoReport: (runner, reason) => this.#paths.onConnectFailed(runner, reason),
       isMixed: (service) => this.#versions.isMixed(service)
     })
     this.#context = this.#createContext()
@@ -191,7 +225,10 @@
       liveHosts: () => this.#members.live(this.#nowMs()).length,
       relay: () => this.#exchanger.relay,
       holdsLease: () => this.#lease.holds,
+      cutOff: () => this.#paths.isCutOff,
+      brokenPaths: () => this.#paths.brokenCount,
       runnerLimits: () => this.#limits.inForce(),
+      rejectionLimits: () => this.#limits.rejectionLimitsInForce(),
       blockedParts: () => this.#crashes.blockedParts,
       blockedRequests: () => this.#crashes.blockedRequests,
       largestBlockShare: () => this.#crashes.largestBlockShare,
@@ -225,6 +262,7 @@
     this.#lease.start()
     this.#orderDispatcher.start()
     this.#crashes.start()
+    this.#paths.start()
     this.#origins.start()
     this.#sweep()
     log.info('gateway started', { callerListener: settings.callerListener, peerListener: settings.peerListener, incarnation: this.#incarnation })
@@ -237,16 +275,16 @@
     this.#leavingSinceMs = this.#nowMs()
     const { clock, log } = this.parts
     const endMs = this.#nowMs() + this.#settings.graceMs - EXIT_MARGIN_MS
-    log.info('gateway is leaving', { inFlight: this.#inFlight })
+    log.info('gateway is leaving', { inFlight: this.#inFlight, forHosts: this.#passOnServer.inFlight })
     await Promise.allSettled([this.#exchanger.reportToRelays(), this.#lease.release()])
     this.#orderDispatcher.stop()
     await clock.sleep(LOOKUP_TTL_MS * MAX_LOOKUP_TTL_FACTOR + this.#hostObservation.propagationMs)
     this.#front.stopAccepting()
-    while (this.#inFlight > 0 && this.#nowMs() < endMs) {
+    while (this.#inFlight + this.#passOnServer.inFlight > 0 && this.#nowMs() < endMs) {
       await clock.sleep(50)
       this.#front.closeIdle()
     }
-    log.info('gateway stopped', { inFlight: this.#inFlight })
+    log.info('gateway stopped', { inFlight: this.#inFlight, forHosts: this.#passOnServer.inFlight })
     await this.#destroy()
   }
 
@@ -287,7 +325,9 @@
         onReport: (report) => this.#exchanger.onIncoming(report),
         onAdapterRequest: (request) => this.#orderDispatcher.ensureAdapter(request),
         onPermitRequest: (request) => this.#limits.onPermitRequest(request),
-        onConfigRequest: () => this.#config.encoded
+        onConfigRequest: () => this.#config.encoded,
+        onCheckRequest: async (address) => this.#paths.isCutOff ? RunnerCheck.Unknown : await this.#runnerChecks.check(address),
+        onPassOn: (request, signal) => this.#passOnServer.serve(request, signal)
       }
     })
   }
@@ -309,7 +349,7 @@
 
   #lookupAddresses (): string[] {
     const ownAddress = this.ready ? this.#settings.self.callerAddress : undefined
-    return lookupHosts({ members: this.#members, self: this.#settings.self.host, ownAddress, nowMs: this.#nowMs() })
+    return lookupHosts({ members: this.#members, self: this.#settings.self.host, ownAddress, isCutOff: this.#paths.isCutOff, nowMs: this.#nowMs() })
   }
 
   #createExchanger (): Exchanger {
@@ -337,7 +377,9 @@
       instants: this.#instants,
       log,
       metrics: createCrashMetrics(this.#registry),
-      probe: TcpProbe.create(),
+      probe: this.#probe,
+      witness: this.#createWitness(),
+      onPathBroken: (runner) => this.#paths.onConnectFailed(runner, 'refused here, and reached by another host'),
       crashLog: platform.crashLog,
       host: settings.self.host,
       incarnation: this.#incarnation,
@@ -352,6 +394,38 @@
     })
   }
 
+  #createWitness (): PeerWitness {
+    const { settings, clock, random } = this.parts
+    return PeerWitness.create({
+      clock,
+      calls: this.#peerCalls,
+      checks: this.#runnerChecks,
+      availabilityZone: settings.self.availabilityZone,
+      hosts: () => this.#members.live(this.#nowMs()).map(({ summary }) => summary),
+      isCutOff: ({ cutOff }) => cutOff,
+      random
+    })
+  }
+
+  #createPathMonitor (): PathMonitor {
+    const { settings, clock, log, random } = this.parts
+    const hosts = PassingHosts.create({ clock, self: settings.self, liveHosts: () => this.#members.live(this.#nowMs()).map(({ summary }) => summary), random })
+    return PathMonitor.create({
+      clock,
+      log,
+      metrics: createPathMetrics(this.#registry),
+      probe: this.#probe,
+      calls: this.#peerCalls,
+      hosts,
+      placeOf: ({ id }) => this.#runners.get(id)?.entry,
+      random,
+      onCutOffChanged: () => {
+        this.#exchanger.reportToRelays().catch((error: Error) => log.error('paths to runners were not reported at once', { reason: error.message }))
+      },
+      onBroken: ({ id }) => this.#connections.drop(id)
+    })
+  }
+
   /** Relays read the platform's records for the hosts that report to them. */
   #readsThroughPeers (): boolean {
     return !this.#exchanger.relay && this.#runnerList.ageMs() < this.#runnerList.freshMs
@@ -371,7 +445,30 @@
       lastOrderAgoMs: (fencingToken) => this.#hostObservation.lastOrderAgoMs(fencingToken),
       hasRestartedPeer: () => this.#members.hasRestartedHost(this.#nowMs()),
       era: () => platform.eras.current,
-      mayClaim: () => this.#config.hasConfig && !this.#leaving && this.#exchanger.ranked && this.#nowMs() - this.#startedMs > SETTLE_MS
+      mayClaim: () => this.#config.hasConfig && !this.#leaving && this.#exchanger.ranked && this.#nowMs() - this.#startedMs > SETTLE_MS && !this.#mustYieldLease(),
+      mustYield: () => this.#mustYieldLease(),
+      onYielded: () => {
+        this.#exchanger.reportToRelays().catch((error: Error) => log.error('the end of the order lease was not reported at once', { reason: error.message }))
+      }
+    })
+  }
+
+  /** A host that is cut off from runners leaves the lease to one that isn't. Relays alone claim it. */
+  #mustYieldLease (): boolean {
+    return this.#paths.isCutOff && this.#members.connected(this.#nowMs()).some(({ summary }) => summary.relay)
+  }
+
+  #createPassOnServer (): PassOnServer {
+    return PassOnServer.create({
+      clock: this.parts.clock,
+      log: this.parts.log,
+      metrics: this.#passOnMetrics,
+      codec: this.parts.platform.codec,
+      runners: this.#runners,
+      closures: this.#closures,
+      connections: this.#connections,
+      paths: this.#paths,
+      isLeaving: () => this.#leaving
     })
   }
 
@@ -391,6 +488,8 @@
       versions: this.#versions,
       origins: this.#origins,
       connections: this.#connections,
+      paths: this.#paths,
+      passOn: this.#passOnClient,
       budget: SharedBudget.create(settings.budget),
       demand: this.#demand,
       adapters: AdapterRequests.create({
@@ -429,6 +528,7 @@
     // The sending host gives up after this timeout, so its report was in flight for no longer.
     const transitMs = Math.min(writtenAgoMs, this.#contactTiming.timeoutMs)
     this.#limits.receive(report.limitReports, transitMs)
+    this.#limits.receiveRejectionLimits(report.rejectionLimitReports, transitMs)
     this.#closures.receive(report.leavingReports, transitMs)
     if (report.crashes !== undefined) this.#crashes.receive(report.sender.address.host, report.crashes)
   }
@@ -461,6 +561,7 @@
       ready: this.ready,
       leaving: this.#leaving,
       relay: this.#exchanger.relay,
+      cutOff: this.#paths.isCutOff,
       configVersion: this.#config.version,
       configReadAgoMs: this.parts.platform.watch.configReadAgoMs(),
       runnerUses: new Map(usedRunners.map(({ entry, inFlight }) => [entry.id, inFlight])),
@@ -468,6 +569,7 @@
       lease: { heldBySender: lease.held, fencingToken: lease.fencingToken, lastOrderAgoMs: lease.lastOrderAgoMs },
       expectedLoads: this.#expectedLoads(),
       limitReports: this.#limits.reports(),
+      rejectionLimitReports: this.#limits.rejectionLimitReports(),
       leavingReports: this.#closures.leavingReports()
     }
   }
@@ -483,13 +585,16 @@
     this.#closures.sweep()
     this.#crashes.sweep()
     this.#origins.sweep()
-    this.#connections.retain(new Set(this.#runners.all().map(({ entry }) => entry.id)))
+    const listed = this.#runners.all().map(({ entry }) => entry)
+    this.#connections.retain(new Set(listed.map(({ id }) => id)))
+    this.#paths.retain(new Set(listed.map(({ address }) => address)))
     this.#sweepTimer = this.parts.clock.setTimer(SWEEP_MS, () => this.#sweep())
   }
 
   async #destroy (): Promise<void> {
     this.#exchanger.stop()
     this.#crashes.stop()
+    this.#paths.stop()
     this.#versions.stop()
     this.#origins.stop()
     this.#sweepTimer?.cancel()
@@ -497,6 +602,7 @@
     this.parts.platform.watch.stop()
     this.#front.destroy()
     this.#sideListeners.destroy()
+    this.#passOnClient.destroy()
     await this.#connections.destroy()
   }
 }
--- a/packages/gateway/src/gauges.ts
+++ b/packages/gateway/src/gauges.ts
@@ -9,8 +9,12 @@
   liveHosts: () => number
   relay: () => boolean
   holdsLease: () => boolean
+  cutOff: () => boolean
+  brokenPaths: () => number
   /** Limits in force by runner id. */
   runnerLimits: () => Map<string, number>
+  /** Limits on rejected requests in force by runner id. */
+  rejectionLimits: () => Map<string, number>
   /** Prompt parts whose requests are not run. */
   blockedParts: () => number
   blockedRequests: () => number
@@ -28,19 +32,22 @@
   addGauge('figloom_gateway_live_hosts', 'Other hosts that are up.', sources.liveHosts)
   addGauge('figloom_gateway_relay', '1 while this host passes on the word of others.', () => sources.relay() ? 1 : 0)
   addGauge('figloom_gateway_holds_lease', '1 while this host holds the lease on orders.', () => sources.holdsLease() ? 1 : 0)
+  addGauge('figloom_gateway_cut_off', '1 while this host is cut off from runners that other hosts reach.', () => sources.cutOff() ? 1 : 0)
+  addGauge('figloom_gateway_broken_paths', 'Runners that other hosts reach and this one does not.', sources.brokenPaths)
   addGauge('figloom_gateway_blocked_prompt_parts', 'Prompt parts whose requests are not run.', sources.blockedParts)
   addGauge('figloom_gateway_blocked_requests', 'Requests whose content is blocked.', sources.blockedRequests)
   addGauge('figloom_gateway_largest_block_share', 'Largest share of the requests that one block refused, within ten seconds.', sources.largestBlockShare)
   addGauge('figloom_gateway_store_era', 'Era of the platform\'s store; rises when it comes back from an older copy.', sources.storeEra)
   addGauge('figloom_gateway_store_rewinds', 'Rises of the era since this process started.', sources.storeRewinds)
-  addLimitGauge(registry, sources.runnerLimits)
+  addRunnerGauge(registry, 'figloom_gateway_runner_limit_per_second', 'Requests a second that a runner takes from all hosts, where it names a limit.', sources.runnerLimits)
+  addRunnerGauge(registry, 'figloom_gateway_runner_rejection_limit_per_second', 'Rejected requests a second above which a runner fails, where it names a limit.', sources.rejectionLimits)
 }
 
 /** Only runners with a limit have a time series. */
-function addLimitGauge (registry: Registry, read: () => Map<string, number>): Gauge {
+function addRunnerGauge (registry: Registry, name: string, help: string, read: () => Map<string, number>): Gauge {
   return new Gauge({
-    name: 'figloom_gateway_runner_limit_per_second',
-    help: 'Requests a second that a runner takes from all hosts, where it names a limit.',
+    name,
+    help,
     labelNames: ['runner'],
     registers: [registry],
     collect () {
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -1,6 +1,6 @@
 /** Data that hosts of the gateway exchange about each other, directly or through relays. Times are monotonic milliseconds. */
 
-import type { CrashUpdate } from '../crashes/types.js'
+import type { CrashUpdate, RunnerCheck } from '../crashes/types.js'
 import type { Position } from '../eras/position.js'
 import type { LeavingReport } from '../gates/types.js'
 import type { LimitReport, PermitReply, PermitRequest } from '../limits/types.js'
@@ -55,6 +55,8 @@
   holdsLease: boolean
   /** The sender knows the host's address, but not whether the host is up. */
   hearsay: boolean
+  /** It doesn't reach the runners, though other hosts do. */
+  cutOff: boolean
 }
 
 /** A host's report on itself and on the hosts that it reports for. */
@@ -88,6 +90,8 @@
   storeEra: number
   /** Runners' limits that the sender knows, whichever host received them from the runner. */
   limitReports: LimitReport[]
+  /** The same for runners that bear only few rejected requests; absent if there are none. */
+  rejectionLimitReports?: LimitReport[]
   /** Runners that recently announced that they leave. */
   leavingReports: LeavingReport[]
   /** Ends of runners and blocked prompt parts; absent if the receiver lacks none that the sender knows. */
@@ -105,6 +109,8 @@
   abstract takePermits (peerAddress: string, request: PermitRequest, timeoutMs: number): Promise<PermitReply>
   /** Returns the configuration in force at a host, in the platform's encoding; empty if the host has none. */
   abstract readConfig (peerAddress: string): Promise<Uint8Array>
+  /** Asks a host whether it reaches a runner's address. */
+  abstract checkRunner (peerAddress: string, runnerAddress: string, timeoutMs: number): Promise<RunnerCheck>
 }
 
 /** Request to load an adapter on a runner, sent to the lease holder, which alone may order it. */
--- a/packages/gateway/src/orders/order-dispatcher.test.ts
+++ b/packages/gateway/src/orders/order-dispatcher.test.ts
@@ -26,6 +26,11 @@
   demand: DemandRate[] = []
   token: number | undefined = 1
   takesOrders = true
+  /** Runners whose processes are known to have ended. */
+  ended: ReadonlySet<string> = new Set()
+  /** Runners that gave a report, and those that gave none. */
+  readonly reporting = new Set<string>()
+  readonly silent = new Set<string>()
   isMixed = false
 
   private constructor (held: string[][], nextOutcome: () => DeliveryOutcome) {
@@ -48,6 +53,9 @@
       onOrder: () => {},
       demand: () => this.demand,
       limitPerS: () => undefined,
+      hasEnded: ({ id }) => this.ended.has(id),
+      onReport: ({ id }) => { this.reporting.add(id) },
+      onNoReport: ({ id }) => { this.silent.add(id) },
       takesOrders: () => this.takesOrders,
       isMixed: () => this.isMixed
     })
@@ -152,6 +160,48 @@
   t.ok(fixture.isResident('a'))
 })
 
+/** The host's own requests find most runners unreachable, again and again. */
+async function runWithoutLinks (fixture: DispatcherFixture, runners: readonly FakeRunner[]): Promise<void> {
+  for (let round = 0; round < 20; round += 1) {
+    for (const { id } of runners) fixture.table.markUnreachable(id, fixture.clock.monotonicMs())
+    await fixture.clock.advance(500)
+  }
+}
+
+/** Four runners with a model each, all in demand, and their orders so far. */
+async function createDemanded () {
+  const fixture = DispatcherFixture.create([['a'], ['b'], ['c'], ['d']])
+  await fixture.clock.advance(20_000)
+  for (const model of ['a', 'b', 'c', 'd']) fixture.addDemand(model, 4)
+  const orderCounts = () => fixture.runners.map(({ orders }) => orders.length)
+  return { fixture, orderCounts, before: orderCounts() }
+}
+
+t.test('a host that lost its links to most runners orders no second copies on the rest of them', async (t) => {
+  const { fixture, orderCounts, before } = await createDemanded()
+  await runWithoutLinks(fixture, fixture.runners.slice(0, 3))
+  t.same(orderCounts(), before)
+  fixture.dispatcher.stop()
+})
+
+t.test('where most runners have ended, the rest gets orders', async (t) => {
+  const { fixture, orderCounts, before } = await createDemanded()
+  fixture.ended = new Set(['r0', 'r1', 'r2'])
+  await runWithoutLinks(fixture, fixture.runners.slice(0, 3))
+  t.ok((orderCounts()[3] ?? 0) > (before[3] ?? 0))
+  fixture.dispatcher.stop()
+})
+
+t.test('runners that give no report are told apart from those that do', async (t) => {
+  const fixture = DispatcherFixture.create([['a']])
+  const gone = FakeRunner.create('gone', engine, fixture.clock, ['a'])
+  fixture.table.upsert(gone.entry())
+  await fixture.clock.advance(2_000)
+  t.same([...fixture.reporting], ['r0'])
+  t.same([...fixture.silent], ['gone'])
+  fixture.dispatcher.stop()
+})
+
 t.test('while two versions serve, a model in demand gets a second copy at the version of its first', async (t) => {
   const fixture = DispatcherFixture.create([['a', 'b'], ['c', 'd'], ['b', 'e']])
   for (const [index, runner] of fixture.runners.entries()) runner.softwareVersion = index < 2 ? 'v1' : 'v2'
--- a/packages/gateway/src/orders/order-dispatcher.ts
+++ b/packages/gateway/src/orders/order-dispatcher.ts
@@ -45,6 +45,12 @@
   limitPerS: (runner: RunnerProcess) => number | undefined
   /** Whether report reads and orders may be sent to a runner now; false while its own signals ask for a pause or say that it leaves. */
   takesOrders: (runner: LocatedRunner) => boolean
+  /** Whether a runner's listed process is known to have ended. */
+  hasEnded: (runner: LocatedRunner) => boolean
+  /** A runner answered a read of its report. */
+  onReport: (runner: LocatedRunner) => void
+  /** A runner gave no report: this host may not reach it. */
+  onNoReport: (runner: LocatedRunner, reason: string) => void
   /** Whether several versions of the runners' software may have streams of a service. */
   isMixed: (service: string) => boolean
 }
@@ -176,10 +182,12 @@
 
   #planService (name: string, service: Service, engine: EngineSpec): void {
     const startMs = this.parts.clock.monotonicMs()
-    const states = this.parts.runners.usable(name).filter(({ unreachableUntilMs }) => unreachableUntilMs <= startMs)
+    const running = this.parts.runners.usable(name).filter(({ entry }) => !this.parts.hasEnded(entry))
+    const states = running.filter(({ unreachableUntilMs }) => unreachableUntilMs <= startMs)
     for (const state of states) this.#refresh(state, engine)
     const known = states.filter((state) => this.#queueOf(state).inventory.acceptedOrders !== undefined)
-    if (known.length < states.length / 2) return
+    // Where this host reaches few of the runners, its own links are broken, and the others' copies still serve.
+    if (known.length < running.length / 2) return
     const nowMs = this.parts.clock.monotonicMs()
     const rates = this.parts.demand().filter(({ service }) => service === name)
     this.#preloadAdapters(known, engine, rates)
@@ -250,6 +258,7 @@
     if (!uncertain || !this.parts.takesOrders(state.entry) || queue.isReadingReport || nowMs - queue.lastReportMs < MIN_REPORT_INTERVAL_MS) return
     this.#readReport(state, queue).catch((error: Error) => {
       this.parts.log.warn('runner gave no report', { runner: state.entry.id, reason: error.message })
+      this.parts.onNoReport(state.entry, error.message)
     })
   }
 
@@ -264,6 +273,7 @@
     queue.isReadingReport = true
     try {
       const report = await this.parts.orders.report(state.entry)
+      this.parts.onReport(state.entry)
       queue.inventory.applyReport(report, this.parts.clock.monotonicMs())
     } finally {
       queue.isReadingReport = false
--- a/packages/gateway/src/runners/unusable-entries.test.ts
+++ b/packages/gateway/src/runners/unusable-entries.test.ts
@@ -40,7 +40,7 @@
 
 function createReport (sync: RunnerListSync): HostReport {
   return {
-    sender: { address: addressOf('a'), incarnation: 'a', ready: true, leaving: false, relay: true, holdsLease: false, hearsay: false },
+    sender: { address: addressOf('a'), incarnation: 'a', ready: true, leaving: false, relay: true, holdsLease: false, hearsay: false, cutOff: false },
     number: 1,
     configVersion: 1,
     runnerUses: new Map(),
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -7,6 +7,7 @@
 import { isRequestKey } from '../crashes/request-key.js'
 import { ClosedBy } from '../gates/types.js'
 import { RouteKind } from '../config/types.js'
+import { FaultAt } from '../forward/attempt.js'
 import type { AnswerFacts } from '../forward/types.js'
 import { afterNextPoll, hasDisconnected } from '../front/caller-check.js'
 import { limitFields } from '../limits/limit-fields.js'
@@ -14,6 +15,7 @@
 import type { RunnerState } from '../runners/runner-table.js'
 import { AnswerWriter } from './answer-writer.js'
 import { AttemptPair } from './attempt-pair.js'
+import { INTACT, type PathAssessment } from './attempt-path.js'
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
 import { decideNextStep, departureOf, NextStep, Outcome, wasNotSent, type Progress } from './outcome.js'
 import { writeFailure } from './gateway-answer.js'
@@ -44,6 +46,8 @@
   readonly #requestGuard: RequestGuard
   readonly #continuity: StreamContinuity
   readonly #excluded = new Set<string>()
+  /** Runners to which the path broke while the request was at them: they are tried again where no other runner is left. */
+  readonly #lastResorts = new Set<string>()
   readonly #attempts = AttemptPair.create()
   readonly #progress: Progress = { possibleRuns: 0, refusals: 0, unsentAttempts: 0, answerStarted: false }
   readonly #finished: Promise<void>
@@ -130,7 +134,7 @@
     if (this.request.dueMs - nowMs < MIN_ATTEMPT_MS) return this.#onDeadline()
     const block = this.#requestGuard.block()
     if (block !== undefined) return this.#refuseBlocked(block.featureId, block.reason)
-    const set = findCandidates(this.context.runners, createNeed(this.context, this.request, this.#continuity, this.#excluded), nowMs)
+    const set = this.#findCandidates(nowMs)
     const chosen = this.#chooseRunner(this.#continuity.preferred(set.open), affinityKey(this.request.facts))
     if (chosen?.needsPermit === true) return this.#startAttemptWithPermit(chosen)
     if (chosen !== undefined) return this.#startAttempt(chosen)
@@ -141,6 +145,14 @@
     this.#refuse(set)
   }
 
+  #findCandidates (nowMs: number): CandidateSet {
+    const find = (excluded: ReadonlySet<string>) => findCandidates(this.context.runners, createNeed(this.context, this.request, this.#continuity, excluded), nowMs)
+    const set = find(new Set([...this.#excluded, ...this.#lastResorts]))
+    if (set.open.length > 0 || set.withoutAdapter.length > 0 || this.#lastResorts.size === 0) return set
+    this.#lastResorts.clear()
+    return find(this.#excluded)
+  }
+
   #chooseRunner (candidates: readonly Candidate[], affinity: string): Candidate | undefined {
     const { host, random } = this.context
     return chooseRunner({
@@ -203,9 +215,17 @@
       this.#onUnusableAddress(runner, dispatcher.error)
       return false
     }
-    const attempt = RunnerAttempt.create({ context, request, requestGuard: this.#requestGuard, runner, permit })
+    const attempt: RunnerAttempt = RunnerAttempt.create({
+      context,
+      request,
+      requestGuard: this.#requestGuard,
+      runner,
+      permit,
+      onPathBroken: () => this.#guard(() => this.#onPathBroken(attempt))
+    })
     const observer = ResultObserver.create(request.id, context.codec, this.#writer, {
       beforeWrite: () => this.#guard(() => attempt.beforeWrite(this.#progress.possibleRuns + this.#attempts.sentCount + 1)) ?? false,
+      onBytes: () => this.#guard(() => attempt.path.onBytes()),
       onHead: (facts) => this.#guard(() => recordAnswerHead(context, { requestId: request.id, runner, facts, writtenInstantMs: attempt.writtenInstantMs })),
       onStream: (facts) => this.#guard(() => this.#onStream(attempt, facts)),
       onFirstByte: () => this.#guard(() => this.#onFirstByte()),
@@ -216,6 +236,7 @@
     if (this.#writer.lastEventId !== undefined || request.facts.lastEventId !== undefined) this.#log.mark()
     this.#log.note('sent to a runner', {
       runner: id,
+      ...attempt.path.logFields,
       sending: this.#attemptCount + 1,
       inFlight: candidate.inFlight,
       slots: candidate.slots,
@@ -273,12 +294,13 @@
   }
 
   #onResult (attempt: RunnerAttempt, result: AttemptResult): void {
-    attempt.leave(departureOf(result.outcome, result.connectionBroke === true))
+    const path = attempt.path.assess(result)
+    attempt.leave(departureOf(result.outcome, result.connectionBroke === true && !path.failed))
     if (this.#ended) return
     const wasNext = attempt === this.#attempts.next
     if (!wasNext && result.outcome === Outcome.Answered) this.#dropNext('the stream ended at its runner')
     this.#attempts.remove(attempt)
-    const step = this.#recordEnd(attempt, result)
+    const step = this.#recordEnd(attempt, result, path)
     if (wasNext) return this.#onMoveFailed(result.outcome)
     if (result.facts?.misdirected !== true) this.#weightsVersion ??= result.facts?.weightsVersion
     this.#lastFailureReason = result.reason
@@ -289,14 +311,16 @@
   }
 
   /** Counts and logs an attempt that has ended, and decides what follows if no other attempt is in progress. */
-  #recordEnd ({ runner, startedMs, writtenAfterMs }: RunnerAttempt, result: AttemptResult): NextStep {
-    recordAttempt(this.context, { request: this.request, runner, result, startedMs })
+  #recordEnd ({ runner, startedMs, writtenAfterMs, path }: RunnerAttempt, result: AttemptResult, { failed, hasOther, isLastResort }: PathAssessment = INTACT): NextStep {
+    recordAttempt(this.context, { request: this.request, runner, result, startedMs, pathFailed: failed })
     this.#countOutcome(result.outcome)
-    this.#excluded.add(runner.entry.id)
+    if (isLastResort) this.#lastResorts.add(runner.entry.id)
+    else if (!hasOther) this.#excluded.add(runner.entry.id)
     const step = decideNextStep(this.request.route, result.outcome, this.#progress)
     const remaining = this.#attempts.current?.runner.entry.id
     this.#log.note('attempt ended', {
       runner: runner.entry.id,
+      ...path.logFields,
       outcome: result.outcome,
       reason: result.reason,
       status: result.facts?.status,
@@ -331,6 +355,25 @@
     this.#send(runner, chosen)
   }
 
+  /** The direct path to the runner is broken, and no answer will arrive on it. A request that may run again is sent again at once. */
+  #onPathBroken (attempt: RunnerAttempt): void {
+    const { current, next } = this.#attempts
+    if (this.#ended || (attempt !== current && attempt !== next)) return
+    const mayMove = next !== undefined || this.#mayRepeat()
+    this.#log.note('path to the runner broke', { runner: attempt.runner.entry.id, mayMove, lastEventId: this.#writer.lastEventId })
+    if (!mayMove) return
+    attempt.cancel()
+    this.#onResult(attempt, { outcome: Outcome.Unknown, reason: 'the path to the runner broke', faultAt: FaultAt.Path })
+  }
+
+  /** Whether the request may be sent again if the attempt in progress is given up. */
+  #mayRepeat (): boolean {
+    const { budget, clock, host } = this.context
+    const { route, service } = this.request
+    const progress = { ...this.#progress, possibleRuns: this.#progress.possibleRuns + 1, answerStarted: this.#writer.started }
+    return decideNextStep(route, Outcome.Unknown, progress) === NextStep.Retry && budget.mayTake(service.name, host.hostCount(), clock.monotonicMs())
+  }
+
   /** Tries another runner at once where the last one didn't run the request: the stream is still silent. */
   #onMoveFailed (outcome: Outcome): void {
     if (wasNotSent(outcome) || outcome === Outcome.NotRun) this.#onStall(this.#stallDetector?.silentMs ?? 0)
--- a/packages/gateway/src/serve/runner-attempt.ts
+++ b/packages/gateway/src/serve/runner-attempt.ts
@@ -1,9 +1,11 @@
 /** One attempt of a request at one runner: what it occupies there until it leaves, and when it was sent. */
 import type { Dispatcher } from 'undici'
 import { Departure } from '../crashes/types.js'
-import { Attempt, type AttemptObserver, type AttemptRequest } from '../forward/attempt.js'
+import type { Attempt, AttemptObserver, AttemptRequest } from '../forward/attempt.js'
 import type { Permit } from '../limits/types.js'
+import type { PathListener } from '../paths/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
+import { AttemptPath } from './attempt-path.js'
 import type { RequestGuard } from './request-guard.js'
 import type { AcceptedRequest, ServeContext } from './types.js'
 
@@ -13,10 +15,13 @@
   requestGuard: RequestGuard
   runner: RunnerState
   permit: Permit | undefined
+  /** Called when the direct path to the runner is found to be broken while the request is on it. */
+  onPathBroken: PathListener
 }
 
 export class RunnerAttempt {
   readonly runner: RunnerState
+  readonly path: AttemptPath
   readonly startedMs: number
   #attempt: Attempt | undefined
   #left = false
@@ -28,6 +33,7 @@
 
   private constructor (private readonly options: RunnerAttemptOptions) {
     this.runner = options.runner
+    this.path = AttemptPath.create(options.context, options.runner.entry)
     this.startedMs = options.context.clock.monotonicMs()
   }
 
@@ -54,7 +60,8 @@
     this.runner.inFlight += 1
     this.runner.health.onSent(request.id)
     context.closures.onChosen(this.runner.entry, request.id)
-    const attempt = Attempt.start(dispatcher, attemptRequest, observer, context.clock)
+    const timeLeftMs = request.dueMs - context.clock.monotonicMs()
+    const attempt = this.path.start(dispatcher, { request: attemptRequest, requestId: request.id, timeLeftMs }, observer)
     this.#attempt = attempt
     if (this.#canceled) attempt.cancel()
   }
@@ -64,7 +71,7 @@
    * @param number 1 for the first attempt in which the request may run
    */
   beforeWrite (number: number): boolean {
-    const { context, request, requestGuard, permit } = this.options
+    const { context, request, requestGuard, permit, onPathBroken } = this.options
     const { clock, closures, instants, limits, metrics, runners } = context
     const { entry } = this.runner
     this.#writtenMs = clock.monotonicMs()
@@ -75,6 +82,7 @@
     if (!limits.beforeWrite(entry, permit)) return false
     if (permit !== undefined) metrics.limitedAttempts.inc()
     requestGuard.onSent(entry, number)
+    this.path.onWritten(onPathBroken)
     return true
   }
 
@@ -89,7 +97,8 @@
     this.#left = true
     const { context, request, requestGuard } = this.options
     requestGuard.onLeft(this.runner.entry, departure)
-    context.closures.onEnded(this.runner.entry, request.id)
+    context.closures.onEnded(this.runner.entry, request.id, departure === Departure.Answered)
+    this.path.leave()
     this.runner.inFlight -= 1
   }
 
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -7,6 +7,8 @@
 import { RunnerGates } from '../gates/runner-gates.js'
 import { createCrashMetrics } from '../crashes/crash-metrics.js'
 import { CrashMonitor } from '../crashes/crash-monitor.js'
+import { PeerWitness } from '../crashes/peer-witness.js'
+import { RunnerChecks } from '../crashes/runner-checks.js'
 import { TcpProbe } from '../crashes/tcp-probe.js'
 import { ConfigState } from '../config/config-state.js'
 import { RouteKind, type Route, type Service } from '../config/types.js'
@@ -20,6 +22,9 @@
 import { CallerCheck } from '../front/caller-check.js'
 import { LoopLag } from '../front/loop-lag.js'
 import { RunnerConnections } from '../forward/runner-connections.js'
+import { createPassOnMetrics } from '../pass-on/metrics.js'
+import { PassOnClient } from '../pass-on/pass-on-client.js'
+import { DirectPaths } from '../paths/direct-paths.js'
 import { SharedBudget } from '../retry/shared-budget.js'
 import { RunnerTable } from '../runners/runner-table.js'
 import type { RunnerEntry } from '../runners/types.js'
@@ -75,7 +80,7 @@
 }
 
 /** Limit control of a host that knows no other hosts. */
-function createLimits (clock: Clock, instants: InstantSource): LimitControl {
+function createLimits (clock: Clock, instants: InstantSource, runners: RunnerTable): LimitControl {
   const self = { host: 'host', availabilityZone: 'zone-1', callerAddress: '', peerAddress: '', capacityCores: 1 }
   return LimitControl.create({
     clock,
@@ -86,23 +91,29 @@
     members: MemberTable.create(self.host, createContactTiming(3_000)),
     calls: ConnectPeerClient.create(),
     isLeaving: () => false,
+    runnerLoad: (runnerId) => runners.loadOf(runnerId),
     random: () => 0.5
   })
 }
 
 /** Crash monitor of a host that knows no other hosts. */
-function createCrashMonitor (clock: Clock, instants: InstantSource): CrashMonitor {
+function createCrashMonitor (clock: Clock, instants: InstantSource, runners: RunnerTable): CrashMonitor {
+  const probe = TcpProbe.create()
+  const random = () => 0.5
+  const checks = RunnerChecks.create({ probe, listed: () => runners.all().map(({ entry }) => entry), hasEnded: () => false, random })
   return CrashMonitor.create({
     clock,
     instants,
     log: silentLogger,
     metrics: createCrashMetrics(new Registry()),
-    probe: TcpProbe.create(),
+    probe,
+    witness: PeerWitness.create({ clock, calls: ConnectPeerClient.create(), checks, availabilityZone: 'zone-1', hosts: () => [], isCutOff: () => false, random }),
+    onPathBroken: () => {},
     crashLog: MemoryCrashLog.create(),
     host: 'host',
     incarnation: 'host-1',
     startedMs: instants.nowMs(),
-    random: () => 0.5,
+    random,
     mayTry: () => false,
     readsThroughPeers: () => false,
     hasLivePeers: () => false,
@@ -134,11 +145,11 @@
       services: new Map([[service.name, service]]),
       limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
     })
-    const limits = createLimits(clock, instants)
     const leaving = LeavingRunners.create()
     const lag = LoopLag.create(clock)
     const overlong: string[] = []
     const runners = RunnerTable.create(leaving)
+    const limits = createLimits(clock, instants, runners)
     const streamLog = MemoryStreamLog.create(streamRecords)
     const history = VersionHistory.create({ clock, log: silentLogger, runners, streamLog })
     const fixture = new GatewayFixture({
@@ -151,10 +162,12 @@
       runners,
       limits,
       closures: RunnerGates.create({ clock, instants, log: silentLogger, metrics: createGateMetrics(new Registry()), host: 'host', limits, leaving }),
-      crashes: createCrashMonitor(clock, instants),
+      crashes: createCrashMonitor(clock, instants, runners),
       versions: history,
       origins: StreamOrigins.create({ clock, log: silentLogger, history, streamLog, hostCount: () => 1 }),
       connections: RunnerConnections.create((runnerId, reason) => overlong.push(`${runnerId}: ${reason}`)),
+      paths: DirectPaths.create(),
+      passOn: PassOnClient.create({ clock, metrics: createPassOnMetrics(new Registry()), isLive: () => true }),
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
       adapters: new NoAdapters(),
@@ -201,6 +214,7 @@
   async close (): Promise<void> {
     this.#server.closeAllConnections()
     await new Promise((resolve) => this.#server.close(resolve))
+    this.context.passOn.destroy()
     await this.context.connections.destroy()
     await Promise.all(this.#runners.map((runner) => runner.close()))
   }
--- a/packages/gateway/src/testing/gateway-host.ts
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -2,7 +2,7 @@
 import { silentLogger, SystemClock } from '@figloom/runtime'
 import { RouteKind, type GatewayConfig } from '../config/types.js'
 import { EraTracker } from '../eras/era-tracker.js'
-import { Gateway } from '../gateway.js'
+import { Gateway, type GatewayParts } from '../gateway.js'
 import { AppendOutcome, LeaseLog, type LeaseTail } from '../lease/types.js'
 import { HostRegistry } from '../members/types.js'
 import { PlatformWatch, type PlatformEvents } from '../types.js'
@@ -52,8 +52,10 @@
 
 export type TestHost = { gateway: Gateway, watch: FixedWatch, callerAddress: string, lookupAddress: string, readinessAddress: string, peerAddress: string }
 
-/** Starts a host without a configuration or runners; the test must stop it. */
-export async function startHost (seedPeerAddresses: string[] = [], records = CrashRecords.create()): Promise<TestHost> {
+/**
+ * Starts a host without a configuration or runners; the test must stop it.
+ */
+export async function startHost (seedPeerAddresses: string[] = [], records = CrashRecords.create(), { probe, paths }: Pick<GatewayParts, 'probe' | 'paths'> = {}): Promise<TestHost> {
   const [callers, lookup, readiness, peers] = await Promise.all([freeAddress(), freeAddress(), freeAddress(), freeAddress()])
   const clock = SystemClock.create()
   const watch = new FixedWatch()
@@ -61,6 +63,8 @@
     clock,
     log: silentLogger,
     random: Math.random,
+    probe,
+    paths,
     settings: {
       self: { host: `host-${callers}`, availabilityZone: 'z', callerAddress: callers, peerAddress: peers, capacityCores: 1 },
       callerListener: callers,
@@ -96,6 +100,7 @@
     version,
     routes: [
       createRoute({ pathPrefix: '/stream/', kind: RouteKind.Stream, timeoutMs: 20_000 }),
+      createRoute({ pathPrefix: '/resumable/', kind: RouteKind.Stream, timeoutMs: 20_000, resumable: true }),
       createRoute({ pathPrefix: '/plain/', kind: RouteKind.Idempotent, timeoutMs: 5_000 })
     ],
     services: new Map([['plain', { name: 'plain', maxConnections: 200 }]]),
--- a/packages/gateway/src/testing/host-network.ts
+++ b/packages/gateway/src/testing/host-network.ts
@@ -1,5 +1,6 @@
 /** A simulated network of many hosts on a manual clock, without sockets. */
 import { silentLogger, ManualClock, type Clock } from '@figloom/runtime'
+import { RunnerCheck } from '../crashes/types.js'
 import { InstantSource } from '../lease/instant.js'
 import { LimitControl } from '../limits/limit-control.js'
 import type { PermitReply, PermitRequest } from '../limits/types.js'
@@ -87,6 +88,10 @@
     return new Uint8Array()
   }
 
+  override async checkRunner (): Promise<RunnerCheck> {
+    return RunnerCheck.Unknown
+  }
+
   override async ensureAdapter (): Promise<AdapterReply> {
     return { accepted: false, readyInMs: 0 }
   }
@@ -103,6 +108,7 @@
       ready: true,
       leaving: false,
       relay: true,
+      cutOff: false,
       configVersion: 1,
       configReadAgoMs: 0,
       runnerUses: new Map([['runner', 1]]),
@@ -122,6 +128,7 @@
       members,
       calls: this,
       isLeaving: () => state.leaving,
+      runnerLoad: (runnerId) => runners.loadOf(runnerId),
       random: this.random
     })
     const writer = ReportWriter.create({
@@ -130,7 +137,7 @@
       incarnation,
       members,
       usage,
-      state: () => ({ ...state, relay: host.exchanger.relay, limitReports: limits.reports() }),
+      state: () => ({ ...state, relay: host.exchanger.relay, limitReports: limits.reports(), rejectionLimitReports: limits.rejectionLimitReports() }),
       runnersPosition: () => knowledge.position,
       runnersSince: (position) => knowledge.updateSince(position),
       crashes: { update: () => undefined, seenOf: () => undefined },
@@ -152,7 +159,9 @@
         const nowMs = clock.monotonicMs()
         const reportsDirectly = members.groupReports(nowMs).some(({ sender }) => sender.address.host === received.sender.address.host)
         usage.applyReport(received, reportsDirectly, nowMs)
-        limits.receive(received.limitReports, Math.min(writtenAgoMs, TIMING.timeoutMs))
+        const transitMs = Math.min(writtenAgoMs, TIMING.timeoutMs)
+        limits.receive(received.limitReports, transitMs)
+        limits.receiveRejectionLimits(received.rejectionLimitReports, transitMs)
         const { runners: update, sender } = received
         if (update !== undefined) knowledge.receive({ ...update, ageMs: update.ageMs === undefined ? undefined : update.ageMs + writtenAgoMs }, sender.address.host)
       }
