--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -2,10 +2,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
 import { LoadWait } from './load-wait.js'
-import { findCandidates, type CandidateSet, type ClosedRunner } from '../choose/candidates.js'
+import { findCandidates, type CandidateSet } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { isRequestKey } from '../crashes/request-key.js'
-import { ClosedBy } from '../gates/types.js'
 import { RouteKind } from '../config/types.js'
 import { FaultAt } from '../forward/attempt.js'
 import type { AnswerFacts } from '../forward/types.js'
@@ -14,10 +13,12 @@
 import type { Permit } from '../limits/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
 import { AnswerWriter } from './answer-writer.js'
+import { AttemptBudget } from './attempt-budget.js'
 import { AttemptPair } from './attempt-pair.js'
 import { INTACT, type PathAssessment } from './attempt-path.js'
+import { logClosedRunners } from './closed-runners-log.js'
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
-import { decideNextStep, departureOf, NextStep, Outcome, wasNotSent, type Progress } from './outcome.js'
+import { departureOf, NextStep, Outcome, wasNotSent } from './outcome.js'
 import { writeFailure } from './gateway-answer.js'
 import { affinityKey, impliesNotRun, urgencyOf } from './request-hints.js'
 import { RequestGuard } from './request-guard.js'
@@ -35,8 +36,6 @@
 /** Fraction of the remaining time that a request spends waiting for an adapter to be loaded. */
 const ADAPTER_WAIT_FRACTION = 0.3
 const MAX_ADAPTER_ATTEMPTS = 4
-/** Most closed runners that the log names for one request, and most leaving ones. */
-const MAX_LOGGED_RUNNERS = 3
 /** No attempt is started with less time left than this: its answer would come too late. */
 const MIN_ATTEMPT_MS = 5
 
@@ -49,7 +48,7 @@
   /** Runners to which the path broke while the request was at them: they are tried again where no other runner is left. */
   readonly #lastResorts = new Set<string>()
   readonly #attempts = AttemptPair.create()
-  readonly #progress: Progress = { possibleRuns: 0, refusals: 0, unsentAttempts: 0, answerStarted: false }
+  readonly #budget: AttemptBudget
   readonly #finished: Promise<void>
   #resolveFinished: () => void = () => {}
   #deadlineTimer: Timer | undefined
@@ -57,7 +56,6 @@
   #loadWait: LoadWait | undefined
   #stallDetector: StallDetector | undefined
   #weightsVersion: number | undefined
-  #mayHaveRun = false
   #ended = false
   #attemptCount = 0
   #adapterAttempts = 0
@@ -73,6 +71,7 @@
     this.#log = RequestLog.create(context.log, context.clock, request.id)
     this.#requestGuard = RequestGuard.create(context.crashes, request, (featureId) => this.#guard(() => this.#onBlocked(featureId)))
     this.#continuity = StreamContinuity.create(context, request)
+    this.#budget = AttemptBudget.create({ context, request, log: this.#log, answerStarted: () => this.#writer.started })
     this.#finished = new Promise((resolve) => { this.#resolveFinished = resolve })
   }
 
@@ -224,7 +223,7 @@
       onPathBroken: () => this.#guard(() => this.#onPathBroken(attempt))
     })
     const observer = ResultObserver.create(request.id, context.codec, this.#writer, {
-      beforeWrite: () => this.#guard(() => attempt.beforeWrite(this.#progress.possibleRuns + this.#attempts.sentCount + 1)) ?? false,
+      beforeWrite: () => this.#guard(() => attempt.beforeWrite(this.#budget.progress.possibleRuns + this.#attempts.sentCount + 1)) ?? false,
       onBytes: () => this.#guard(() => attempt.path.onBytes()),
       onHead: (facts) => this.#guard(() => recordAnswerHead(context, { requestId: request.id, runner, facts, writtenInstantMs: attempt.writtenInstantMs })),
       onStream: (facts) => this.#guard(() => this.#onStream(attempt, facts)),
@@ -283,7 +282,7 @@
   #dropNext (reason: string): void {
     const dropped = this.#attempts.dropNext()
     if (dropped === undefined) return
-    if (dropped.sent) this.#countOutcome(Outcome.Unknown)
+    if (dropped.sent) this.#budget.count(Outcome.Unknown)
     this.#log.note('move of the stream canceled', { runner: dropped.runner.entry.id, reason, sent: dropped.sent })
   }
 
@@ -306,17 +305,17 @@
     this.#lastFailureReason = result.reason
     if (this.#attempts.current !== undefined) return
     if (step === NextStep.Finish) return this.#finish(result)
-    if (step === NextStep.Retry && this.#acquireRetry(result.outcome)) return this.#dispatch()
+    if (step === NextStep.Retry && this.#budget.acquire(result.outcome)) return this.#dispatch()
     this.#finishFailed(result)
   }
 
   /** Counts and logs an attempt that has ended, and decides what follows if no other attempt is in progress. */
   #recordEnd ({ runner, startedMs, writtenAfterMs, path }: RunnerAttempt, result: AttemptResult, { failed, hasOther, isLastResort }: PathAssessment = INTACT): NextStep {
     recordAttempt(this.context, { request: this.request, runner, result, startedMs, pathFailed: failed })
-    this.#countOutcome(result.outcome)
+    this.#budget.count(result.outcome)
     if (isLastResort) this.#lastResorts.add(runner.entry.id)
     else if (!hasOther) this.#excluded.add(runner.entry.id)
-    const step = decideNextStep(this.request.route, result.outcome, this.#progress)
+    const step = this.#budget.nextStep(result.outcome)
     const remaining = this.#attempts.current?.runner.entry.id
     this.#log.note('attempt ended', {
       runner: runner.entry.id,
@@ -345,13 +344,13 @@
   #onStall (silentMs: number): void {
     const { current, next } = this.#attempts
     if (current === undefined || next !== undefined || this.#ended) return
-    const { candidates, ...assessment } = assessMove(this.context, this.request, this.#continuity, new Set([...this.#excluded, current.runner.entry.id]), this.#progress)
+    const { candidates, ...assessment } = assessMove(this.context, this.request, this.#continuity, new Set([...this.#excluded, current.runner.entry.id]), this.#budget.progress)
     const { lastEventId } = this.#writer
     this.#log.note('stream stalled', { runner: current.runner.entry.id, silentMs: Math.round(silentMs), lastEventId, ...assessment })
     if (!assessment.mayMove || lastEventId === undefined || !this.#requestGuard.mayWrite()) return
     const chosen = this.#chooseRunner(candidates, affinityKey(this.request.facts))
     const runner = chosen === undefined ? undefined : this.context.runners.get(chosen.id)
-    if (chosen === undefined || runner === undefined || !this.#acquireRetry(Outcome.Unknown)) return
+    if (chosen === undefined || runner === undefined || !this.#budget.acquire(Outcome.Unknown)) return
     this.#send(runner, chosen)
   }
 
@@ -359,47 +358,18 @@
   #onPathBroken (attempt: RunnerAttempt): void {
     const { current, next } = this.#attempts
     if (this.#ended || (attempt !== current && attempt !== next)) return
-    const mayMove = next !== undefined || this.#mayRepeat()
+    const mayMove = next !== undefined || this.#budget.mayRepeat()
     this.#log.note('path to the runner broke', { runner: attempt.runner.entry.id, mayMove, lastEventId: this.#writer.lastEventId })
     if (!mayMove) return
     attempt.cancel()
     this.#onResult(attempt, { outcome: Outcome.Unknown, reason: 'the path to the runner broke', faultAt: FaultAt.Path })
   }
 
-  /** Whether the request may be sent again if the attempt in progress is given up. */
-  #mayRepeat (): boolean {
-    const { budget, clock, host } = this.context
-    const { route, service } = this.request
-    const progress = { ...this.#progress, possibleRuns: this.#progress.possibleRuns + 1, answerStarted: this.#writer.started }
-    return decideNextStep(route, Outcome.Unknown, progress) === NextStep.Retry && budget.mayTake(service.name, host.hostCount(), clock.monotonicMs())
-  }
-
   /** Tries another runner at once where the last one didn't run the request: the stream is still silent. */
   #onMoveFailed (outcome: Outcome): void {
     if (wasNotSent(outcome) || outcome === Outcome.NotRun) this.#onStall(this.#stallDetector?.silentMs ?? 0)
   }
 
-  #countOutcome (outcome: Outcome): void {
-    if (wasNotSent(outcome)) this.#progress.unsentAttempts += 1
-    else if (outcome === Outcome.NotRun) this.#progress.refusals += 1
-    else {
-      this.#progress.possibleRuns += 1
-      this.#mayHaveRun = true
-    }
-    this.#progress.answerStarted = this.#writer.started
-  }
-
-  #acquireRetry (outcome: Outcome): boolean {
-    const { budget, clock, host, metrics } = this.context
-    if (host.isLeaving() && this.#writer.started) return false
-    // The retry budget limits the load on runners, and this attempt put none on any.
-    if (wasNotSent(outcome)) return true
-    const granted = budget.take(this.request.service.name, host.hostCount(), clock.monotonicMs())
-    if (granted) metrics.retries.inc({ reason: outcome })
-    else this.#log.note('repeat refused by the budget', { service: this.request.service.name, hosts: host.hostCount() })
-    return granted
-  }
-
   #finish (result: AttemptResult): void {
     if (result.bufferedAnswer !== undefined) {
       this.#onFirstByte()
@@ -415,7 +385,7 @@
       this.#writer.writeBuffered(result.bufferedAnswer.head, result.bufferedAnswer.body)
       return this.#end('runner_failed', result.reason)
     }
-    if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, result.reason))
+    if (this.#budget.mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, result.reason))
     this.#giveUp(this.#failure(ResultCode.Overloaded, result.reason, retryDelayWhenFull(this.context, this.#timeLeftMs())))
   }
 
@@ -436,13 +406,12 @@
   }
 
   #refuse (set: CandidateSet): void {
-    const mayWait = !this.#writer.started && !this.#mayHaveRun && set.fullCount === 0
+    const mayWait = !this.#writer.started && !this.#budget.mayHaveRun && set.fullCount === 0
     if (mayWait && this.#waitForLoad()) return
     this.#log.note('no runner can take the request', { full: set.fullCount, closed: set.closed.length, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
-    for (const closed of set.closed.slice(0, MAX_LOGGED_RUNNERS)) this.#logClosed(closed)
-    this.#logLeaving()
+    logClosedRunners(this.context, this.request, this.#log, set.closed)
     if (this.#writer.started) return this.#abortAnswer('no runner to resume the stream')
-    if (this.#mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastFailureReason}; no other runner is free`))
+    if (this.#budget.mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastFailureReason}; no other runner is free`))
     const { code, message, retryAfterMs } = createRefusal(this.context, this.request, set, this.#timeLeftMs(), this.#continuity.softwareVersion)
     this.#giveUp(this.#failure(code, message, retryAfterMs))
   }
@@ -451,32 +420,19 @@
   #onBlocked (featureId: string): void {
     if (this.#ended) return
     if (this.#writer.started) return this.#dropNext('blocked while the stream was moving')
-    if (this.#attempts.sentCount > 0) this.#mayHaveRun = true
+    if (this.#attempts.sentCount > 0) this.#budget.onTakenBack()
     this.#attempts.cancelAll()
     this.#refuseBlocked(featureId, 'blocked while the request was in progress')
   }
 
   #refuseBlocked (featureId: string, reason: string): void {
-    const ran = this.#mayHaveRun ? Ran.Unknown : Ran.No
+    const { ran } = this.#budget
     const isRequest = isRequestKey(featureId)
     if (isRequest) this.#log.note('request has blocked content', { key: featureId, reason, ran })
     else this.#log.note('request has a blocked prompt part', { part: featureId, reason, ran })
     if (this.#writer.started) return this.#abortAnswer(isRequest ? 'the request is blocked' : 'a part of the prompt is blocked')
     const code = isRequest ? ResultCode.RequestBlocked : ResultCode.PromptBlocked
-    this.#giveUp(this.#failure(this.#mayHaveRun ? ResultCode.BackendFailed : code, `${isRequest ? 'request' : 'prompt part'} ${featureId} is blocked: ${reason}`))
-  }
-
-  /** Logs runners that hold the model and are leaving. */
-  #logLeaving (): void {
-    const { clock, runners } = this.context
-    const { service, facts: { model } } = this.request
-    const holders = runners.leaving(service.name).filter((state) => model === undefined || runners.holds(state, model, undefined, clock.monotonicMs()))
-    for (const { entry } of holders.slice(0, MAX_LOGGED_RUNNERS)) this.#log.note('runner is closed', { runner: entry.id, by: ClosedBy.Leaving })
-  }
-
-  #logClosed ({ id, by, opensInMs }: ClosedRunner): void {
-    const runner = this.context.runners.get(id)
-    if (runner !== undefined) this.#log.note('runner is closed', { runner: id, by, opensInMs: Math.round(opensInMs), ...limitFields(this.context.limits, runner.entry) })
+    this.#giveUp(this.#failure(this.#budget.mayHaveRun ? ResultCode.BackendFailed : code, `${isRequest ? 'request' : 'prompt part'} ${featureId} is blocked: ${reason}`))
   }
 
   /** The route's timeout or the caller's deadline has passed. */
@@ -485,7 +441,7 @@
     const sent = this.#attempts.sentCount > 0
     this.#attempts.cancelAll()
     if (this.#writer.started) return this.#abortAnswer('the timeout was reached during the stream')
-    const ran = sent || this.#mayHaveRun
+    const ran = sent || this.#budget.mayHaveRun
     if (ran) return this.#giveUp(this.#failure(ResultCode.BackendTimeout, 'no answer within the time of the request'))
     this.#giveUp(this.#failure(ResultCode.NoRunner, 'no runner could be reached in time', retryDelayWhenMissing(this.context, this.request, this.#timeLeftMs())))
   }
@@ -515,7 +471,7 @@
   }
 
   #failure (code: ResultCodeInfo, message: string, retryAfterMs?: number): Failure {
-    return createFailure(code, message, { ran: this.#mayHaveRun ? Ran.Unknown : code.ran, retryAfterMs })
+    return createFailure(code, message, { ran: this.#budget.mayHaveRun ? Ran.Unknown : code.ran, retryAfterMs })
   }
 
   #timeLeftMs (): number {
@@ -540,7 +496,7 @@
     this.#loadPollTimer?.cancel()
     this.#stallDetector?.stop()
     this.#requestGuard.end()
-    reportEnd(this.context, this.request, this.#log, { result, reason, attempts: this.#attemptCount, runs: this.#progress.possibleRuns, firstByteMs: this.#firstByteMs })
+    reportEnd(this.context, this.request, this.#log, { result, reason, attempts: this.#attemptCount, runs: this.#budget.progress.possibleRuns, firstByteMs: this.#firstByteMs })
     this.#resolveFinished()
   }
 }
