Passing on: a stalled process takes no other host for silent

Callers of a host that stood still for over a second and was cut off from runners got failures for requests that were passed on: the check of liveness, and the connect timeout, fired before reports and sockets were read. A late check waits for the next one; a connect timeout lets the socket's events go first.

--- a/packages/gateway/src/pass-on/host-connections.ts
+++ b/packages/gateway/src/pass-on/host-connections.ts
@@ -23,7 +23,10 @@
 
   override createConnection ({ host, port }: ClientRequestArgs): Socket {
     const socket = connect({ host: host ?? undefined, port: Number(port), noDelay: true })
-    const timer = setTimeout(() => socket.destroy(new Error('the host accepted no connection in time')), CONNECT_TIMEOUT_MS)
+    // After a stall of the event loop the timer fires before the socket's events are read: those go first.
+    const timer = setTimeout(() => setImmediate(() => {
+      if (socket.connecting) socket.destroy(new Error('the host accepted no connection in time'))
+    }), CONNECT_TIMEOUT_MS)
     const markNotConnected = (error: NodeJS.ErrnoException) => { error.code = NOT_CONNECTED_CODE }
     socket.prependListener('error', markNotConnected)
     socket.once('connect', () => {
--- a/packages/gateway/src/pass-on/pass-on-client.ts
+++ b/packages/gateway/src/pass-on/pass-on-client.ts
@@ -79,13 +79,17 @@
   }
 
   #scheduleCheck (): Timer {
-    return this.parts.clock.setTimer(LIVENESS_CHECK_MS, () => this.#checkLiveness())
+    const { clock } = this.parts
+    const dueMs = clock.monotonicMs() + LIVENESS_CHECK_MS
+    return clock.setTimer(LIVENESS_CHECK_MS, () => this.#checkLiveness(clock.monotonicMs() - dueMs))
   }
 
-  #checkLiveness (): void {
+  #checkLiveness (lateMs: number): void {
+    // After a stall of this process, the reports of the other hosts have not been read yet.
+    const isStalled = lateMs > LIVENESS_CHECK_MS
     for (const open of [...this.#open]) {
       if (this.parts.isLive(open.host)) open.hasReported = true
-      else if (open.hasReported) open.attempt.onHostSilent()
+      else if (open.hasReported && !isStalled) open.attempt.onHostSilent()
     }
     this.#livenessTimer = this.#open.size === 0 ? undefined : this.#scheduleCheck()
   }
