Passing on: a refusal that a runner writes once more answers no later request

A passing host reuses its connections, and remembered no refused ids: a refusal written once more answered the next request under its id as not run, though it ran (REFUSED, TWICE). The passing host decodes the answer anyway and now tells the connection of a refusal, as the requests of its own callers do.

--- a/packages/gateway/src/forward/attempt.ts
+++ b/packages/gateway/src/forward/attempt.ts
@@ -47,6 +47,11 @@
 
 /** Receives the parts of an answer in order. The last call is `onEnd` or `onFailure`, unless the rest is skipped or the attempt is closed. */
 export abstract class AttemptObserver {
+  /** The head of the answer was the runner's statement that it didn't run the request. */
+  get refused (): boolean {
+    return false
+  }
+
   /** Called just before the request is written to the runner, or to the host that passes it on. Returning false withdraws the attempt. */
   abstract beforeWrite (): boolean
   abstract onHead (status: number, headers: RawHeaders): Flow
--- a/packages/gateway/src/forward/direct-attempt.ts
+++ b/packages/gateway/src/forward/direct-attempt.ts
@@ -23,7 +23,7 @@
     const attempt = new DirectAttempt(observer, clock)
     const options: IdentifiedRequest = {
       requestId: request.id,
-      wasRefused: () => attempt.#skipTimer !== undefined,
+      wasRefused: () => attempt.#skipTimer !== undefined || observer.refused,
       method: request.method as Dispatcher.HttpMethod,
       path: request.target,
       headers: request.headers,
--- a/packages/gateway/src/pass-on/served-request.ts
+++ b/packages/gateway/src/pass-on/served-request.ts
@@ -30,6 +30,7 @@
   #attempt: Attempt | undefined
   #deadlineTimer: Timer | undefined
   #headReceived = false
+  #refused = false
   #left = false
   #over = false
   #outcome: PassOnOutcome = PassOnOutcome.Canceled
@@ -54,6 +55,10 @@
     }
   }
 
+  override get refused (): boolean {
+    return this.#refused
+  }
+
   override beforeWrite (): boolean {
     const { parts: { closures, paths, runners }, runner, message } = this.options
     if (!runners.mayUse(runner) || !closures.mayWrite(runner.entry, message.requestId)) return false
@@ -103,6 +108,7 @@
   #applySignals (status: number, headers: RawHeaders): void {
     const { parts: { closures, codec }, message: { requestId }, runner } = this.options
     const signals = codec.decodeAnswer(status, headers)
+    this.#refused = signals.notRun || signals.misdirected
     const isFromOtherRunner = signals.misdirected && signals.runnerId !== runner.entry.id
     if (signals.requestId === requestId && !isFromOtherRunner) closures.onAnswer({ runner: runner.entry, requestId, signals })
   }
