--- a/packages/gateway/src/streams/prefer-continuable.ts
+++ b/packages/gateway/src/streams/prefer-continuable.ts
@@ -6,12 +6,13 @@
 const MIN_HOLDERS = 2
 
 /**
- * Candidates at versions at which another runner could continue the stream; all candidates if there are none.
+ * Candidates at versions at which another runner could continue the stream; all candidates if there are none. Runners that state no
+ * version continue no stream.
  * @param holders runners that hold the stream's model and accept work
  */
 export function preferContinuable (candidates: Candidate[], holders: readonly RunnerEntry[]): Candidate[] {
   const versionOf = new Map(holders.map(({ id, softwareVersion }) => [id, softwareVersion]))
-  const holderCount = (version: string | undefined) => holders.filter(({ softwareVersion }) => softwareVersion === version).length
+  const holderCount = (version: string | undefined) => version === undefined ? 0 : holders.filter(({ softwareVersion }) => softwareVersion === version).length
   const preferred = candidates.filter(({ id }) => versionOf.has(id) && holderCount(versionOf.get(id)) >= MIN_HOLDERS)
   return preferred.length > 0 ? preferred : candidates
 }
