A silent stream's moves draw on the retry budget when they reach a runner

Moves of one silent stream to runners that accept no connection took a retry each, up to eight, though no runner received the request: beside a cut by reset the budget of the host was empty. Found by the review; serve/stream-move-budget, first case, failed before (6 retries).

--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -223,7 +223,7 @@
       onPathBroken: () => this.#guard(() => this.#onPathBroken(attempt))
     })
     const observer = ResultObserver.create(request.id, context.codec, this.#writer, {
-      beforeWrite: () => this.#guard(() => attempt.beforeWrite(this.#budget.progress.possibleRuns + this.#attempts.sentCount + 1)) ?? false,
+      beforeWrite: () => this.#guard(() => this.#mayWrite(attempt)) ?? false,
       onBytes: () => this.#guard(() => attempt.path.onBytes()),
       onHead: (facts) => this.#guard(() => recordAnswerHead(context, { requestId: request.id, runner, facts, writtenInstantMs: attempt.writtenInstantMs })),
       onStream: (facts) => this.#guard(() => this.#onStream(attempt, facts)),
@@ -259,6 +259,12 @@
     this.#excluded.add(entry.id)
   }
 
+  /** A move of a stream draws on the retry budget when it reaches a runner, not when it is tried. */
+  #mayWrite (attempt: RunnerAttempt): boolean {
+    if (attempt === this.#attempts.next && !this.#budget.acquire(Outcome.Unknown)) return false
+    return attempt.beforeWrite(this.#budget.progress.possibleRuns + this.#attempts.sentCount + 1)
+  }
+
   /** A runner begins a valid stream. @returns why the stream must not be used, if so */
   #onStream (attempt: RunnerAttempt, facts: AnswerFacts): string | undefined {
     if (attempt !== this.#attempts.next) {
@@ -350,8 +356,7 @@
     if (!assessment.mayMove || lastEventId === undefined || !this.#requestGuard.mayWrite()) return
     const chosen = this.#chooseRunner(candidates, affinityKey(this.request.facts))
     const runner = chosen === undefined ? undefined : this.context.runners.get(chosen.id)
-    if (chosen === undefined || runner === undefined || !this.#budget.acquire(Outcome.Unknown)) return
-    this.#send(runner, chosen)
+    if (chosen !== undefined && runner !== undefined) this.#send(runner, chosen)
   }
 
   /** The direct path to the runner is broken, and no answer will arrive on it. A request that may run again is sent again at once. */
