A silent stream stays at its runner until the other one has sent an event

A head alone was taken for the beginning: where the second runner broke off behind its head, the answer was cut, though the first one would have gone on half a second later. The second attempt holds its events back until the first one is whole and has the next id. A request begins to run with its first token, and an event holds a few, so both runners have the request for some tens of milliseconds.

--- a/packages/gateway/src/serve/answer-writer.ts
+++ b/packages/gateway/src/serve/answer-writer.ts
@@ -117,6 +117,11 @@
     setImmediate(() => socket.destroySoon())
   }
 
+  /** Whether an event with this id is the next one of the stream that the caller has a part of. */
+  continuesWith (id: number | undefined): boolean {
+    return id !== undefined && this.#lastEventId !== undefined && id === this.#lastEventId + 1
+  }
+
   /** Event ids must be consecutive. Only an id shows that a part continues the stream, and isn't the text of an error. */
   #isNextEvent (id: number | undefined): boolean {
     if (this.#atJoin && (id === undefined || this.#lastEventId === undefined)) return false
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -1,5 +1,6 @@
 /** Determines the outcome of one attempt, and passes the bytes of valid answers to the writer. */
 import { AttemptObserver, FailureStage, FaultAt, Flow } from '../forward/attempt.js'
+import { EventSplitter } from '../forward/event-splitter.js'
 import type { AnswerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
 import { AnswerWriter, createHead, StreamFault, type AnswerHead } from './answer-writer.js'
 import { Outcome } from './outcome.js'
@@ -25,7 +26,9 @@
   onBytes: () => void
   /** The head of an answer to this request was received. */
   onHead: (facts: AnswerFacts) => void
-  /** The valid head of a stream was received. @returns why the stream must not be used, if so */
+  /** Another attempt writes the answer: this one must not before its stream has an event. */
+  isBesideAnother: () => boolean
+  /** A valid stream begins here. @returns why the stream must not be used, if so */
   onStream: (facts: AnswerFacts) => string | undefined
   /** The first chunk of a stream's body was received. */
   onFirstByte: () => void
@@ -47,7 +50,7 @@
   [FailureStage.Answer]: Outcome.Unknown
 }
 
-const Mode = { Waiting: 'waiting', Buffered: 'whole', Stream: 'stream' } as const
+const Mode = { Waiting: 'waiting', Buffered: 'whole', /** A stream whose events are not written yet. */ Held: 'held', Stream: 'stream' } as const
 type Mode = (typeof Mode)[keyof typeof Mode]
 
 export class ResultObserver extends AttemptObserver {
@@ -58,6 +61,7 @@
   #bytes = 0
   /** Events that earlier attempts delivered. */
   #eventsBefore = 0
+  readonly #heldEvents = EventSplitter.create()
   #done = false
   #connectionBroke = false
   #faultAt: FaultAt | undefined
@@ -92,6 +96,10 @@
     const isStream = facts.isEventStream && status === 200
     // The caller is in the middle of a stream: the text of any other answer would become a part of it.
     if (this.writer.started && !isStream) return this.#skipRest(Outcome.RunnerFailed, `status ${status} does not continue the stream`)
+    if (isStream && this.callbacks.isBesideAnother()) {
+      this.#mode = Mode.Held
+      return Flow.Continue
+    }
     if (isStream) return this.#openStream(this.#head, facts)
     this.#mode = Mode.Buffered
     return Flow.Continue
@@ -99,10 +107,12 @@
 
   override onData (chunk: Buffer): Flow {
     this.callbacks.onBytes()
+    if (this.#mode === Mode.Held) return this.#onHeldData(chunk)
     return this.#mode === Mode.Stream ? this.#onStreamData(chunk) : this.#onBufferedData(chunk)
   }
 
   override onEnd (): void {
+    if (this.#mode === Mode.Held) return this.#finishHeld()
     if (this.#mode === Mode.Stream) return this.#finishStream()
     if (this.#mode === Mode.Buffered) this.#finishBuffered()
   }
@@ -123,6 +133,31 @@
     return Flow.Continue
   }
 
+  /** The runner has begun only when its stream has an event: it may still break off, and the other one go on. */
+  #onHeldData (chunk: Buffer): Flow {
+    this.#chunks.push(chunk)
+    const [first] = this.#heldEvents.push(chunk)
+    if (first === undefined && this.callbacks.isBesideAnother()) {
+      return this.#heldEvents.overlong ? this.#rejectOverlong('an event exceeds the size limit') : Flow.Continue
+    }
+    if (first !== undefined && !this.writer.continuesWith(first.id)) return this.#reject('an event is missing or duplicated')
+    return this.#release()
+  }
+
+  #release (): Flow {
+    const held = Buffer.concat(this.#chunks)
+    this.#chunks = []
+    if (this.#head === undefined || this.#facts === undefined) return Flow.Close
+    const flow = this.#openStream(this.#head, this.#facts)
+    return flow === Flow.Continue && held.length > 0 ? this.#onStreamData(held) : flow
+  }
+
+  /** A stream without further events: its caller had all of them. */
+  #finishHeld (): void {
+    if (this.#head?.framed !== true) return this.#finish(Outcome.Unknown, 'the connection ended before the first event')
+    if (this.#release() === Flow.Continue) this.#finishStream()
+  }
+
   #onStreamData (chunk: Buffer): Flow {
     this.callbacks.onFirstByte()
     const eventsBefore = this.writer.eventCount
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -224,6 +224,7 @@
     })
     const observer = ResultObserver.create(request.id, context.codec, this.#writer, {
       beforeWrite: () => this.#guard(() => this.#mayWrite(attempt)) ?? false,
+      isBesideAnother: () => attempt === this.#attempts.next,
       onBytes: () => this.#guard(() => attempt.path.onBytes()),
       onHead: (facts) => this.#guard(() => recordAnswerHead(context, { requestId: request.id, runner, facts, writtenInstantMs: attempt.writtenInstantMs })),
       onStream: (facts) => this.#guard(() => this.#onStream(attempt, facts)),
--- a/packages/gateway/src/serve/stream-move-budget.test.ts
+++ b/packages/gateway/src/serve/stream-move-budget.test.ts
@@ -50,3 +50,17 @@
   t.match(text, /id: 1\n/)
   t.ok(retries <= 1, `${retries} retries taken, and no other runner received the request`)
 })
+
+t.test('a silent stream stays at its runner until the other one has sent an event', async (t) => {
+  const fixture = await createFixture(t)
+  await fixture.addRunner('runner-1', (exchange) => {
+    pause(exchange)
+    fixture.addRunner('runner-2', (second) => {
+      write(second)
+      setTimeout(() => second.socket.resetAndDestroy(), 200)
+    }).catch((error: Error) => t.fail(error.message))
+  })
+  const { text } = await fixture.call({ method: 'POST' })
+  t.match(text, /id: 1\n/, 'the first runner goes on')
+  t.match(text, /\r\n0\r\n\r\n$/)
+})
