Paths to runners: sound paths are no longer taken for broken ones

Found by the review, each shown by a case of paths/false-cuts that failed before: - a host that lost the runners of one zone of three (or four) took itself for cut off, or changed its state every few seconds: one random sample of eight decided.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -326,12 +326,18 @@
         onAdapterRequest: (request) => this.#orderDispatcher.ensureAdapter(request),
         onPermitRequest: (request) => this.#limits.onPermitRequest(request),
         onConfigRequest: () => this.#config.encoded,
-        onCheckRequest: async (address) => this.#paths.isCutOff ? RunnerCheck.Unknown : await this.#runnerChecks.check(address),
+        onCheckRequest: (address) => this.#checkRunner(address),
         onPassOn: (request, signal) => this.#passOnServer.serve(request, signal)
       }
     })
   }
 
+  /** A host that is cut off from runners still tells which of them it reaches. */
+  async #checkRunner (address: string): Promise<RunnerCheck> {
+    const check = await this.#runnerChecks.check(address)
+    return check !== RunnerCheck.Accepted && this.#paths.isCutOff ? RunnerCheck.Unknown : check
+  }
+
   #createFront (): HttpServer {
     const { clock, log } = this.parts
     const unexpectedCloses = createUnexpectedCloseCounter(this.#registry)
--- a/packages/gateway/src/pass-on/pass-on-server.ts
+++ b/packages/gateway/src/pass-on/pass-on-server.ts
@@ -9,7 +9,7 @@
 import type { RunnerConnections } from '../forward/runner-connections.js'
 import type { RequestCodec } from '../forward/types.js'
 import type { RunnerGates } from '../gates/runner-gates.js'
-import { PathKind, type RunnerPaths } from '../paths/types.js'
+import type { RunnerPaths } from '../paths/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
 import { MAX_BODY_BYTES, MAX_CONCURRENT_REQUESTS } from './limits.js'
 import { outcomeOfRefusal, type PassOnMetrics } from './metrics.js'
@@ -67,7 +67,6 @@
   #admit (message: PassOnRequest): Result<RunnerState, RefusalReason> {
     const { isLeaving, paths, runners } = this.parts
     if (isLeaving()) return err(RefusalReason.Stopping)
-    if (paths.isCutOff) return err(RefusalReason.CutOff)
     if (this.#inFlight >= MAX_CONCURRENT_REQUESTS) return err(RefusalReason.Full)
     if ((message.body?.length ?? 0) > MAX_BODY_BYTES) return err(RefusalReason.TooLarge)
     if (!(message.timeLeftMs > 0 && Number.isFinite(message.timeLeftMs))) return err(RefusalReason.Late)
@@ -75,7 +74,7 @@
     const runner = runners.get(message.runnerId)
     if (runner === undefined || !isProcess(runner, message)) return err(RefusalReason.NotListed)
     if (!runners.mayUse(runner)) return err(RefusalReason.Closed)
-    return paths.pathTo(runner.entry).kind === PathKind.Direct ? ok(runner) : err(RefusalReason.CutOff)
+    return paths.reaches(runner.entry) ? ok(runner) : err(RefusalReason.CutOff)
   }
 
   #refuse ({ requestId, runnerId }: PassOnRequest, reason: RefusalReason): AsyncIterable<PassOnPart> {
--- a/packages/gateway/src/paths/direct-paths.ts
+++ b/packages/gateway/src/paths/direct-paths.ts
@@ -10,6 +10,10 @@
     return { kind: PathKind.Direct }
   }
 
+  override reaches (): boolean {
+    return true
+  }
+
   override onSent (): () => void {
     return () => {}
   }
--- a/packages/gateway/src/paths/passing-hosts.ts
+++ b/packages/gateway/src/paths/passing-hosts.ts
@@ -19,7 +19,7 @@
   random: () => number
 }
 
-type KnownHosts = { atMs: number, all: HostAddress[], otherZones: HostAddress[], byZone: Map<string, HostAddress[]> }
+type KnownHosts = { atMs: number, all: HostAddress[], otherZones: HostAddress[], byZone: Map<string, HostAddress[]>, /** Hosts that are cut off from most runners. */ cutOff: HostAddress[] }
 
 export class PassingHosts {
   readonly #excludedUntilMs = new Map<string, number>()
@@ -49,11 +49,20 @@
     return undefined
   }
 
+  /** A host that is known to reach a runner, though it may be cut off from others. */
+  ifLive (host: HostAddress | undefined): HostAddress | undefined {
+    if (host === undefined || this.#excludedUntilMs.has(host.host)) return undefined
+    const summary = this.parts.liveHosts().find(({ address }) => address.host === host.host)
+    return summary !== undefined && summary.ready && !summary.leaving ? summary.address : undefined
+  }
+
   /** Hosts to ask about a runner: one of its availability zone first, then one of another zone than this host's, then any. */
   witnesses (runnerZone: string): HostAddress[] {
-    const { all, otherZones, byZone } = this.#hosts()
+    const { all, otherZones, byZone, cutOff } = this.#hosts()
     const chosen = new Set<HostAddress>()
-    for (const group of [byZone.get(runnerZone) ?? [], otherZones, all, all]) {
+    // A host that is cut off may still reach this runner.
+    const groups = [byZone.get(runnerZone) ?? [], otherZones, all, all, cutOff.filter(({ availabilityZone }) => availabilityZone === runnerZone), cutOff]
+    for (const group of groups) {
       const host = this.#pickFrom(group.filter((candidate) => !chosen.has(candidate)))
       if (host !== undefined) chosen.add(host)
     }
@@ -88,13 +97,15 @@
 
   #readHosts (nowMs: number): KnownHosts {
     for (const [host, untilMs] of this.#excludedUntilMs) if (untilMs <= nowMs) this.#excludedUntilMs.delete(host)
-    const all = this.parts.liveHosts().filter((summary) => this.#isUsable(summary)).map(({ address }) => address)
+    const usable = this.parts.liveHosts().filter((summary) => this.#isUsable(summary))
+    const all = usable.filter((summary) => !summary.cutOff).map(({ address }) => address)
+    const cutOff = usable.filter((summary) => summary.cutOff).map(({ address }) => address)
     const otherZones = all.filter(({ availabilityZone }) => availabilityZone !== this.parts.self.availabilityZone)
-    return { atMs: nowMs, all, otherZones, byZone: groupByZone(all) }
+    return { atMs: nowMs, all, otherZones, byZone: groupByZone(all), cutOff }
   }
 
-  #isUsable ({ address, ready, leaving, hearsay, cutOff }: HostSummary): boolean {
-    return ready && !leaving && !hearsay && !cutOff && !this.#excludedUntilMs.has(address.host)
+  #isUsable ({ address, ready, leaving, hearsay }: HostSummary): boolean {
+    return ready && !leaving && !hearsay && !this.#excludedUntilMs.has(address.host)
   }
 
   #nowMs (): number {
--- a/packages/gateway/src/paths/path-monitor.ts
+++ b/packages/gateway/src/paths/path-monitor.ts
@@ -9,7 +9,7 @@
 import type { PassingHosts } from './passing-hosts.js'
 import type { PathMetrics } from './path-metrics.js'
 import { ProbeBudget } from './probe-budget.js'
-import type { PeerClient } from '../members/types.js'
+import type { HostAddress, PeerClient } from '../members/types.js'
 import { ServiceCuts } from './service-cuts.js'
 import { shuffle, SilenceWatch } from './silence-watch.js'
 import { TrackedRunner, type RunnerPlace } from './tracked-runner.js'
@@ -19,15 +19,25 @@
 const TICK_MS = 100
 /** A sound runner accepts a connection within this time, even from another region. */
 const PROBE_TIMEOUT_MS = 300
+/** The same on a slow link: while bytes of runners arrive, a probe that isn't answered is repeated with this time. */
+const SLOW_PROBE_TIMEOUT_MS = 900
+/** A request on a broken path is told so when nothing of its runner has arrived for this long: old connections may live on. */
+const QUIET_MS = 400
 /** Interval between probes of a runner that is out of reach; each is up to a quarter shorter or longer. */
 const PROBE_INTERVAL_MS = 500
 const JITTER = 0.25
-/** Probes that this host opens in a second, however many runners are out of reach. */
+/** Probes of runners that may be out of reach that this host opens in a second. */
 const PROBES_PER_S = 30
+/** The same for runners that are, however many there are. */
+const RETURN_PROBES_PER_S = 30
 /** Runners of which this host asks others in a second. */
 const CHECKS_PER_S = 20
+/** Probes of samples in a second, each followed by a question to other hosts if it fails. */
+const SAMPLE_PROBES_PER_S = 40
 /** A direct path that wasn't tried for this long is probed before requests fail on it, while other paths are broken. */
 const TRIED_TTL_MS = 2_000
+/** A single broken path is a matter of its runner. */
+const MIN_BROKEN_TO_PROBE_AHEAD = 2
 /** Runners that were used within this time show whether the host is cut off. */
 const RECENT_MS = 10_000
 /** After a cut, direct paths that weren't probed yet are used again over this time, so that hosts don't connect all at once. */
@@ -62,7 +72,11 @@
   readonly #services = ServiceCuts.create()
   readonly #silence: SilenceWatch
   readonly #probes = ProbeBudget.create(PROBES_PER_S)
+  /** The same for runners that are out of reach. */
+  readonly #returnProbes = ProbeBudget.create(RETURN_PROBES_PER_S)
   readonly #checks = ProbeBudget.create(CHECKS_PER_S)
+  /** The same for samples, which decide on all paths. */
+  readonly #sampleProbes = ProbeBudget.create(SAMPLE_PROBES_PER_S)
   /** When runners last failed, by address. */
   readonly #suspectedMs = new Map<string, number>()
   #timer: Timer | undefined
@@ -103,13 +117,20 @@
       this.#probeAhead(tracked)
       return DIRECT
     }
-    const host = this.parts.hosts.pick(tracked.place.availabilityZone)
+    const { hosts } = this.parts
+    const host = hosts.pick(tracked.place.availabilityZone) ?? hosts.ifLive(tracked.reachedBy)
+    // Where the other hosts are cut off as well, one of them may still reach this runner.
+    if (host === undefined && !tracked.isBroken) this.#probeSuspect(tracked, false)
     return host === undefined ? DIRECT : { kind: PathKind.ViaHost, host: host.host, peerAddress: host.peerAddress }
   }
 
+  override reaches (runner: LocatedRunner): boolean {
+    return (this.#broken.size === 0 && !this.isCutOff) || !this.#isOutOfReach(this.#track(runner))
+  }
+
   override onSent (runner: LocatedRunner, listener: PathListener): () => void {
     const tracked = this.#track(runner)
-    const request = { sentMs: this.#nowMs(), listener }
+    const request = { sentMs: this.#nowMs(), listener, isTold: false }
     tracked.usedMs = request.sentMs
     tracked.waiting.add(request)
     this.#waiting.add(tracked)
@@ -131,7 +152,8 @@
     const tracked = this.#track(runner)
     tracked.usedMs = this.#nowMs()
     this.parts.log.debug('no connection to a runner', { runner: runner.id, address: runner.address, reason })
-    if (!tracked.isBroken) this.#probeSuspect(tracked)
+    // The failed connection took long enough for a slow link.
+    if (!tracked.isBroken) this.#probeSuspect(tracked, false)
   }
 
   override onHostFailed (host: string): void {
@@ -150,7 +172,9 @@
 
   #track (runner: LocatedRunner): TrackedRunner {
     const known = this.#tracked.get(runner.address)
-    if (known !== undefined) return known
+    if (known !== undefined && known.runner.id === runner.id) return known
+    // Another runner uses the address now.
+    if (known !== undefined) this.#broken.delete(known)
     const tracked = TrackedRunner.create(runner, this.parts.placeOf(runner) ?? { service: '', availabilityZone: '' })
     this.#tracked.set(runner.address, tracked)
     return tracked
@@ -168,6 +192,8 @@
     if (this.#stopped) return
     this.#probeSilent()
     this.#probeOutOfReach()
+    this.#probeSample()
+    for (const tracked of this.#broken) this.#tellWaiting(tracked)
     this.#updateCutOff()
     this.#timer = this.parts.clock.setTimer(TICK_MS, () => this.#tick())
   }
@@ -179,34 +205,46 @@
 
   /** While other paths are broken: finds out about a path before requests wait on it in vain. */
   #probeAhead (tracked: TrackedRunner): void {
+    if (this.#broken.size < MIN_BROKEN_TO_PROBE_AHEAD) return
     const nowMs = this.#nowMs()
     if (nowMs - Math.max(tracked.acceptedMs, tracked.unconfirmedMs) >= TRIED_TTL_MS) this.#probeSuspect(tracked)
   }
 
-  #probeSuspect (tracked: TrackedRunner): void {
+  /** @param mayBeSlow the link may be slow, rather than broken */
+  #probeSuspect (tracked: TrackedRunner, mayBeSlow = true): void {
     const nowMs = this.#nowMs()
     if (tracked.isProbed || tracked.isChecked || nowMs - tracked.unconfirmedMs < UNCONFIRMED_TTL_MS) return
     if (!this.#probes.take(nowMs)) return
-    this.#probe(tracked).then((isAccepted) => isAccepted ? undefined : this.#check(tracked)).catch((error: Error) => this.#logError(error))
+    this.#probe(tracked, mayBeSlow).then((isAccepted) => isAccepted ? undefined : this.#check(tracked)).catch((error: Error) => this.#logError(error))
   }
 
   /** Opens a connection to a runner; returns whether it was accepted. */
-  async #probe (tracked: TrackedRunner): Promise<boolean> {
+  async #probe (tracked: TrackedRunner, mayBeSlow = true): Promise<boolean> {
     tracked.isProbed = true
-    const result = await this.parts.probe.probe(tracked.runner.address, PROBE_TIMEOUT_MS).finally(() => { tracked.isProbed = false })
-    this.parts.metrics.probes.inc({ result })
+    const result = await this.#connect(tracked, mayBeSlow).finally(() => { tracked.isProbed = false })
     if (result !== ProbeResult.Accepted) return false
     tracked.acceptedMs = this.#nowMs()
     this.#restore(tracked)
     return true
   }
 
+  async #connect ({ runner }: TrackedRunner, mayBeSlow: boolean): Promise<ProbeResult> {
+    const { probe, metrics } = this.parts
+    const startedMs = this.#nowMs()
+    const result = await probe.probe(runner.address, PROBE_TIMEOUT_MS)
+    metrics.probes.inc({ result })
+    if (result !== ProbeResult.Silent || !mayBeSlow || !this.#silence.hasByteSince(startedMs)) return result
+    const second = await probe.probe(runner.address, SLOW_PROBE_TIMEOUT_MS)
+    metrics.probes.inc({ result: second })
+    return second
+  }
+
   /** Asks other hosts about a runner that doesn't accept this host's probes. */
-  async #check (tracked: TrackedRunner): Promise<void> {
+  async #check (tracked: TrackedRunner, isSampled = false): Promise<void> {
     const nowMs = this.#nowMs()
     this.#suspectedMs.set(tracked.runner.address, nowMs)
     if (tracked.isBroken || tracked.isChecked || nowMs - tracked.unconfirmedMs < UNCONFIRMED_TTL_MS) return
-    if (!this.#checks.take(nowMs)) return
+    if (!isSampled && !this.#checks.take(nowMs)) return
     tracked.isChecked = true
     const { reachedBy } = await this.#askHosts(tracked).finally(() => { tracked.isChecked = false })
     this.parts.metrics.checks.inc({ result: reachedBy === undefined ? 'unconfirmed' : 'reached' })
@@ -214,7 +252,7 @@
     // A connection that was opened meanwhile is more recent than the failure.
     if (tracked.acceptedMs > nowMs) return
     if (reachedBy === undefined) tracked.unconfirmedMs = this.#nowMs()
-    else this.#break(tracked, nowMs)
+    else this.#break(tracked, nowMs, reachedBy)
     this.#updateCutOff()
   }
 
@@ -241,19 +279,31 @@
     return this.#suspectedMs.size > (this.#suspectedMs.has(runner.address) ? 1 : 0)
   }
 
-  #break (tracked: TrackedRunner, sinceMs: number): void {
+  #break (tracked: TrackedRunner, sinceMs: number, reachedBy: HostAddress): void {
     const { log, metrics, onBroken } = this.parts
     const { runner, place } = tracked
     tracked.brokenSinceMs = sinceMs
+    tracked.reachedBy = reachedBy
     tracked.returnsAtMs = Infinity
     this.#broken.add(tracked)
     this.#planProbe(tracked)
     this.#services.update(place.service, this.#tracked.values())
     metrics.broken.inc()
     if (this.#broken.size === 1) log.warn('runner is reached through other hosts only', { runner: runner.id, address: runner.address })
+    this.#cut.onBroken()
     this.#startSample()
     onBroken(runner)
-    for (const { listener } of [...tracked.waiting]) listener()
+    this.#tellWaiting(tracked)
+  }
+
+  /** Tells the requests that wait on a broken path, once, unless bytes of the runner still arrive on older connections. */
+  #tellWaiting (tracked: TrackedRunner): void {
+    if (this.#nowMs() - tracked.reachedMs < QUIET_MS) return
+    for (const request of [...tracked.waiting]) {
+      if (request.isTold) continue
+      request.isTold = true
+      request.listener()
+    }
   }
 
   #restore (tracked: TrackedRunner): void {
@@ -267,12 +317,17 @@
 
   #startSample (): void {
     const nowMs = this.#nowMs()
-    if (!this.#cut.maySample(nowMs)) return
-    const probed = this.#cut.sample(shuffle(this.#recent(), this.parts.random), nowMs)
-    for (const tracked of probed) {
-      if (tracked.isProbed || tracked.isChecked) continue
+    if (!this.#cut.maySample(this.#broken.size, nowMs)) return
+    this.#cut.sample(shuffle(this.#recent(), this.parts.random), nowMs)
+    this.#probeSample()
+  }
+
+  #probeSample (): void {
+    const nowMs = this.#nowMs()
+    for (const tracked of this.#cut.undecided()) {
+      if (tracked.isProbed || tracked.isChecked || !this.#sampleProbes.take(nowMs)) continue
       this.#probe(tracked).then(async (isAccepted) => {
-        if (!isAccepted) await this.#check(tracked)
+        if (!isAccepted) await this.#check(tracked, true)
         this.#updateCutOff()
       }).catch((error: Error) => this.#logError(error))
     }
@@ -294,7 +349,7 @@
     if (this.#broken.size === 0 && !this.isCutOff) return
     const nowMs = this.#nowMs()
     for (const tracked of shuffle(this.#outOfReach(), this.parts.random)) {
-      if (tracked.isProbed || tracked.nextProbeMs > nowMs || !this.#probes.take(nowMs)) continue
+      if (tracked.isProbed || tracked.nextProbeMs > nowMs || !this.#returnProbes.take(nowMs)) continue
       this.#planProbe(tracked)
       this.#probe(tracked).then((isAccepted) => this.#onReturnProbe(tracked, isAccepted)).catch((error: Error) => this.#logError(error))
     }
--- a/packages/gateway/src/paths/silence-watch.ts
+++ b/packages/gateway/src/paths/silence-watch.ts
@@ -38,6 +38,11 @@
     this.#lastByteMs = nowMs
   }
 
+  /** Whether bytes of any runner arrived after this time. */
+  hasByteSince (sinceMs: number): boolean {
+    return this.#lastByteMs > sinceMs
+  }
+
   /**
    * The runners to probe now.
    * @param waiting runners whose direct paths count as sound and that requests wait for
--- a/packages/gateway/src/paths/tracked-runner.ts
+++ b/packages/gateway/src/paths/tracked-runner.ts
@@ -1,11 +1,12 @@
 /** What this host knows of its path to one runner. State without I/O; times are monotonic milliseconds. */
 import type { LocatedRunner } from '../gates/types.js'
+import type { HostAddress } from '../members/types.js'
 import type { PathListener } from './types.js'
 
 /** Where a runner is, by the list of runners. */
 export type RunnerPlace = { service: string, availabilityZone: string }
 
-export type WaitingRequest = { sentMs: number, listener: PathListener }
+export type WaitingRequest = { sentMs: number, listener: PathListener, /** Its listener was called. */ isTold: boolean }
 
 export class TrackedRunner {
   /** It was tried, or bytes of it arrived. */
@@ -18,6 +19,8 @@
   unconfirmedMs = -Infinity
   /** Since when other hosts reach it and this host doesn't. */
   brokenSinceMs: number | undefined
+  /** The host that reached it when the path broke. */
+  reachedBy: HostAddress | undefined
   /** Other hosts are being asked. */
   isChecked = false
   isProbed = false
--- a/packages/gateway/src/paths/types.ts
+++ b/packages/gateway/src/paths/types.ts
@@ -15,6 +15,8 @@
 /** Chooses paths by what this host and the other hosts see of the runners. */
 export abstract class RunnerPaths {
   abstract pathTo (runner: LocatedRunner): RunnerPath
+  /** Whether this host itself reaches the runner, as far as it knows. */
+  abstract reaches (runner: LocatedRunner): boolean
   /** A request is written to a runner on a connection of this host. Returns a function to call when it has left the runner. */
   abstract onSent (runner: LocatedRunner, listener: PathListener): () => void
   /** A runner accepted a connection of this host, or bytes of it arrived on one. */
--- a/packages/gateway/src/testing/fixed-paths.ts
+++ b/packages/gateway/src/testing/fixed-paths.ts
@@ -24,6 +24,10 @@
     return host === undefined ? { kind: PathKind.Direct } : { kind: PathKind.ViaHost, host, peerAddress: host }
   }
 
+  override reaches (): boolean {
+    return !this.cutOff && this.hosts.length === 0
+  }
+
   override onSent (_: LocatedRunner, listener: PathListener): () => void {
     this.#listeners.add(listener)
     return () => { this.#listeners.delete(listener) }
