Two hosts' test: the runner has room for all calls at once

The case failed once in a whole test run beside others: its runner had 8 slots, so 16 requests at a time, and its 40 calls passed only as they arrived spread out. What it checks is unchanged: each call gets its whole answer.

--- a/packages/gateway/src/testing/gateway-host.ts
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -5,6 +5,7 @@
 import { Gateway, type GatewayParts } from '../gateway.js'
 import { AppendOutcome, LeaseLog, type LeaseTail } from '../lease/types.js'
 import { HostRegistry } from '../members/types.js'
+import type { RunnerEntry } from '../runners/types.js'
 import { PlatformWatch, type PlatformEvents } from '../types.js'
 import { FakeRunnerOrders } from './fake-runner.js'
 import { CrashRecords, MemoryCrashLog } from './memory-crash-log.js'
@@ -109,15 +110,15 @@
 }
 
 /** Gives a host a configuration and the runners `runner-1`, `runner-2` and so on. */
-export function configure (host: TestHost, runners: readonly RawRunner[]): void {
+export function configure (host: TestHost, runners: readonly RawRunner[], changes: Partial<RunnerEntry> = {}): void {
   host.watch.events?.onConfig(createConfig(3), Buffer.from('3'))
-  listRunners(host, runners)
+  listRunners(host, runners, changes)
 }
 
-export function listRunners ({ watch }: TestHost, runners: readonly RawRunner[]): void {
+export function listRunners ({ watch }: TestHost, runners: readonly RawRunner[], changes: Partial<RunnerEntry> = {}): void {
   const records = runners.map(({ address }, index) => {
     const id = `runner-${index + 1}`
-    return { id, position: 0, entry: createEntry({ id, address }) }
+    return { id, position: 0, entry: createEntry({ id, address, ...changes }) }
   })
   watch.events?.onRunnerUpdate({ to: 1, records, ageMs: 60_000 })
 }
