--- a/packages/gateway/src/paths/path-monitor.ts
+++ b/packages/gateway/src/paths/path-monitor.ts
@@ -152,7 +152,7 @@
     const tracked = this.#track(runner)
     tracked.usedMs = this.#nowMs()
     this.parts.log.debug('no connection to a runner', { runner: runner.id, address: runner.address, reason })
-    // The failed connection took long enough for a slow link.
+    // Either it was refused, or its timeout leaves room for a slow link.
     if (!tracked.isBroken) this.#probeSuspect(tracked, false)
   }
 
