--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -1,12 +1,12 @@
 /** The protocol between hosts over connect-es: the client and the routes of the service. */
-import { createClient, type Client, type ConnectRouter } from '@connectrpc/connect'
-import { createConnectTransport } from '@connectrpc/connect-node'
+import type { ConnectRouter } from '@connectrpc/connect'
 import { GatewayService, type PassOnPart, type PassOnRequest } from '@figloom/protocol'
 import { Agent } from 'node:http'
 import type { RunnerCheck } from '../crashes/types.js'
 import type { PermitReply, PermitRequest } from '../limits/types.js'
 import { toCheck, toCheckMessage } from './check-messages.js'
 import { toPermitMessage, toPermitReply, toPermitReplyMessage, toPermitRequest } from './limit-messages.js'
+import { HostClients } from './host-clients.js'
 import { fromMessage, toMessage } from './report-messages.js'
 import { PeerClient, type AdapterReply, type AdapterRequest, type HostReport } from './types.js'
 
@@ -43,50 +43,34 @@
 }
 
 export class ConnectPeerClient extends PeerClient {
-  readonly #clients = new Map<string, Client<typeof GatewayService>>()
   readonly #agent = new Agent({ keepAlive: true, keepAliveMsecs: KEEP_ALIVE_MS, timeout: KEEP_ALIVE_MS })
+  readonly #clients = HostClients.create(this.#agent, MAX_MESSAGE_BYTES)
 
   static create (): ConnectPeerClient {
     return new ConnectPeerClient()
   }
 
   override async exchange (peerAddress: string, report: HostReport, timeoutMs: number): Promise<HostReport> {
-    const answer = await this.#client(peerAddress).exchange(toMessage(report), { timeoutMs })
+    const answer = await this.#clients.at(peerAddress).exchange(toMessage(report), { timeoutMs })
     return fromMessage(answer)
   }
 
   override async ensureAdapter (peerAddress: string, request: AdapterRequest): Promise<AdapterReply> {
-    const answer = await this.#client(peerAddress).ensureAdapter(request, { timeoutMs: ADAPTER_TIMEOUT_MS })
+    const answer = await this.#clients.at(peerAddress).ensureAdapter(request, { timeoutMs: ADAPTER_TIMEOUT_MS })
     return { accepted: answer.accepted, readyInMs: answer.readyInMs }
   }
 
   override async takePermits (peerAddress: string, request: PermitRequest, timeoutMs: number): Promise<PermitReply> {
-    return toPermitReply(await this.#client(peerAddress).takePermits(toPermitMessage(request), { timeoutMs }))
+    return toPermitReply(await this.#clients.at(peerAddress).takePermits(toPermitMessage(request), { timeoutMs }))
   }
 
   override async readConfig (peerAddress: string): Promise<Uint8Array> {
-    const { encoded } = await this.#client(peerAddress).readConfig({}, { timeoutMs: CONFIG_TIMEOUT_MS })
+    const { encoded } = await this.#clients.at(peerAddress).readConfig({}, { timeoutMs: CONFIG_TIMEOUT_MS })
     return encoded
   }
 
   override async checkRunner (peerAddress: string, runnerAddress: string, timeoutMs: number): Promise<RunnerCheck> {
-    const { check } = await this.#client(peerAddress).checkRunner({ address: runnerAddress }, { timeoutMs })
+    const { check } = await this.#clients.at(peerAddress).checkRunner({ address: runnerAddress }, { timeoutMs })
     return toCheck(check)
   }
-
-  #client (peerAddress: string): Client<typeof GatewayService> {
-    const known = this.#clients.get(peerAddress)
-    if (known !== undefined) return known
-    const transport = createConnectTransport({
-      baseUrl: `http://${peerAddress}`,
-      httpVersion: '1.1',
-      useBinaryFormat: true,
-      acceptCompression: [],
-      readMaxBytes: MAX_MESSAGE_BYTES,
-      nodeOptions: { agent: this.#agent }
-    })
-    const client = createClient(GatewayService, transport)
-    this.#clients.set(peerAddress, client)
-    return client
-  }
 }
--- a/packages/gateway/src/pass-on/pass-on-client.ts
+++ b/packages/gateway/src/pass-on/pass-on-client.ts
@@ -1,13 +1,12 @@
 /** Passes requests on to other hosts, and ends the attempts at hosts that no longer report. */
 import { create } from '@bufbuild/protobuf'
-import { createClient, type Client } from '@connectrpc/connect'
-import { createConnectTransport } from '@connectrpc/connect-node'
-import { GatewayService, PassOnPartSchema, PassOnRequestSchema, type PassOnPart, type PassOnRequest } from '@figloom/protocol'
+import { PassOnPartSchema, PassOnRequestSchema, type PassOnPart, type PassOnRequest } from '@figloom/protocol'
 import type { Clock, Timer } from '@figloom/runtime'
 import { FailureStage, type Attempt, type AttemptObserver, type AttemptRequest } from '../forward/attempt.js'
 import type { LocatedRunner } from '../gates/types.js'
 import type { PathKind, RunnerPath } from '../paths/types.js'
 import { HostAttempt } from './host-attempt.js'
+import { HostClients } from '../members/host-clients.js'
 import { HostConnections } from './host-connections.js'
 import { MAX_BODY_BYTES, MAX_PART_BYTES } from './limits.js'
 import type { PassOnMetrics } from './metrics.js'
@@ -39,7 +38,7 @@
 
 export class PassOnClient {
   readonly #connections = HostConnections.create()
-  readonly #clients = new Map<string, Client<typeof GatewayService>>()
+  readonly #clients = HostClients.create(this.#connections, MAX_PART_BYTES)
   readonly #open = new Set<OpenAttempt>()
   #livenessTimer: Timer | undefined
 
@@ -75,7 +74,7 @@
 
   #call (peerAddress: string, request: RequestToPassOn, signal: AbortSignal): AsyncIterable<PassOnPart> {
     if ((request.request.body?.length ?? 0) > MAX_BODY_BYTES) return refuseTooLarge()
-    return this.#client(peerAddress).passOn(toMessage(request), { signal })
+    return this.#clients.at(peerAddress).passOn(toMessage(request), { signal })
   }
 
   #scheduleCheck (): Timer {
@@ -93,22 +92,6 @@
     }
     this.#livenessTimer = this.#open.size === 0 ? undefined : this.#scheduleCheck()
   }
-
-  #client (peerAddress: string): Client<typeof GatewayService> {
-    const known = this.#clients.get(peerAddress)
-    if (known !== undefined) return known
-    const transport = createConnectTransport({
-      baseUrl: `http://${peerAddress}`,
-      httpVersion: '1.1',
-      useBinaryFormat: true,
-      acceptCompression: [],
-      readMaxBytes: MAX_PART_BYTES,
-      nodeOptions: { agent: this.#connections }
-    })
-    const client = createClient(GatewayService, transport)
-    this.#clients.set(peerAddress, client)
-    return client
-  }
 }
 
 async function * refuseTooLarge (): AsyncGenerator<PassOnPart> {
