Review: a stream without a length looks complete when its gateway is killed

Cause: the gateway passes an answer without framing on without framing, so the end of its own process looks like the end of the answer.

--- /dev/null
+++ b/review/lib/runner.mjs
@@ -0,0 +1,73 @@
+/** Stand-in of a sound runner. A case passes `handle`, which answers the requests that the runner runs. */
+import { createServer } from 'node:http'
+
+export class Runner {
+  up = true
+  /** Ids of the requests that it ran, in order. */
+  runs = []
+  #server
+  #startedUnixMs = Date.now()
+
+  /** @param handle called with { id, request, body, response, runner } for each request that is run */
+  static async start ({ ip, id, service, slots, models = [], handle, record, zone = 'norte-a' }) {
+    const runner = new Runner()
+    Object.assign(runner, { ip, id, service, slots, models, handle, record, zone })
+    runner.#server = createServer((request, response) => runner.#serve(request, response))
+    runner.#server.keepAliveTimeout = 20_000
+    await new Promise((resolve, reject) => runner.#server.once('error', reject).listen(0, ip, resolve))
+    runner.port = runner.#server.address().port
+    return runner
+  }
+
+  /** What it writes into the store of itself. */
+  entry () {
+    return {
+      service: this.service,
+      address: `${this.ip}:${this.port}`,
+      zone: this.zone,
+      version: 'v1',
+      slots: this.slots,
+      state: 'ready',
+      coldRemainingMs: 0,
+      sequence: 1,
+      born: this.#startedUnixMs,
+      models: this.models
+    }
+  }
+
+  /** Headers of an answer that the runner stands for. */
+  signed (id) {
+    return { 'X-Request-Id': id, 'X-Response-Signature': `${this.id}.${id}`, 'X-Instance-Id': this.id }
+  }
+
+  stop () {
+    this.up = false
+    this.#server.closeAllConnections()
+    this.#server.close()
+  }
+
+  async #serve (request, response) {
+    response.on('error', () => {})
+    if (request.url === '/report') return this.#report(request, response)
+    const id = request.headers['x-request-id']
+    const chunks = []
+    try {
+      for await (const chunk of request) chunks.push(chunk)
+    } catch {
+      return
+    }
+    if (request.headers['x-expect-instance'] !== this.id) {
+      response.writeHead(421, { 'X-Request-Id': id, 'X-Instance-Id': this.id, 'X-Not-Executed': '1', 'Content-Length': 0 }).end()
+      return
+    }
+    this.runs.push(id)
+    this.record.write(`${this.id}: runs ${id}`)
+    this.handle({ id, request, body: Buffer.concat(chunks), response, runner: this })
+  }
+
+  #report (request, response) {
+    request.resume()
+    const report = { stage: 'colocated', models: this.models, busy: false, sequence: 0, queued: 0, active: 0, kvUsed: 0, kvTotal: 119_943, handles: 0, born: this.#startedUnixMs }
+    response.writeHead(200, { 'Content-Type': 'application/json' }).end(JSON.stringify(report))
+  }
+}
