Streams without framing: their callers get chunks, so a stream whose host is killed isn't whole

Cause: an answer with neither a length nor chunks was passed on without framing, so its end was the end of the caller's connection. The kernel closes that connection in order when the process is gone; only abort resets it. The host knows whether the runner ended in order, so the last chunk can say so.

Why it works: the last chunk, or the length for callers that know no chunks, is written only behind the runner's own end. Whatever closes the connection before, the caller misses it.

Answers to HEAD state their runner's length and no other.

--- a/packages/gateway/src/serve/answer-writer.ts
+++ b/packages/gateway/src/serve/answer-writer.ts
@@ -2,12 +2,13 @@
 import type { ServerResponse } from 'node:http'
 import { EventSplitter } from '../forward/event-splitter.js'
 import type { RawHeaders, RequestCodec } from '../forward/types.js'
+import { StreamBody } from './stream-body.js'
 
 /** Status and headers of a runner's answer. */
 export type AnswerHead = {
   status: number
   headers: RawHeaders
-  /** The answer has a Content-Length or is chunked. Otherwise it ends when the connection closes, and a truncated answer looks complete. */
+  /** The answer has a Content-Length or is chunked. Otherwise it ends when the runner closes the connection. */
   framed: boolean
 }
 
@@ -25,12 +26,15 @@
   /** The stream ended in the middle of an event. */
   Unfinished: 'unfinished',
   /** An event exceeds the size limit. */
-  Overlong: 'overlong'
+  Overlong: 'overlong',
+  /** The stream is too large for a caller that has to get it in one piece. */
+  TooLarge: 'too-large'
 } as const
 export type StreamFault = (typeof StreamFault)[keyof typeof StreamFault]
 
 export class AnswerWriter {
   readonly #splitter = EventSplitter.create()
+  readonly #body: StreamBody
   #head: AnswerHead | undefined
   #started = false
   #eventCount = 0
@@ -42,13 +46,15 @@
     private readonly response: ServerResponse,
     private readonly codec: RequestCodec,
     private readonly closesConnection: () => boolean
-  ) {}
+  ) {
+    this.#body = StreamBody.create(response)
+  }
 
   static create (response: ServerResponse, codec: RequestCodec, closesConnection: () => boolean): AnswerWriter {
     return new AnswerWriter(response, codec, closesConnection)
   }
 
-  /** Bytes of the answer have been sent to the caller. */
+  /** An event of a stream has been written to the caller. */
   get started (): boolean {
     return this.#started
   }
@@ -67,8 +73,8 @@
   writeBuffered (head: AnswerHead, body: Buffer): void {
     if (this.response.destroyed) return
     const headers = this.#callerHeaders(head)
-    if (head.framed && allowsBody(head.status)) headers.push('Content-Length', String(body.length))
-    this.#writeHead(head, headers)
+    if (allowsBody(head.status)) headers.push(...this.#lengthHeader(head, body))
+    this.response.writeHead(head.status, headers)
     this.response.end(body)
   }
 
@@ -91,8 +97,9 @@
       if (event.id !== undefined) this.#lastEventId = event.id
       this.#start()
       this.#eventCount += 1
-      flows = this.response.write(event.bytes) && flows
+      flows = this.#body.write(event.bytes) && flows
     }
+    if (this.#body.overlong) return StreamFault.TooLarge
     return this.#splitter.overlong ? StreamFault.Overlong : flows
   }
 
@@ -100,21 +107,16 @@
   endStream (): StreamFault | undefined {
     if (this.#splitter.rest.length > 0) return StreamFault.Unfinished
     this.#start()
-    this.response.end()
+    this.#body.end()
     return undefined
   }
 
-  /** Closes the connection of an answer that can't be completed, in such a way that the caller detects the truncation. */
+  /** Closes the connection of a stream that can't be completed: its last chunk, or its length, is missing. */
   abort (): void {
     const { socket } = this.response
-    if (socket === null || this.#head?.framed !== true) {
-      // Without framing a normal close would look like the end of a complete answer; a reset does not.
-      if (socket === null) this.response.destroy()
-      else socket.resetAndDestroy()
-      return
-    }
-    // Events written in this turn of the event loop are still delivered. The final chunk is never written, so the answer is visibly incomplete.
-    setImmediate(() => socket.destroySoon())
+    // Events written in this turn of the event loop are still delivered.
+    if (socket !== null) setImmediate(() => socket.destroySoon())
+    else this.response.destroy()
   }
 
   /** Whether an event with this id is the next one of the stream that the caller has a part of. */
@@ -131,18 +133,19 @@
   #start (): void {
     if (this.#started || this.#head === undefined || this.response.destroyed) return
     this.#started = true
-    this.#writeHead(this.#head, this.#callerHeaders(this.#head))
+    this.#body.start(this.#head.status, this.#callerHeaders(this.#head))
   }
 
-  /** An answer without framing gets none added: framing would present a possibly truncated answer as complete. */
-  #writeHead (head: AnswerHead, headers: RawHeaders): void {
-    if (!head.framed) this.response.useChunkedEncodingByDefault = false
-    this.response.writeHead(head.status, headers)
+  /** An answer to HEAD states the length that its runner stated. */
+  #lengthHeader ({ headers }: AnswerHead, body: Buffer): RawHeaders {
+    if (this.response.req.method !== 'HEAD') return ['Content-Length', String(body.length)]
+    const at = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length')
+    return at < 0 ? [] : headers.slice(at, at + 2)
   }
 
   #callerHeaders (head: AnswerHead): RawHeaders {
     const headers = this.codec.encodeAnswer(head.headers)
-    if (this.closesConnection() || !head.framed) headers.push('Connection', 'close')
+    if (this.closesConnection()) headers.push('Connection', 'close')
     return headers
   }
 }
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -165,6 +165,7 @@
     if (this.writer.eventCount > eventsBefore) this.callbacks.onEvents()
     if (status === StreamFault.Gap) return this.#reject('an event is missing or duplicated')
     if (status === StreamFault.Overlong) return this.#rejectOverlong('an event exceeds the size limit')
+    if (status === StreamFault.TooLarge) return this.#reject('the stream is too large for a caller that gets it in one piece')
     return status ? Flow.Continue : Flow.Pause
   }
 
