Answers without a length: one that is reset together with its last bytes fails

Cause: a reset that is read in one turn of the event loop with the last bytes is reported as an end, not as an error, and the end of the connection is the end of such an answer.

Why it works: a connection that was reset has no peer any more, one that ended in order has. One system call for an answer without a length.

--- a/packages/gateway/src/forward/bounded-client.ts
+++ b/packages/gateway/src/forward/bounded-client.ts
@@ -2,9 +2,12 @@
  * A connection to a runner that is closed when the runner keeps sending bytes without progress in an answer: endless headers,
  * interim answers, reason phrases, chunk lines or trailers, or bytes after the end of an answer. The HTTP client limits only
  * some of these, and doesn't report the others. The size of bodies is limited by the code that reads them.
+ * An answer without a length, which ends with its connection, fails if the connection was reset.
  */
 import type { Socket } from 'node:net'
 import { Client, type buildConnector, type Dispatcher } from 'undici'
+import { createResetError, wasReset } from './connection-reset.js'
+import { allowsBody, isFramed } from './framing.js'
 
 /**
  * Bytes that a runner may send without a final head, a chunk of a body or the end of an answer. Leaves room for one head and twice
@@ -79,11 +82,17 @@
     this.#progressBytes = this.#socket?.bytesRead ?? 0
   }
 
-  #trackProgress ({ requestId, wasRefused }: IdentifiedRequest, handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+  #wasReset (): boolean {
+    return this.#socket === undefined || wasReset(this.#socket)
+  }
+
+  #trackProgress ({ method, requestId, wasRefused }: IdentifiedRequest, handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+    let endsWithConnection = false
     return {
       onConnect: (abort) => handler.onConnect?.(abort),
       onHeaders: (status, headers, resume, reason) => {
         if (status >= FIRST_FINAL_STATUS) this.#onProgress()
+        endsWithConnection = method !== 'HEAD' && allowsBody(status) && !isFramed(namesOf(headers))
         const goesOn = handler.onHeaders?.(status, headers, resume, reason) ?? true
         if (requestId !== undefined && wasRefused?.() === true) this.#onRefused(requestId)
         return goesOn
@@ -94,9 +103,15 @@
       },
       onComplete: (trailers) => {
         this.#onProgress()
-        handler.onComplete?.(trailers)
+        if (endsWithConnection && this.#wasReset()) handler.onError?.(createResetError())
+        else handler.onComplete?.(trailers)
       },
       onError: (error) => handler.onError?.(error)
     }
   }
 }
+
+/** @param headers names and values in turn */
+function namesOf (headers: readonly Buffer[]): string[] {
+  return headers.filter((_, index) => index % 2 === 0).map((name) => name.toString('latin1'))
+}
--- a/packages/gateway/src/forward/runner-connections.ts
+++ b/packages/gateway/src/forward/runner-connections.ts
@@ -1,9 +1,9 @@
 /** Connections to runners: one pool for each runner, closed when the runner is gone. The bytes read from a runner are limited. */
-import type { Socket } from 'node:net'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import { err, ok, type Result } from 'neverthrow'
 import { buildConnector, Pool, type Dispatcher } from 'undici'
 import { BoundedClient } from './bounded-client.js'
+import { markResets } from './connection-reset.js'
 
 /** A runner that accepts no connection within this time is unreachable. */
 const CONNECT_TIMEOUT_MS = 700
@@ -16,9 +16,6 @@
 /** Runners' answers have small heads; a larger one is damaged. */
 const MAX_HEADER_BYTES = 16_384
 
-/** Error code that replaces ECONNRESET on connections to runners. */
-export const RESET_CODE = 'RUNNER_RESET'
-
 type RunnerPool = { pool: Pool, address: string }
 
 export type OverlongListener = (runnerId: string, reason: string) => void
@@ -94,10 +91,6 @@
   }
 }
 
-/**
- * Makes a reset connection distinguishable from one that ended. The HTTP client treats an answer without a length as complete when
- * its connection fails with ECONNRESET; with any other code it reports a failure.
- */
 function createConnector (): buildConnector.connector {
   const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
   return (options, callback) => connect(options, (...[error, socket]: buildConnector.CallbackArgs) => {
@@ -106,9 +99,3 @@
     callback(null, socket)
   })
 }
-
-function markResets (socket: Socket): void {
-  socket.prependListener('error', (error: NodeJS.ErrnoException) => {
-    if (error.code === 'ECONNRESET') error.code = RESET_CODE
-  })
-}
--- a/packages/gateway/src/serve/answer-writer.ts
+++ b/packages/gateway/src/serve/answer-writer.ts
@@ -1,6 +1,7 @@
 /** Writes one answer to its caller: buffered bodies in one piece, streams event by event, also across several runners. */
 import type { ServerResponse } from 'node:http'
 import { EventSplitter } from '../forward/event-splitter.js'
+import { allowsBody, isFramed } from '../forward/framing.js'
 import type { RawHeaders, RequestCodec } from '../forward/types.js'
 import { StreamBody } from './stream-body.js'
 
@@ -14,9 +15,8 @@
 
 /** Creates the head and detects from the headers whether the body is framed. */
 export function createHead (status: number, headers: RawHeaders): AnswerHead {
-  const names = headers.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase())
-  const framed = names.includes('content-length') || names.includes('transfer-encoding') || !allowsBody(status)
-  return { status, headers, framed }
+  const names = headers.filter((_, index) => index % 2 === 0)
+  return { status, headers, framed: isFramed(names) || !allowsBody(status) }
 }
 
 /** Faults in the event stream of one attempt. */
@@ -149,7 +149,3 @@
     return headers
   }
 }
-
-function allowsBody (status: number): boolean {
-  return status >= 200 && status !== 204 && status !== 304
-}
