Giving up: one way to end a request, which breaks off an answer that has begun

Cause: giving up wrote a failure without a look at the answer, and a failure behind the head of an answer was dropped in silence. The request counted as ended, its timer was canceled. The other ways to give up looked for themselves.

--- a/packages/gateway/src/serve/gateway-answer.ts
+++ b/packages/gateway/src/serve/gateway-answer.ts
@@ -2,9 +2,16 @@
 import type { ServerResponse } from 'node:http'
 import { toFailureBody, type Failure } from '@figloom/runtime'
 
-/** Writes a failure as JSON; `closeConnection` makes the caller open a new connection for its next request. */
+/**
+ * Writes a failure as JSON; `closeConnection` makes the caller open a new connection for its next request. An answer that has begun
+ * can't become a failure: its connection is closed, so that it isn't whole and its caller doesn't wait.
+ */
 export function writeFailure (response: ServerResponse, failure: Failure, closeConnection: boolean): void {
-  if (response.headersSent || response.destroyed) return
+  if (response.destroyed || response.writableEnded) return
+  if (response.headersSent) {
+    response.destroy()
+    return
+  }
   const body = JSON.stringify(toFailureBody(failure))
   const headers: Record<string, string | number> = {
     'Content-Type': 'application/json',
--- a/packages/gateway/src/serve/request-end.ts
+++ b/packages/gateway/src/serve/request-end.ts
@@ -3,6 +3,8 @@
 import type { AcceptedRequest, ServeContext } from './types.js'
 
 export const ANSWERED = 'answered'
+/** An answer that had begun could not be completed. */
+export const BROKEN_OFF = 'broken_off'
 
 export type RequestEnd = {
   /** `answered`, the type of a failure's code, or why the answer could not be completed. */
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -22,7 +22,7 @@
 import { writeFailure } from './gateway-answer.js'
 import { affinityKey, impliesNotRun, urgencyOf } from './request-hints.js'
 import { RequestGuard } from './request-guard.js'
-import { ANSWERED, reportEnd } from './request-end.js'
+import { ANSWERED, BROKEN_OFF, reportEnd } from './request-end.js'
 import { RequestLog } from './request-log.js'
 import { StallDetector } from './stall-detector.js'
 import { StreamContinuity } from './stream-continuity.js'
@@ -386,8 +386,7 @@
   }
 
   #finishFailed (result: AttemptResult): void {
-    if (this.#writer.started) return this.#abortAnswer(result.reason)
-    if (result.outcome === Outcome.RunnerFailed && result.bufferedAnswer !== undefined && !impliesNotRun(result.bufferedAnswer.head.status)) {
+    if (!this.#writer.started && result.outcome === Outcome.RunnerFailed && result.bufferedAnswer !== undefined && !impliesNotRun(result.bufferedAnswer.head.status)) {
       this.#writer.writeBuffered(result.bufferedAnswer.head, result.bufferedAnswer.body)
       return this.#end('runner_failed', result.reason)
     }
@@ -416,7 +415,6 @@
     if (mayWait && this.#waitForLoad()) return
     this.#log.note('no runner can take the request', { full: set.fullCount, closed: set.closed.length, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
     logClosedRunners(this.context, this.request, this.#log, set.closed)
-    if (this.#writer.started) return this.#abortAnswer('no runner to resume the stream')
     if (this.#budget.mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastFailureReason}; no other runner is free`))
     const { code, message, retryAfterMs } = createRefusal(this.context, this.request, set, this.#timeLeftMs(), this.#continuity.softwareVersion)
     this.#giveUp(this.#failure(code, message, retryAfterMs))
@@ -436,7 +434,6 @@
     const isRequest = isRequestKey(featureId)
     if (isRequest) this.#log.note('request has blocked content', { key: featureId, reason, ran })
     else this.#log.note('request has a blocked prompt part', { part: featureId, reason, ran })
-    if (this.#writer.started) return this.#abortAnswer(isRequest ? 'the request is blocked' : 'a part of the prompt is blocked')
     const code = isRequest ? ResultCode.RequestBlocked : ResultCode.PromptBlocked
     this.#giveUp(this.#failure(this.#budget.mayHaveRun ? ResultCode.BackendFailed : code, `${isRequest ? 'request' : 'prompt part'} ${featureId} is blocked: ${reason}`))
   }
@@ -446,7 +443,6 @@
     if (this.#ended) return
     const sent = this.#attempts.sentCount > 0
     this.#attempts.cancelAll()
-    if (this.#writer.started) return this.#abortAnswer('the timeout was reached during the stream')
     const ran = sent || this.#budget.mayHaveRun
     if (ran) return this.#giveUp(this.#failure(ResultCode.BackendTimeout, 'no answer within the time of the request'))
     this.#giveUp(this.#failure(ResultCode.NoRunner, 'no runner could be reached in time', retryDelayWhenMissing(this.context, this.request, this.#timeLeftMs())))
@@ -472,8 +468,7 @@
     this.context.log.error('request failed with an unexpected error', { requestId: this.request.id, reason: error.message, stack: error.stack })
     if (this.#ended) return
     this.#attempts.cancelAll()
-    if (this.#writer.started) this.#abortAnswer(error.message)
-    else this.#giveUp(this.#failure(ResultCode.Internal, error.message))
+    this.#giveUp(this.#failure(ResultCode.Internal, error.message))
   }
 
   #failure (code: ResultCodeInfo, message: string, retryAfterMs?: number): Failure {
@@ -484,15 +479,13 @@
     return this.request.dueMs - this.context.clock.monotonicMs()
   }
 
+  /** Ends a request that can't be answered: with the failure, or by breaking off an answer that has begun. */
   #giveUp (failure: Failure): void {
     if (this.#ended) return
-    writeFailure(this.response, failure, this.context.host.isLeaving())
-    this.#end(failure.code.type, failure.message)
-  }
-
-  #abortAnswer (reason: string): void {
-    this.#writer.abort()
-    this.#end('broken_off', reason)
+    const hasBegun = this.#writer.started
+    if (hasBegun) this.#writer.abort()
+    else writeFailure(this.response, failure, this.context.host.isLeaving())
+    this.#end(hasBegun ? BROKEN_OFF : failure.code.type, failure.message)
   }
 
   #end (result: string, reason: string): void {
