Stopping hosts: requests that can't end within the grace are refused as not run

Cause: from 2.8 s after the request to stop on, streams alone were refused, without a look at what other requests may last.

Why it works: a request is taken if its own time ends before the process does, or if the longest of its route's lately took half of the rest at most.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,6 +48,7 @@
 import { RunnerListSync } from './runners/runner-list-sync.js'
 import { RunnerTable } from './runners/runner-table.js'
 import { DemandMeter } from './serve/demand-meter.js'
+import { RouteDurations } from './serve/route-durations.js'
 import { createOverlongCounter, createRequestMetrics, createUnexpectedCloseCounter } from './serve/metrics.js'
 import { serveRequest } from './serve/serve-request.js'
 import type { ServeContext } from './serve/types.js'
@@ -60,8 +61,8 @@
 /** The process exits this long before the end of the grace period. */
 const EXIT_MARGIN_MS = 300
 const SWEEP_MS = 200
-/** After a request to stop, streams are accepted for this long: a later one might be cut off when the process exits. */
-const STREAM_CUTOFF_MS = 2_800
+/** After a request to stop, all requests are accepted for this long; later only those that end before the process does. */
+const OPEN_TO_ALL_MS = 2_800
 /** Log value for the source of a runner's state that this host read itself rather than received from another host. */
 const OWN_READ_SOURCE = 'the platform'
 /** After the platform came back from an older copy, hosts announce themselves again over this time, to stay within its rate of writes. */
@@ -122,6 +123,8 @@
   #inFlight = 0
   #leaving = false
   #leavingSinceMs: number | undefined
+  /** When the process ends at the latest; undefined as long as it isn't leaving. */
+  #endMs: number | undefined
   #sweepTimer: Timer | undefined
 
   private constructor (private readonly parts: GatewayParts) {
@@ -274,7 +277,8 @@
     this.#leaving = true
     this.#leavingSinceMs = this.#nowMs()
     const { clock, log } = this.parts
-    const endMs = this.#nowMs() + this.#settings.graceMs - EXIT_MARGIN_MS
+    const endMs = this.#leavingSinceMs + this.#settings.graceMs - EXIT_MARGIN_MS
+    this.#endMs = endMs
     log.info('gateway is leaving', { inFlight: this.#inFlight, forHosts: this.#passOnServer.inFlight })
     await Promise.allSettled([this.#exchanger.reportToRelays(), this.#lease.release()])
     this.#orderDispatcher.stop()
@@ -498,6 +502,7 @@
       passOn: this.#passOnClient,
       budget: SharedBudget.create(settings.budget),
       demand: this.#demand,
+      durations: RouteDurations.create(),
       adapters: AdapterRequests.create({
         clock,
         log,
@@ -516,12 +521,18 @@
         hostWithStaleLoads: () => this.#hostObservation.isFullMesh ? undefined : settings.self.host,
         runnersAgeMs: () => this.#runnerList.ageMs(),
         isLeaving: () => this.#leaving,
-        isClosedToStreams: () => this.#leavingSinceMs !== undefined && this.#nowMs() - this.#leavingSinceMs > STREAM_CUTOFF_MS
+        endsInMs: () => this.#endsInMs()
       },
       random
     }
   }
 
+  #endsInMs (): number | undefined {
+    const nowMs = this.#nowMs()
+    if (this.#leavingSinceMs === undefined || this.#endMs === undefined || nowMs - this.#leavingSinceMs <= OPEN_TO_ALL_MS) return undefined
+    return this.#endMs - nowMs
+  }
+
   #onReport (report: HostReport, writtenAgoMs: number): void {
     const nowMs = this.#nowMs()
     if (report.storeEra > 0) this.parts.platform.eras.observe(report.storeEra, report.sender.address.host)
--- a/packages/gateway/src/serve/request-end.ts
+++ b/packages/gateway/src/serve/request-end.ts
@@ -19,9 +19,11 @@
   firstByteMs: number | undefined
 }
 
-export function reportEnd ({ clock, config, metrics }: ServeContext, { route, arrivedMs }: AcceptedRequest, log: RequestLog, end: RequestEnd): void {
+export function reportEnd ({ clock, config, durations, metrics }: ServeContext, { route, arrivedMs }: AcceptedRequest, log: RequestLog, end: RequestEnd): void {
   const { result, reason, attempts, runs, firstByteMs } = end
-  const totalMs = clock.monotonicMs() - arrivedMs
+  const nowMs = clock.monotonicMs()
+  const totalMs = nowMs - arrivedMs
+  if (runs > 0) durations.add(route.name, totalMs, nowMs)
   metrics.requests.inc({ route: route.name, result })
   metrics.totalSeconds.observe({ route: route.name }, totalMs / 1000)
   const answered = result === ANSWERED
--- a/packages/gateway/src/serve/serve-request.ts
+++ b/packages/gateway/src/serve/serve-request.ts
@@ -2,12 +2,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createFailure, ResultCode, type Failure } from '@figloom/runtime'
 import { err, ok, type Result } from 'neverthrow'
-import { RouteKind, type Route, type Service } from '../config/types.js'
+import type { Route, Service } from '../config/types.js'
 import type { CallerFacts } from '../forward/types.js'
 import { readBody, discardRest } from '../front/read-body.js'
 import { writeFailure } from './gateway-answer.js'
 import { featureIdsOf } from './request-features.js'
 import { RequestRun } from './request-run.js'
+import { endsInTime } from './rest-of-grace.js'
 import type { ServeContext } from './types.js'
 
 const NOT_READY_RETRY_MS = 500
@@ -26,10 +27,10 @@
   if (headerBytes(incoming) > (context.config.limits?.maxHeaderBytes ?? Infinity)) {
     return refuse(context, incoming, response, facts, createFailure(ResultCode.HeadersTooLarge, 'the headers exceed the limit'))
   }
-  const destination = findDestination(context, incoming)
+  const destination = findDestination(context, incoming).andThen((found) => checkRestOfGrace(context, found, facts))
   if (destination.isErr()) return refuse(context, incoming, response, facts, destination.error)
   const { route, service } = destination.value
-  const maxMs = Math.min(route.timeoutMs, facts.deadlineMs ?? DEFAULT_DEADLINE_MS)
+  const maxMs = maxDurationMs(route, facts)
   const body = await readBody(incoming, { maxBytes: context.config.limits?.maxBodyBytes ?? Infinity, maxMs }, context.clock)
   if (body.isErr()) {
     if (response.destroyed) return
@@ -60,12 +61,24 @@
   if (route === undefined) return err(createFailure(ResultCode.NoSuchRoute, 'no route has this host and path'))
   const service = config.services.get(pickService(route, context.random))
   if (service === undefined) return err(createFailure(ResultCode.NoRunner, 'the route refers to an unknown service', { retryAfterMs: NOT_READY_RETRY_MS }))
-  if (route.kind === RouteKind.Stream && context.host.isClosedToStreams()) {
-    return err(createFailure(ResultCode.Draining, 'this host is stopping and could not finish a stream', { retryAfterMs: 0 }))
-  }
   return ok({ route, service })
 }
 
+/** A host that is about to end refuses what it could not finish. */
+function checkRestOfGrace (context: ServeContext, destination: Destination, facts: CallerFacts): Result<Destination, Failure> {
+  const leftMs = context.host.endsInMs()
+  if (leftMs === undefined) return ok(destination)
+  const { route } = destination
+  const longestMs = context.durations.longestMs(route.name, context.clock.monotonicMs())
+  if (endsInTime({ kind: route.kind, maxMs: maxDurationMs(route, facts), longestMs }, leftMs)) return ok(destination)
+  return err(createFailure(ResultCode.Draining, 'this host is stopping and could not finish the request', { retryAfterMs: 0 }))
+}
+
+/** Time within which a request gets its final answer. */
+function maxDurationMs (route: Route, facts: CallerFacts): number {
+  return Math.min(route.timeoutMs, facts.deadlineMs ?? DEFAULT_DEADLINE_MS)
+}
+
 /** Picks one of the route's services by weight. */
 function pickService (route: Route, random: () => number): string {
   const total = route.services.reduce((sum, { weight }) => sum + weight, 0)
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -18,6 +18,7 @@
 import type { VersionHistory } from '../streams/version-history.js'
 import type { DemandMeter } from './demand-meter.js'
 import type { RequestMetrics } from './metrics.js'
+import type { RouteDurations } from './route-durations.js'
 
 /** A request whose headers and body have been read and whose route is known. */
 export type AcceptedRequest = {
@@ -61,8 +62,8 @@
   runnersAgeMs: () => number
   /** This host is shutting down; callers should move to other hosts. */
   isLeaving: () => boolean
-  /** This process ends too soon for a stream that starts now to complete. */
-  isClosedToStreams: () => boolean
+  /** Time until this process ends, once it takes only requests that end before; undefined until then. */
+  endsInMs: () => number | undefined
 }
 
 export type ServeContext = {
@@ -83,6 +84,7 @@
   passOn: PassOnClient
   budget: SharedBudget
   demand: DemandMeter
+  durations: RouteDurations
   adapters: AdapterLoader
   loads: LoadForecast
   /** Delay of this process's event loop. */
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -30,6 +30,7 @@
 import type { RunnerEntry } from '../runners/types.js'
 import { DemandMeter } from '../serve/demand-meter.js'
 import { createRequestMetrics } from '../serve/metrics.js'
+import { RouteDurations } from '../serve/route-durations.js'
 import { serveRequest } from '../serve/serve-request.js'
 import { AdapterLoader, type ServeContext } from '../serve/types.js'
 import { StreamOrigins } from '../streams/stream-origins.js'
@@ -170,11 +171,12 @@
       passOn: PassOnClient.create({ clock, metrics: createPassOnMetrics(new Registry()), isLive: () => true }),
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
+      durations: RouteDurations.create(),
       adapters: new NoAdapters(),
       loads: KnownLoads.create(() => expectedLoads),
       lag,
       callerCheck: CallerCheck.create(lag),
-      host: { availabilityZone: 'zone-1', hostCount: () => 1, hostWithStaleLoads: () => undefined, runnersAgeMs: () => 0, isLeaving: () => false, isClosedToStreams: () => false },
+      host: { availabilityZone: 'zone-1', hostCount: () => 1, hostWithStaleLoads: () => undefined, runnersAgeMs: () => 0, isLeaving: () => false, endsInMs: () => undefined },
       random: () => 0.5
     }, expectedLoads, overlong)
     await new Promise<void>((resolve) => fixture.#server.listen(0, '127.0.0.1', resolve))
--- a/packages/gateway/src/testing/gateway-host.ts
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -102,7 +102,8 @@
     routes: [
       createRoute({ pathPrefix: '/stream/', kind: RouteKind.Stream, timeoutMs: 20_000 }),
       createRoute({ pathPrefix: '/resumable/', kind: RouteKind.Stream, timeoutMs: 20_000, resumable: true }),
-      createRoute({ pathPrefix: '/plain/', kind: RouteKind.Idempotent, timeoutMs: 5_000 })
+      createRoute({ pathPrefix: '/plain/', kind: RouteKind.Idempotent, timeoutMs: 5_000 }),
+      createRoute({ name: 'book', pathPrefix: '/book/', kind: RouteKind.NonIdempotent, timeoutMs: 12_000, maxAttempts: 1 })
     ],
     services: new Map([['plain', { name: 'plain', maxConnections: 200 }]]),
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
