Stopping hosts: requests that are open at the end of the grace get a final answer

Cause: the end of the grace closes all connections, and nothing ended the requests on them before.

Evidence: late-requests.test.ts, before: four bookings whose runner stays silent ended without an answer; now 504 each.

Why it works: the host knows its open requests; before it closes their connections it ends each as at its deadline, with what is known of whether it ran, and leaves 0.1 s for the answers.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,8 +48,9 @@
 import { RunnerListSync } from './runners/runner-list-sync.js'
 import { RunnerTable } from './runners/runner-table.js'
 import { DemandMeter } from './serve/demand-meter.js'
-import { RouteDurations } from './serve/route-durations.js'
 import { createOverlongCounter, createRequestMetrics, createUnexpectedCloseCounter } from './serve/metrics.js'
+import { OpenRequests } from './serve/open-requests.js'
+import { RouteDurations } from './serve/route-durations.js'
 import { serveRequest } from './serve/serve-request.js'
 import type { ServeContext } from './serve/types.js'
 import type { GatewaySettings, Platform } from './types.js'
@@ -60,6 +61,8 @@
 const MAX_LOOKUP_TTL_FACTOR = 3
 /** The process exits this long before the end of the grace period. */
 const EXIT_MARGIN_MS = 300
+/** Time for the final answers of requests that are still open at the end of the grace period to reach their callers. */
+const LAST_ANSWERS_MS = 100
 const SWEEP_MS = 200
 /** After a request to stop, all requests are accepted for this long; later only those that end before the process does. */
 const OPEN_TO_ALL_MS = 2_800
@@ -119,6 +122,7 @@
   readonly #context: ServeContext
   readonly #front: HttpServer
   readonly #sideListeners: SideListeners
+  readonly #openRequests = OpenRequests.create()
   #settings: GatewaySettings
   #inFlight = 0
   #leaving = false
@@ -289,6 +293,7 @@
       this.#front.closeIdle()
     }
     log.info('gateway stopped', { inFlight: this.#inFlight, forHosts: this.#passOnServer.inFlight })
+    if (this.#openRequests.endAll() > 0) await clock.sleep(LAST_ANSWERS_MS)
     await this.#destroy()
   }
 
@@ -503,6 +508,7 @@
       budget: SharedBudget.create(settings.budget),
       demand: this.#demand,
       durations: RouteDurations.create(),
+      openRequests: this.#openRequests,
       adapters: AdapterRequests.create({
         clock,
         log,
--- a/packages/gateway/src/late-requests.test.ts
+++ b/packages/gateway/src/late-requests.test.ts
@@ -67,3 +67,11 @@
   t.same((await sendAll(host, '/book/1', 'late', agent)).map(({ status }) => status), [200, 200, 200, 200])
   await stopped
 })
+
+t.test('a booking whose runner is still at work at the end of the grace gets a final answer', async (t) => {
+  const { host, agent } = await createScene(t, undefined)
+  const replies = sendAll(host, '/book/1', 'booking', agent)
+  await sleep(200)
+  await host.gateway.stop()
+  t.same((await replies).map(({ status }) => status), [504, 504, 504, 504])
+})
--- /dev/null
+++ b/packages/gateway/src/serve/open-requests.ts
@@ -0,0 +1,24 @@
+/** Requests without a final answer, which have to get one before the process ends. */
+
+export class OpenRequests {
+  readonly #ends = new Set<() => void>()
+
+  private constructor () {}
+
+  static create (): OpenRequests {
+    return new OpenRequests()
+  }
+
+  /** @param end gives the request its final answer @returns a function that removes it */
+  add (end: () => void): () => void {
+    this.#ends.add(end)
+    return () => this.#ends.delete(end)
+  }
+
+  /** @returns the number of requests that were open */
+  endAll (): number {
+    const ends = [...this.#ends]
+    for (const end of ends) end()
+    return ends.length
+  }
+}
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -79,7 +79,8 @@
   static serve (context: ServeContext, request: AcceptedRequest, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     const run = new RequestRun(context, request, response)
     run.#guard(() => run.#start(incoming))
-    return run.#finished
+    const stopWaiting = context.openRequests.add(() => run.#guard(() => run.#onProcessEnds()))
+    return run.#finished.finally(stopWaiting)
   }
 
   #start (incoming: IncomingMessage): void {
@@ -441,11 +442,22 @@
   /** The route's timeout or the caller's deadline has passed. */
   #onDeadline (): void {
     if (this.#ended) return
+    if (this.#takeBack()) return this.#giveUp(this.#failure(ResultCode.BackendTimeout, 'no answer within the time of the request'))
+    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no runner could be reached in time', retryDelayWhenMissing(this.context, this.request, this.#timeLeftMs())))
+  }
+
+  /** This process ends: the request gets its final answer before the connection of its caller is closed. */
+  #onProcessEnds (): void {
+    if (this.#ended) return
+    if (this.#takeBack()) return this.#giveUp(this.#failure(ResultCode.BackendTimeout, 'no answer before this host stopped'))
+    this.#giveUp(this.#failure(ResultCode.Draining, 'this host stopped before the request was sent to a runner', 0))
+  }
+
+  /** Takes the request back from its runners. @returns whether it may have run */
+  #takeBack (): boolean {
     const sent = this.#attempts.sentCount > 0
     this.#attempts.cancelAll()
-    const ran = sent || this.#budget.mayHaveRun
-    if (ran) return this.#giveUp(this.#failure(ResultCode.BackendTimeout, 'no answer within the time of the request'))
-    this.#giveUp(this.#failure(ResultCode.NoRunner, 'no runner could be reached in time', retryDelayWhenMissing(this.context, this.request, this.#timeLeftMs())))
+    return sent || this.#budget.mayHaveRun
   }
 
   #onCallerDisconnected (): void {
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -18,6 +18,7 @@
 import type { VersionHistory } from '../streams/version-history.js'
 import type { DemandMeter } from './demand-meter.js'
 import type { RequestMetrics } from './metrics.js'
+import type { OpenRequests } from './open-requests.js'
 import type { RouteDurations } from './route-durations.js'
 
 /** A request whose headers and body have been read and whose route is known. */
@@ -85,6 +86,7 @@
   budget: SharedBudget
   demand: DemandMeter
   durations: RouteDurations
+  openRequests: OpenRequests
   adapters: AdapterLoader
   loads: LoadForecast
   /** Delay of this process's event loop. */
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -30,6 +30,7 @@
 import type { RunnerEntry } from '../runners/types.js'
 import { DemandMeter } from '../serve/demand-meter.js'
 import { createRequestMetrics } from '../serve/metrics.js'
+import { OpenRequests } from '../serve/open-requests.js'
 import { RouteDurations } from '../serve/route-durations.js'
 import { serveRequest } from '../serve/serve-request.js'
 import { AdapterLoader, type ServeContext } from '../serve/types.js'
@@ -172,6 +173,7 @@
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
       durations: RouteDurations.create(),
+      openRequests: OpenRequests.create(),
       adapters: new NoAdapters(),
       loads: KnownLoads.create(() => expectedLoads),
       lag,
