Stopping hosts: a second request to stop waits for the first one

Cause: a stop during a stop resolved at once, and the program exits when stop has resolved.

Why it works: there is one stop, and every caller of it waits for that one.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -127,6 +127,7 @@
   #inFlight = 0
   #leaving = false
   #leavingSinceMs: number | undefined
+  #stopped: Promise<void> | undefined
   /** When the process ends at the latest; undefined as long as it isn't leaving. */
   #endMs: number | undefined
   #sweepTimer: Timer | undefined
@@ -275,9 +276,13 @@
     log.info('gateway started', { callerListener: settings.callerListener, peerListener: settings.peerListener, incarnation: this.#incarnation })
   }
 
-  /** Stops without cutting off answers in progress; resolves when the process may exit. */
-  async stop (): Promise<void> {
-    if (this.#leaving) return
+  /** Stops without cutting off answers in progress; resolves when the process may exit. Another call waits for the same end. */
+  stop (): Promise<void> {
+    this.#stopped ??= this.#stop()
+    return this.#stopped
+  }
+
+  async #stop (): Promise<void> {
     this.#leaving = true
     this.#leavingSinceMs = this.#nowMs()
     const { clock, log } = this.parts
--- a/packages/gateway/src/late-requests.test.ts
+++ b/packages/gateway/src/late-requests.test.ts
@@ -75,3 +75,16 @@
   await host.gateway.stop()
   t.same((await replies).map(({ status }) => status), [504, 504, 504, 504])
 })
+
+t.test('a second request to stop waits for the first one, and cuts nothing off', async (t) => {
+  const { host, agent } = await createScene(t, 1_000)
+  const replies = sendAll(host, '/book/1', 'booking', agent)
+  await sleep(100)
+  const first = host.gateway.stop()
+  let isOver = false
+  const second = host.gateway.stop().then(() => { isOver = true })
+  await sleep(100)
+  t.notOk(isOver)
+  t.same((await replies).map(({ status }) => status), [200, 200, 200, 200])
+  await Promise.all([first, second])
+})
