Placement: second copies at the versions of the streams in progress

Cause: the planner kept a second copy at the version at which new streams begin, by demand alone. Of the streams in progress at the other version it knew nothing until their callers came back, when a load of nine seconds is too late.

Why it works: hosts count their streams in progress by model and version, report them beside a release, and the planner values a second copy there by them: against other second copies by the number of streams, against a first or last copy up to the limit that held before. On the wire it is a new field in entries whose rates are 0, by which hosts of the release before plan nothing.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import { RunnerGates } from './gates/runner-gates.js'
 import { createCrashMetrics } from './crashes/crash-metrics.js'
 import { CrashMonitor } from './crashes/crash-monitor.js'
+import { OpenStreams } from './streams/open-streams.js'
 import { StreamOrigins } from './streams/stream-origins.js'
 import { VersionHistory } from './streams/version-history.js'
 import { PeerWitness } from './crashes/peer-witness.js'
@@ -123,6 +124,7 @@
   readonly #front: HttpServer
   readonly #sideListeners: SideListeners
   readonly #openRequests = OpenRequests.create()
+  readonly #openStreams = OpenStreams.create()
   #settings: GatewaySettings
   #inFlight = 0
   #leaving = false
@@ -507,6 +509,7 @@
       crashes: this.#crashes,
       versions: this.#versions,
       origins: this.#origins,
+      openStreams: this.#openStreams,
       connections: this.#connections,
       paths: this.#paths,
       passOn: this.#passOnClient,
@@ -593,7 +596,7 @@
       configVersion: this.#config.version,
       configReadAgoMs: this.parts.platform.watch.configReadAgoMs(),
       runnerUses: new Map(usedRunners.map(({ entry, inFlight }) => [entry.id, inFlight])),
-      demand: this.#demand.rates(this.#nowMs()),
+      demand: this.#ownDemand(),
       lease: { heldBySender: lease.held, fencingToken: lease.fencingToken, lastOrderAgoMs: lease.lastOrderAgoMs },
       expectedLoads: this.#expectedLoads(),
       limitReports: this.#limits.reports(),
@@ -603,7 +606,13 @@
   }
 
   #allDemand (): DemandRate[] {
-    return [...this.#demand.rates(this.#nowMs()), ...this.#usage.othersDemand()]
+    return [...this.#ownDemand(), ...this.#usage.othersDemand()]
+  }
+
+  /** Requests by model, and the streams of services with several versions of the software. */
+  #ownDemand (): DemandRate[] {
+    const streams = this.#openStreams.counts((service) => this.#versions.isMixed(service))
+    return [...this.#demand.rates(this.#nowMs()), ...streams.map((count) => ({ ...count, requestsPerS: 0, slowRequestsPerS: 0, holdMs: 0 }))]
   }
 
   #sweep (): void {
--- a/packages/gateway/src/members/report-messages.test.ts
+++ b/packages/gateway/src/members/report-messages.test.ts
@@ -26,7 +26,8 @@
   runnerUses: new Map([['runner', 3]]),
   demand: [
     { service: 's', model: 'm', adapter: undefined, softwareVersion: undefined, requestsPerS: 2, slowRequestsPerS: 1, holdMs: 900 },
-    { service: 's', model: 'm', adapter: undefined, softwareVersion: 'v1', requestsPerS: 2, slowRequestsPerS: 1, holdMs: 900 }
+    { service: 's', model: 'm', adapter: undefined, softwareVersion: 'v1', requestsPerS: 2, slowRequestsPerS: 1, holdMs: 900 },
+    { service: 's', model: 'm', adapter: undefined, softwareVersion: 'v2', openStreams: 4, requestsPerS: 0, slowRequestsPerS: 0, holdMs: 0 }
   ],
   expectedLoads: [{ service: 's', model: 'm', softwareVersion: 'v1', readyInMs: 100 }],
   lease: { heldBySender: true, fencingToken: 9, lastOrderAgoMs: 4 },
--- a/packages/gateway/src/members/report-messages.ts
+++ b/packages/gateway/src/members/report-messages.ts
@@ -133,8 +133,8 @@
   }
 }
 
-function toDemandRate ({ service, model, adapter, softwareVersion, requestsPerS, slowRequestsPerS, holdMs }: TargetDemand): DemandRate {
-  return { service, model, adapter: toOptional(adapter), softwareVersion: toOptional(softwareVersion), requestsPerS, slowRequestsPerS, holdMs }
+function toDemandRate ({ service, model, adapter, softwareVersion, openStreams, requestsPerS, slowRequestsPerS, holdMs }: TargetDemand): DemandRate {
+  return { service, model, adapter: toOptional(adapter), softwareVersion: toOptional(softwareVersion), openStreams: openStreams === 0 ? undefined : openStreams, requestsPerS, slowRequestsPerS, holdMs }
 }
 
 function toOptional (text: string): string | undefined {
--- a/packages/gateway/src/members/types.ts
+++ b/packages/gateway/src/members/types.ts
@@ -32,6 +32,8 @@
   adapter?: string
   /** Counts only callers that continue a stream of this version where no runner of it holds the model; absent for all requests. */
   softwareVersion?: string
+  /** Streams in progress that began at this version and can go on at it alone. The rates don't count them. */
+  openStreams?: number
   /** Average over the last second or so. */
   requestsPerS: number
   /** Average over several seconds. */
--- a/packages/gateway/src/members/usage-aggregator.ts
+++ b/packages/gateway/src/members/usage-aggregator.ts
@@ -96,6 +96,7 @@
     ...a,
     requestsPerS: a.requestsPerS + b.requestsPerS,
     slowRequestsPerS,
-    holdMs: a.holdMs + (b.holdMs - a.holdMs) * weight
+    holdMs: a.holdMs + (b.holdMs - a.holdMs) * weight,
+    openStreams: (a.openStreams ?? 0) + (b.openStreams ?? 0)
   }
 }
--- a/packages/gateway/src/orders/demand-forecast.test.ts
+++ b/packages/gateway/src/orders/demand-forecast.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap'
 import type { DemandRate } from '../members/types.js'
-import { forecastDemand, takeUpDemand } from './demand-forecast.js'
+import { forecastDemand, versionDemand } from './demand-forecast.js'
 
 function rate (model: string, requestsPerS: number, slowRequestsPerS: number, changes: Partial<DemandRate> = {}): DemandRate {
   return { service: 's', model, requestsPerS, slowRequestsPerS, holdMs: 2_000, ...changes }
@@ -37,5 +37,12 @@
 t.test('take-ups at a version are no demand of their own', async (t) => {
   const rates = [rate('a', 10, 10), rate('a', 3, 3, { softwareVersion: 'v1' })]
   t.same(forecastDemand(rates, 's').get('a'), { currentSlots: 20, forecastSlots: 20 })
-  t.same(takeUpDemand(rates, 's'), [{ model: 'a', softwareVersion: 'v1', slots: 6 }])
+  t.same(versionDemand(rates, 's'), [{ model: 'a', softwareVersion: 'v1', takeUpSlots: 6, openStreams: 0 }])
+})
+
+t.test('open streams of all hosts are summed, beside take-ups, and count as no requests', async (t) => {
+  const open = (openStreams: number) => ({ service: 's', model: 'a', softwareVersion: 'v1', openStreams, requestsPerS: 0, slowRequestsPerS: 0, holdMs: 0 })
+  const takeUps = { service: 's', model: 'a', softwareVersion: 'v1', requestsPerS: 3, slowRequestsPerS: 2, holdMs: 1_000 }
+  t.same(versionDemand([open(3), takeUps, open(4)], 's'), [{ model: 'a', softwareVersion: 'v1', takeUpSlots: 2, openStreams: 7 }])
+  t.equal(forecastDemand([open(3), takeUps], 's').size, 0)
 })
--- a/packages/gateway/src/orders/demand-forecast.ts
+++ b/packages/gateway/src/orders/demand-forecast.ts
@@ -3,13 +3,21 @@
  * model to another over several seconds, so its trend is extrapolated as far as it exceeds random variation. Pure.
  */
 import type { DemandRate } from '../members/types.js'
+import { mergeDemand } from '../members/usage-aggregator.js'
 import { FAST_MS, SLOW_MS } from '../serve/demand-meter.js'
 
 /** Slots that the requests for a model occupy at any moment: their rate times how long each one holds its slot. */
 export type ModelDemand = { currentSlots: number, forecastSlots: number }
 
-/** Slots that streams need at a version at which no runner holds their model. */
-export type TakeUpDemand = { model: string, softwareVersion: string, slots: number }
+/** Streams that can go on at one version alone. */
+export type VersionDemand = {
+  model: string
+  softwareVersion: string
+  /** Slots that callers need who continue streams there while no runner of the version holds the model. */
+  takeUpSlots: number
+  /** Streams in progress that began there. */
+  openStreams: number
+}
 
 type Rate = { model: string, fastPerS: number, slowPerS: number, holdMs: number }
 
@@ -34,11 +42,11 @@
   }))
 }
 
-/** Demand of callers that continue streams, over all hosts; over several seconds, as they come at once when a runner is lost. */
-export function takeUpDemand (rates: readonly DemandRate[], service: string): TakeUpDemand[] {
-  return rates.flatMap((rate) => {
-    if (rate.service !== service || rate.softwareVersion === undefined) return []
-    return [{ model: rate.model, softwareVersion: rate.softwareVersion, slots: rate.slowRequestsPerS * rate.holdMs / 1000 }]
+/** Demand of streams at versions, over all hosts; take-ups over several seconds, as they come at once when a runner is lost. */
+export function versionDemand (rates: readonly DemandRate[], service: string): VersionDemand[] {
+  return mergeDemand(rates).flatMap(({ model, softwareVersion, slowRequestsPerS, holdMs, openStreams = 0, ...rate }) => {
+    if (rate.service !== service || softwareVersion === undefined) return []
+    return [{ model, softwareVersion, takeUpSlots: slowRequestsPerS * holdMs / 1000, openStreams }]
   })
 }
 
--- a/packages/gateway/src/orders/order-dispatcher.ts
+++ b/packages/gateway/src/orders/order-dispatcher.ts
@@ -7,7 +7,7 @@
 import type { AdapterReply, AdapterRequest, DemandRate, ExpectedLoad } from '../members/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
 import { copyShareOf } from './copy-values.js'
-import { forecastDemand, takeUpDemand } from './demand-forecast.js'
+import { forecastDemand, versionDemand } from './demand-forecast.js'
 import { planAdapters, type AdapterLoad } from './plan-adapters.js'
 import { PlacementLog } from './placement-log.js'
 import { planModels, type PlannedOrder, type PlannedRunner } from './plan-models.js'
@@ -202,7 +202,7 @@
       storeLoads: this.#loadLimiter.available(engine.loadsPerS, nowMs),
       maxLoads: this.#loadFailures.maxLoads(new Set(runners.flatMap(({ loading }) => loading ?? [])), nowMs),
       isMixed: this.parts.isMixed(name),
-      takeUps: takeUpDemand(rates, name)
+      versionDemand: versionDemand(rates, name)
     })
     for (const order of plan) this.#enqueueModelOrder(order)
     const taken = known.reduce((sum, state) => sum + this.parts.runners.totalInFlight(state), 0)
--- a/packages/gateway/src/orders/plan-models.test.ts
+++ b/packages/gateway/src/orders/plan-models.test.ts
@@ -117,11 +117,11 @@
 t.test('a model that callers continue streams of is loaded first at the version that began them', async (t) => {
   const runners = [versioned('r1', 'v2', ['a']), versioned('r2', 'v1', ['b']), versioned('r3', 'v2', [])]
   const demand = steadyDemand({ a: 2, b: 2, c: 1 })
-  const takeUps = [{ model: 'a', softwareVersion: 'v1', slots: 6 }]
-  t.match(plan({ runners, demand, takeUps, isMixed: true })[0], { runnerId: 'r2', kind: 'load', model: 'a' })
-  t.notOk(plan({ runners, demand, takeUps }).some(({ model }) => model === 'a'))
+  const versionDemand = [{ model: 'a', softwareVersion: 'v1', takeUpSlots: 6, openStreams: 0 }]
+  t.match(plan({ runners, demand, versionDemand, isMixed: true })[0], { runnerId: 'r2', kind: 'load', model: 'a' })
+  t.notOk(plan({ runners, demand, versionDemand }).some(({ model }) => model === 'a'))
   const loading = [runner('r2', ['b'], { softwareVersion: 'v1', loading: 'a', busy: true }), versioned('r4', 'v1', ['b'])]
-  t.notOk(plan({ runners: loading, demand, takeUps, isMixed: true }).some(({ model }) => model === 'a'))
+  t.notOk(plan({ runners: loading, demand, versionDemand, isMixed: true }).some(({ model }) => model === 'a'))
 })
 
 t.test('a model without a copy is loaded at either version while no runner of the larger one is free', async (t) => {
@@ -137,3 +137,17 @@
   const unloaded = plan({ runners, demand: steadyDemand({ a: 10, b: 4, c: 4, d: 8 }), isMixed: true }).filter(({ kind }) => kind === 'unload')
   t.notOk(unloaded.some(({ model }) => model === 'a'))
 })
+
+t.test('a model whose open streams have one copy at their version gets a second one there, in place of one with fewer streams', async (t) => {
+  const runners = [versioned('r1', 'v1', ['a']), ...['r2', 'r3'].map((id) => versioned(id, 'v1', ['b', 'c', 'd'])), ...['r4', 'r5'].map((id) => versioned(id, 'v2', ['a', 'b', 'c']))]
+  const demand = steadyDemand({ a: 8, b: 5, c: 5, d: 5 })
+  const versionDemand = [{ model: 'a', softwareVersion: 'v1', takeUpSlots: 0, openStreams: 16 }, { model: 'd', softwareVersion: 'v1', takeUpSlots: 0, openStreams: 5 }]
+  t.match(plan({ runners, demand, versionDemand, isMixed: true }), [{ runnerId: /r2|r3/, kind: 'unload' }])
+  t.same(plan({ runners, demand, isMixed: true }), [])
+})
+
+t.test('a second copy for open streams does not displace the only copy of a model that is requested', async (t) => {
+  const runners = [versioned('r1', 'v1', ['a']), versioned('r2', 'v1', ['b', 'c', 'd']), versioned('r3', 'v2', [])]
+  const versionDemand = [{ model: 'a', softwareVersion: 'v1', takeUpSlots: 0, openStreams: 30 }]
+  t.same(plan({ runners, demand: steadyDemand({ a: 20, b: 0.5, c: 0.5, d: 0.5 }), versionDemand, isMixed: true, storeLoads: 0 }), [])
+})
--- a/packages/gateway/src/orders/plan-models.ts
+++ b/packages/gateway/src/orders/plan-models.ts
@@ -5,9 +5,9 @@
  */
 import type { EngineSpec, ModelSpec } from '../config/types.js'
 import { CopyValues } from './copy-values.js'
-import type { ModelDemand, TakeUpDemand } from './demand-forecast.js'
+import type { ModelDemand, VersionDemand } from './demand-forecast.js'
 import { OrderKind, type OrderTarget } from './types.js'
-import { VersionCopies } from './version-copies.js'
+import { MAX_SECOND_COPY_SLOTS, VersionCopies } from './version-copies.js'
 
 /** State of a runner that the plan depends on. */
 export type PlannedRunner = {
@@ -39,8 +39,8 @@
   maxLoads?: ReadonlyMap<string, number>
   /** Several versions of the runners' software may have streams, each of which goes on only at its own. */
   isMixed?: boolean
-  /** Streams that callers continue at versions at which no runner holds their model. */
-  takeUps?: readonly TakeUpDemand[]
+  /** Streams that can go on at one version alone. */
+  versionDemand?: readonly VersionDemand[]
 }
 
 export type PlannedOrder = OrderTarget & { runnerId: string, fromStore: boolean }
@@ -80,7 +80,7 @@
     this.#storeLoads = input.storeLoads
     this.#loadsLeft = new Map(input.maxLoads)
     this.#values = CopyValues.create(input.engine, input.demand, input.missingMs)
-    this.#versions = input.isMixed === true ? VersionCopies.create(input.runners, input.demand, input.takeUps) : VersionCopies.none()
+    this.#versions = input.isMixed === true ? VersionCopies.create(input.runners, input.demand, input.versionDemand) : VersionCopies.none()
     for (const runner of input.runners) {
       this.#held.set(runner.id, new Set(copiesOf(runner)))
       for (const model of copiesOf(runner)) this.#values.addCopies(model, runner.copyShare)
@@ -137,12 +137,24 @@
     const loadMs = fromStore ? model.loadMs : model.diskLoadMs
     if (this.#fits(runner, model)) return [{ model, runner, fromStore, netSlots: gain * timeliness(loadMs) + versionGain }]
     return runner.models.filter((victim) => !this.#victims.has(victim)).map((victim) => {
-      const loss = this.#values.loss(victim, runner.copyShare) + this.#versions.loss(victim, runner.softwareVersion)
-      const netSlots = gain * timeliness(loadMs + this.#unloadMs(victim)) + versionGain - loss
+      const laterGain = gain * timeliness(loadMs + this.#unloadMs(victim))
+      const netSlots = laterGain + this.#netOfVersions(runner, versionGain, victim) - this.#lossOf(victim, runner)
       return { model, runner, victim, fromStore, netSlots }
     })
   }
 
+  #lossOf (victim: string, { copyShare, softwareVersion }: PlannedRunner): number {
+    return this.#values.loss(victim, copyShare) + this.#versions.takeUpLoss(victim, softwareVersion)
+  }
+
+  /** Second copies are weighed against each other by their streams; against the last copy of a model, or a first one, up to a limit. */
+  #netOfVersions ({ copyShare, softwareVersion }: PlannedRunner, versionGain: number, victim: string): number {
+    const loss = this.#versions.loss(victim, softwareVersion)
+    const isLastCopy = this.#values.copies(victim) <= copyShare
+    if (versionGain > 0 && !isLastCopy) return versionGain - loss
+    return Math.min(MAX_SECOND_COPY_SLOTS, versionGain) - Math.min(MAX_SECOND_COPY_SLOTS, loss)
+  }
+
   #mayLoad (model: string): boolean {
     return (this.#loadsLeft.get(model) ?? Infinity) > 0
   }
@@ -185,11 +197,15 @@
     return UNLOAD_MS + Math.min(MAX_DRAIN_MS, this.#values.slotsPerCopy(victim) * UNLOAD_MS_PER_SLOT)
   }
 
+  #freeRunners (model: ModelSpec): PlannedRunner[] {
+    return this.input.runners.filter((runner) => !runner.busy && !this.#orderedRunners.has(runner.id) && this.#fits(runner, model))
+  }
+
   /** Loads models without a copy into memory that is left over, without unloading any. */
   #fillFreeMemory (): void {
     for (const model of this.input.engine.models.values()) {
       if (this.#values.copies(model.name) > 0 || !this.#mayLoad(model.name)) continue
-      const free = this.input.runners.filter((runner) => !runner.busy && !this.#orderedRunners.has(runner.id) && this.#fits(runner, model))
+      const free = this.#freeRunners(model)
       const target = free.find(({ localWeights }) => localWeights.includes(model.name)) ?? free[0]
       if (target !== undefined) this.#loadInto(target, model)
     }
--- a/packages/gateway/src/orders/testing/placement-replay.ts
+++ b/packages/gateway/src/orders/testing/placement-replay.ts
@@ -4,7 +4,7 @@
  */
 import type { EngineSpec, ModelSpec } from '../../config/types.js'
 import { DemandMeter } from '../../serve/demand-meter.js'
-import { forecastDemand } from '../demand-forecast.js'
+import { forecastDemand, type VersionDemand } from '../demand-forecast.js'
 import { LoadRateLimiter } from '../load-rate-limiter.js'
 import { MissingCopies } from '../missing-copies.js'
 import type { PlannedOrder, PlannedRunner, PlanInput } from '../plan-models.js'
@@ -30,6 +30,8 @@
   shiftLengthMs: number
   /** Runners that are started again, empty, at another version, one after another. */
   release?: ReplayRelease
+  /** Times, after the first request, at which a part of the runners ends; they start again empty at their version. */
+  crashes?: { atMs: readonly number[], share: number, restartMs: number }
 }
 
 export type ReplayRelease = {
@@ -55,6 +57,8 @@
   atRiskModels: ReadonlySet<string>
   /** Part of the streams that were at the only holder of their version then, on average. */
   atRiskShare: number
+  /** Part of the streams at ended runners that went on at a runner of their version, while two of it served. */
+  goOnShare: number
 }
 
 export type Planner = (input: PlanInput) => PlannedOrder[]
@@ -77,6 +81,8 @@
 const MAX_MODELS_ON_DISK = 6
 /** More than chance brings to a model that is seldom requested. */
 const AT_RISK_STREAMS = 8
+/** Time for which callers wait for a stream to go on. */
+const TAKE_UP_WAIT_MS = 2_400
 const OLD_VERSION = 'v1'
 const NEW_VERSION = 'v2'
 
@@ -92,6 +98,8 @@
   pending?: { kind: OrderKind, model: string, doneMs: number, visibleMs: number }
 }
 
+type BrokenStream = { model: string, softwareVersion: string, untilMs: number }
+
 type Departure = { atMs: number, runner: Runner, model: string }
 
 export function replayPlacement (spec: ReplaySpec, planner: Planner): ReplayResult {
@@ -111,6 +119,9 @@
   #departures: Departure[] = []
   #retries: { atMs: number, model: string }[] = []
   readonly #atRiskModels = new Set<string>()
+  #broken: BrokenStream[] = []
+  #goneOn = 0
+  #lost = 0
   #atRisk = 0
   #counted = 0
   #loads = 0
@@ -131,6 +142,8 @@
       this.#finishOrders()
       this.#depart()
       this.#release()
+      this.#crash()
+      this.#takeUp()
       if (this.#nowMs >= WARM_UP_MS) this.#arrive()
       this.#retryRefused()
       if (this.#nowMs % PLANNING_INTERVAL_MS === 0) this.#plan()
@@ -152,7 +165,7 @@
       late += lateCount
       if (count >= MIN_REQUESTS && servedCount + lateCount === 0) neverServed += 1
     }
-    return { servedShare: served / requested, lateShare: late / requested, neverServed, loads: this.#loads, atRiskModels: this.#atRiskModels, atRiskShare: this.#atRisk / Math.max(1, this.#counted) }
+    return { servedShare: served / requested, lateShare: late / requested, neverServed, loads: this.#loads, atRiskModels: this.#atRiskModels, atRiskShare: this.#atRisk / Math.max(1, this.#counted), goOnShare: this.#goneOn / Math.max(1, this.#goneOn + this.#lost) }
   }
 
   #arrive (): void {
@@ -184,11 +197,15 @@
     this.#meter.count(SERVICE, model, undefined, this.#nowMs)
     const runner = this.#leastLoaded(model)
     if (runner === undefined) return false
+    this.#occupy(runner, model)
+    return true
+  }
+
+  #occupy (runner: Runner, model: string): void {
     runner.inFlight += 1
     add(runner.modelInFlight, model, 1)
     const holdMs = this.spec.holdMs * -Math.log(1 - this.#random())
     this.#departures.push({ atMs: this.#nowMs + holdMs, runner, model })
-    return true
   }
 
   #leastLoaded (model: string): Runner | undefined {
@@ -226,6 +243,48 @@
     Object.assign(runner, createRunner(runner.id, NEW_VERSION), { disk: runner.disk, downUntilMs: this.#nowMs + release.restartMs })
   }
 
+  /** A part of the runners that serve ends at once, and starts again without models. */
+  #crash (): void {
+    const { crashes } = this.spec
+    if (crashes === undefined || !crashes.atMs.includes(this.#nowMs - WARM_UP_MS)) return
+    const serving = this.#runners.filter(({ downUntilMs }) => downUntilMs <= this.#nowMs)
+    const ended = new Set(serving.filter(() => this.#random() < crashes.share))
+    for (const { runner, model } of this.#departures) {
+      const { softwareVersion } = runner
+      const left = serving.filter((other) => !ended.has(other) && other.softwareVersion === softwareVersion).length
+      if (ended.has(runner) && left > 1) this.#broken.push({ model, softwareVersion, untilMs: this.#nowMs + TAKE_UP_WAIT_MS })
+    }
+    this.#departures = this.#departures.filter(({ runner }) => !ended.has(runner))
+    for (const runner of ended) Object.assign(runner, createRunner(runner.id, runner.softwareVersion), { disk: runner.disk, downUntilMs: this.#nowMs + crashes.restartMs })
+  }
+
+  /** Callers continue broken streams at runners of the same version, which take a few more than new ones. */
+  #takeUp (): void {
+    const limit = this.spec.slots * UTILIZATION_LIMIT
+    this.#broken = this.#broken.filter(({ model, softwareVersion, untilMs }) => {
+      const [runner] = this.#holders(model).filter((holder) => holder.softwareVersion === softwareVersion && holder.inFlight < limit)
+      if (runner === undefined && this.#nowMs < untilMs) return true
+      if (runner === undefined) this.#lost += 1
+      else this.#goneOn += 1
+      if (runner !== undefined) this.#occupy(runner, model)
+      return false
+    })
+  }
+
+  /** Streams in progress by model and version, and those that are broken. */
+  #versionDemand (): VersionDemand[] {
+    const counts = new Map<string, VersionDemand>()
+    const countOf = (model: string, softwareVersion: string) => {
+      const key = `${model} ${softwareVersion}`
+      const count = counts.get(key) ?? { model, softwareVersion, takeUpSlots: 0, openStreams: 0 }
+      counts.set(key, count)
+      return count
+    }
+    for (const { runner, model } of this.#departures) countOf(model, runner.softwareVersion).openStreams += 1
+    for (const { model, softwareVersion } of this.#broken) countOf(model, softwareVersion).takeUpSlots += 1
+    return [...counts.values()]
+  }
+
   #isSettled (): boolean {
     const { release } = this.spec
     return release !== undefined && this.#nowMs >= WARM_UP_MS + release.startMs + release.runners * release.intervalMs + release.restartMs + release.settleMs
@@ -276,7 +335,7 @@
     const demand = forecastDemand(this.#meter.rates(this.#nowMs), SERVICE)
     const missingMs = this.#missingCopies.update(SERVICE, demand, runners, this.#nowMs)
     const storeLoads = this.#loadLimiter.available(this.spec.loadsPerS, this.#nowMs)
-    const orders = this.planner({ engine: this.#engine, runners, demand, missingMs, storeLoads, isMixed: this.#isMixed() })
+    const orders = this.planner({ engine: this.#engine, runners, demand, missingMs, storeLoads, isMixed: this.#isMixed(), versionDemand: this.#versionDemand() })
     for (const order of orders) this.#carryOut(order)
   }
 
--- a/packages/gateway/src/orders/version-copies.ts
+++ b/packages/gateway/src/orders/version-copies.ts
@@ -3,15 +3,15 @@
  * stream goes on only at the version that began it, so a model in demand needs two copies at one version. Pure; values are in slots.
  */
 import { FIRST_COPY_SLOTS, FULL_FIRST_COPY_DEMAND_SLOTS } from './copy-values.js'
-import type { ModelDemand, TakeUpDemand } from './demand-forecast.js'
+import type { ModelDemand, VersionDemand } from './demand-forecast.js'
 
 /** A runner's version, with the models that it holds or loads. */
 export type VersionedRunner = { softwareVersion?: string, models: readonly string[], loading?: string }
 
 /** Part of the streams at the only copy of a model that count for a second one: a runner is lost now and then, not always. */
 const AT_RISK_SHARE = 0.3
-/** Less than the last copy of a model that is requested now and then is worth. */
-const MAX_SECOND_COPY_SLOTS = 2.5
+/** Limit of a second copy's value against the last copy of a model that is requested now and then, which is worth a little more. */
+export const MAX_SECOND_COPY_SLOTS = 2.5
 /** From this demand on, a second copy is worth the unload of a model that nobody requests. */
 export const MIN_SECOND_COPY_DEMAND_SLOTS = 4
 /** Models with a second copy at one version, the most requested first: one for this many runners. */
@@ -29,13 +29,22 @@
   resident: Map<string, number>
 }
 
-/** Streams that callers continue at a version, in slots, and copies of their model there. */
-type TakeUps = { slots: number, copies: number }
+/** Streams that can go on at one version alone. */
+type VersionStreams = {
+  /** Slots that callers need who continue them while no runner of the version holds their model. */
+  takeUpSlots: number
+  /** Those in progress, if they are enough for a second copy; 0 otherwise. */
+  atRisk: number
+  /** Of their model at the version, with those that are being loaded. */
+  copies: number
+  /** Those that serve. */
+  resident: number
+}
 
 export class VersionCopies {
   readonly #protected = new Map<string, Protected>()
-  /** By model and version, where callers continue streams that no runner of the version could serve. */
-  readonly #takeUps = new Map<string, Map<string, TakeUps>>()
+  /** By model and version. */
+  readonly #streams = new Map<string, Map<string, VersionStreams>>()
 
   private constructor () {}
 
@@ -45,7 +54,7 @@
   }
 
   /** @param runners those that stay: runners that drain or leave take no streams */
-  static create (runners: readonly VersionedRunner[], demand: ReadonlyMap<string, ModelDemand>, takeUps: readonly TakeUpDemand[] = []): VersionCopies {
+  static create (runners: readonly VersionedRunner[], demand: ReadonlyMap<string, ModelDemand>, streams: readonly VersionDemand[] = []): VersionCopies {
     const copies = new VersionCopies()
     const maxModels = Math.ceil(runners.length / RUNNERS_PER_SECOND_COPY)
     const requested = [...demand].map(([model, { currentSlots, forecastSlots }]) => ({ model, slots: Math.max(currentSlots, forecastSlots) }))
@@ -57,20 +66,23 @@
       const preferredVersion = preferVersion(held, sizes)
       if (preferredVersion !== undefined) copies.#protected.set(model, { slots, preferredVersion, copies: held, resident })
     }
-    for (const takeUp of takeUps) copies.#addTakeUp(takeUp, runners)
+    const mostStreams = streams.filter(({ openStreams }) => openStreams >= MIN_SECOND_COPY_DEMAND_SLOTS).sort((a, b) => b.openStreams - a.openStreams).slice(0, maxModels)
+    for (const demand of streams) copies.#addStreams(demand, mostStreams.includes(demand), runners)
     return copies
   }
 
-  #addTakeUp ({ model, softwareVersion, slots }: TakeUpDemand, runners: readonly VersionedRunner[]): void {
-    const versions = this.#takeUps.get(model) ?? new Map<string, TakeUps>()
-    this.#takeUps.set(model, versions)
-    const copies = holdersOf(model, runners).filter((runner) => runner.softwareVersion === softwareVersion).length
-    versions.set(softwareVersion, { slots: (versions.get(softwareVersion)?.slots ?? 0) + slots, copies })
+  #addStreams ({ model, softwareVersion, takeUpSlots, openStreams }: VersionDemand, isProtected: boolean, runners: readonly VersionedRunner[]): void {
+    const versions = this.#streams.get(model) ?? new Map<string, VersionStreams>()
+    this.#streams.set(model, versions)
+    const holders = holdersOf(model, runners).filter((runner) => runner.softwareVersion === softwareVersion)
+    const resident = holders.filter(({ models }) => models.includes(model)).length
+    versions.set(softwareVersion, { takeUpSlots, atRisk: isProtected ? openStreams : 0, copies: holders.length, resident })
   }
 
   addCopies (model: string, softwareVersion: string | undefined, count: number): void {
-    const takeUps = this.#takeUpsOf(model, softwareVersion)
-    if (takeUps !== undefined) takeUps.copies += count
+    const streams = this.#streamsOf(model, softwareVersion)
+    if (streams !== undefined) streams.copies += count
+    if (streams !== undefined && count < 0) streams.resident += count
     const known = this.#protected.get(model)
     if (known === undefined || softwareVersion === undefined) return
     known.copies.set(softwareVersion, (known.copies.get(softwareVersion) ?? 0) + count)
@@ -79,22 +91,29 @@
 
   /** Whether one more copy at some version would let its streams go on when a runner is lost. */
   isShort (model: string): boolean {
-    const lacksTakeUps = [...this.#takeUps.get(model)?.keys() ?? []].some((softwareVersion) => this.takeUpGain(model, softwareVersion) > 0)
-    return lacksTakeUps || this.gain(model, this.#protected.get(model)?.preferredVersion) > 0
+    const lacksCopies = (softwareVersion: string) => this.takeUpGain(model, softwareVersion) > 0 || this.gain(model, softwareVersion) > 0
+    return [...this.#streams.get(model)?.keys() ?? []].some(lacksCopies) || this.gain(model, this.#protected.get(model)?.preferredVersion) > 0
   }
 
   /** Value that the first copy at this version has for streams that callers continue: nothing else can serve them. */
   takeUpGain (model: string, softwareVersion: string | undefined): number {
-    const takeUps = this.#takeUpsOf(model, softwareVersion)
-    return takeUps === undefined || takeUps.copies > 0 ? 0 : takeUpSlots(takeUps.slots)
+    const streams = this.#streamsOf(model, softwareVersion)
+    return streams === undefined || streams.copies > 0 ? 0 : takeUpValue(streams.takeUpSlots)
   }
 
-  #takeUpsOf (model: string, softwareVersion: string | undefined): TakeUps | undefined {
-    return softwareVersion === undefined ? undefined : this.#takeUps.get(model)?.get(softwareVersion)
+  #streamsOf (model: string, softwareVersion: string | undefined): VersionStreams | undefined {
+    return softwareVersion === undefined ? undefined : this.#streams.get(model)?.get(softwareVersion)
   }
 
   /** Value that one more copy adds at this version; negative where streams would begin at it that go on nowhere else. */
   gain (model: string, softwareVersion: string | undefined): number {
+    const streams = this.#streamsOf(model, softwareVersion)
+    const openGain = streams?.copies === ENOUGH_COPIES - 1 ? secondCopySlots(streams.atRisk) : 0
+    const newGain = this.#gainOfNewStreams(model, softwareVersion)
+    return openGain > 0 ? Math.max(openGain, newGain) : newGain
+  }
+
+  #gainOfNewStreams (model: string, softwareVersion: string | undefined): number {
     const known = this.#protected.get(model)
     if (known === undefined || softwareVersion === undefined) return 0
     const held = known.copies.get(softwareVersion) ?? 0
@@ -102,25 +121,35 @@
     if (total === 0) return 0
     if (softwareVersion !== known.preferredVersion) return held === 0 ? -AT_RISK_SHARE * known.slots / (total + 1) : 0
     if (held >= ENOUGH_COPIES) return 0
-    return secondCopySlots(known.slots) * (held + 1) / ENOUGH_COPIES
+    return Math.min(MAX_SECOND_COPY_SLOTS, secondCopySlots(known.slots)) * (held + 1) / ENOUGH_COPIES
   }
 
-  /** Value that is lost with one copy at this version. */
+  /** Value that the only copy at this version has for streams that callers continue. */
+  takeUpLoss (model: string, softwareVersion: string | undefined): number {
+    const streams = this.#streamsOf(model, softwareVersion)
+    return streams?.copies === 1 ? takeUpValue(streams.takeUpSlots) : 0
+  }
+
+  /** Value that a second copy at this version has, as the streams there can go on with it. */
   loss (model: string, softwareVersion: string | undefined): number {
-    const takeUps = this.#takeUpsOf(model, softwareVersion)
-    if (takeUps?.copies === 1) return takeUpSlots(takeUps.slots)
+    const streams = this.#streamsOf(model, softwareVersion)
+    const openLoss = streams?.resident === ENOUGH_COPIES ? secondCopySlots(streams.atRisk) : 0
+    return Math.max(openLoss, this.#lossOfNewStreams(model, softwareVersion))
+  }
+
+  #lossOfNewStreams (model: string, softwareVersion: string | undefined): number {
     const known = this.#protected.get(model)
     if (known === undefined || softwareVersion === undefined || known.resident.get(softwareVersion) !== ENOUGH_COPIES) return 0
     const share = softwareVersion === known.preferredVersion ? 1 : ENOUGH_COPIES / sumOf(known.resident)
-    return secondCopySlots(known.slots * share)
+    return Math.min(MAX_SECOND_COPY_SLOTS, secondCopySlots(known.slots * share))
   }
 }
 
 function secondCopySlots (demandSlots: number): number {
-  return Math.min(MAX_SECOND_COPY_SLOTS, demandSlots * AT_RISK_SHARE)
+  return demandSlots * AT_RISK_SHARE
 }
 
-function takeUpSlots (demandSlots: number): number {
+function takeUpValue (demandSlots: number): number {
   return demandSlots + FIRST_COPY_SLOTS * Math.min(1, demandSlots / FULL_FIRST_COPY_DEMAND_SLOTS)
 }
 
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -507,6 +507,7 @@
     this.#loadPollTimer?.cancel()
     this.#stallDetector?.stop()
     this.#requestGuard.end()
+    this.#continuity.onEnded()
     reportEnd(this.context, this.request, this.#log, { result, reason, attempts: this.#attemptCount, runs: this.#budget.progress.possibleRuns, firstByteMs: this.#firstByteMs })
     this.#resolveFinished()
   }
--- a/packages/gateway/src/serve/stream-continuity.ts
+++ b/packages/gateway/src/serve/stream-continuity.ts
@@ -23,6 +23,9 @@
   /** The runner that was listed when the first event came. */
   #begun: { runner: RunnerEntry, atUnixMs: number } | undefined
 
+  /** Removes the stream from those that are in progress, while it is one of them. */
+  #removeOpen: (() => void) | undefined
+
   private constructor (private readonly context: ServeContext, private readonly request: AcceptedRequest) {
     this.#streamId = this.isTakeUp ? request.facts.continuesRequestId ?? '' : request.id
     if (this.#isResumable) context.versions.onStream(request.service.name)
@@ -93,11 +96,26 @@
 
   /** Events of the stream were written to the caller. */
   onEvents ({ entry }: RunnerState): void {
-    if (!this.#isResumable || this.#softwareVersion !== undefined) return
+    if (!this.#isResumable) return
+    this.#countOpen(entry)
+    if (this.#softwareVersion !== undefined) return
     this.#begun = { runner: entry, atUnixMs: this.context.clock.now().getTime() }
     this.#adopt(entry.softwareVersion ?? UNSTATED_VERSION, KnownBy.ThisAnswer)
   }
 
+  /** The stream is no longer in progress. */
+  onEnded (): void {
+    this.#removeOpen?.()
+    this.#removeOpen = undefined
+  }
+
+  /** The planner of loads learns how many streams a model has at a version. */
+  #countOpen ({ softwareVersion }: RunnerEntry): void {
+    const { service, facts: { model } } = this.request
+    if (model === undefined || softwareVersion === undefined || this.#removeOpen !== undefined) return
+    this.#removeOpen = this.context.openStreams.add(service.name, model, softwareVersion)
+  }
+
   onComplete (): void {
     if (this.#isResumable) this.context.origins.onComplete(this.#streamId)
   }
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -14,6 +14,7 @@
 import type { RunnerPaths } from '../paths/types.js'
 import type { SharedBudget } from '../retry/shared-budget.js'
 import type { RunnerTable } from '../runners/runner-table.js'
+import type { OpenStreams } from '../streams/open-streams.js'
 import type { StreamOrigins } from '../streams/stream-origins.js'
 import type { VersionHistory } from '../streams/version-history.js'
 import type { DemandMeter } from './demand-meter.js'
@@ -80,6 +81,7 @@
   crashes: CrashMonitor
   versions: VersionHistory
   origins: StreamOrigins
+  openStreams: OpenStreams
   connections: RunnerConnections
   paths: RunnerPaths
   passOn: PassOnClient
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -34,6 +34,7 @@
 import { RouteDurations } from '../serve/route-durations.js'
 import { serveRequest } from '../serve/serve-request.js'
 import { AdapterLoader, type ServeContext } from '../serve/types.js'
+import { OpenStreams } from '../streams/open-streams.js'
 import { StreamOrigins } from '../streams/stream-origins.js'
 import { VersionHistory } from '../streams/version-history.js'
 import { MemoryCrashLog } from './memory-crash-log.js'
@@ -166,6 +167,7 @@
       closures: RunnerGates.create({ clock, instants, log: silentLogger, metrics: createGateMetrics(new Registry()), host: 'host', limits, leaving }),
       crashes: createCrashMonitor(clock, instants, runners),
       versions: history,
+      openStreams: OpenStreams.create(),
       origins: StreamOrigins.create({ clock, log: silentLogger, history, streamLog, hostCount: () => 1 }),
       connections: RunnerConnections.create((runnerId, reason) => overlong.push(`${runnerId}: ${reason}`)),
       paths: DirectPaths.create(),
