Placement: beside a release, no loads that nobody asks for

Cause: free memory was filled with models that nobody asks for. Beside a release runners come up empty and take such a load of nine seconds each, just as the other version's runners, and their copies of the models in demand, go.

Evidence: orders/plan-models, the new test failed before (the load was ordered).

Why it works: a runner that comes up empty gets a model in demand of which its version lacks two copies, at once; other free memory waits for demand while versions serve side by side. Without a release nothing changes.

--- a/packages/gateway/src/orders/copy-values.ts
+++ b/packages/gateway/src/orders/copy-values.ts
@@ -64,11 +64,16 @@
   loss (model: string, share = 1): number {
     const copies = this.copies(model)
     const remaining = copies - share < MIN_SHARE ? 0 : copies - share
-    const demandSlots = Math.max(this.#forecastSlots(model), this.#demandFor(model).currentSlots)
+    const demandSlots = this.demandSlots(model)
     const last = remaining === 0 ? LAST_COPY_SLOTS : 0
     return last + this.#value(model, demandSlots, copies) - this.#value(model, demandSlots, remaining)
   }
 
+  /** The greater one of present and expected demand. */
+  demandSlots (model: string): number {
+    return Math.max(this.#forecastSlots(model), this.#demandFor(model).currentSlots)
+  }
+
   /** Slots of demand per copy of a model. */
   slotsPerCopy (model: string): number {
     return this.#forecastSlots(model) / Math.max(1, this.copies(model))
--- a/packages/gateway/src/orders/plan-models.test.ts
+++ b/packages/gateway/src/orders/plan-models.test.ts
@@ -151,3 +151,9 @@
   const versionDemand = [{ model: 'a', softwareVersion: 'v1', takeUpSlots: 0, openStreams: 30 }]
   t.same(plan({ runners, demand: steadyDemand({ a: 20, b: 0.5, c: 0.5, d: 0.5 }), versionDemand, isMixed: true, storeLoads: 0 }), [])
 })
+
+t.test('beside a release, free memory is not filled with models that nobody asks for', async (t) => {
+  const runners = [versioned('r1', 'v1', ['a', 'b', 'c']), versioned('r2', 'v2', [])]
+  t.match(plan({ runners, demand: steadyDemand({ a: 3 }) }), [{ runnerId: 'r2', kind: 'load', model: 'd' }])
+  t.same(plan({ runners, demand: steadyDemand({ a: 3 }), isMixed: true }), [])
+})
--- a/packages/gateway/src/orders/plan-models.ts
+++ b/packages/gateway/src/orders/plan-models.ts
@@ -7,7 +7,7 @@
 import { CopyValues } from './copy-values.js'
 import type { ModelDemand, VersionDemand } from './demand-forecast.js'
 import { OrderKind, type OrderTarget } from './types.js'
-import { MAX_SECOND_COPY_SLOTS, VersionCopies } from './version-copies.js'
+import { ENOUGH_COPIES, MAX_SECOND_COPY_SLOTS, MIN_SECOND_COPY_DEMAND_SLOTS, VersionCopies } from './version-copies.js'
 
 /** State of a runner that the plan depends on. */
 export type PlannedRunner = {
@@ -94,7 +94,8 @@
   run (): PlannedOrder[] {
     this.#reserveMemoryBeingFreed()
     for (let best = this.#bestOption(); best !== undefined; best = this.#bestOption()) this.#apply(best)
-    if (this.#orders.length === 0) this.#fillFreeMemory()
+    if (this.input.isMixed === true) this.#fillEmptyRunners()
+    else if (this.#orders.length === 0) this.#fillFreeMemory()
     return this.#orders
   }
 
@@ -197,11 +198,30 @@
     return UNLOAD_MS + Math.min(MAX_DRAIN_MS, this.#values.slotsPerCopy(victim) * UNLOAD_MS_PER_SLOT)
   }
 
+  /** A runner that comes up at a version gets a model in demand at once: it takes part of the demand when the other version's are gone. */
+  #fillEmptyRunners (): void {
+    const requested = [...this.input.engine.models.values()].filter(({ name }) => this.#values.demandSlots(name) >= MIN_SECOND_COPY_DEMAND_SLOTS)
+    const mostRequested = requested.sort((a, b) => this.#values.demandSlots(b.name) - this.#values.demandSlots(a.name))
+    for (const runner of this.input.runners) {
+      if (copiesOf(runner).length > 0 || runner.busy || this.#orderedRunners.has(runner.id)) continue
+      const copies = ({ name }: ModelSpec) => this.#copiesAt(name, runner.softwareVersion)
+      const [model] = mostRequested.filter((candidate) => copies(candidate) < ENOUGH_COPIES && this.#mayLoad(candidate.name)).sort((a, b) => copies(b) - copies(a))
+      if (model !== undefined) this.#loadInto(runner, model)
+    }
+  }
+
+  #copiesAt (model: string, softwareVersion: string | undefined): number {
+    return this.input.runners.filter((runner) => runner.softwareVersion === softwareVersion && this.#holds(runner, model)).length
+  }
+
   #freeRunners (model: ModelSpec): PlannedRunner[] {
     return this.input.runners.filter((runner) => !runner.busy && !this.#orderedRunners.has(runner.id) && this.#fits(runner, model))
   }
 
-  /** Loads models without a copy into memory that is left over, without unloading any. */
+  /**
+   * Loads models without a copy into memory that is left over, without unloading any. Not beside a release: a load that nobody asks
+   * for keeps its runner for seconds from the models that the other version's runners take with them.
+   */
   #fillFreeMemory (): void {
     for (const model of this.input.engine.models.values()) {
       if (this.#values.copies(model.name) > 0 || !this.#mayLoad(model.name)) continue
@@ -217,6 +237,7 @@
     if (fromStore) this.#storeLoads -= 1
     this.#countLoad(model.name)
     this.#addCopies(model.name, runner.softwareVersion, runner.copyShare)
+    this.#held.get(runner.id)?.add(model.name)
     this.#addOrder(runner, { kind: OrderKind.Load, model: model.name }, fromStore)
   }
 
--- a/packages/gateway/src/orders/version-copies.ts
+++ b/packages/gateway/src/orders/version-copies.ts
@@ -17,7 +17,7 @@
 /** Models with a second copy at one version, the most requested first: one for this many runners. */
 const RUNNERS_PER_SECOND_COPY = 3
 /** Holders at a version with which its streams can go on when one is lost. */
-const ENOUGH_COPIES = 2
+export const ENOUGH_COPIES = 2
 
 /** A model whose streams may need another copy. New ones begin at `preferredVersion`; at others only the copies there are count. */
 type Protected = {
