Take-ups wait for room at full runners

Cause: a take-up waited for a load, not for room.

Evidence: serve/load-wait, before: refused after 35 ms; now it goes on when room comes within half of the time after which its caller leaves. New streams are refused at once as before.

Why it works: the caller waits for two seconds or more, in which a full runner ends dozens of streams; half of that is left for its queue and the first event. Nothing is sent before there is room, so a refusal after the wait is still 'not run'.

--- a/packages/gateway/src/serve/load-wait.test.ts
+++ b/packages/gateway/src/serve/load-wait.test.ts
@@ -1,5 +1,5 @@
-import t from 'tap'
-import type { Service } from '../config/types.js'
+import t, { type Test } from 'tap'
+import { RouteKind, type Service } from '../config/types.js'
 import { createEntry, createRoute, GatewayFixture } from '../testing/gateway-fixture.js'
 import type { RawExchange } from '../testing/raw-runner.js'
 import { LoadWait } from './load-wait.js'
@@ -89,3 +89,36 @@
   fixture.expectedLoads.push({ service: 'plain', model: 'm', readyInMs: 3_000 })
   t.equal((await fixture.call({ headers: ['Model: m'] })).status, 503)
 })
+
+/** A runner that has no room until `freeAfterMs` after the call. */
+async function callFull (t: Test, headers: string[], freeAfterMs: number) {
+  const fixture = await GatewayFixture.create([createRoute({ kind: RouteKind.Stream, resumable: true })], ENGINE)
+  t.teardown(() => fixture.close())
+  await fixture.addRunner('runner', ({ requestId, socket }) => {
+    socket.end(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nSigned: s\r\nContent-Type: text/event-stream\r\nContent-Length: 15\r\n\r\nid: 1\ndata: y\n\n`)
+  }, { models: [{ name: 'm', version: 1, adapters: [] }] })
+  const runner = fixture.context.runners.get('runner')
+  if (runner !== undefined) runner.inFlight = 100
+  setTimeout(() => { if (runner !== undefined) runner.inFlight = 0 }, freeAfterMs)
+  const startMs = performance.now()
+  const { status } = await fixture.call({ method: 'POST', headers: ['Model: m', ...headers] })
+  return { status, tookMs: performance.now() - startMs }
+}
+
+const TAKE_UP = ['Last-Event-Id: 0', 'Continues: request-0']
+
+t.test('a caller that continues a stream waits for room at full runners', async (t) => {
+  t.equal((await callFull(t, TAKE_UP, 400)).status, 200)
+})
+
+t.test('a caller that continues a stream is refused when there is no room within half of its wait', async (t) => {
+  const { status, tookMs } = await callFull(t, TAKE_UP, 10_000)
+  t.equal(status, 503)
+  t.ok(tookMs < 1_800, `${Math.round(tookMs)} ms`)
+})
+
+t.test('a new stream is refused at once where all runners are full', async (t) => {
+  const { status, tookMs } = await callFull(t, [], 400)
+  t.equal(status, 503)
+  t.ok(tookMs < 300, `${Math.round(tookMs)} ms`)
+})
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -26,6 +26,7 @@
 import { RequestLog } from './request-log.js'
 import { StallDetector } from './stall-detector.js'
 import { StreamContinuity } from './stream-continuity.js'
+import { ROOM_POLL_MS, roomWaitMs } from './take-up-wait.js'
 import { recordAttempt, recordAnswerHead } from './record-attempt.js'
 import { createNeed, assessMove } from './request-need.js'
 import { createRefusal } from './refusal.js'
@@ -52,7 +53,7 @@
   readonly #finished: Promise<void>
   #resolveFinished: () => void = () => {}
   #deadlineTimer: Timer | undefined
-  #loadPollTimer: Timer | undefined
+  #pollTimer: Timer | undefined
   #loadWait: LoadWait | undefined
   #stallDetector: StallDetector | undefined
   #weightsVersion: number | undefined
@@ -407,13 +408,23 @@
     const pollMs = this.#loadWait.nextPollMs(clock.monotonicMs())
     if (pollMs === undefined) return false
     if (isFirstPoll) this.#log.note('waits for a load', { model: facts.model, softwareVersion, readyInMs: loads.readyInMs(service.name, facts.model, softwareVersion) })
-    this.#loadPollTimer = clock.setTimer(pollMs, () => this.#guard(() => this.#dispatch()))
+    this.#pollTimer = clock.setTimer(pollMs, () => this.#guard(() => this.#dispatch()))
+    return true
+  }
+
+  /** Schedules another try of a caller that continues a stream, whose runners are full; false: it has waited long enough. */
+  #waitForRoom (): boolean {
+    if (!this.#continuity.isTakeUp || this.context.host.isLeaving()) return false
+    const { clock } = this.context
+    const untilMs = this.request.arrivedMs + roomWaitMs(this.#continuity.targetMs)
+    if (clock.monotonicMs() + ROOM_POLL_MS > untilMs) return false
+    this.#pollTimer = clock.setTimer(ROOM_POLL_MS, () => this.#guard(() => this.#dispatch()))
     return true
   }
 
   #refuse (set: CandidateSet): void {
-    const mayWait = !this.#writer.started && !this.#budget.mayHaveRun && set.fullCount === 0
-    if (mayWait && this.#waitForLoad()) return
+    const mayWait = !this.#writer.started && !this.#budget.mayHaveRun
+    if (mayWait && (set.fullCount === 0 ? this.#waitForLoad() : this.#waitForRoom())) return
     this.#log.note('no runner can take the request', { full: set.fullCount, closed: set.closed.length, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
     logClosedRunners(this.context, this.request, this.#log, set.closed)
     if (this.#budget.mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastFailureReason}; no other runner is free`))
@@ -504,7 +515,7 @@
     if (this.#ended) return
     this.#ended = true
     this.#deadlineTimer?.cancel()
-    this.#loadPollTimer?.cancel()
+    this.#pollTimer?.cancel()
     this.#stallDetector?.stop()
     this.#requestGuard.end()
     this.#continuity.onEnded()
