Streams of starting hosts: none begins at one of several versions that aren't recorded

Cause: a host that had recorded no version with a usable runner, as it had just started or its store was slow, let streams begin at all of them. A host whose list is behind finds the old version alone in its list and in the records, and continues any stream there.

Evidence: streams/version-history, two hosts on a manual clock: before, the stream of v2 was continued at v1.

Why it works: of several unrecorded versions none begins streams; a single one may, as there is no other. Hosts that list several versions have them recorded at once, so that the first stream of a starting host finds them recorded (a test).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -621,6 +621,7 @@
     this.#limits.sweep()
     this.#closures.sweep()
     this.#crashes.sweep()
+    this.#versions.observeMixed()
     this.#origins.sweep()
     const listed = this.#runners.all().map(({ entry }) => entry)
     this.#connections.retain(new Set(listed.map(({ id }) => id)))
--- a/packages/gateway/src/streams/version-history.test.ts
+++ b/packages/gateway/src/streams/version-history.test.ts
@@ -134,3 +134,49 @@
   await platform.clock.advance(10)
   t.ok(platform.records.versions.has('plain/v1'))
 })
+
+/** A host that has recorded v1 and lists nothing else, and one that starts while the platform is away for it and lists both versions. */
+async function createOutOfStep () {
+  const platform = new Platform()
+  const [behind, starting] = [platform.host(), platform.host()]
+  behind.list('v1')
+  behind.history.observe(SERVICE)
+  await platform.clock.advance(10)
+  platform.records.down = true
+  starting.list('v1', 'v2')
+  starting.history.observe(SERVICE)
+  await platform.clock.advance(10)
+  return { platform, behind, starting }
+}
+
+t.test('no stream begins at an unrecorded version that a host behind the others would take for the only other one', async (t) => {
+  const { platform, behind, starting } = await createOutOfStep()
+  const begun = ['v1', 'v2'].filter((version) => starting.history.mayBegin(SERVICE, version))
+  platform.records.down = false
+  for (const version of begun) {
+    starting.origins.onBegun(`stream-${version}`, { service: SERVICE, softwareVersion: version })
+    const found = await behind.origins.find(`stream-${version}`, SERVICE)
+    t.ok(found === undefined || found.softwareVersion === version, `began at ${version}, continued at ${found?.softwareVersion}`)
+  }
+  t.notOk(begun.includes('v2'))
+})
+
+t.test('a host that starts beside a release has the versions recorded before its first stream', async (t) => {
+  const platform = new Platform()
+  const { history, list } = platform.host()
+  list('v1', 'v2')
+  history.observeMixed()
+  await platform.clock.advance(10)
+  t.ok(history.mayBegin(SERVICE, 'v1'))
+  t.ok(history.mayBegin(SERVICE, 'v2'))
+})
+
+t.test('without a release nothing is recorded before the first stream', async (t) => {
+  const platform = new Platform()
+  const { history, list } = platform.host()
+  list('v1')
+  history.observeMixed()
+  await platform.clock.advance(10)
+  t.equal(platform.records.versions.size, 0)
+  t.ok(history.mayBegin(SERVICE, 'v1'))
+})
--- a/packages/gateway/src/streams/version-history.ts
+++ b/packages/gateway/src/streams/version-history.ts
@@ -55,17 +55,26 @@
     }
   }
 
+  /** Observes the services with several versions, so that these are recorded before this host's first stream. */
+  observeMixed (): void {
+    const services = new Set(this.parts.runners.all().map(({ entry }) => entry.service))
+    for (const service of services) if (this.#listed(service).size > 1) this.observe(service)
+  }
+
   /** Observes all services whose streams this host has served. */
   observeAll (): void {
     for (const service of this.#known.keys()) this.observe(service)
   }
 
-  /** Whether a new stream may begin at this version: it is recorded, or no version with a usable runner is. */
+  /**
+   * Whether a new stream may begin at this version: it is recorded, or it is the only one with a usable runner. Of several versions
+   * that this host has not recorded, others may know one alone, and would continue any stream there.
+   */
   mayBegin (service: string, softwareVersion: string | undefined): boolean {
     const versions = this.#known.get(service)
     if (this.#isRecorded(versions?.get(softwareVersion ?? UNSTATED_VERSION))) return true
     const usable = new Set(this.parts.runners.usable(service).map(({ entry }) => entry.softwareVersion ?? UNSTATED_VERSION))
-    return ![...usable].some((version) => this.#isRecorded(versions?.get(version)))
+    return usable.size <= 1 && ![...usable].some((version) => this.#isRecorded(versions?.get(version)))
   }
 
   /** Whether more than one version may have streams, as far as this host knows. */
