--- a/scripts/gateway-soak.mjs
+++ b/scripts/gateway-soak.mjs
@@ -5,7 +5,9 @@
 
 const cli = meow(`
   Usage
-    $ node scripts/gateway-soak.mjs [--seed N] [--seeds COUNT] [--seconds N] [--hosts N] [--releases] [--brittle] [--verbose]
+    $ node scripts/gateway-soak.mjs [--seed N] [--seeds COUNT] [--seconds N] [--hosts N] [--releases] [--brittle] [--other FILE] [--verbose]
+
+  --other: the gateway's bundle of another release, which every second host runs
 
   Prints a line of JSON for each seed; exits with 1 if a promise was broken.
 `, {
@@ -17,14 +19,15 @@
     hosts: { type: 'number', default: 4 },
     releases: { type: 'boolean', default: false },
     brittle: { type: 'boolean', default: false },
+    other: { type: 'string' },
     verbose: { type: 'boolean', default: false }
   }
 })
 
-const { seed, seeds, seconds, hosts, releases, brittle, verbose } = cli.flags
+const { seed, seeds, seconds, hosts, releases, brittle, other, verbose } = cli.flags
 let brokenCount = 0
 for (let currentSeed = seed; currentSeed < seed + seeds; currentSeed += 1) {
-  const report = await runSoak({ seed: currentSeed, seconds, hostCount: hosts, releases, brittle, verbose })
+  const report = await runSoak({ seed: currentSeed, seconds, hostCount: hosts, releases, brittle, otherProgram: other, verbose })
   brokenCount += report.broken.length
   console.log(JSON.stringify(report))
 }
