--- a/packages/gateway/src/orders/plan-models.ts
+++ b/packages/gateway/src/orders/plan-models.ts
@@ -198,7 +198,7 @@
     return UNLOAD_MS + Math.min(MAX_DRAIN_MS, this.#values.slotsPerCopy(victim) * UNLOAD_MS_PER_SLOT)
   }
 
-  /** A runner that comes up at a version gets a model in demand at once: it takes part of the demand when the other version's are gone. */
+  /** Loads a model in demand into each empty runner whose version lacks two copies of it: the other version's runners may leave with theirs. */
   #fillEmptyRunners (): void {
     const requested = [...this.input.engine.models.values()].filter(({ name }) => this.#values.demandSlots(name) >= MIN_SECOND_COPY_DEMAND_SLOTS)
     const mostRequested = requested.sort((a, b) => this.#values.demandSlots(b.name) - this.#values.demandSlots(a.name))
--- a/packages/gateway/src/serve/reset-answers.test.ts
+++ b/packages/gateway/src/serve/reset-answers.test.ts
@@ -82,29 +82,24 @@
   t.notMatch((await fixture.call({ method: 'POST' })).body, /0\r\n\r\n$/)
 })
 
-t.test('the second answer on a connection that is reset behind a part of the body fails', async (t) => {
-  const fixture = await createFixture(t, booking)
-  const runner = await fixture.addRunner('runner-1', (exchange) => {
-    const { requestId, socket, number } = exchange
-    if (number === 1) socket.write(`${head(requestId, 'Content-Length: 2')}ok`)
-    else answerAndReset(exchange, 'half')
-  })
-  t.equal((await fixture.call({ method: 'POST', id: 'request-1' })).status, 200)
-  t.equal((await fixture.call({ method: 'POST', id: 'request-2' })).status, 502)
-  t.equal(runner.connections, 1)
-})
+const FIRST_ANSWERS = [
+  { name: 'one with a length', status: 200, write: (requestId: string) => `${head(requestId, 'Content-Length: 2')}ok` },
+  { name: 'one without a body and a length', status: 204, write: (requestId: string) => `HTTP/1.1 204 No Content\r\nRequest-Id: ${requestId}\r\nSigned: s\r\n\r\n` }
+]
 
-t.test('the second answer is not whole when it is reset, behind a first one without a body and a length', async (t) => {
-  const fixture = await createFixture(t, booking)
-  const runner = await fixture.addRunner('runner-1', (exchange) => {
-    const { requestId, socket, number } = exchange
-    if (number === 1) socket.write(`HTTP/1.1 204 No Content\r\nRequest-Id: ${requestId}\r\nSigned: s\r\n\r\n`)
-    else answerAndReset(exchange, 'half')
+for (const { name, status, write } of FIRST_ANSWERS) {
+  t.test(`the second answer on a connection, behind ${name}, that is reset behind a part of the body fails`, async (t) => {
+    const fixture = await createFixture(t, booking)
+    const runner = await fixture.addRunner('runner-1', (exchange) => {
+      const { requestId, socket, number } = exchange
+      if (number === 1) socket.write(write(requestId))
+      else answerAndReset(exchange, 'half')
+    })
+    t.equal((await fixture.call({ method: 'POST', id: 'request-1' })).status, status)
+    t.equal((await fixture.call({ method: 'POST', id: 'request-2' })).status, 502)
+    t.equal(runner.connections, 1)
   })
-  t.equal((await fixture.call({ method: 'POST', id: 'request-1' })).status, 204)
-  t.equal((await fixture.call({ method: 'POST', id: 'request-2' })).status, 502)
-  t.equal(runner.connections, 1)
-})
+}
 
 t.test('an answer that is reset behind a part of the body fails over another host too', async (t) => {
   const host = await createFixture(t, booking)
--- a/packages/gateway/src/serve/stream-continuity.ts
+++ b/packages/gateway/src/serve/stream-continuity.ts
@@ -22,7 +22,6 @@
   #knownBy: KnownBy = KnownBy.Nobody
   /** The runner that was listed when the first event came. */
   #begun: { runner: RunnerEntry, atUnixMs: number } | undefined
-
   /** Removes the stream from those that are in progress, while it is one of them. */
   #removeOpen: (() => void) | undefined
 
