Answers without end: one limit on the memory of all answers together

Callers saw: hosts that ended in the middle of their requests.

Cause: an answer that isn't a stream might take 8 MiB, an event 1 MiB, a stream in one piece 8 MiB; nothing limited the sum over those in progress. Pieces of a body were kept as they arrived, too, each of which kept the whole buffer that it was a part of.

Why it works: bytes are counted against one budget for the process before they are kept. Where there is no room, the largest answer of the runner that keeps most gives way, so runners without end take room from themselves. Pieces are copied together, so that a body keeps what it is counted with.

--- a/packages/gateway/src/forward/event-splitter.ts
+++ b/packages/gateway/src/forward/event-splitter.ts
@@ -1,8 +1,10 @@
 /** Splits a body of server-sent events into complete events and reads their ids. */
+import type { ByteHold } from '../memory/byte-budget.js'
 
 /** A complete event: its bytes, and its id if it has one. */
 export type WholeEvent = { bytes: Buffer, id?: number }
 
+const EMPTY: Buffer = Buffer.alloc(0)
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const ID_LINE = /^id: ?(\d+)\r?$/m
@@ -14,13 +16,16 @@
 
 export class EventSplitter {
   /** Buffer whose first `#restBytes` bytes are an event that isn't complete yet. */
-  #rest: Buffer = Buffer.alloc(0)
+  #rest = EMPTY
   #restBytes = 0
+  /** There was no room for the incomplete event. */
+  #lacksRoom = false
 
-  private constructor () {}
+  private constructor (private hold: ByteHold | undefined) {}
 
-  static create (): EventSplitter {
-    return new EventSplitter()
+  /** @param hold counts what is kept of an incomplete event; it isn't counted if absent */
+  static create (hold?: ByteHold): EventSplitter {
+    return new EventSplitter(hold)
   }
 
   /** Adds bytes and returns the events that they complete. Takes time linear in the bytes added, however many are buffered. */
@@ -45,29 +50,46 @@
     return this.#restBytes > MAX_EVENT_BYTES
   }
 
+  /** There is no memory left for the incomplete event; some of its bytes are lost. */
+  get lacksRoom (): boolean {
+    return this.#lacksRoom
+  }
+
   /** Bytes of the event that isn't complete yet. */
   get rest (): Buffer {
     return this.#rest.subarray(0, this.#restBytes)
   }
 
-  /** Discards an incomplete event. */
-  reset (): void {
-    this.#rest = Buffer.alloc(0)
+  /** Discards an incomplete event. @param hold counts what is kept from now on */
+  reset (hold?: ByteHold): void {
+    this.#resize(0)
     this.#restBytes = 0
+    this.#lacksRoom = false
+    this.hold = hold
   }
 
   #keep (bytes: Buffer): void {
-    const kept = Buffer.from(bytes)
-    this.#rest = kept
-    this.#restBytes = kept.length
+    this.#restBytes = this.#resize(bytes.length) ? bytes.copy(this.#rest) : 0
+  }
+
+  /** Replaces the buffer by an empty one. @returns false if there is no room for it */
+  #resize (sizeBytes: number): boolean {
+    this.hold?.giveBack(this.#rest.length)
+    const hasRoom = this.hold?.take(sizeBytes) !== false
+    if (!hasRoom) this.#lacksRoom = true
+    this.#rest = hasRoom && sizeBytes > 0 ? Buffer.allocUnsafeSlow(sizeBytes) : EMPTY
+    return hasRoom
   }
 
   #append (chunk: Buffer): void {
     const needed = this.#restBytes + chunk.length
     if (needed > this.#rest.length) {
-      const grown = Buffer.alloc(Math.max(needed, this.#rest.length * 2))
-      this.#rest.copy(grown, 0, 0, this.#restBytes)
-      this.#rest = grown
+      const rest = this.#rest
+      if (!this.#resize(Math.max(needed, this.#rest.length * 2))) {
+        this.#restBytes = 0
+        return
+      }
+      rest.copy(this.#rest)
     }
     chunk.copy(this.#rest, this.#restBytes)
     this.#restBytes = needed
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import { InstantSource } from './lease/instant.js'
 import { LeaseKeeper } from './lease/lease-keeper.js'
 import { LimitControl } from './limits/limit-control.js'
+import { createMemoryBudgets, type MemoryBudgets } from './memory/memory-budgets.js'
 import { lookupHosts } from './lookup/lookup.js'
 import { Exchanger } from './members/exchanger.js'
 import { createContactTiming, type ContactTiming } from './members/contact-timing.js'
@@ -101,6 +102,7 @@
   readonly #crashes: CrashMonitor
   readonly #versions: VersionHistory
   readonly #origins: StreamOrigins
+  readonly #memory: MemoryBudgets
   readonly #connections: RunnerConnections
   readonly #paths: RunnerPaths
   readonly #passOnMetrics: PassOnMetrics
@@ -179,6 +181,7 @@
     const { streamLog } = parts.platform
     this.#versions = VersionHistory.create({ clock, log, runners: this.#runners, streamLog })
     this.#origins = StreamOrigins.create({ clock, log, history: this.#versions, streamLog, hostCount: () => this.#members.live(this.#nowMs()).length + 1 })
+    this.#memory = createMemoryBudgets({ memoryMb: settings.memoryMb, log, registry: this.#registry })
     const overlong = createOverlongCounter(this.#registry)
     this.#connections = RunnerConnections.create((runner, reason) => {
       overlong.inc()
@@ -514,6 +517,7 @@
       paths: this.#paths,
       passOn: this.#passOnClient,
       budget: SharedBudget.create(settings.budget),
+      memory: this.#memory,
       demand: this.#demand,
       durations: RouteDurations.create(),
       openRequests: this.#openRequests,
--- a/packages/gateway/src/serve/answer-writer.ts
+++ b/packages/gateway/src/serve/answer-writer.ts
@@ -3,6 +3,7 @@
 import { EventSplitter } from '../forward/event-splitter.js'
 import { allowsBody, isFramed } from '../forward/framing.js'
 import type { RawHeaders, RequestCodec } from '../forward/types.js'
+import type { ByteBudget, ByteHold } from '../memory/byte-budget.js'
 import { StreamBody } from './stream-body.js'
 
 /** Status and headers of a runner's answer. */
@@ -13,6 +14,15 @@
   framed: boolean
 }
 
+/** A complete answer that isn't a stream. */
+export type BufferedAnswer = {
+  head: AnswerHead
+  /** The body in pieces. */
+  body: readonly Buffer[]
+  /** Counts the body until the caller has it. */
+  hold: ByteHold
+}
+
 /** Creates the head and detects from the headers whether the body is framed. */
 export function createHead (status: number, headers: RawHeaders): AnswerHead {
   const names = headers.filter((_, index) => index % 2 === 0)
@@ -27,6 +37,8 @@
   Unfinished: 'unfinished',
   /** An event exceeds the size limit. */
   Overlong: 'overlong',
+  /** No memory is left for an incomplete event. */
+  NoRoom: 'no-room',
   /** The stream is too large for a caller that has to get it in one piece. */
   TooLarge: 'too-large'
 } as const
@@ -45,13 +57,15 @@
   private constructor (
     private readonly response: ServerResponse,
     private readonly codec: RequestCodec,
-    private readonly closesConnection: () => boolean
+    private readonly closesConnection: () => boolean,
+    memory: ByteBudget
   ) {
-    this.#body = StreamBody.create(response)
+    this.#body = StreamBody.create(response, memory)
   }
 
-  static create (response: ServerResponse, codec: RequestCodec, closesConnection: () => boolean): AnswerWriter {
-    return new AnswerWriter(response, codec, closesConnection)
+  /** @param memory limits streams that are collected for their callers */
+  static create (response: ServerResponse, codec: RequestCodec, closesConnection: () => boolean, memory: ByteBudget): AnswerWriter {
+    return new AnswerWriter(response, codec, closesConnection, memory)
   }
 
   /** An event of a stream has been written to the caller. */
@@ -69,22 +83,32 @@
     return this.#lastEventId
   }
 
-  /** Writes a complete answer that isn't a stream. */
-  writeBuffered (head: AnswerHead, body: Buffer): void {
-    if (this.response.destroyed) return
+  /** Writes a complete answer that isn't a stream. Its memory is given back when the caller has it. */
+  writeBuffered ({ head, body, hold }: BufferedAnswer): void {
+    if (this.response.destroyed) return hold.close()
+    this.response.once('close', () => hold.close())
     const headers = this.#callerHeaders(head)
     if (allowsBody(head.status)) headers.push(...this.#lengthHeader(head, body))
     this.response.writeHead(head.status, headers)
-    this.response.end(body)
+    for (const piece of body.slice(0, -1)) this.response.write(piece)
+    this.response.end(body.at(-1))
   }
 
-  /** Starts the part of a stream that one runner produces. Only the first runner's head is sent to the caller. */
-  openStream (head: AnswerHead): void {
+  /**
+   * Starts the part of a stream that one runner produces. Only the first runner's head is sent to the caller.
+   * @param hold counts what is kept of an incomplete event
+   */
+  openStream (head: AnswerHead, hold: ByteHold): void {
     this.#head ??= head
-    this.#splitter.reset()
+    this.#splitter.reset(hold)
     this.#atJoin = this.#started
   }
 
+  /** Discards the incomplete event of a part that has ended. */
+  closePart (): void {
+    this.#splitter.reset()
+  }
+
   /**
    * Writes the events that this chunk completes.
    * @returns a fault if an event is missing, duplicated or too long; false if the runner has to wait for the caller to read
@@ -100,6 +124,7 @@
       flows = this.#body.write(event.bytes) && flows
     }
     if (this.#body.overlong) return StreamFault.TooLarge
+    if (this.#splitter.lacksRoom) return StreamFault.NoRoom
     return this.#splitter.overlong ? StreamFault.Overlong : flows
   }
 
@@ -137,8 +162,8 @@
   }
 
   /** An answer to HEAD states the length that its runner stated. */
-  #lengthHeader ({ headers }: AnswerHead, body: Buffer): RawHeaders {
-    if (this.response.req.method !== 'HEAD') return ['Content-Length', String(body.length)]
+  #lengthHeader ({ headers }: AnswerHead, body: readonly Buffer[]): RawHeaders {
+    if (this.response.req.method !== 'HEAD') return ['Content-Length', String(body.reduce((sum, { length }) => sum + length, 0))]
     const at = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length')
     return at < 0 ? [] : headers.slice(at, at + 2)
   }
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -2,7 +2,9 @@
 import { AttemptObserver, FailureStage, FaultAt, Flow } from '../forward/attempt.js'
 import { EventSplitter } from '../forward/event-splitter.js'
 import type { AnswerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
-import { AnswerWriter, createHead, StreamFault, type AnswerHead } from './answer-writer.js'
+import type { ByteHold } from '../memory/byte-budget.js'
+import { ByteCollector } from '../memory/byte-collector.js'
+import { AnswerWriter, createHead, StreamFault, type AnswerHead, type BufferedAnswer } from './answer-writer.js'
 import { Outcome } from './outcome.js'
 
 /** How an attempt ended. */
@@ -16,7 +18,9 @@
   /** Where the attempt failed; absent if it didn't, or if the runner itself answered so. */
   faultAt?: FaultAt
   /** A complete answer that hasn't been sent to the caller yet. */
-  bufferedAnswer?: { head: AnswerHead, body: Buffer }
+  bufferedAnswer?: BufferedAnswer
+  /** The answer has more bytes than a valid one, or than there is memory left for. */
+  isTooLarge?: boolean
 }
 
 export type ResultCallbacks = {
@@ -36,6 +40,10 @@
   onEvents: () => void
   /** The runner sent more data than a valid answer contains. */
   onOverlong: (reason: string) => void
+  /** Opens the hold of what is kept of the answer. @param onGiveWay called when the memory is needed for other answers */
+  openHold: (onGiveWay: () => void) => ByteHold
+  /** Closes the connection to the runner, outside of a call of the observer. */
+  closeConnection: () => void
   /** Called exactly once, with how the attempt ended. */
   onResult: (result: AttemptResult) => void
 }
@@ -57,12 +65,13 @@
   #mode: Mode = Mode.Waiting
   #facts: AnswerFacts | undefined
   #head: AnswerHead | undefined
-  #chunks: Buffer[] = []
-  #bytes = 0
+  readonly #hold: ByteHold
+  #body: ByteCollector
   /** Events that earlier attempts delivered. */
   #eventsBefore = 0
-  readonly #heldEvents = EventSplitter.create()
+  readonly #heldEvents: EventSplitter
   #done = false
+  #isTooLarge = false
   #connectionBroke = false
   #faultAt: FaultAt | undefined
 
@@ -73,6 +82,9 @@
     private readonly callbacks: ResultCallbacks
   ) {
     super()
+    this.#hold = callbacks.openHold(() => this.#onGiveWay())
+    this.#body = ByteCollector.create(this.#hold)
+    this.#heldEvents = EventSplitter.create(this.#hold)
   }
 
   static create (requestId: string, codec: RequestCodec, writer: AnswerWriter, callbacks: ResultCallbacks): ResultObserver {
@@ -129,14 +141,15 @@
     if (fault !== undefined) return this.#reject(fault)
     this.#mode = Mode.Stream
     this.#eventsBefore = this.writer.eventCount
-    this.writer.openStream(head)
+    this.writer.openStream(head, this.#hold)
     return Flow.Continue
   }
 
   /** The runner has begun only when its stream has an event: it may still break off, and the other one go on. */
   #onHeldData (chunk: Buffer): Flow {
-    this.#chunks.push(chunk)
+    if (!this.#body.push(chunk)) return this.#rejectForRoom()
     const [first] = this.#heldEvents.push(chunk)
+    if (this.#heldEvents.lacksRoom) return this.#rejectForRoom()
     if (first === undefined && this.callbacks.isBesideAnother()) {
       return this.#heldEvents.overlong ? this.#rejectOverlong('an event exceeds the size limit') : Flow.Continue
     }
@@ -145,8 +158,8 @@
   }
 
   #release (): Flow {
-    const held = Buffer.concat(this.#chunks)
-    this.#chunks = []
+    const held = this.#body.whole()
+    this.#dropKept()
     if (this.#head === undefined || this.#facts === undefined) return Flow.Close
     const flow = this.#openStream(this.#head, this.#facts)
     return flow === Flow.Continue && held.length > 0 ? this.#onStreamData(held) : flow
@@ -165,14 +178,14 @@
     if (this.writer.eventCount > eventsBefore) this.callbacks.onEvents()
     if (status === StreamFault.Gap) return this.#reject('an event is missing or duplicated')
     if (status === StreamFault.Overlong) return this.#rejectOverlong('an event exceeds the size limit')
+    if (status === StreamFault.NoRoom) return this.#rejectForRoom()
     if (status === StreamFault.TooLarge) return this.#reject('the stream is too large for a caller that gets it in one piece')
     return status ? Flow.Continue : Flow.Pause
   }
 
   #onBufferedData (chunk: Buffer): Flow {
-    this.#chunks.push(chunk)
-    this.#bytes += chunk.length
-    return this.#bytes > MAX_BUFFERED_BYTES ? this.#rejectOverlong('the answer is too large') : Flow.Continue
+    if (!this.#body.push(chunk)) return this.#rejectForRoom()
+    return this.#body.bytes > MAX_BUFFERED_BYTES ? this.#rejectOverlong('the answer is too large') : Flow.Continue
   }
 
   /** A stream without framing ends with its connection, so one without any event may have been broken off before the first. */
@@ -189,7 +202,8 @@
   #finishBuffered (): void {
     const head = this.#head
     if (head === undefined) return
-    const bufferedAnswer = { head, body: Buffer.concat(this.#chunks) }
+    this.#hold.fix()
+    const bufferedAnswer = { head, body: this.#body.blocks(), hold: this.#hold }
     const outcome = head.status < 500 ? Outcome.Answered : Outcome.RunnerFailed
     this.#finish(outcome, `status ${head.status}`, bufferedAnswer)
   }
@@ -203,19 +217,42 @@
   /** Rejects an answer with more data than a valid one contains. */
   #rejectOverlong (reason: string): Flow {
     this.callbacks.onOverlong(reason)
+    this.#isTooLarge = true
     return this.#reject(reason)
   }
 
+  /** It keeps more than any other answer of the runner with the most bytes. */
+  #rejectForRoom (): Flow {
+    return this.#rejectOverlong('no memory is left for an answer of this size')
+  }
+
+  /** Another answer needs the memory of this one. */
+  #onGiveWay (): void {
+    if (this.#done) return
+    this.#rejectForRoom()
+    this.callbacks.closeConnection()
+  }
+
+  /** Gives back what was kept of a stream that begins now. */
+  #dropKept (): void {
+    this.#heldEvents.reset()
+    this.#hold.giveBack(this.#hold.bytes)
+    this.#body = ByteCollector.create(this.#hold)
+  }
+
   /** Reports the outcome at once; the rest of the answer is discarded. */
   #skipRest (outcome: Outcome, reason: string): Flow {
     this.#finish(outcome, reason)
     return Flow.Skip
   }
 
-  #finish (outcome: Outcome, reason: string, bufferedAnswer?: { head: AnswerHead, body: Buffer }): void {
+  #finish (outcome: Outcome, reason: string, bufferedAnswer?: BufferedAnswer): void {
     if (this.#done) return
     this.#done = true
-    this.#chunks = []
-    this.callbacks.onResult({ outcome, reason, facts: this.#facts, connectionBroke: this.#connectionBroke, faultAt: this.#faultAt, bufferedAnswer })
+    if (this.#mode === Mode.Stream) this.writer.closePart()
+    this.#heldEvents.reset()
+    if (bufferedAnswer === undefined) this.#hold.close()
+    this.callbacks.onResult({ outcome, reason, facts: this.#facts, connectionBroke: this.#connectionBroke, faultAt: this.#faultAt, bufferedAnswer, isTooLarge: this.#isTooLarge })
+    this.#body = ByteCollector.create(this.#hold)
   }
 }
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -12,7 +12,7 @@
 import { limitFields } from '../limits/limit-fields.js'
 import type { Permit } from '../limits/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
-import { AnswerWriter } from './answer-writer.js'
+import { AnswerWriter, type BufferedAnswer } from './answer-writer.js'
 import { AttemptBudget } from './attempt-budget.js'
 import { AttemptPair } from './attempt-pair.js'
 import { INTACT, type PathAssessment } from './attempt-path.js'
@@ -61,6 +61,8 @@
   #attemptCount = 0
   #adapterAttempts = 0
   #firstByteMs: number | undefined
+  /** The answer that was written in one piece. */
+  #written: BufferedAnswer | undefined
   #lastFailureReason = ''
 
   private constructor (
@@ -68,7 +70,7 @@
     private readonly request: AcceptedRequest,
     private readonly response: ServerResponse
   ) {
-    this.#writer = AnswerWriter.create(response, context.codec, context.host.isLeaving)
+    this.#writer = AnswerWriter.create(response, context.codec, context.host.isLeaving, context.memory.answers)
     this.#log = RequestLog.create(context.log, context.clock, request.id)
     this.#requestGuard = RequestGuard.create(context.crashes, request, (featureId) => this.#guard(() => this.#onBlocked(featureId)))
     this.#continuity = StreamContinuity.create(context, request)
@@ -233,7 +235,9 @@
       onFirstByte: () => this.#guard(() => this.#onFirstByte()),
       onEvents: () => this.#guard(() => this.#onEvents(runner)),
       onOverlong: (reason) => context.connections.onOverlong(id, reason),
-      onResult: (result) => this.#guard(() => this.#onResult(attempt, result))
+      openHold: (onGiveWay) => attempt.openHold(() => this.#guard(onGiveWay)),
+      closeConnection: () => attempt.cancel(),
+      onResult: (result) => this.#guard(() => this.#takeResult(attempt, result))
     })
     if (this.#writer.lastEventId !== undefined || request.facts.lastEventId !== undefined) this.#log.mark()
     this.#log.note('sent to a runner', {
@@ -301,6 +305,15 @@
     this.context.metrics.firstByteSeconds.observe({ route: this.request.route.name }, (this.#firstByteMs - this.request.arrivedMs) / 1000)
   }
 
+  /** The memory of an answer that isn't written to the caller is given back. */
+  #takeResult (attempt: RunnerAttempt, result: AttemptResult): void {
+    try {
+      this.#onResult(attempt, result)
+    } finally {
+      if (result.bufferedAnswer !== this.#written) result.bufferedAnswer?.hold.close()
+    }
+  }
+
   #onResult (attempt: RunnerAttempt, result: AttemptResult): void {
     const path = attempt.path.assess(result)
     attempt.leave(departureOf(result.outcome, result.connectionBroke === true && !path.failed))
@@ -381,18 +394,24 @@
   #finish (result: AttemptResult): void {
     if (result.bufferedAnswer !== undefined) {
       this.#onFirstByte()
-      this.#writer.writeBuffered(result.bufferedAnswer.head, result.bufferedAnswer.body)
+      this.#writeBuffered(result.bufferedAnswer)
     }
     this.#continuity.onComplete()
     this.#end(ANSWERED, result.reason)
   }
 
+  #writeBuffered (answer: BufferedAnswer): void {
+    this.#written = answer
+    this.#writer.writeBuffered(answer)
+  }
+
   #finishFailed (result: AttemptResult): void {
     if (!this.#writer.started && result.outcome === Outcome.RunnerFailed && result.bufferedAnswer !== undefined && !impliesNotRun(result.bufferedAnswer.head.status)) {
-      this.#writer.writeBuffered(result.bufferedAnswer.head, result.bufferedAnswer.body)
+      this.#writeBuffered(result.bufferedAnswer)
       return this.#end('runner_failed', result.reason)
     }
-    if (this.#budget.mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, result.reason))
+    const code = result.isTooLarge === true ? ResultCode.AnswerTooLarge : ResultCode.BackendFailed
+    if (this.#budget.mayHaveRun) return this.#giveUp(this.#failure(code, result.reason))
     this.#giveUp(this.#failure(ResultCode.Overloaded, result.reason, retryDelayWhenFull(this.context, this.#timeLeftMs())))
   }
 
--- a/packages/gateway/src/serve/runner-attempt.ts
+++ b/packages/gateway/src/serve/runner-attempt.ts
@@ -3,6 +3,7 @@
 import { Departure } from '../crashes/types.js'
 import type { Attempt, AttemptObserver, AttemptRequest } from '../forward/attempt.js'
 import type { Permit } from '../limits/types.js'
+import type { ByteHold } from '../memory/byte-budget.js'
 import type { PathListener } from '../paths/types.js'
 import type { RunnerState } from '../runners/runner-table.js'
 import { AttemptPath } from './attempt-path.js'
@@ -24,6 +25,8 @@
   readonly path: AttemptPath
   readonly startedMs: number
   #attempt: Attempt | undefined
+  /** Counts what is kept of the answer. */
+  #hold: ByteHold | undefined
   #left = false
   #canceled = false
   /** When the attempt got a connection; undefined until then. */
@@ -86,6 +89,12 @@
     return true
   }
 
+  /** @param onGiveWay called when the memory of the answer is needed for others */
+  openHold (onGiveWay: () => void): ByteHold {
+    this.#hold = this.options.context.memory.answers.open(this.runner.entry.id, onGiveWay)
+    return this.#hold
+  }
+
   /** Resumes reading of a paused body. */
   resume (): void {
     this.#attempt?.resume()
@@ -105,6 +114,7 @@
   /** Takes the request back from the runner and closes the connection. */
   cancel (): void {
     this.#canceled = true
+    this.#hold?.close()
     this.leave()
     this.#attempt?.cancel()
   }
--- a/packages/gateway/src/serve/stream-body.ts
+++ b/packages/gateway/src/serve/stream-body.ts
@@ -4,17 +4,21 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '../forward/types.js'
+import type { ByteBudget, ByteHold } from '../memory/byte-budget.js'
+import { ByteCollector } from '../memory/byte-collector.js'
 
+/** Owner of the streams that are collected, for callers that know no chunks. */
+const OWNER = 'streams in one piece'
 /** A stream that is collected for its caller must not be larger. */
 const MAX_COLLECTED_BYTES = 8 * 1024 * 1024
 
 export abstract class StreamBody {
   /** Callers that know no chunks get the whole stream at its end, with its length. */
-  static create (response: ServerResponse): StreamBody {
-    return response.useChunkedEncodingByDefault ? new ChunkedBody(response) : new CollectedBody(response)
+  static create (response: ServerResponse, memory: ByteBudget): StreamBody {
+    return response.useChunkedEncodingByDefault ? new ChunkedBody(response) : new CollectedBody(response, memory)
   }
 
-  /** The body has grown over the limit, and can't be completed. */
+  /** The body has grown over the limit, or no memory is left for it: it can't be completed. */
   abstract get overlong (): boolean
   abstract start (status: number, headers: RawHeaders): void
   /** Returns false if the runner has to wait for the caller to read. */
@@ -45,17 +49,21 @@
 }
 
 class CollectedBody extends StreamBody {
-  readonly #events: Buffer[] = []
-  #sizeBytes = 0
+  readonly #hold: ByteHold
+  /** Undefined once the body can't be completed. */
+  #events: ByteCollector | undefined
   #status = 0
   #headers: RawHeaders = []
 
-  constructor (private readonly response: ServerResponse) {
+  constructor (private readonly response: ServerResponse, memory: ByteBudget) {
     super()
+    this.#hold = memory.open(OWNER, () => this.#discard())
+    this.#events = ByteCollector.create(this.#hold)
+    response.once('close', () => this.#discard())
   }
 
   override get overlong (): boolean {
-    return this.#sizeBytes > MAX_COLLECTED_BYTES
+    return this.#events === undefined
   }
 
   override start (status: number, headers: RawHeaders): void {
@@ -64,13 +72,22 @@
   }
 
   override write (bytes: Buffer): boolean {
-    this.#sizeBytes += bytes.length
-    if (!this.overlong) this.#events.push(bytes)
+    if (this.#events === undefined) return true
+    const hasRoom = this.#events.push(bytes)
+    if (!hasRoom || this.#events.bytes > MAX_COLLECTED_BYTES) this.#discard()
     return true
   }
 
   override end (): void {
-    this.response.writeHead(this.#status, [...this.#headers, 'Content-Length', String(this.#sizeBytes)])
-    this.response.end(Buffer.concat(this.#events))
+    if (this.#events === undefined) return
+    this.#hold.fix()
+    const { bytes } = this.#events
+    this.response.writeHead(this.#status, [...this.#headers, 'Content-Length', String(bytes)])
+    this.response.end(this.#events.whole())
+  }
+
+  #discard (): void {
+    this.#events = undefined
+    this.#hold.close()
   }
 }
--- a/packages/gateway/src/serve/types.ts
+++ b/packages/gateway/src/serve/types.ts
@@ -10,6 +10,7 @@
 import type { CallerFacts, RawHeaders, RequestCodec } from '../forward/types.js'
 import type { InstantSource } from '../lease/instant.js'
 import type { LimitControl } from '../limits/limit-control.js'
+import type { MemoryBudgets } from '../memory/memory-budgets.js'
 import type { PassOnClient } from '../pass-on/pass-on-client.js'
 import type { RunnerPaths } from '../paths/types.js'
 import type { SharedBudget } from '../retry/shared-budget.js'
@@ -86,6 +87,8 @@
   paths: RunnerPaths
   passOn: PassOnClient
   budget: SharedBudget
+  /** Limits on what is kept in memory for all requests together. */
+  memory: MemoryBudgets
   demand: DemandMeter
   durations: RouteDurations
   openRequests: OpenRequests
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -15,6 +15,7 @@
 import { InstantSource } from '../lease/instant.js'
 import { LimitControl } from '../limits/limit-control.js'
 import { createContactTiming } from '../members/contact-timing.js'
+import { createUnlimitedBudgets, type MemoryBudgets } from '../memory/memory-budgets.js'
 import { MemberTable } from '../members/member-table.js'
 import { ConnectPeerClient } from '../members/peer-service.js'
 import type { ExpectedLoad } from '../members/types.js'
@@ -137,7 +138,7 @@
     this.#server = createServer((request, response) => { serveRequest(context, request, response) })
   }
 
-  static async create (routes: Route[], service = SERVICE, streamRecords = StreamRecords.create()): Promise<GatewayFixture> {
+  static async create (routes: Route[], service = SERVICE, streamRecords = StreamRecords.create(), memory: MemoryBudgets = createUnlimitedBudgets()): Promise<GatewayFixture> {
     const expectedLoads: ExpectedLoad[] = []
     const clock = SystemClock.create()
     const instants = InstantSource.create(clock)
@@ -172,6 +173,7 @@
       connections: RunnerConnections.create((runnerId, reason) => overlong.push(`${runnerId}: ${reason}`)),
       paths: DirectPaths.create(),
       passOn: PassOnClient.create({ clock, metrics: createPassOnMetrics(new Registry()), isLive: () => true }),
+      memory,
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
       durations: RouteDurations.create(),
--- a/packages/gateway/src/testing/gateway-host.ts
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -78,7 +78,8 @@
       contactMs: 3_000,
       orderGapMs: 3_000,
       drainNoticeMs: 2_000,
-      maxLookupTtlMs: 5_000
+      maxLookupTtlMs: 5_000,
+      memoryMb: 350
     },
     platform: {
       codec: TestCodec.create(),
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -32,6 +32,8 @@
   drainNoticeMs: number
   /** Longest time to live of a lookup that callers accept. */
   maxLookupTtlMs: number
+  /** Memory above which the platform ends the process, in megabytes. */
+  memoryMb: number
 }
 
 /** Callbacks through which a platform reports changes, and checks what this host already knows before it reads. */
