Answers on their way to other hosts: one limit on what waits, in the budget of the hop

Callers saw: nothing yet; read in the code. A host that passes requests on kept up to 256 KiB of each answer for a host that doesn't read, for up to 512 requests at once (134 MB), and each tiny chunk that waited as a part of its own with the buffer that it came in.

Why it works: what waits is counted against the hop budget. Beyond 16 KiB of an answer, reading from its runner pauses while the budget has no room, and goes on when the other host has taken what waits for it: no answer depends on room that others give back. The budget learns to count bytes that were read already (ByteHold.add, isFull).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -493,6 +493,7 @@
       closures: this.#closures,
       connections: this.#connections,
       paths: this.#paths,
+      memory: this.#memory.hop,
       isLeaving: () => this.#leaving
     })
   }
--- a/packages/gateway/src/memory/byte-budget.ts
+++ b/packages/gateway/src/memory/byte-budget.ts
@@ -59,6 +59,11 @@
     return this.options.limitBytes
   }
 
+  /** No room is left beyond what is free for each holder. */
+  get isFull (): boolean {
+    return this.#usedBytes >= this.options.limitBytes
+  }
+
   /** @param onGiveWay called when the holder has to give up what it keeps; the hold is closed then */
   open (owner: string, onGiveWay: () => void): ByteHold {
     const hold = new ByteHold(this, owner, onGiveWay)
@@ -81,6 +86,12 @@
     return true
   }
 
+  /** Counts bytes that are kept whether there is room for them or not. */
+  count (bytes: number): void {
+    this.#usedBytes += bytes
+    this.#report()
+  }
+
   release (bytes: number): void {
     this.#usedBytes -= bytes
     if (this.#usedBytes < this.options.limitBytes / 2) this.#isReported = false
@@ -151,6 +162,19 @@
     return true
   }
 
+  /** Counts bytes that were read already, also beyond the limit. The holder reads no more while `isFull`. */
+  add (bytes: number): void {
+    if (this.#isClosed) return
+    const before = this.countedBytes
+    this.#bytes += bytes
+    this.budget.count(this.countedBytes - before)
+  }
+
+  /** It keeps more than is free, and the budget has no room left. */
+  get isFull (): boolean {
+    return this.countedBytes > 0 && this.budget.isFull
+  }
+
   giveBack (bytes: number): void {
     const before = this.countedBytes
     this.#bytes = Math.max(0, this.#bytes - bytes)
--- a/packages/gateway/src/pass-on/part-queue.ts
+++ b/packages/gateway/src/pass-on/part-queue.ts
@@ -1,39 +1,46 @@
-/** The parts of an answer on their way to another host. */
+/**
+ * The parts of an answer on their way to another host. What waits is counted against a budget; where that has no room left, reading
+ * from the runner pauses until the other host has read what waits for it.
+ */
 import { create } from '@bufbuild/protobuf'
 import { PassOnPartSchema, type PassOnPart } from '@figloom/protocol'
 import type { FailureStage } from '../forward/attempt.js'
 import type { RawHeaders } from '../forward/types.js'
+import type { ByteHold } from '../memory/byte-budget.js'
 import { MAX_CHUNK_BYTES, MAX_QUEUED_BYTES } from './limits.js'
-import { toStageMessage } from './stages.js'
+import { failurePart } from './refusal.js'
+
+/** The last part that waits: a buffer that isn't filled yet. */
+type Tail = { part: PassOnPart, block: Buffer, usedBytes: number }
 
 export class PartQueue {
   readonly #parts: PassOnPart[] = []
-  #bytes = 0
+  #tail: Tail | undefined
+  #isPaused = false
   #ended = false
   #wake: (() => void) | undefined
 
   /** @param onDrained called when the bytes that waited have been taken */
-  private constructor (private readonly onDrained: () => void) {}
-
-  static create (onDrained: () => void): PartQueue {
-    return new PartQueue(onDrained)
-  }
+  private constructor (private readonly hold: ByteHold, private readonly onDrained: () => void) {}
 
-  /** More bytes wait than should. */
-  get isFull (): boolean {
-    return this.#bytes >= MAX_QUEUED_BYTES
+  /** @param hold counts what waits; it never gives way, as a part of an answer can't be left out */
+  static create (hold: ByteHold, onDrained: () => void): PartQueue {
+    hold.fix()
+    return new PartQueue(hold, onDrained)
   }
 
   pushHead (status: number, headers: RawHeaders): void {
     this.#push(create(PassOnPartSchema, { part: { case: 'head', value: { status, headers } } }))
   }
 
-  pushData (chunk: Buffer): void {
-    for (let at = 0; at < chunk.length; at += MAX_CHUNK_BYTES) {
-      const value = chunk.subarray(at, at + MAX_CHUNK_BYTES)
-      this.#bytes += value.length
-      this.#push(create(PassOnPartSchema, { part: { case: 'data', value } }))
-    }
+  /** @returns false if the runner has to wait until `onDrained` */
+  pushData (chunk: Buffer): boolean {
+    if (this.#ended) return true
+    let at = this.#fillTail(chunk)
+    while (at < chunk.length) at += this.#addBlock(chunk.subarray(at))
+    this.#wake?.()
+    this.#isPaused = this.#isFull
+    return !this.#isPaused
   }
 
   pushEnd (): void {
@@ -42,7 +49,7 @@
   }
 
   pushFailure (stage: FailureStage, reason: string): void {
-    this.#push(create(PassOnPartSchema, { part: { case: 'failure', value: { stage: toStageMessage(stage), reason } } }))
+    this.#push(failurePart(stage, reason))
     this.close()
   }
 
@@ -55,6 +62,8 @@
   /** Discards the parts that wait: the other host no longer reads. */
   discard (): void {
     this.#parts.length = 0
+    this.#tail = undefined
+    this.hold.close()
     this.close()
   }
 
@@ -63,6 +72,7 @@
     for (;;) {
       const part = this.#parts.shift()
       if (part !== undefined) {
+        if (part === this.#tail?.part) this.#tail = undefined
         yield part
         this.#onTaken(part)
         continue
@@ -72,15 +82,44 @@
     }
   }
 
+  /** More bytes wait than should. */
+  get #isFull (): boolean {
+    return this.hold.bytes >= MAX_QUEUED_BYTES || this.hold.isFull
+  }
+
   #onTaken ({ part }: PassOnPart): void {
     if (part.case !== 'data') return
-    const wasFull = this.isFull
-    this.#bytes -= part.value.length
-    if (wasFull && !this.isFull) this.onDrained()
+    // A part has a buffer of its own, which may be larger than the bytes in it.
+    this.hold.giveBack(part.value.buffer.byteLength)
+    if (!this.#isPaused || this.#isFull) return
+    this.#isPaused = false
+    this.onDrained()
+  }
+
+  /** Adds to the last part that waits, so that tiny chunks don't become a part each. @returns the bytes that fitted */
+  #fillTail (chunk: Buffer): number {
+    const tail = this.#tail
+    if (tail === undefined) return 0
+    const bytes = chunk.copy(tail.block, tail.usedBytes)
+    tail.usedBytes += bytes
+    tail.part.part = { case: 'data', value: tail.block.subarray(0, tail.usedBytes) }
+    return bytes
+  }
+
+  /** Copies, since a chunk may be a few bytes of a large buffer. Blocks grow with what waits. @returns the bytes that were added */
+  #addBlock (chunk: Buffer): number {
+    const block = Buffer.allocUnsafeSlow(Math.min(MAX_CHUNK_BYTES, Math.max(chunk.length, this.hold.bytes)))
+    this.hold.add(block.length)
+    const usedBytes = chunk.copy(block)
+    const part = create(PassOnPartSchema, { part: { case: 'data', value: block.subarray(0, usedBytes) } })
+    this.#tail = { part, block, usedBytes }
+    this.#parts.push(part)
+    return usedBytes
   }
 
   #push (part: PassOnPart): void {
     if (this.#ended) return
+    this.#tail = undefined
     this.#parts.push(part)
     this.#wake?.()
   }
--- a/packages/gateway/src/pass-on/pass-on-client.ts
+++ b/packages/gateway/src/pass-on/pass-on-client.ts
@@ -1,8 +1,8 @@
 /** Passes requests on to other hosts, and ends the attempts at hosts that no longer report. */
 import { create } from '@bufbuild/protobuf'
-import { PassOnPartSchema, PassOnRequestSchema, type PassOnPart, type PassOnRequest } from '@figloom/protocol'
+import { PassOnRequestSchema, type PassOnPart, type PassOnRequest } from '@figloom/protocol'
 import type { Clock, Timer } from '@figloom/runtime'
-import { FailureStage, type Attempt, type AttemptObserver, type AttemptRequest } from '../forward/attempt.js'
+import type { Attempt, AttemptObserver, AttemptRequest } from '../forward/attempt.js'
 import type { LocatedRunner } from '../gates/types.js'
 import type { PathKind, RunnerPath } from '../paths/types.js'
 import { HostAttempt } from './host-attempt.js'
@@ -10,8 +10,8 @@
 import { HostConnections } from './host-connections.js'
 import { MAX_BODY_BYTES, MAX_PART_BYTES } from './limits.js'
 import type { PassOnMetrics } from './metrics.js'
+import { refusal } from './refusal.js'
 import { RefusalReason } from './refusal-reason.js'
-import { toStageMessage } from './stages.js'
 
 /** Interval between checks whether the hosts still report. */
 const LIVENESS_CHECK_MS = 200
@@ -73,7 +73,7 @@
   }
 
   #call (peerAddress: string, request: RequestToPassOn, signal: AbortSignal): AsyncIterable<PassOnPart> {
-    if ((request.request.body?.length ?? 0) > MAX_BODY_BYTES) return refuseTooLarge()
+    if ((request.request.body?.length ?? 0) > MAX_BODY_BYTES) return refusal(RefusalReason.TooLarge)
     return this.#clients.at(peerAddress).passOn(toMessage(request), { signal })
   }
 
@@ -94,11 +94,6 @@
   }
 }
 
-async function * refuseTooLarge (): AsyncGenerator<PassOnPart> {
-  const value = { stage: toStageMessage(FailureStage.Withdrawn), reason: RefusalReason.TooLarge }
-  yield create(PassOnPartSchema, { part: { case: 'failure', value } })
-}
-
 function toMessage ({ requestId, runner, request, timeLeftMs }: RequestToPassOn): PassOnRequest {
   return create(PassOnRequestSchema, {
     requestId,
--- a/packages/gateway/src/pass-on/pass-on-server.ts
+++ b/packages/gateway/src/pass-on/pass-on-server.ts
@@ -5,15 +5,15 @@
 import type { PassOnPart, PassOnRequest } from '@figloom/protocol'
 import type { Clock, Logger } from '@figloom/runtime'
 import { err, ok, type Result } from 'neverthrow'
-import { FailureStage } from '../forward/attempt.js'
 import type { RunnerConnections } from '../forward/runner-connections.js'
 import type { RequestCodec } from '../forward/types.js'
 import type { RunnerGates } from '../gates/runner-gates.js'
+import type { ByteBudget } from '../memory/byte-budget.js'
 import type { RunnerPaths } from '../paths/types.js'
 import type { RunnerState, RunnerTable } from '../runners/runner-table.js'
 import { MAX_BODY_BYTES, MAX_CONCURRENT_REQUESTS } from './limits.js'
 import { outcomeOfRefusal, type PassOnMetrics } from './metrics.js'
-import { PartQueue } from './part-queue.js'
+import { refusal } from './refusal.js'
 import { RefusalReason } from './refusal-reason.js'
 import { ServedRequest } from './served-request.js'
 
@@ -26,6 +26,8 @@
   closures: RunnerGates
   connections: RunnerConnections
   paths: RunnerPaths
+  /** Limits what is kept of the answers on their way to other hosts. */
+  memory: ByteBudget
   isLeaving: () => boolean
 }
 
@@ -80,9 +82,7 @@
   #refuse ({ requestId, runnerId }: PassOnRequest, reason: RefusalReason): AsyncIterable<PassOnPart> {
     this.parts.log.info('request of another host refused', { requestId, runner: runnerId, reason })
     this.parts.metrics.servedForHosts.inc({ outcome: outcomeOfRefusal(reason) })
-    const queue = PartQueue.create(() => {})
-    queue.pushFailure(FailureStage.Withdrawn, reason)
-    return queue.read()
+    return refusal(reason)
   }
 }
 
--- a/packages/gateway/src/pass-on/served-request.ts
+++ b/packages/gateway/src/pass-on/served-request.ts
@@ -26,7 +26,7 @@
 }
 
 export class ServedRequest extends AttemptObserver {
-  readonly #queue = PartQueue.create(() => this.#attempt?.resume())
+  readonly #queue: PartQueue
   #attempt: Attempt | undefined
   #deadlineTimer: Timer | undefined
   #headReceived = false
@@ -38,6 +38,8 @@
 
   private constructor (private readonly options: ServedRequestOptions) {
     super()
+    const { parts, runner } = options
+    this.#queue = PartQueue.create(parts.memory.open(runner.entry.id, () => {}), () => this.#attempt?.resume())
   }
 
   static start (options: ServedRequestOptions): ServedRequest {
@@ -77,8 +79,7 @@
 
   override onData (chunk: Buffer): Flow {
     this.options.parts.paths.onReached(this.options.runner.entry)
-    this.#queue.pushData(chunk)
-    return this.#queue.isFull ? Flow.Pause : Flow.Continue
+    return this.#queue.pushData(chunk) ? Flow.Continue : Flow.Pause
   }
 
   override onEnd (): void {
--- a/packages/gateway/src/testing/passing-host.ts
+++ b/packages/gateway/src/testing/passing-host.ts
@@ -3,6 +3,7 @@
 import { createPeerHandler } from '../front/handlers.js'
 import { HttpServer } from '../front/http-server.js'
 import { PeerHandler } from '../members/peer-service.js'
+import type { MemoryBudgets } from '../memory/memory-budgets.js'
 import { createPassOnMetrics } from '../pass-on/metrics.js'
 import { PassOnServer } from '../pass-on/pass-on-server.js'
 import { FixedPaths } from './fixed-paths.js'
@@ -17,7 +18,7 @@
 
   private constructor (readonly peerAddress: string, readonly fixture: GatewayFixture) {
     super()
-    const { clock, codec, runners, closures, connections } = fixture.context
+    const { clock, codec, runners, closures, connections, memory } = fixture.context
     this.passOn = PassOnServer.create({
       clock,
       log: silentLogger,
@@ -27,13 +28,14 @@
       closures,
       connections,
       paths: this.paths,
+      memory: memory.hop,
       isLeaving: () => this.leaving
     })
     this.#server = HttpServer.create(createPeerHandler(this, new Registry()), clock, { requestTimeoutMs: 5_000 })
   }
 
-  static async create (): Promise<PassingHost> {
-    const host = new PassingHost(await freeAddress(), await GatewayFixture.create([]))
+  static async create (memory?: MemoryBudgets): Promise<PassingHost> {
+    const host = new PassingHost(await freeAddress(), await GatewayFixture.create([], undefined, undefined, memory))
     await host.#server.listen(host.peerAddress)
     return host
   }
