The last log line of a process says why it ended, long turns of the event loop are logged

Signal, failed start with step, address and system code, unexpected errors and failed stop have codes 7001 to 7005.

--- a/packages/gateway/src/front/http-server.ts
+++ b/packages/gateway/src/front/http-server.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 import type { Clock } from '@figloom/runtime'
 import { afterNextPoll } from './caller-check.js'
+import { ListenError } from './listen-error.js'
 
 export type HttpServerLimits = {
   /** Time within which the head of a request has to be received. */
@@ -64,13 +65,14 @@
     return new HttpServer(handler, clock, options)
   }
 
-  /** @param address IP:PORT */
+  /** Rejects with a ListenError. @param address IP:PORT */
   listen (address: string): Promise<void> {
     const { host, port } = splitAddress(address)
     return new Promise((resolve, reject) => {
-      this.#server.once('error', reject)
+      const fail = (error: Error) => reject(ListenError.create(address, error))
+      this.#server.once('error', fail)
       this.#server.listen({ host, port, backlog: ACCEPT_BACKLOG }, () => {
-        this.#server.off('error', reject)
+        this.#server.off('error', fail)
         resolve()
       })
     })
--- a/packages/gateway/src/front/loop-lag.test.ts
+++ b/packages/gateway/src/front/loop-lag.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap'
-import { Clock, ManualClock, type Timer } from '@figloom/runtime'
+import { Clock, ManualClock, silentLogger, type LogFields, type Timer } from '@figloom/runtime'
 import { LoopLag } from './loop-lag.js'
 
 /** A clock that `busyMs` moves forward without firing timers, as in a process whose event loop is blocked. */
@@ -45,3 +45,20 @@
   t.equal(lag.currentMs(), 0)
   lag.stop()
 })
+
+t.test('long turns are logged at once, then with their number and the longest at most every five seconds', async (t) => {
+  const clock = new BusyClock()
+  const lines: (LogFields | undefined)[] = []
+  const lag = LoopLag.create(clock, { ...silentLogger, warn: (_message, fields) => { lines.push(fields) } })
+  lag.start()
+  for (const turnMs of [200, 400, 700, 500]) {
+    clock.busyMs += turnMs
+    await clock.advance(100)
+  }
+  t.same(lines, [{ longestMs: 400, turns: 1 }])
+  await clock.advance(5_000)
+  t.same(lines.slice(1), [{ longestMs: 700, turns: 2 }])
+  await clock.advance(20_000)
+  t.equal(lines.length, 2)
+  lag.stop()
+})
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -141,7 +141,7 @@
     this.#settings = settings
     this.#registry = createRegistry({ host: settings.self.host, availabilityZone: settings.self.availabilityZone })
     this.#startedMs = clock.monotonicMs()
-    this.#loopLag = LoopLag.create(clock)
+    this.#loopLag = LoopLag.create(clock, log)
     this.#instants = InstantSource.create(clock)
     this.#runnerList = RunnerListSync.create({ clock, instants: this.#instants, log, table: this.#runners, drainNoticeMs: settings.drainNoticeMs, contactMs: settings.contactMs })
     this.#configPassing = ConfigFetcher.create({
--- a/packages/runtime/src/logs/bounded-writer.test.ts
+++ b/packages/runtime/src/logs/bounded-writer.test.ts
@@ -51,3 +51,30 @@
   writer.write('line\n')
   t.pass('no exception')
 })
+
+t.test('the last line reaches the output after all others, even above the limits', async (t) => {
+  const clock = ManualClock.create()
+  const output = new TestOutput()
+  const writer = BoundedWriter.create(output, clock, limits)
+  for (let count = 0; count < 20; count += 1) writer.write('line\n')
+  t.ok(await writer.writeLast('last\n', 100))
+  t.equal(output.lines.at(-1), 'last\n')
+})
+
+t.test('a last line that the output does not take is given up after its time', async (t) => {
+  const clock = ManualClock.create()
+  const output = new TestOutput()
+  output.isReading = false
+  const writer = BoundedWriter.create(output, clock, limits)
+  writer.write('line\n')
+  const last = writer.writeLast('last\n', 100)
+  await clock.advance(100)
+  t.notOk(await last)
+})
+
+t.test('a last line to a closed output is given up at once', async (t) => {
+  const output = new TestOutput()
+  const writer = BoundedWriter.create(output, ManualClock.create(), limits)
+  output.destroy(new Error('closed'))
+  t.notOk(await writer.writeLast('last\n', 100))
+})
--- a/packages/runtime/src/logs/bounded-writer.ts
+++ b/packages/runtime/src/logs/bounded-writer.ts
@@ -18,12 +18,22 @@
 /** Shortest time between two summaries of dropped lines. */
 const SUMMARY_INTERVAL_MS = 5_000
 const STDOUT_FD = 1
+const STDERR_FD = 2
 
 /** Opens standard output as a stream whose writes never block; `process.stdout` blocks on a pipe that is not read. */
 export function openStandardOutput (): Writable {
-  const kind = fstatSync(STDOUT_FD)
-  if (kind.isFIFO() || kind.isSocket()) return new Socket({ fd: STDOUT_FD, readable: false, writable: true })
-  return createWriteStream('', { fd: STDOUT_FD, autoClose: false })
+  return openOutput(STDOUT_FD)
+}
+
+/** As openStandardOutput, for standard error. */
+export function openStandardError (): Writable {
+  return openOutput(STDERR_FD)
+}
+
+function openOutput (fd: number): Writable {
+  const kind = fstatSync(fd)
+  if (kind.isFIFO() || kind.isSocket()) return new Socket({ fd, readable: false, writable: true })
+  return createWriteStream('', { fd, autoClose: false })
 }
 
 export class BoundedWriter {
@@ -58,6 +68,17 @@
     this.output.write(line)
   }
 
+  /** Writes the line after which the process exits. Resolves with whether it reached the output within this time, after all lines before it. */
+  writeLast (line: string, withinMs: number): Promise<boolean> {
+    return new Promise((resolve) => {
+      const timer = this.clock.setTimer(withinMs, () => resolve(false))
+      this.output.write(line, (error) => {
+        timer.cancel()
+        resolve(error === null || error === undefined)
+      })
+    })
+  }
+
   get dropped (): number {
     return this.#dropped
   }
--- a/packages/runtime/src/result/codes.ts
+++ b/packages/runtime/src/result/codes.ts
@@ -16,7 +16,7 @@
 
 /**
  * Result codes by group. 1xxx: invalid request; 2xxx: refused, not run; 3xxx: backend servers; 4xxx: non-idempotent
- * calls; 5xxx: configuration and operators; 6xxx: platform and control; 9xxx: internal errors.
+ * calls; 5xxx: configuration and operators; 6xxx: platform and control; 7xxx: why a process ended, in its last log line; 9xxx: internal errors.
  */
 export const ResultCode = {
   MalformedRequest: { code: 1001, type: 'malformed_request', httpStatus: 400, ran: 'no', meaning: 'The request cannot be parsed or lacks a field.', action: 'Correct the request.' },
@@ -58,6 +58,11 @@
   PlatformUnavailable: { code: 6004, type: 'platform_unavailable', httpStatus: 503, ran: 'unknown', meaning: 'A platform service or engine did not answer.', action: 'Try again later.' },
   OrderRefused: { code: 6005, type: 'order_refused', httpStatus: 409, ran: 'no', meaning: 'The engine refused an order.', action: 'None; control makes a new plan.' },
   PeerVersion: { code: 6006, type: 'peer_version', httpStatus: 400, ran: 'no', meaning: 'A peer uses a version of the internal protocol that is not supported.', action: 'Finish the upgrade of the older hosts.' },
+  StoppedBySignal: { code: 7001, type: 'stopped_by_signal', httpStatus: 503, ran: 'unknown', meaning: 'A signal asked the process to stop.', action: 'None.' },
+  ListenFailed: { code: 7002, type: 'listen_failed', httpStatus: 503, ran: 'no', meaning: 'A listener could not be opened, so the process did not start.', action: 'Look for the process that holds the address, or correct the address in the settings.' },
+  StartFailed: { code: 7003, type: 'start_failed', httpStatus: 503, ran: 'no', meaning: 'The process did not start, by an unexpected error.', action: 'Report it with the log.' },
+  TooManyErrors: { code: 7004, type: 'too_many_errors', httpStatus: 503, ran: 'unknown', meaning: 'The process stopped because of unexpected errors.', action: 'Report it with the log.' },
+  StopFailed: { code: 7005, type: 'stop_failed', httpStatus: 503, ran: 'unknown', meaning: 'An unexpected error ended the stop of the process early.', action: 'Report it with the log.' },
   Internal: { code: 9001, type: 'internal', httpStatus: 500, ran: 'unknown', meaning: 'An internal error in figloom.', action: 'Report it with the request id.' }
 } as const satisfies Record<string, ResultCodeInfo>
 export type ResultCode = (typeof ResultCode)[keyof typeof ResultCode]
