--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -1,7 +1,6 @@
 /** Runs one request until its final answer: chooses a runner, sends the request, and retries it or gives up. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createFailure, Ran, ResultCode, type Failure, type ResultCodeInfo, type Timer } from '@figloom/runtime'
-import { LoadWait } from './load-wait.js'
 import { findCandidates, type CandidateSet } from '../choose/candidates.js'
 import { chooseRunner, type Candidate } from '../choose/choose-runner.js'
 import { isRequestKey } from '../crashes/request-key.js'
@@ -18,6 +17,7 @@
 import { INTACT, type PathAssessment } from './attempt-path.js'
 import { logClosedRunners } from './closed-runners-log.js'
 import { ResultObserver, type AttemptResult } from './attempt-result.js'
+import { DispatchWait } from './dispatch-wait.js'
 import { departureOf, NextStep, Outcome, wasNotSent } from './outcome.js'
 import { writeFailure } from './gateway-answer.js'
 import { affinityKey, impliesNotRun, urgencyOf } from './request-hints.js'
@@ -26,7 +26,6 @@
 import { RequestLog } from './request-log.js'
 import { StallDetector } from './stall-detector.js'
 import { StreamContinuity } from './stream-continuity.js'
-import { ROOM_POLL_MS, roomWaitMs } from './take-up-wait.js'
 import { recordAttempt, recordAnswerHead } from './record-attempt.js'
 import { createNeed, assessMove } from './request-need.js'
 import { createRefusal } from './refusal.js'
@@ -50,11 +49,10 @@
   readonly #lastResorts = new Set<string>()
   readonly #attempts = AttemptPair.create()
   readonly #budget: AttemptBudget
+  readonly #wait: DispatchWait
   readonly #finished: Promise<void>
   #resolveFinished: () => void = () => {}
   #deadlineTimer: Timer | undefined
-  #pollTimer: Timer | undefined
-  #loadWait: LoadWait | undefined
   #stallDetector: StallDetector | undefined
   #weightsVersion: number | undefined
   #ended = false
@@ -75,6 +73,7 @@
     this.#requestGuard = RequestGuard.create(context.crashes, request, (featureId) => this.#guard(() => this.#onBlocked(featureId)))
     this.#continuity = StreamContinuity.create(context, request)
     this.#budget = AttemptBudget.create({ context, request, log: this.#log, answerStarted: () => this.#writer.started })
+    this.#wait = DispatchWait.create({ context, request, continuity: this.#continuity, log: this.#log, retry: () => this.#guard(() => this.#dispatch()) })
     this.#finished = new Promise((resolve) => { this.#resolveFinished = resolve })
   }
 
@@ -415,35 +414,9 @@
     this.#giveUp(this.#failure(ResultCode.Overloaded, result.reason, retryDelayWhenFull(this.context, this.#timeLeftMs())))
   }
 
-  /** Schedules another try if the model is being loaded and will be ready in time; false: there is nothing to wait for. */
-  #waitForLoad (): boolean {
-    const { clock, loads, host } = this.context
-    const { service, facts, arrivedMs } = this.request
-    const { softwareVersion, targetMs } = this.#continuity
-    if (service.engine === undefined || facts.model === undefined || host.isLeaving()) return false
-    const isFirstPoll = this.#loadWait === undefined
-    this.#loadWait ??= LoadWait.create(loads, { service: service.name, model: facts.model, softwareVersion, arrivedMs, targetLatencyMs: targetMs })
-    if (isFirstPoll) this.#continuity.onMissing()
-    const pollMs = this.#loadWait.nextPollMs(clock.monotonicMs())
-    if (pollMs === undefined) return false
-    if (isFirstPoll) this.#log.note('waits for a load', { model: facts.model, softwareVersion, readyInMs: loads.readyInMs(service.name, facts.model, softwareVersion) })
-    this.#pollTimer = clock.setTimer(pollMs, () => this.#guard(() => this.#dispatch()))
-    return true
-  }
-
-  /** Schedules another try of a caller that continues a stream, whose runners are full; false: it has waited long enough. */
-  #waitForRoom (): boolean {
-    if (!this.#continuity.isTakeUp || this.context.host.isLeaving()) return false
-    const { clock } = this.context
-    const untilMs = this.request.arrivedMs + roomWaitMs(this.#continuity.targetMs)
-    if (clock.monotonicMs() + ROOM_POLL_MS > untilMs) return false
-    this.#pollTimer = clock.setTimer(ROOM_POLL_MS, () => this.#guard(() => this.#dispatch()))
-    return true
-  }
-
   #refuse (set: CandidateSet): void {
     const mayWait = !this.#writer.started && !this.#budget.mayHaveRun
-    if (mayWait && (set.fullCount === 0 ? this.#waitForLoad() : this.#waitForRoom())) return
+    if (mayWait && (set.fullCount === 0 ? this.#wait.forLoad() : this.#wait.forRoom())) return
     this.#log.note('no runner can take the request', { full: set.fullCount, closed: set.closed.length, withoutAdapter: set.withoutAdapter.length, excluded: this.#excluded.size, listed: this.context.runners.usable(this.request.service.name).length })
     logClosedRunners(this.context, this.request, this.#log, set.closed)
     if (this.#budget.mayHaveRun) return this.#giveUp(this.#failure(ResultCode.BackendFailed, `${this.#lastFailureReason}; no other runner is free`))
@@ -534,7 +507,7 @@
     if (this.#ended) return
     this.#ended = true
     this.#deadlineTimer?.cancel()
-    this.#pollTimer?.cancel()
+    this.#wait.stop()
     this.#stallDetector?.stop()
     this.#requestGuard.end()
     this.#continuity.onEnded()
