Bodies passed on to other hosts: one limit on what both hosts keep of them

Callers saw: nothing yet; read in the code. Bodies of up to 12.5 MB arrived whole at the host that passes them on before it looked at them, 512 and more at once, and its first host kept a copy of each until the answer had come.

Why it works: the peer listener reads messages itself. That of a request to pass on states its length in front: room for all of it is taken from the hop budget, or the request is refused as withheld, with the reason that all releases know as one of that host (it passes on too many requests), so the first host takes another one and a non-idempotent request is safe. The rest of such a message is read and dropped, so that the refusal isn't lost with the connection. Calls without a stated length are collected within the same budget.

Two tests get the new part of PassOnClient; nothing in them is weaker.

--- a/packages/gateway/src/front/handlers.ts
+++ b/packages/gateway/src/front/handlers.ts
@@ -1,9 +1,8 @@
 /** The handlers of a host's listeners, built with h3. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { connectNodeAdapter } from '@connectrpc/connect-node'
 import type { Clock, Registry } from '@figloom/runtime'
 import { createApp, defineEventHandler, setResponseStatus, setResponseHeader, toNodeListener } from 'h3'
-import { MAX_MESSAGE_BYTES, registerPeerService, type PeerHandler } from '../members/peer-service.js'
+import { createPeerListener, type PeerListenerOptions } from '../members/peer-listener.js'
 import type { RequestHandler } from './http-server.js'
 import { discardRest } from './read-body.js'
 
@@ -38,9 +37,11 @@
 /** The answer for a fixed path. */
 export type PathAnswer = { status: number, body: string, contentType: string }
 
+export type PeerListenerParts = PeerListenerOptions & { registry: Registry }
+
 /** Serves the protocol between hosts, and the metrics. */
-export function createPeerHandler (handler: PeerHandler, registry: Registry): RequestHandler {
-  const peerListener = connectNodeAdapter({ acceptCompression: [], readMaxBytes: MAX_MESSAGE_BYTES, routes: (router) => registerPeerService(router, handler) })
+export function createPeerHandler ({ registry, ...options }: PeerListenerParts): RequestHandler {
+  const peerListener = createPeerListener(options)
   const metricsApp = createApp()
   metricsApp.use('/metrics', defineEventHandler(async (event) => {
     setResponseHeader(event, 'Content-Type', registry.contentType)
--- a/packages/gateway/src/front/side-listeners.ts
+++ b/packages/gateway/src/front/side-listeners.ts
@@ -1,6 +1,7 @@
 /** The listeners other than the one for callers: for other hosts and metrics, for the readiness check, and for lookups. */
-import type { Clock, Registry } from '@figloom/runtime'
+import type { Clock, Logger, Registry } from '@figloom/runtime'
 import type { PeerHandler } from '../members/peer-service.js'
+import type { ByteBudget } from '../memory/byte-budget.js'
 import type { GatewaySettings, LookupWire } from '../types.js'
 import { createPathHandler, createPeerHandler } from './handlers.js'
 import { HttpServer } from './http-server.js'
@@ -13,6 +14,9 @@
   wire: LookupWire
   registry: Registry
   clock: Clock
+  log: Logger
+  /** Limits what is kept of the messages of all hosts. */
+  memory: ByteBudget
   peers: PeerHandler
   ready: () => boolean
   /** Caller addresses of the hosts that callers may use; empty if no host is known to be ready. */
@@ -31,8 +35,8 @@
   }
 
   async open (): Promise<void> {
-    const { settings, wire, registry, clock, peers, ready } = this.options
-    await this.#listen(createPeerHandler(peers, registry), settings.peerListener)
+    const { settings, wire, registry, clock, log, memory, peers, ready } = this.options
+    await this.#listen(createPeerHandler({ handler: peers, registry, clock, log, memory }), settings.peerListener)
     await this.#listen(createPathHandler(wire.readinessPath, clock, () => readinessAnswer(ready())), settings.readinessListener)
     await this.#listen(createPathHandler(wire.lookupPath, clock, () => this.#answerLookup()), settings.lookupListener)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -192,6 +192,7 @@
     this.#passOnClient = PassOnClient.create({
       clock,
       metrics: this.#passOnMetrics,
+      memory: this.#memory.hop,
       isLive: (host) => this.#members.live(this.#nowMs()).some(({ summary }) => summary.address.host === host)
     })
     this.#passOnServer = this.#createPassOnServer()
@@ -337,6 +338,8 @@
       wire: platform.lookupWire,
       registry: this.#registry,
       clock: this.parts.clock,
+      log: this.parts.log,
+      memory: this.#memory.hop,
       ready: () => this.ready,
       lookup: () => this.#lookupAddresses(),
       lookupTtlMs: () => Math.min(LOOKUP_TTL_MS, this.#settings.maxLookupTtlMs),
--- /dev/null
+++ b/packages/gateway/src/members/peer-listener.ts
@@ -0,0 +1,68 @@
+/** Serves the protocol between hosts. The messages of all hosts are read within one budget. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { Code, ConnectError, createConnectRouter, createContextValues } from '@connectrpc/connect'
+import { universalRequestFromNodeRequest, universalResponseToNodeResponse } from '@connectrpc/connect-node'
+import type { Clock, Logger } from '@figloom/runtime'
+import { discardRest } from '../front/read-body.js'
+import type { RequestHandler } from '../front/http-server.js'
+import type { ByteBudget, ByteHold } from '../memory/byte-budget.js'
+import { EnvelopeCollector, PlainCollector, Reading, readMessage } from './message-reader.js'
+import { HAS_ROOM, MAX_MESSAGE_BYTES, registerPeerService, type PeerHandler } from './peer-service.js'
+
+/** An envelope without content stands for a message that isn't read. */
+const EMPTY_ENVELOPE = Buffer.alloc(5)
+
+export type PeerListenerOptions = {
+  handler: PeerHandler
+  /** Limits what is kept of the messages of all hosts. */
+  memory: ByteBudget
+  clock: Clock
+  log: Logger
+}
+
+type Call = ReturnType<typeof createConnectRouter>['handlers'][number]
+
+export function createPeerListener ({ handler, memory, clock, log }: PeerListenerOptions): RequestHandler {
+  const router = createConnectRouter({ acceptCompression: [], readMaxBytes: MAX_MESSAGE_BYTES, grpc: false, grpcWeb: false })
+  registerPeerService(router, handler)
+  const calls = new Map(router.handlers.map((call) => [call.requestPath, call]))
+  return (request, response) => {
+    const call = calls.get(request.url ?? '')
+    if (call === undefined) return answerEmpty(404, request, response, clock)
+    const hold = memory.open(request.socket.remoteAddress ?? '', () => {})
+    response.once('close', () => hold.close())
+    serve(call, request, response, { hold, clock }).catch((error: Error) => {
+      log.debug('call of another host not answered', { path: request.url, reason: error.message })
+      response.destroy()
+    })
+  }
+}
+
+type ServeOptions = { hold: ByteHold, clock: Clock }
+
+async function serve (call: Call, request: IncomingMessage, response: ServerResponse, { hold, clock }: ServeOptions): Promise<void> {
+  const isStream = call.method.methodKind === 'server_streaming'
+  const collector = isStream ? EnvelopeCollector.create(hold, MAX_MESSAGE_BYTES) : PlainCollector.create(hold, MAX_MESSAGE_BYTES)
+  const reading = await readMessage(request, collector)
+  const isRefused = isStream && reading === Reading.NoRoom
+  // The other host gets the refusal, and not a broken connection, once it has written its message.
+  if (isRefused) request.resume()
+  else if (reading !== Reading.Whole) discardRest(request, clock)
+  const values = createContextValues().set(HAS_ROOM, !isRefused)
+  const incoming = universalRequestFromNodeRequest(request, response, undefined, values)
+  const body = isRefused ? piecesOf([EMPTY_ENVELOPE]) : reading === Reading.Whole ? piecesOf(collector.content) : failingBody(reading)
+  await universalResponseToNodeResponse(await call({ ...incoming, body }), response)
+}
+
+async function * piecesOf (pieces: Buffer[]): AsyncGenerator<Uint8Array> {
+  yield * pieces
+}
+
+async function * failingBody (reading: Reading): AsyncGenerator<Uint8Array> {
+  throw new ConnectError(`message not read: ${reading}`, Code.ResourceExhausted)
+}
+
+function answerEmpty (status: number, request: IncomingMessage, response: ServerResponse, clock: Clock): void {
+  discardRest(request, clock)
+  response.writeHead(status).end()
+}
--- a/packages/gateway/src/members/peer-service.ts
+++ b/packages/gateway/src/members/peer-service.ts
@@ -1,11 +1,13 @@
 /** The protocol between hosts over connect-es: the client and the routes of the service. */
-import type { ConnectRouter } from '@connectrpc/connect'
+import { createContextKey, type ConnectRouter } from '@connectrpc/connect'
 import { GatewayService, type PassOnPart, type PassOnRequest } from '@figloom/protocol'
 import { Agent } from 'node:http'
 import type { RunnerCheck } from '../crashes/types.js'
 import type { PermitReply, PermitRequest } from '../limits/types.js'
 import { toCheck, toCheckMessage } from './check-messages.js'
 import { toPermitMessage, toPermitReply, toPermitReplyMessage, toPermitRequest } from './limit-messages.js'
+import { refusal } from '../pass-on/refusal.js'
+import { RefusalReason } from '../pass-on/refusal-reason.js'
 import { HostClients } from './host-clients.js'
 import { fromMessage, toMessage } from './report-messages.js'
 import { PeerClient, type AdapterReply, type AdapterRequest, type HostReport } from './types.js'
@@ -15,6 +17,8 @@
 const CONFIG_TIMEOUT_MS = 2_000
 /** In the largest deployments the list of all runners takes a few megabytes. */
 export const MAX_MESSAGE_BYTES = 16_777_216
+/** Whether there was memory for the message of a call; if not, the message is empty. */
+export const HAS_ROOM = createContextKey(true)
 /** Keeps idle connections between hosts open over several exchanges. */
 const KEEP_ALIVE_MS = 5_000
 
@@ -38,7 +42,7 @@
     takePermits: (message) => toPermitReplyMessage(handler.onPermitRequest(toPermitRequest(message))),
     readConfig: () => ({ encoded: handler.onConfigRequest() }),
     checkRunner: async ({ address }) => ({ check: toCheckMessage(await handler.onCheckRequest(address)) }),
-    passOn: (message, { signal }) => handler.onPassOn(message, signal)
+    passOn: (message, { signal, values }) => values.get(HAS_ROOM) ? handler.onPassOn(message, signal) : refusal(RefusalReason.Full)
   })
 }
 
--- a/packages/gateway/src/pass-on/pass-on-client.ts
+++ b/packages/gateway/src/pass-on/pass-on-client.ts
@@ -7,6 +7,7 @@
 import type { PathKind, RunnerPath } from '../paths/types.js'
 import { HostAttempt } from './host-attempt.js'
 import { HostClients } from '../members/host-clients.js'
+import type { ByteBudget, ByteHold } from '../memory/byte-budget.js'
 import { HostConnections } from './host-connections.js'
 import { MAX_BODY_BYTES, MAX_PART_BYTES } from './limits.js'
 import type { PassOnMetrics } from './metrics.js'
@@ -29,6 +30,8 @@
 export type PassOnClientParts = {
   clock: Clock
   metrics: PassOnMetrics
+  /** Limits what is kept of the requests on their way to other hosts. */
+  memory: ByteBudget
   /** Whether a host reports. */
   isLive: (host: string) => boolean
 }
@@ -49,13 +52,16 @@
   }
 
   start ({ host, peerAddress }: HostPath, request: RequestToPassOn, observer: AttemptObserver): Attempt {
-    const { clock, metrics } = this.parts
+    const { clock, memory, metrics } = this.parts
+    const hold = memory.open(host, () => {})
+    hold.fix()
     const attempt = HostAttempt.start({
-      call: (signal) => this.#call(peerAddress, request, signal),
+      call: (signal) => this.#call(peerAddress, request, hold, signal),
       observer,
       clock,
       onOver: (outcome) => {
         this.#open.delete(entry)
+        hold.close()
         metrics.passedOn.inc({ outcome })
       }
     })
@@ -72,8 +78,11 @@
     this.#connections.destroy()
   }
 
-  #call (peerAddress: string, request: RequestToPassOn, signal: AbortSignal): AsyncIterable<PassOnPart> {
-    if ((request.request.body?.length ?? 0) > MAX_BODY_BYTES) return refusal(RefusalReason.TooLarge)
+  /** The message is a copy of the body, which is kept until the other host has read it. */
+  #call (peerAddress: string, request: RequestToPassOn, hold: ByteHold, signal: AbortSignal): AsyncIterable<PassOnPart> {
+    const bodyBytes = request.request.body?.length ?? 0
+    if (bodyBytes > MAX_BODY_BYTES) return refusal(RefusalReason.TooLarge)
+    if (!hold.take(bodyBytes)) return refusal(RefusalReason.NoMemory)
     return this.#clients.at(peerAddress).passOn(toMessage(request), { signal })
   }
 
--- a/packages/gateway/src/pass-on/passed-on-requests.test.ts
+++ b/packages/gateway/src/pass-on/passed-on-requests.test.ts
@@ -306,7 +306,7 @@
 t.test('a host that falls silent without closing its connections loses the requests at it', async (t) => {
   const { host, paths, runner } = await startHosts(t, { kind: RouteKind.NonIdempotent, maxAttempts: 1, timeoutMs: 20_000 }, () => {})
   let live = true
-  host.context.passOn = PassOnClient.create({ clock: host.context.clock, metrics: createPassOnMetrics(new Registry()), isLive: () => live })
+  host.context.passOn = PassOnClient.create({ clock: host.context.clock, metrics: createPassOnMetrics(new Registry()), memory: host.context.memory.hop, isLive: () => live })
   const reply = host.call({ method: 'POST' })
   t.ok(await until(() => runner.requests.length === 1))
   live = false
--- a/packages/gateway/src/pass-on/refusal-reason.ts
+++ b/packages/gateway/src/pass-on/refusal-reason.ts
@@ -6,6 +6,8 @@
   NotListed: 'the host lists no such runner at this address',
   Closed: 'the runner is closed to requests',
   TooLarge: 'the body is too large to pass on',
+  /** At the host that asks; where the host that is asked has no memory left, it says that it passes on too many requests, which all releases know. */
+  NoMemory: 'no memory is left to send the body to another host',
   Late: 'no time is left for the request',
   Overdue: 'the host that asked has not ended the request in its time',
   Malformed: 'the request can not be sent'
--- a/packages/gateway/src/pass-on/stalled-process.test.ts
+++ b/packages/gateway/src/pass-on/stalled-process.test.ts
@@ -4,6 +4,7 @@
 import { ManualClock, Registry } from '@figloom/runtime'
 import t from 'tap'
 import { AttemptObserver, Flow, type FailureStage } from '../forward/attempt.js'
+import { ByteBudget, ByteKind } from '../memory/byte-budget.js'
 import { PathKind } from '../paths/types.js'
 import { freeAddress } from '../testing/free-address.js'
 import { HostConnections } from './host-connections.js'
@@ -46,7 +47,7 @@
   const peerAddress = await freeAddress()
   const server = await listen(peerAddress)
   let heardMs = 0
-  const client = PassOnClient.create({ clock, metrics: createPassOnMetrics(new Registry()), isLive: () => clock.monotonicMs() - heardMs < SILENT_MS })
+  const client = PassOnClient.create({ clock, metrics: createPassOnMetrics(new Registry()), memory: ByteBudget.unlimited(ByteKind.Hop), isLive: () => clock.monotonicMs() - heardMs < SILENT_MS })
   t.teardown(() => {
     client.destroy()
     server.closeAllConnections()
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -172,7 +172,7 @@
       origins: StreamOrigins.create({ clock, log: silentLogger, history, streamLog, hostCount: () => 1 }),
       connections: RunnerConnections.create((runnerId, reason) => overlong.push(`${runnerId}: ${reason}`)),
       paths: DirectPaths.create(),
-      passOn: PassOnClient.create({ clock, metrics: createPassOnMetrics(new Registry()), isLive: () => true }),
+      passOn: PassOnClient.create({ clock, metrics: createPassOnMetrics(new Registry()), memory: memory.hop, isLive: () => true }),
       memory,
       budget: SharedBudget.create({ ratio: 0.2, slack: 50, windowMs: 10_000 }),
       demand: DemandMeter.create(),
