Bodies of callers: one limit on the memory of all of them together

Callers saw: hosts that ended in the middle of their requests when many other callers sent most of a large body and then nothing.

Cause: a body may have maxBodyBytes (4.2 MB) for as long as its route's timeout; nothing limited the sum. Pieces were kept as they arrived, each with the buffer that it was a part of.

Why it works: bytes of a body are counted against the budget for requests before they are kept. A complete body stays counted until its request has ended.

--- a/packages/gateway/src/serve/serve-request.ts
+++ b/packages/gateway/src/serve/serve-request.ts
@@ -9,7 +9,7 @@
 import { featureIdsOf } from './request-features.js'
 import { RequestRun } from './request-run.js'
 import { endsInTime } from './rest-of-grace.js'
-import type { ServeContext } from './types.js'
+import type { AcceptedRequest, ServeContext } from './types.js'
 
 const NOT_READY_RETRY_MS = 500
 /** Colon, space and line end of a header line. */
@@ -31,17 +31,18 @@
   if (destination.isErr()) return refuse(context, incoming, response, facts, destination.error)
   const { route, service } = destination.value
   const maxMs = maxDurationMs(route, facts)
-  const body = await readBody(incoming, { maxBytes: context.config.limits?.maxBodyBytes ?? Infinity, maxMs }, context.clock)
+  const body = await readBody(incoming, { maxBytes: context.config.limits?.maxBodyBytes ?? Infinity, maxMs }, context.clock, context.memory.requests)
   if (body.isErr()) {
     if (response.destroyed) return
     return refuse(context, incoming, response, facts, body.error)
   }
-  const content = { method: incoming.method ?? 'GET', target: incoming.url ?? '/', body: body.value }
+  const { bytes, release } = body.value
+  const content = { method: incoming.method ?? 'GET', target: incoming.url ?? '/', body: bytes }
   const featureIds = featureIdsOf(content, facts)
   // Blocked requests aren't run, so no copy of a model is loaded for them.
   if (!context.crashes.isBlocked(featureIds)) countDemand(context, service, facts, arrivedMs)
   const dueMs = arrivedMs + maxMs
-  await RequestRun.serve(context, {
+  const request: AcceptedRequest = {
     ...content,
     id: facts.requestId ?? '',
     headers: incoming.rawHeaders,
@@ -51,7 +52,10 @@
     service,
     arrivedMs,
     dueMs
-  }, incoming, response)
+  }
+  await RequestRun.serve(context, request, incoming, response).finally(release)
+  // The run stays in memory until its caller has read the answer; the body isn't needed for that.
+  request.body = undefined
 }
 
 function findDestination (context: ServeContext, incoming: IncomingMessage): Result<Destination, Failure> {
@@ -106,5 +110,5 @@
   context.metrics.requests.inc({ route: 'none', result: failure.code.type })
   context.log.warn('request refused on arrival', { requestId: facts.requestId, result: failure.code.type, reason: failure.message, configVersion: context.config.version })
   writeFailure(response, failure, context.host.isLeaving())
-  discardRest(incoming, context.clock)
+  discardRest(incoming, context.clock, failure.code === ResultCode.OutOfMemory ? context.config.limits?.maxBodyBytes : undefined)
 }
