Messages between hosts and metrics that wait: counted in one limit, freed when they give way

Callers saw: nothing yet; read in the code. The peer listener took messages of up to 16 MiB of any number of hosts at once, in text forms as well, and kept a text of the metrics for each reader that didn't read, without an end.

Small calls and the next reader are answered beside them. Seen failing first: all three tests, with the limit and the check of the type switched off in the built file.

Why it works: the largest message that isn't complete, or the oldest texts, give way; a reader of messages then keeps nothing more. A text is shared by readers that come at the same time, and its connection is closed 5 s later if it wasn't read. Messages in JSON, gRPC and gRPC-web, which no host sends, are refused by their type.

--- a/packages/gateway/src/front/handlers.ts
+++ b/packages/gateway/src/front/handlers.ts
@@ -4,6 +4,7 @@
 import { createApp, defineEventHandler, setResponseStatus, setResponseHeader, toNodeListener } from 'h3'
 import { createPeerListener, type PeerListenerOptions } from '../members/peer-listener.js'
 import type { RequestHandler } from './http-server.js'
+import { createMetricsHandler } from './metrics-handler.js'
 import { discardRest } from './read-body.js'
 
 /** Passes every request to `serve`, which writes the answer. */
@@ -42,12 +43,7 @@
 /** Serves the protocol between hosts, and the metrics. */
 export function createPeerHandler ({ registry, ...options }: PeerListenerParts): RequestHandler {
   const peerListener = createPeerListener(options)
-  const metricsApp = createApp()
-  metricsApp.use('/metrics', defineEventHandler(async (event) => {
-    setResponseHeader(event, 'Content-Type', registry.contentType)
-    return await registry.metrics()
-  }))
-  const metricsListener = toNodeListener(metricsApp)
+  const metricsListener = createMetricsHandler({ ...options, registry })
   return (request, response) => {
     if (request.url === '/metrics') metricsListener(request, response)
     else peerListener(request, response)
--- a/packages/gateway/src/members/message-reader.ts
+++ b/packages/gateway/src/members/message-reader.ts
@@ -90,20 +90,51 @@
   }
 }
 
-/** Reads a request's message to its end, or until it is too large or has no room. Rejects if the connection ends before. */
-export function readMessage (incoming: IncomingMessage, collector: MessageCollector): Promise<Reading> {
-  return new Promise((resolve, reject) => {
-    const finish = (reading: Reading) => {
-      incoming.off('data', onData)
-      resolve(reading)
-    }
-    const onData = (piece: Buffer) => {
-      const reading = collector.push(piece)
-      if (reading !== Reading.Whole) finish(reading)
-    }
-    incoming.on('data', onData)
-    incoming.once('end', () => finish(Reading.Whole))
-    incoming.once('error', reject)
-    incoming.once('close', () => reject(new Error('the connection closed')))
-  })
+/** Reads the message of one request to its end, or until it is too large or has no room. */
+export class MessageReader {
+  /** Undefined once the message is given up, so that its bytes are freed. */
+  #collector: MessageCollector | undefined
+  #finish: ((reading: Reading) => void) | undefined
+
+  private constructor (private readonly incoming: IncomingMessage) {}
+
+  static create (incoming: IncomingMessage): MessageReader {
+    return new MessageReader(incoming)
+  }
+
+  /** Rejects if the connection ends before the message. */
+  read (collector: MessageCollector): Promise<Reading> {
+    const { incoming } = this
+    this.#collector = collector
+    return new Promise((resolve, reject) => {
+      const onData = (piece: Buffer) => this.#onData(piece)
+      this.#finish = (reading) => {
+        incoming.off('data', onData)
+        this.#finish = undefined
+        if (reading !== Reading.Whole) this.#collector = undefined
+        resolve(reading)
+      }
+      incoming.on('data', onData)
+      incoming.once('end', () => this.#finish?.(Reading.Whole))
+      incoming.once('error', reject)
+      incoming.once('close', () => reject(new Error('the connection closed')))
+    })
+  }
+
+  /** The memory of the message is needed for others. */
+  giveUp (): void {
+    this.#finish?.(Reading.NoRoom)
+  }
+
+  /** Hands out the message; the reader keeps nothing of it. */
+  takeContent (): Buffer[] {
+    const content = this.#collector?.content ?? []
+    this.#collector = undefined
+    return content
+  }
+
+  #onData (piece: Buffer): void {
+    const reading = this.#collector?.push(piece)
+    if (reading !== undefined && reading !== Reading.Whole) this.#finish?.(reading)
+  }
 }
--- a/packages/gateway/src/members/peer-listener.ts
+++ b/packages/gateway/src/members/peer-listener.ts
@@ -6,7 +6,7 @@
 import { discardRest } from '../front/read-body.js'
 import type { RequestHandler } from '../front/http-server.js'
 import type { ByteBudget, ByteHold } from '../memory/byte-budget.js'
-import { EnvelopeCollector, PlainCollector, Reading, readMessage } from './message-reader.js'
+import { EnvelopeCollector, MessageReader, PlainCollector, Reading } from './message-reader.js'
 import { HAS_ROOM, MAX_MESSAGE_BYTES, registerPeerService, type PeerHandler } from './peer-service.js'
 
 /** An envelope without content stands for a message that isn't read. */
@@ -29,33 +29,45 @@
   return (request, response) => {
     const call = calls.get(request.url ?? '')
     if (call === undefined) return answerEmpty(404, request, response, clock)
-    const hold = memory.open(request.socket.remoteAddress ?? '', () => {})
+    if (request.headers['content-type'] !== contentTypeOf(call)) return answerEmpty(415, request, response, clock)
+    const reader = MessageReader.create(request)
+    const hold = memory.open(request.socket.remoteAddress ?? '', () => reader.giveUp())
     response.once('close', () => hold.close())
-    serve(call, request, response, { hold, clock }).catch((error: Error) => {
+    serve(call, request, response, { reader, hold, clock }).catch((error: Error) => {
       log.debug('call of another host not answered', { path: request.url, reason: error.message })
       response.destroy()
     })
   }
 }
 
-type ServeOptions = { hold: ByteHold, clock: Clock }
+/** Hosts send binary messages alone; decoded text weighs many times its bytes. */
+function contentTypeOf (call: Call): string {
+  return isStream(call) ? 'application/connect+proto' : 'application/proto'
+}
+
+function isStream ({ method }: Call): boolean {
+  return method.methodKind === 'server_streaming'
+}
+
+type ServeOptions = { reader: MessageReader, hold: ByteHold, clock: Clock }
 
-async function serve (call: Call, request: IncomingMessage, response: ServerResponse, { hold, clock }: ServeOptions): Promise<void> {
-  const isStream = call.method.methodKind === 'server_streaming'
-  const collector = isStream ? EnvelopeCollector.create(hold, MAX_MESSAGE_BYTES) : PlainCollector.create(hold, MAX_MESSAGE_BYTES)
-  const reading = await readMessage(request, collector)
-  const isRefused = isStream && reading === Reading.NoRoom
+async function serve (call: Call, request: IncomingMessage, response: ServerResponse, { reader, hold, clock }: ServeOptions): Promise<void> {
+  const reading = await reader.read(isStream(call) ? EnvelopeCollector.create(hold, MAX_MESSAGE_BYTES) : PlainCollector.create(hold, MAX_MESSAGE_BYTES))
+  const isRefused = isStream(call) && reading === Reading.NoRoom
+  if (reading === Reading.Whole) hold.fix()
+  else hold.close()
   // The other host gets the refusal, and not a broken connection, once it has written its message.
   if (isRefused) request.resume()
   else if (reading !== Reading.Whole) discardRest(request, clock)
   const values = createContextValues().set(HAS_ROOM, !isRefused)
   const incoming = universalRequestFromNodeRequest(request, response, undefined, values)
-  const body = isRefused ? piecesOf([EMPTY_ENVELOPE]) : reading === Reading.Whole ? piecesOf(collector.content) : failingBody(reading)
+  const body = isRefused ? piecesOf([EMPTY_ENVELOPE]) : reading === Reading.Whole ? piecesOf(reader.takeContent()) : failingBody(reading)
   await universalResponseToNodeResponse(await call({ ...incoming, body }), response)
 }
 
+/** Keeps no piece that was handed out: the decoder makes a copy, which stays with the request. */
 async function * piecesOf (pieces: Buffer[]): AsyncGenerator<Uint8Array> {
-  yield * pieces
+  for (let piece = pieces.shift(); piece !== undefined; piece = pieces.shift()) yield piece
 }
 
 async function * failingBody (reading: Reading): AsyncGenerator<Uint8Array> {
--- a/packages/gateway/src/pass-on/many-bodies.test.ts
+++ b/packages/gateway/src/pass-on/many-bodies.test.ts
@@ -43,6 +43,17 @@
   return process.memoryUsage().arrayBuffers
 }
 
+/** What is kept since then, as soon as it is below a limit, or after a time in which nothing that is kept is given up. */
+async function keptSince (before: number, limitBytes: number): Promise<number> {
+  const endMs = performance.now() + 2_000
+  let kept = bufferBytes() - before
+  while (kept >= limitBytes && performance.now() < endMs) {
+    await new Promise((resolve) => setTimeout(resolve, 50))
+    kept = bufferBytes() - before
+  }
+  return kept
+}
+
 async function startPassing (t: Test, hop: ByteBudget): Promise<PassingHost> {
   const passing = await PassingHost.create({ ...createUnlimitedBudgets(), hop })
   t.teardown(() => passing.close())
@@ -87,8 +98,9 @@
   const roomFor = Math.floor(LIMIT_BYTES / (BODY_BYTES - FREE_BYTES))
   t.ok(await until(() => calls.filter(({ text }) => text() !== '').length === AT_ONCE - roomFor))
   t.ok(await until(() => calls.every(({ socket }) => socket.writableLength === 0)))
-  const kept = bufferBytes() - before
-  t.ok(kept < LIMIT_BYTES + AT_ONCE * BYTES_PER_CONNECTION, `${kept} bytes kept`)
+  const mostBytes = LIMIT_BYTES + AT_ONCE * BYTES_PER_CONNECTION
+  const kept = await keptSince(before, mostBytes)
+  t.ok(kept < mostBytes, `${kept} bytes kept`)
   t.ok(hop.usedBytes <= LIMIT_BYTES)
   const refused = calls.filter(({ text }) => text() !== '')
   for (const { text } of refused) t.match(firstPart(text()).part, { case: 'failure', value: { stage: PassOnStage.WITHDRAWN, reason: RefusalReason.Full } })
@@ -101,9 +113,9 @@
   const before = bufferBytes()
   const { socket } = beginCall(t, passing, 60_000, 2)
   t.ok(await until(() => socket.writableLength === 0))
-  await new Promise((resolve) => setImmediate(resolve))
-  const kept = bufferBytes() - before
-  t.ok(kept < BODY_BYTES + BYTES_PER_CONNECTION, `${kept} bytes kept`)
+  const mostBytes = BODY_BYTES + BYTES_PER_CONNECTION
+  const kept = await keptSince(before, mostBytes)
+  t.ok(kept < mostBytes, `${kept} bytes kept`)
 })
 
 /** A host that reaches its runner by way of other hosts only. */
