Callers that read nothing: an end for their answers

Callers saw nothing of it; a host kept the answer, its memory and the connection for ever: once its run had ended, or its stream had been broken off, nothing watched whether the caller took it.

Why it works: a connection with bytes waiting is checked twice within the idle limit of the configuration, which says how long a caller may stay idle, and within ten seconds at least. Node puts a check off when the kernel has taken bytes, also of one large write. A process that was suspended sees one check without progress, never two. A silent runner is no reason: nothing waits then.

--- a/packages/gateway/src/front/http-server.ts
+++ b/packages/gateway/src/front/http-server.ts
@@ -18,6 +18,12 @@
 const TIMEOUT_CHECK_INTERVAL_MS = 500
 /** Idle connections stay open this much longer than their last answer stated, as a caller may send its next request at the last moment. */
 const IDLE_MARGIN_MS = 1_000
+/** Callers whose network is away for some seconds read on afterwards. */
+const MIN_UNREAD_MS = 10_000
+/** A caller is closed after so many checks in a row that see no byte taken. One alone may follow a suspension of this process. */
+const UNREAD_CHECKS = 2
+/** Checks within this multiple of their interval are in a row: Node puts a check off when it sees bytes taken. */
+const IN_A_ROW_FACTOR = 1.5
 /** Most new connections that may wait to be accepted. */
 const ACCEPT_BACKLOG = 1_024
 
@@ -31,11 +37,15 @@
   idleMs: number
   /** Time for which its last answer stated that it may stay idle. */
   statedIdleMs: number
+  /** The caller took no byte of its answer for the whole time that it has for that. */
+  unread: boolean
 }
 
 export type HttpServerOptions = {
   /** Time within which a whole request has to be received; 0: none, the handler limits it. */
   requestTimeoutMs?: number
+  /** Overrides the least time after which a caller that takes no byte of its answer is closed. */
+  minUnreadMs?: number
   onUnexpectedClose?: (close: UnexpectedClose) => void
 }
 
@@ -46,6 +56,9 @@
   statedIdleMs: number
   /** When its last answer ended, in milliseconds of the monotonic clock. */
   idleSinceMs: number
+  /** Checks in a row that saw bytes waiting and none taken. */
+  unreadChecks: number
+  lastUnreadCheckMs: number
 }
 
 export class HttpServer {
@@ -58,7 +71,7 @@
     this.#server.on('connection', (socket) => this.#track(socket))
     this.#server.on('request', (request, response) => this.#onRequest(request.socket, response))
     this.#server.on('request', handler)
-    this.#server.on('timeout', (socket) => closeIfIdle(socket))
+    this.#server.on('timeout', (socket) => this.#onTimeout(socket))
   }
 
   static create (handler: RequestHandler, clock: Clock, options: HttpServerOptions = {}): HttpServer {
@@ -116,7 +129,7 @@
   }
 
   #track (socket: Socket): void {
-    this.#connections.set(socket, { openRequests: 0, statedIdleMs: 0, idleSinceMs: this.clock.monotonicMs() })
+    this.#connections.set(socket, { openRequests: 0, statedIdleMs: 0, idleSinceMs: this.clock.monotonicMs(), unreadChecks: 0, lastUnreadCheckMs: 0 })
     socket.once('close', () => this.#onClose(socket))
   }
 
@@ -126,6 +139,8 @@
     if (connection === undefined) return
     connection.openRequests += 1
     connection.statedIdleMs = this.#server.keepAliveTimeout
+    connection.unreadChecks = 0
+    socket.setTimeout(this.#unreadCheckMs)
     response.once('finish', () => {
       connection.openRequests -= 1
       connection.idleSinceMs = this.clock.monotonicMs()
@@ -136,15 +151,38 @@
     })
   }
 
+  /** Time between two checks of whether a caller takes its answer. */
+  get #unreadCheckMs (): number {
+    return Math.max(this.#server.keepAliveTimeout, this.options.minUnreadMs ?? MIN_UNREAD_MS) / UNREAD_CHECKS
+  }
+
+  /** No byte was received and none taken by the caller for the time that was set. */
+  #onTimeout (socket: Socket): void {
+    const connection = this.#connections.get(socket)
+    if (connection === undefined || connection.openRequests === 0) return closeIfIdle(socket)
+    socket.setTimeout(this.#unreadCheckMs)
+    // The caller has all that there is of its answer.
+    if (socket.writableLength === 0) return
+    this.#countUnread(connection)
+    if (connection.unreadChecks >= UNREAD_CHECKS) socket.destroy()
+  }
+
+  #countUnread (connection: Connection): void {
+    const nowMs = this.clock.monotonicMs()
+    const isInARow = nowMs - connection.lastUnreadCheckMs < this.#unreadCheckMs * IN_A_ROW_FACTOR
+    connection.unreadChecks = isInARow ? connection.unreadChecks + 1 : 1
+    connection.lastUnreadCheckMs = nowMs
+  }
+
   #onClose (socket: Socket): void {
     const connection = this.#connections.get(socket)
     this.#connections.delete(socket)
     // The caller closed it first, or broke it off.
     const isClosedByCaller = socket.readableEnded || socket.errored !== null
     if (connection === undefined || isClosedByCaller || this.#destroyed) return
-    const { openRequests, statedIdleMs, idleSinceMs } = connection
+    const { openRequests, statedIdleMs, idleSinceMs, unreadChecks } = connection
     const idleMs = this.clock.monotonicMs() - idleSinceMs
-    if (openRequests > 0 || idleMs < statedIdleMs) this.options.onUnexpectedClose?.({ openRequests, idleMs, statedIdleMs })
+    if (openRequests > 0 || idleMs < statedIdleMs) this.options.onUnexpectedClose?.({ openRequests, idleMs, statedIdleMs, unread: unreadChecks >= UNREAD_CHECKS })
   }
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -382,9 +382,10 @@
       await serveRequest(this.#context, request, response).finally(() => { this.#inFlight -= 1 })
     })
     return HttpServer.create(handler, clock, {
-      onUnexpectedClose: ({ openRequests, idleMs, statedIdleMs }) => {
-        unexpectedCloses.inc({ kind: openRequests > 0 ? 'answer unfinished' : 'sooner than stated' })
-        if (openRequests === 0) log.warn('connection of a caller closed sooner than its last answer stated', { idleMs: Math.round(idleMs), statedIdleMs, leaving: this.#leaving })
+      onUnexpectedClose: ({ openRequests, idleMs, statedIdleMs, unread }) => {
+        const kind = unread ? 'answer not read' : openRequests > 0 ? 'answer unfinished' : 'sooner than stated'
+        unexpectedCloses.inc({ kind })
+        if (kind === 'sooner than stated') log.warn('connection of a caller closed sooner than its last answer stated', { idleMs: Math.round(idleMs), statedIdleMs, leaving: this.#leaving })
       }
     })
   }
