Planned stop: no request that the kernel has accepted is reset

A turn of the event loop accepts one connection; closing the listener reset all that waited, and closing idle connections reset requests unread in them. The listener now stays open until the last requests have ended, all waiting connections are accepted before it closes, right behind a poll that brought none, and connections close right behind a poll in which nothing came. Then new requests are refused as not run. The grace period bounds all of it.

--- a/packages/gateway/src/front/http-server.ts
+++ b/packages/gateway/src/front/http-server.ts
@@ -1,9 +1,10 @@
 /** An HTTP/1.1 listener for an h3 handler, with limits that can change while it runs. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { Server as NetServer, type Socket } from 'node:net'
 import type { Clock } from '@figloom/runtime'
 import { afterNextPoll } from './caller-check.js'
 import { ListenError } from './listen-error.js'
+import { untilQuietPoll } from './quiet-poll.js'
 
 export type HttpServerLimits = {
   /** Time within which the head of a request has to be received. */
@@ -26,6 +27,12 @@
 const IN_A_ROW_FACTOR = 1.5
 /** Most new connections that may wait to be accepted. */
 const ACCEPT_BACKLOG = 1_024
+/** A caller sends its first request within this time after it has connected: a round trip to the farthest callers. */
+const FIRST_REQUEST_MS = 200
+/** Enough to accept all connections that may wait. */
+const ACCEPT_ALL_MS = 100
+/** Interval at which a closing listener looks for unfinished answers. */
+const CLOSE_CHECK_MS = 10
 
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void
 
@@ -65,6 +72,8 @@
   readonly #server: Server
   readonly #connections = new Map<Socket, Connection>()
   #destroyed = false
+  /** Bytes read from connections that have closed. */
+  #bytesOfClosed = 0
 
   private constructor (handler: RequestHandler, private readonly clock: Clock, private readonly options: HttpServerOptions) {
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: options.requestTimeoutMs ?? 0 })
@@ -108,16 +117,31 @@
     }
   }
 
-  /** Accepts no new connections and closes idle ones; those with a request in progress stay open. */
-  stopAccepting (): void {
-    this.#server.close()
-    this.#server.closeIdleConnections()
+  /**
+   * Closes the listener once no answer is unfinished, after `maxMs` at the latest, and serves the connections that the kernel has
+   * accepted until then. The handler must refuse meanwhile what could not end in time.
+   */
+  async closeListener (maxMs: number): Promise<void> {
+    const endMs = this.clock.monotonicMs() + maxMs
+    await this.#untilAnswered(endMs, ({ openRequests }) => openRequests > 0)
+    const accepted = await this.#acceptAll(this.clock.monotonicMs() + ACCEPT_ALL_MS)
+    // The listener alone: an HTTP server's own method also closes connections whose requests it hasn't read.
+    NetServer.prototype.close.call(this.#server)
+    for (const serve of accepted) serve()
   }
 
-  closeIdle (): void {
-    this.#server.closeIdleConnections()
+  /** Closes the connections once all that came on them is read and answered, after `maxMs` at the latest. */
+  async closeConnections (maxMs: number): Promise<void> {
+    const endMs = this.clock.monotonicMs() + maxMs
+    const isBusy = (connection: Connection) => connection.openRequests > 0 || this.#isNew(connection)
+    do {
+      await this.#untilAnswered(endMs, isBusy)
+      await untilQuietPoll(() => this.#receivedBytes(), () => this.clock.monotonicMs() >= endMs)
+    } while (this.#isAny(isBusy) && this.clock.monotonicMs() < endMs)
+    this.destroy()
   }
 
+  /** Closes the listener and all connections at once, whatever is unfinished. */
   destroy (): void {
     this.#destroyed = true
     this.#server.close()
@@ -128,6 +152,37 @@
     return this.#connections.size
   }
 
+  async #untilAnswered (endMs: number, isBusy: (connection: Connection) => boolean): Promise<void> {
+    while (this.#isAny(isBusy) && this.clock.monotonicMs() < endMs) await this.clock.sleep(CLOSE_CHECK_MS)
+  }
+
+  #isAny (isBusy: (connection: Connection) => boolean): boolean {
+    return [...this.#connections.values()].some(isBusy)
+  }
+
+  /**
+   * Accepts connections until a poll brings none. Each poll accepts one: it stays short as their requests aren't served meanwhile.
+   * @returns functions that begin to serve them
+   */
+  async #acceptAll (endMs: number): Promise<(() => void)[]> {
+    const sockets: Socket[] = []
+    const listeners = this.#server.listeners('connection')
+    this.#server.removeAllListeners('connection').on('connection', (socket: Socket) => sockets.push(socket))
+    await untilQuietPoll(() => sockets.length, () => this.clock.monotonicMs() >= endMs)
+    this.#server.removeAllListeners('connection')
+    for (const listener of listeners) this.#server.on('connection', listener as (socket: Socket) => void)
+    return sockets.map((socket) => () => this.#server.emit('connection', socket))
+  }
+
+  #receivedBytes (): number {
+    return [...this.#connections.keys()].reduce((sum, socket) => sum + socket.bytesRead, this.#bytesOfClosed)
+  }
+
+  /** Its first request may be on the way. */
+  #isNew ({ statedIdleMs, idleSinceMs }: Connection): boolean {
+    return statedIdleMs === 0 && this.clock.monotonicMs() - idleSinceMs < FIRST_REQUEST_MS
+  }
+
   #track (socket: Socket): void {
     this.#connections.set(socket, { openRequests: 0, statedIdleMs: 0, idleSinceMs: this.clock.monotonicMs(), unreadChecks: 0, lastUnreadCheckMs: 0 })
     socket.once('close', () => this.#onClose(socket))
@@ -177,6 +232,7 @@
   #onClose (socket: Socket): void {
     const connection = this.#connections.get(socket)
     this.#connections.delete(socket)
+    this.#bytesOfClosed += socket.bytesRead
     // The caller closed it first, or broke it off.
     const isClosedByCaller = socket.readableEnded || socket.errored !== null
     if (connection === undefined || isClosedByCaller || this.#destroyed) return
--- a/packages/gateway/src/front/side-listeners.ts
+++ b/packages/gateway/src/front/side-listeners.ts
@@ -42,6 +42,14 @@
     await this.#listen(opener, createPathHandler(wire.lookupPath, clock, () => this.#answerLookup()), settings.lookupListener)
   }
 
+  /** Closes all listeners and their connections, after `maxMs` at the latest. */
+  async close (maxMs: number): Promise<void> {
+    await Promise.all(this.#servers.map(async (server) => {
+      await server.closeListener(maxMs / 2)
+      await server.closeConnections(maxMs / 2)
+    }))
+  }
+
   destroy (): void {
     for (const server of this.#servers) server.destroy()
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -66,6 +66,8 @@
 const EXIT_MARGIN_MS = 300
 /** Time for the final answers of requests that are still open at the end of the grace period to reach their callers. */
 const LAST_ANSWERS_MS = 100
+/** The listener closes this long before the end of the grace period at the latest, for the answers to what was accepted last. */
+const AFTER_LISTENING_MS = 500
 const SWEEP_MS = 200
 /** A process that this one replaces ends within its grace; on top of that is time for the kill and the release of its addresses. */
 const LISTEN_MARGIN_MS = 4_000
@@ -134,6 +136,11 @@
   #inFlight = 0
   /** Whether all listeners are open. */
   #acceptsCallers = false
+  /** Of these, the requests that came while callers could still know this host from a lookup; the process waits for them first. */
+  #listedInFlight = 0
+  #isUnlisted = false
+  /** The process is about to end: new requests are refused. */
+  #refusesAll = false
   #leaving = false
   #leavingSinceMs: number | undefined
   #stopped: Promise<void> | undefined
@@ -312,13 +319,15 @@
     await Promise.allSettled([this.#exchanger.reportToRelays(), this.#lease.release()])
     this.#orderDispatcher.stop()
     await clock.sleep(LOOKUP_TTL_MS * MAX_LOOKUP_TTL_FACTOR + this.#hostObservation.propagationMs)
-    this.#front.stopAccepting()
-    while (this.#inFlight + this.#passOnServer.inFlight > 0 && this.#nowMs() < endMs) {
-      await clock.sleep(50)
-      this.#front.closeIdle()
-    }
+    this.#isUnlisted = true
+    const listenEndMs = endMs - AFTER_LISTENING_MS
+    while (this.#listedInFlight + this.#passOnServer.inFlight > 0 && this.#nowMs() < listenEndMs) await clock.sleep(50)
+    this.#refusesAll = true
+    await this.#front.closeListener(Math.max(0, listenEndMs - this.#nowMs()))
+    while (this.#inFlight + this.#passOnServer.inFlight > 0 && this.#nowMs() < endMs) await clock.sleep(50)
     log.info('gateway stopped', { inFlight: this.#inFlight, forHosts: this.#passOnServer.inFlight })
-    if (this.#openRequests.endAll() > 0) await clock.sleep(LAST_ANSWERS_MS)
+    this.#openRequests.endAll()
+    await Promise.all([this.#front.closeConnections(LAST_ANSWERS_MS), this.#sideListeners.close(LAST_ANSWERS_MS)])
     await this.#destroy()
   }
 
@@ -378,8 +387,13 @@
     const { clock, log } = this.parts
     const unexpectedCloses = createUnexpectedCloseCounter(this.#registry)
     const handler = createCallerHandler(async (request, response) => {
+      const listed = this.#isUnlisted ? 0 : 1
       this.#inFlight += 1
-      await serveRequest(this.#context, request, response).finally(() => { this.#inFlight -= 1 })
+      this.#listedInFlight += listed
+      await serveRequest(this.#context, request, response).finally(() => {
+        this.#inFlight -= 1
+        this.#listedInFlight -= listed
+      })
     })
     return HttpServer.create(handler, clock, {
       onUnexpectedClose: ({ openRequests, idleMs, statedIdleMs, unread }) => {
@@ -565,6 +579,7 @@
   }
 
   #endsInMs (): number | undefined {
+    if (this.#refusesAll) return 0
     const nowMs = this.#nowMs()
     if (this.#leavingSinceMs === undefined || this.#endMs === undefined || nowMs - this.#leavingSinceMs <= OPEN_TO_ALL_MS) return undefined
     return this.#endMs - nowMs
--- a/packages/gateway/src/serve/rest-of-grace.test.ts
+++ b/packages/gateway/src/serve/rest-of-grace.test.ts
@@ -19,6 +19,10 @@
   }
 })
 
+t.test('nothing is taken by a process that is about to end', async (t) => {
+  t.notOk(endsInTime({ kind: RouteKind.Idempotent, maxMs: 0, longestMs: 0 }, 0))
+})
+
 t.test('no stream is taken late', async (t) => {
   t.notOk(endsInTime({ kind: RouteKind.Stream, maxMs: 1_000, longestMs: 100 }, LEFT_MS))
 })
--- a/packages/gateway/src/serve/rest-of-grace.ts
+++ b/packages/gateway/src/serve/rest-of-grace.ts
@@ -15,9 +15,9 @@
   longestMs: number | undefined
 }
 
-/** @param leftMs time until the process ends */
+/** @param leftMs time until the process ends; 0: it takes nothing more */
 export function endsInTime ({ kind, maxMs, longestMs }: LateRequest, leftMs: number): boolean {
-  if (kind === RouteKind.Stream) return false
+  if (kind === RouteKind.Stream || leftMs <= 0) return false
   if (maxMs <= leftMs) return true
   return longestMs !== undefined && longestMs * SLOWNESS_FACTOR <= leftMs
 }
