Signals begin the stop or are ignored, from the runtime's own start on

SIGINT and SIGQUIT stop as SIGTERM does; SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGIO and SIGPWR are ignored with a log line. Seen failing first: four tests of platform/src/signals.test.ts (ended by the signal; no second file).

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,9 +1,12 @@
-/** Bundles each program that runs on the users' platform into a single file, so that it starts fast. */
+/**
+ * Bundles the program that runs on the users' platform, so that it starts fast: into one file, and a small one that handles signals
+ * and then loads it. Usage: node scripts/bundle.mjs [DIRECTORY]
+ */
 import { build } from 'esbuild'
 
-const { metafile } = await build({
-  entryPoints: { 'figloom-gateway': 'platform/src/main.ts' },
-  outdir: 'target',
+const [outdir = 'target'] = process.argv.slice(2)
+const options = {
+  outdir,
   outExtension: { '.js': '.cjs' },
   bundle: true,
   platform: 'node',
@@ -14,6 +17,13 @@
   logLevel: 'warning',
   minifySyntax: true,
   metafile: true
+}
+
+const { metafile } = await build({ ...options, entryPoints: { 'figloom-gateway-main': 'platform/src/main.ts' } })
+await build({
+  ...options,
+  entryPoints: { 'figloom-gateway': 'platform/src/early-signals.ts' },
+  footer: { js: 'require("./figloom-gateway-main.cjs");' }
 })
 
 // A new machine has no compiled files in dist/ from earlier builds. A package that resolves to them lacks the `source` condition.
