Unexpected errors stop a gateway only while it does not answer its callers

One kind of error that comes once a request, at one faulty runner, ended a host that served all others. A host that answers callers, or has none, goes on; one that fails all of them for five seconds stops, as does one that is starting.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import { HttpServer } from './front/http-server.js'
 import { ListenerOpener } from './front/listener-opener.js'
 import { LoopLag } from './front/loop-lag.js'
+import { ServingRecord } from './front/serving-record.js'
 import { SideListeners } from './front/side-listeners.js'
 import { createGauges } from './gauges.js'
 import { InstantSource } from './lease/instant.js'
@@ -128,6 +129,7 @@
   readonly #lease: LeaseKeeper
   readonly #orderDispatcher: OrderDispatcher
   readonly #context: ServeContext
+  readonly #serving: ServingRecord
   readonly #front: HttpServer
   readonly #sideListeners: SideListeners
   readonly #openRequests = OpenRequests.create()
@@ -242,6 +244,7 @@
       isMixed: (service) => this.#versions.isMixed(service)
     })
     this.#context = this.#createContext()
+    this.#serving = ServingRecord.create(clock)
     this.#front = this.#createFront()
     this.#sideListeners = this.#createListeners()
     createGauges(this.#registry, {
@@ -338,6 +341,11 @@
     this.parts.log.info('settings reloaded', { graceMs: settings.graceMs, budgetRatio: settings.budget.ratio, budgetSlack: settings.budget.slack })
   }
 
+  /** False if requests of callers came lately and none of them has been answered for a while. */
+  get isServing (): boolean {
+    return this.#serving.isServing
+  }
+
   get ready (): boolean {
     return this.#acceptsCallers && this.#config.hasConfig && !this.#leaving && this.#runners.all().length > 0
   }
@@ -389,6 +397,7 @@
     const handler = createCallerHandler(async (request, response) => {
       const listed = this.#isUnlisted ? 0 : 1
       this.#inFlight += 1
+      this.#serving.onRequest(response)
       this.#listedInFlight += listed
       await serveRequest(this.#context, request, response).finally(() => {
         this.#inFlight -= 1
