Answers behind others of their connection: their memory is given back when the caller leaves

Node emits no `close` on a response that waits behind another one of the same connection. A caller that sent two requests at once and left before the first was answered left the second answer's bytes counted until the process ended; a few of them used up the budget of answers.

--- a/packages/gateway/src/members/peer-listener.ts
+++ b/packages/gateway/src/members/peer-listener.ts
@@ -3,6 +3,7 @@
 import { Code, ConnectError, createConnectRouter, createContextValues } from '@connectrpc/connect'
 import { universalRequestFromNodeRequest, universalResponseToNodeResponse } from '@connectrpc/connect-node'
 import type { Clock, Logger } from '@figloom/runtime'
+import { onceOver } from '../front/answer-over.js'
 import { discardRest } from '../front/read-body.js'
 import type { RequestHandler } from '../front/http-server.js'
 import type { ByteBudget, ByteHold } from '../memory/byte-budget.js'
@@ -32,7 +33,7 @@
     if (request.headers['content-type'] !== contentTypeOf(call)) return answerEmpty(415, request, response, clock)
     const reader = MessageReader.create(request)
     const hold = memory.open(request.socket.remoteAddress ?? '', () => reader.giveUp())
-    response.once('close', () => hold.close())
+    onceOver(response, () => hold.close())
     serve(call, request, response, { reader, hold, clock }).catch((error: Error) => {
       log.debug('call of another host not answered', { path: request.url, reason: error.message })
       response.destroy()
--- a/packages/gateway/src/serve/answer-writer.ts
+++ b/packages/gateway/src/serve/answer-writer.ts
@@ -3,6 +3,7 @@
 import { EventSplitter } from '../forward/event-splitter.js'
 import { allowsBody, isFramed } from '../forward/framing.js'
 import type { RawHeaders, RequestCodec } from '../forward/types.js'
+import { onceOver } from '../front/answer-over.js'
 import type { ByteBudget, ByteHold } from '../memory/byte-budget.js'
 import { StreamBody } from './stream-body.js'
 
@@ -85,8 +86,8 @@
 
   /** Writes a complete answer that isn't a stream. Its memory is given back when the caller has it. */
   writeBuffered ({ head, body, hold }: BufferedAnswer): void {
-    if (this.response.destroyed) return hold.close()
-    this.response.once('close', () => hold.close())
+    onceOver(this.response, () => hold.close())
+    if (this.response.destroyed) return
     const headers = this.#callerHeaders(head)
     if (allowsBody(head.status)) headers.push(...this.#lengthHeader(head, body))
     this.response.writeHead(head.status, headers)
--- a/packages/gateway/src/serve/stream-body.ts
+++ b/packages/gateway/src/serve/stream-body.ts
@@ -4,6 +4,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from '../forward/types.js'
+import { onceOver } from '../front/answer-over.js'
 import type { ByteBudget, ByteHold } from '../memory/byte-budget.js'
 import { ByteCollector } from '../memory/byte-collector.js'
 
@@ -59,7 +60,7 @@
     super()
     this.#hold = memory.open(OWNER, () => this.#discard())
     this.#events = ByteCollector.create(this.#hold)
-    response.once('close', () => this.#discard())
+    onceOver(response, () => this.#discard())
   }
 
   override get overlong (): boolean {
