A holder that ends while another one gives way to it counts nothing

Giving way runs the end of another request, which may end the growing holder too. Its bytes were counted on the closed holder and never given back. Read in the code; no request was seen to do it, the test does it directly.

Failing before: packages/gateway/dist/memory/byte-budget.test.js a holder that is closed while another one gives way to it keeps nothing: take() true, 100000 bytes, 83616 counted

--- a/packages/gateway/src/memory/byte-budget.test.ts
+++ b/packages/gateway/src/memory/byte-budget.test.ts
@@ -89,3 +89,12 @@
   open('endless').take(900_000)
   t.equal(reports.length, 2)
 })
+
+t.test('a holder that is closed while another one gives way to it keeps nothing', async (t) => {
+  const { budget, open } = createBudget()
+  const growing = open('growing')
+  budget.open('endless', () => growing.close()).take(LIMIT_BYTES)
+  t.notOk(growing.take(100_000))
+  t.equal(growing.bytes, 0)
+  t.equal(budget.usedBytes, 0)
+})
--- a/packages/gateway/src/memory/byte-budget.ts
+++ b/packages/gateway/src/memory/byte-budget.ts
@@ -158,6 +158,11 @@
     if (this.#isClosed) return false
     const growth = Math.max(0, this.#bytes + bytes - FREE_BYTES) - this.countedBytes
     if (growth > 0 && !this.budget.reserve(this, growth)) return false
+    // Another holder that gave way may have ended this one.
+    if (this.#isClosed) {
+      this.budget.release(growth)
+      return false
+    }
     this.#bytes += bytes
     return true
   }
