A request behind another one of its connection is taken back when its caller leaves

Node emits no `close` on the response of such a request, so it stayed at its runner until its time was over, though nobody waited for it.

Failing before: packages/gateway/dist/serve/kept-answers.test.js a request that waits behind another one of its connection is taken back when the caller leaves: 1 still at the runner

--- a/packages/gateway/src/serve/kept-answers.test.ts
+++ b/packages/gateway/src/serve/kept-answers.test.ts
@@ -67,3 +67,14 @@
   t.ok(await until(() => answers.usedBytes === 0))
   t.equal(caller.destroyed, false)
 })
+
+t.test('a request that waits behind another one of its connection is taken back when the caller leaves', async (t) => {
+  const { fixture } = await createFixture(t)
+  const caller = openCaller(t, fixture)
+  const request = (id: number) => `GET /silent HTTP/1.1\r\nHost: test\r\nRequest-Id: request-${id}\r\n\r\n`
+  const inFlight = () => fixture.context.runners.get('runner-1')?.inFlight
+  caller.write(request(1) + request(2))
+  t.ok(await until(() => inFlight() === 2))
+  caller.destroy()
+  t.ok(await until(() => inFlight() === 0), `${inFlight()} still at the runner`)
+})
--- a/packages/gateway/src/serve/request-run.ts
+++ b/packages/gateway/src/serve/request-run.ts
@@ -7,6 +7,7 @@
 import { RouteKind } from '../config/types.js'
 import { FaultAt } from '../forward/attempt.js'
 import type { AnswerFacts } from '../forward/types.js'
+import { onceOver } from '../front/answer-over.js'
 import { afterNextPoll, hasDisconnected } from '../front/caller-check.js'
 import { limitFields } from '../limits/limit-fields.js'
 import type { Permit } from '../limits/types.js'
@@ -87,9 +88,9 @@
 
   #start (incoming: IncomingMessage): void {
     const { clock, budget } = this.context
-    this.response.on('close', () => this.#guard(() => this.#onCallerDisconnected()))
-    this.response.on('drain', () => this.#guard(() => this.#attempts.current?.resume()))
     if (incoming.socket.destroyed) return this.#onCallerDisconnected()
+    onceOver(this.response, () => this.#guard(() => this.#onCallerDisconnected()))
+    this.response.on('drain', () => this.#guard(() => this.#attempts.current?.resume()))
     this.#deadlineTimer = clock.setTimer(this.request.dueMs - clock.monotonicMs(), () => this.#guard(() => this.#onDeadline()))
     if (this.request.route.kind === RouteKind.Stream && this.request.route.resumable) this.#stallDetector = this.#createStallDetector()
     budget.onRequest(this.request.service.name, clock.monotonicMs())
