Answers behind others of their connection: the record of serving and the metrics end with their connection, too

The record kept such responses for ever, and one that had begun made a host that fails all requests count as serving. Seen failing first: the new test of serving-record (a stream that waits behind another answer when its caller leaves no longer counts).

--- a/packages/gateway/src/front/metrics-handler.ts
+++ b/packages/gateway/src/front/metrics-handler.ts
@@ -3,6 +3,7 @@
 import type { Clock, Registry } from '@figloom/runtime'
 import type { ByteBudget } from '../memory/byte-budget.js'
 import type { RequestHandler } from './http-server.js'
+import { onceOver } from './answer-over.js'
 import { discardRest } from './read-body.js'
 
 const OWNER = 'metrics'
@@ -26,7 +27,7 @@
     discardRest(request, clock)
     const hold = memory.open(OWNER, () => response.destroy())
     const timer = clock.setTimer(MAX_READ_MS, () => response.destroy())
-    response.once('close', () => {
+    onceOver(response, () => {
       timer.cancel()
       hold.close()
     })
--- a/packages/gateway/src/front/serving-record.test.ts
+++ b/packages/gateway/src/front/serving-record.test.ts
@@ -7,7 +7,7 @@
 
 /** A request whose answer the test ends. */
 function createResponse (): ServerResponse {
-  return Object.assign(new EventEmitter(), { statusCode: 200, headersSent: false }) as unknown as ServerResponse
+  return Object.assign(new EventEmitter(), { statusCode: 200, headersSent: false, req: { socket: new EventEmitter() } }) as unknown as ServerResponse
 }
 
 function answer (response: ServerResponse, statusCode: number): void {
@@ -62,6 +62,16 @@
   t.ok(record.isServing)
 })
 
+t.test('a stream that waits behind another answer when its caller leaves no longer counts', async (t) => {
+  const clock = ManualClock.create()
+  const record = ServingRecord.create(clock)
+  const stream = Object.assign(createResponse(), { headersSent: true })
+  record.onRequest(stream)
+  stream.req.socket.emit('close')
+  await clock.advance(6_000)
+  t.notOk(record.isServing)
+})
+
 t.test('requests of long ago say nothing', async (t) => {
   const clock = ManualClock.create()
   const record = ServingRecord.create(clock)
--- a/packages/gateway/src/front/serving-record.ts
+++ b/packages/gateway/src/front/serving-record.ts
@@ -1,6 +1,7 @@
 /** Tells whether a host answers requests of callers, or fails all of them. */
 import type { ServerResponse } from 'node:http'
 import type { Clock } from '@figloom/runtime'
+import { onceOver } from './answer-over.js'
 
 /** Requests that go without an answer for this long show that the host doesn't serve. */
 const UNSERVED_MS = 5_000
@@ -27,7 +28,7 @@
     this.#unservedSinceMs ??= nowMs
     this.#open.add(response)
     response.once('finish', () => this.#onFinish(response))
-    response.once('close', () => this.#open.delete(response))
+    onceOver(response, () => this.#open.delete(response))
   }
 
   /** False if requests came lately and none of them has been answered for a while. */
