A request of a peer with an unreadable Host is refused instead of raising an unexpected error

Found by random bytes. Seen failing first: packages/gateway/src/front/peer-requests.test.ts (no answer, uncaught TypeError: Invalid URL). Changes front/handlers.ts.

--- a/packages/gateway/src/front/handlers.ts
+++ b/packages/gateway/src/front/handlers.ts
@@ -46,6 +46,12 @@
   const metricsListener = createMetricsHandler({ ...options, registry })
   return (request, response) => {
     if (request.url === '/metrics') metricsListener(request, response)
-    else peerListener(request, response)
+    else if (hasReadableAddress(request)) peerListener(request, response)
+    else response.writeHead(400, { Connection: 'close' }).end()
   }
 }
+
+/** The library for calls between hosts forms the address of a request, and throws if it can't. */
+function hasReadableAddress ({ url = '', headers }: IncomingMessage): boolean {
+  return headers.host !== undefined && URL.canParse(url, `http://${headers.host}`)
+}
