Heads of very many short lines: the lines are limited, not their bytes alone

Callers saw: hosts that ended. A head of 16 KiB in lines of six bytes becomes 16,000 objects in the HTTP client before its limit on bytes is met, some 800 kB a connection; interim answers cost alike.

Why it works: lines are counted before the HTTP client reads them, interim answers and blank lines included; 256 are a hundred times fewer than the bytes allow, and twenty times what a runner sends. The limit on a head's bytes is halved, for trailers, whose lines aren't counted.

--- a/packages/gateway/src/forward/bounded-client.ts
+++ b/packages/gateway/src/forward/bounded-client.ts
@@ -8,6 +8,7 @@
 import { Client, type buildConnector, type Dispatcher } from 'undici'
 import { createResetError, wasReset } from './connection-reset.js'
 import { allowsBody, isFramed } from './framing.js'
+import { HeadLines } from './head-lines.js'
 
 /**
  * Bytes that a runner may send without a final head, a chunk of a body or the end of an answer. Leaves room for one head and twice
@@ -32,6 +33,7 @@
   #socket: Socket | undefined
   /** Bytes received on the socket when the answer last made progress. */
   #progressBytes = 0
+  readonly #headLines = HeadLines.create()
   /** Ids of requests that were refused on the connection. */
   readonly #refusedIds = new Set<string>()
 
@@ -71,13 +73,30 @@
     this.#socket = socket
     this.#progressBytes = 0
     this.#refusedIds.clear()
+    this.#headLines.reset()
+    this.#countHeadLines(socket)
     socket.prependListener('readable', () => {
-      if (socket.bytesRead - this.#progressBytes <= MAX_BYTES_WITHOUT_PROGRESS || socket.destroyed) return
-      this.onOverlong('bytes that are not part of an answer')
-      socket.destroy(new Error('the runner sends bytes that are not part of an answer'))
+      if (socket.bytesRead - this.#progressBytes > MAX_BYTES_WITHOUT_PROGRESS) this.#close(socket, 'bytes that are not part of an answer')
     })
   }
 
+  /** Looks at what the HTTP client reads before it does. */
+  #countHeadLines (socket: Socket): void {
+    const read = socket.read.bind(socket) as (sizeBytes?: number) => Buffer | null
+    socket.read = (sizeBytes?: number) => {
+      const bytes = read(sizeBytes)
+      if (bytes === null || this.#headLines.push(bytes)) return bytes
+      this.#close(socket, 'a head of too many lines')
+      return null
+    }
+  }
+
+  #close (socket: Socket, reason: string): void {
+    if (socket.destroyed) return
+    this.onOverlong(reason)
+    socket.destroy(new Error(`the runner sends ${reason}`))
+  }
+
   #onProgress (): void {
     this.#progressBytes = this.#socket?.bytesRead ?? 0
   }
@@ -103,6 +122,7 @@
       },
       onComplete: (trailers) => {
         this.#onProgress()
+        this.#headLines.reset()
         if (endsWithConnection && this.#wasReset()) handler.onError?.(createResetError())
         else handler.onComplete?.(trailers)
       },
--- a/packages/gateway/src/forward/runner-connections.ts
+++ b/packages/gateway/src/forward/runner-connections.ts
@@ -14,7 +14,7 @@
 /** Connections are closed this long before the runner's keep-alive timeout, so that no request is sent while the runner closes them. */
 const IDLE_MARGIN_MS = 1_000
 /** Runners' answers have small heads; a larger one is damaged. */
-const MAX_HEADER_BYTES = 16_384
+const MAX_HEADER_BYTES = 8_192
 
 type RunnerPool = { pool: Pool, address: string }
 
