Ends of runners: counted also where the next process listens already

Traced under load: an end was taken for a broken connection, or the path for a broken one, where the runner had started again before its end was confirmed. Requests that end runners were sent on while the ends went uncounted. The platform's list of runners now shows such an end.

Outside of crashes/: one line each in gateway.ts and gateway-fixture.ts.

--- a/packages/gateway/src/crashes/crash-monitor.ts
+++ b/packages/gateway/src/crashes/crash-monitor.ts
@@ -35,6 +35,8 @@
   probe: ListenerProbe
   /** Confirms that a runner ended, and that not only this host's links to it broke. */
   witness: RunnerWitness
+  /** The processes of runners that the platform lists. */
+  listed: () => readonly LocatedRunner[]
   /** The path from this host to a runner is broken, as another host reaches the runner. */
   onPathBroken: (runner: LocatedRunner) => void
   crashLog: CrashLog
--- a/packages/gateway/src/crashes/end-detector.test.ts
+++ b/packages/gateway/src/crashes/end-detector.test.ts
@@ -34,12 +34,14 @@
   const probe = new FixedProbe(refused)
   const witness = new FixedWitness()
   const unconfirmed: EndVerdict[] = []
+  const listed = [RUNNER]
   const detector = EndDetector.create({
     clock,
     instants: InstantSource.create(clock),
     log: silentLogger,
     probe,
     witness,
+    listed: () => listed,
     onEnd: (end) => ends.push(end),
     onUnconfirmed: (_runner, { verdict }) => unconfirmed.push(verdict)
   })
@@ -48,7 +50,7 @@
     detector.onSent(RUNNER, request)
     return request
   }
-  return { clock, ends, probe, witness, unconfirmed, detector, send }
+  return { clock, ends, probe, witness, unconfirmed, listed, detector, send }
 }
 
 t.test('an end is reported once, with all requests that were at the process', async (t) => {
@@ -126,3 +128,65 @@
   t.same(unconfirmed, [])
   t.same(ends.map(({ endedMs }) => endedMs - brokenMs), [0])
 })
+
+const NEXT = { ...RUNNER, startedUnixMs: 9 }
+
+t.test('an end is noticed from the list of runners where the next process listens before the probe', async (t) => {
+  const { clock, detector, ends, listed, send } = createDetector(false)
+  send('broken')
+  detector.onLeft(RUNNER, 'broken', Departure.Broken)
+  send('sent to the next process')
+  await clock.advance(400)
+  t.same(ends, [])
+  listed[0] = NEXT
+  await clock.advance(200)
+  t.match(ends, [{ runner: RUNNER, requests: [{ requestId: 'broken' }] }])
+  t.equal(ends[0]?.requests.length, 1)
+})
+
+t.test('the same where another host reaches the next process, or none can tell', async (t) => {
+  for (const verdict of [EndVerdict.Alive, EndVerdict.Unconfirmed]) {
+    const { clock, detector, ends, listed, send, witness } = createDetector()
+    witness.verdict = verdict
+    send('broken')
+    detector.onLeft(RUNNER, 'broken', Departure.Broken)
+    await clock.advance(1_000)
+    listed[0] = NEXT
+    await clock.advance(200)
+    t.equal(ends.length, 1, verdict)
+  }
+})
+
+t.test('a host that reaches the next process does not make the path to the runner a broken one', async (t) => {
+  const { clock, detector, ends, unconfirmed, listed, send, witness } = createDetector()
+  witness.verdict = EndVerdict.Alive
+  send('broken')
+  detector.onLeft(RUNNER, 'broken', Departure.Broken)
+  listed[0] = NEXT
+  await clock.advance(200)
+  t.equal(ends.length, 1)
+  t.same(unconfirmed, [])
+})
+
+t.test('a broken connection is no end where the next process was listed before it broke, or long after', async (t) => {
+  const { clock, detector, ends, listed, send } = createDetector(false)
+  send('late')
+  detector.onLeft(RUNNER, 'late', Departure.Broken)
+  await clock.advance(5_000)
+  listed[0] = NEXT
+  await clock.advance(200)
+  send('to the next process')
+  detector.onLeft(RUNNER, 'to the next process', Departure.Broken)
+  await clock.advance(5_000)
+  t.same(ends, [])
+})
+
+t.test('a process whose start was not known before is no other one', async (t) => {
+  const { clock, detector, ends, listed } = createDetector(false)
+  const unknown = { id: RUNNER.id, address: RUNNER.address }
+  detector.onSent(unknown, { requestId: 'broken', featureIds: [], attempt: 1, begun: false })
+  detector.onLeft(unknown, 'broken', Departure.Broken)
+  listed[0] = RUNNER
+  await clock.advance(5_000)
+  t.same(ends, [])
+})
--- a/packages/gateway/src/crashes/end-detector.ts
+++ b/packages/gateway/src/crashes/end-detector.ts
@@ -1,7 +1,8 @@
 /**
  * Detects that a runner's process ended while requests of this host were at it. When a process ends, all its connections break
  * and new ones are refused; a single broken connection, or a runner that can't be reached, is no end. Neither is a refusal that only
- * this host meets: its own links may be broken, so a witness has to confirm the end.
+ * this host meets: its own links may be broken, so a witness has to confirm the end. Where the next process listens already, the
+ * platform's list shows the end.
  */
 import type { Clock, Logger } from '@figloom/runtime'
 import type { LocatedRunner } from '../gates/types.js'
@@ -15,6 +16,9 @@
 const MAX_ASKED = 4
 /** An end is reported once: further connections that break within this time belong to the same process. */
 const SAME_END_MS = 1_000
+/** What a runner's address accepts may be its next process: the platform lists that one within this time after the end of the one before. */
+const NEXT_LISTED_MS = 3_000
+const LIST_CHECK_MS = 100
 /** A live host refuses a connection to a closed port in one round trip. */
 const PROBE_TIMEOUT_MS = 700
 
@@ -24,6 +28,8 @@
   log: Logger
   probe: ListenerProbe
   witness: RunnerWitness
+  /** The processes of runners that the platform lists. */
+  listed: () => readonly LocatedRunner[]
   onEnd: (end: ProcessEnd) => void
   /** A runner refuses this host's connections and has not ended, as far as is known. */
   onUnconfirmed: (runner: LocatedRunner, report: WitnessReport) => void
@@ -85,20 +91,49 @@
   async #confirm (process: ProcessRequests): Promise<void> {
     const { clock, probe, witness, onUnconfirmed } = this.parts
     const { runner } = process
+    const mayBeNext = this.#isReplaced(runner)
     await clock.sleep(COLLECT_MS)
     for (let asked = 1; ; asked += 1) {
       // Requests whose connections break later than this belong to another event.
-      if (await probe.probe(runner.address, PROBE_TIMEOUT_MS) !== ProbeResult.Refused) return this.#reset(process)
+      if (await probe.probe(runner.address, PROBE_TIMEOUT_MS) !== ProbeResult.Refused) {
+        this.#leaveToList(process, mayBeNext)
+        return
+      }
       const report = await witness.confirmEnd(runner)
       if (report.verdict === EndVerdict.Ended) return this.#report(process, report.basis)
       if (report.verdict === EndVerdict.Alive || asked === MAX_ASKED) {
-        this.#reset(process)
-        return onUnconfirmed(runner, report)
+        if (!this.#leaveToList(process, mayBeNext)) onUnconfirmed(runner, report)
+        return
       }
       await clock.sleep(ASK_AGAIN_MS)
     }
   }
 
+  /**
+   * The end is reported if the platform comes to list another process in place of this one.
+   * @param mayBeNext whether it did before the connections broke: these may have been the other process's
+   * @returns whether it lists one now
+   */
+  #leaveToList (process: ProcessRequests, mayBeNext: boolean): boolean {
+    const { runner, broken, brokenSinceMs } = process
+    this.#reset(process)
+    if (mayBeNext || brokenSinceMs === undefined) return false
+    const isListed = this.#isReplaced(runner)
+    this.#checkList({ runner, endedMs: brokenSinceMs, requests: broken, confirmedBy: 'the platform lists the next process' })
+    return isListed
+  }
+
+  #checkList (end: ProcessEnd): void {
+    if (this.#isReplaced(end.runner)) return this.parts.onEnd(end)
+    if (this.parts.instants.nowMs() - end.endedMs >= NEXT_LISTED_MS) return
+    this.parts.clock.setTimer(LIST_CHECK_MS, () => this.#checkList(end))
+  }
+
+  #isReplaced (runner: LocatedRunner): boolean {
+    const listed = this.parts.listed()
+    return !listed.some((entry) => keyOf(entry) === keyOf(runner)) && listed.some((entry) => isNextOf(runner, entry))
+  }
+
   #report (process: ProcessRequests, confirmedBy: string): void {
     const { runner, broken, open, brokenSinceMs } = process
     const endedMs = brokenSinceMs ?? this.parts.instants.nowMs()
@@ -122,6 +157,11 @@
   }
 }
 
+function isNextOf (runner: LocatedRunner, { id, address, startedUnixMs }: LocatedRunner): boolean {
+  if (address !== runner.address) return false
+  return id !== runner.id || (startedUnixMs ?? -Infinity) > (runner.startedUnixMs ?? Infinity)
+}
+
 /** Distinguishes the processes that use an address one after the other. */
 export function keyOf ({ id, address, startedUnixMs }: LocatedRunner): string {
   return `${id}@${address}/${startedUnixMs ?? ''}`
--- a/packages/gateway/src/crashes/testing/monitor-fleet.ts
+++ b/packages/gateway/src/crashes/testing/monitor-fleet.ts
@@ -84,6 +84,7 @@
       metrics: createCrashMetrics(new Registry()),
       probe,
       witness,
+      listed: () => [],
       onPathBroken: ({ id }) => this.brokenPaths.push({ host: index, runner: id }),
       crashLog: MemoryCrashLog.create(records),
       host: `host-${index}`,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -445,6 +445,7 @@
       metrics: createCrashMetrics(this.#registry),
       probe: this.#probe,
       witness: this.#createWitness(),
+      listed: () => this.#runners.all().map(({ entry }) => entry),
       onPathBroken: (runner) => this.#paths.onConnectFailed(runner, 'refused here, and reached by another host'),
       crashLog: platform.crashLog,
       host: settings.self.host,
--- a/packages/gateway/src/testing/gateway-fixture.ts
+++ b/packages/gateway/src/testing/gateway-fixture.ts
@@ -112,6 +112,7 @@
     metrics: createCrashMetrics(new Registry()),
     probe,
     witness: PeerWitness.create({ clock, calls: ConnectPeerClient.create(), checks, availabilityZone: 'zone-1', hosts: () => [], isCutOff: () => false, random }),
+    listed: () => runners.all().map(({ entry }) => entry),
     onPathBroken: () => {},
     crashLog: MemoryCrashLog.create(),
     host: 'host',
