Reports of runners: one limit on all that are read at once

Callers saw: nothing yet; read in the code. A report might take 1 MiB, at any number of runners at once; nothing limited the sum.

Why it works: a report is collected within a budget of its own, as answers are: pieces are copied together, the largest gives way where there is no room, and 16 KiB of each are free, which a report of a sound runner doesn't exceed. Answers to orders were dropped as they came before, and still are. The label of a budget may be any text now, and the budget and the collector are exported.

Seen failing first: the first test, with the limit switched off in the built file. The second one guards sound runners.

--- a/packages/gateway/src/memory/byte-budget.ts
+++ b/packages/gateway/src/memory/byte-budget.ts
@@ -26,7 +26,8 @@
 export type LargestOwner = { owner: string, bytes: number, holders: number }
 
 export type ByteBudgetOptions = {
-  kind: ByteKind
+  /** Label in metrics. */
+  kind: string
   limitBytes: number
   /** Called when the use rises above four fifths of the limit, and when it has fallen below half and rises again. */
   onNearlyFull: (usedBytes: number, largest: LargestOwner) => void
