Answers on their way to other hosts: large chunks aren't copied

A chunk of 16 KiB or more that is most of its buffer keeps little else, so the queue takes it as it is; a copy only leaves the read to be collected.

--- a/packages/gateway/src/pass-on/part-queue.ts
+++ b/packages/gateway/src/pass-on/part-queue.ts
@@ -6,7 +6,7 @@
 import { PassOnPartSchema, type PassOnPart } from '@figloom/protocol'
 import type { FailureStage } from '../forward/attempt.js'
 import type { RawHeaders } from '../forward/types.js'
-import type { ByteHold } from '../memory/byte-budget.js'
+import { FREE_BYTES, type ByteHold } from '../memory/byte-budget.js'
 import { MAX_CHUNK_BYTES, MAX_QUEUED_BYTES } from './limits.js'
 import { failurePart } from './refusal.js'
 
@@ -36,8 +36,8 @@
   /** @returns false if the runner has to wait until `onDrained` */
   pushData (chunk: Buffer): boolean {
     if (this.#ended) return true
-    let at = this.#fillTail(chunk)
-    while (at < chunk.length) at += this.#addBlock(chunk.subarray(at))
+    if (isMostOfItsBuffer(chunk)) this.#addPart(chunk, chunk)
+    else this.#copy(chunk)
     this.#wake?.()
     this.#isPaused = this.#isFull
     return !this.#isPaused
@@ -106,17 +106,28 @@
     return bytes
   }
 
-  /** Copies, since a chunk may be a few bytes of a large buffer. Blocks grow with what waits. @returns the bytes that were added */
+  /** Copies, since a chunk may be a few bytes of a large buffer. */
+  #copy (chunk: Buffer): void {
+    let at = this.#fillTail(chunk)
+    while (at < chunk.length) at += this.#addBlock(chunk.subarray(at))
+  }
+
+  /** Blocks grow with what waits. @returns the bytes that were added */
   #addBlock (chunk: Buffer): number {
     const block = Buffer.allocUnsafeSlow(Math.min(MAX_CHUNK_BYTES, Math.max(chunk.length, this.hold.bytes)))
-    this.hold.add(block.length)
     const usedBytes = chunk.copy(block)
-    const part = create(PassOnPartSchema, { part: { case: 'data', value: block.subarray(0, usedBytes) } })
-    this.#tail = { part, block, usedBytes }
-    this.#parts.push(part)
+    this.#tail = { part: this.#addPart(block.subarray(0, usedBytes), block), block, usedBytes }
     return usedBytes
   }
 
+  #addPart (value: Buffer, { buffer }: Buffer): PassOnPart {
+    this.hold.add(buffer.byteLength)
+    this.#tail = undefined
+    const part = create(PassOnPartSchema, { part: { case: 'data', value } })
+    this.#parts.push(part)
+    return part
+  }
+
   #push (part: PassOnPart): void {
     if (this.#ended) return
     this.#tail = undefined
@@ -124,3 +135,8 @@
     this.#wake?.()
   }
 }
+
+/** Whether little else is kept with the chunk, so that it needn't be copied. */
+function isMostOfItsBuffer ({ length, buffer }: Buffer): boolean {
+  return length <= MAX_CHUNK_BYTES && length * 2 >= buffer.byteLength && length >= FREE_BYTES
+}
