--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,10 +4,8 @@
  */
 import { build } from 'esbuild'
 
-const [outdir = 'target'] = process.argv.slice(2)
+const [directory = 'target'] = process.argv.slice(2)
 const options = {
-  outdir,
-  outExtension: { '.js': '.cjs' },
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -19,10 +17,15 @@
   metafile: true
 }
 
-const { metafile } = await build({ ...options, entryPoints: { 'figloom-gateway-main': 'platform/src/main.ts' } })
+const { metafile } = await build({
+  ...options,
+  outfile: `${directory}/figloom-gateway-main.cjs`,
+  stdin: { contents: "import { Program } from './program.js'; Program.create().run()", resolveDir: 'platform/src' }
+})
 await build({
   ...options,
-  entryPoints: { 'figloom-gateway': 'platform/src/early-signals.ts' },
+  outfile: `${directory}/figloom-gateway.cjs`,
+  entryPoints: ['platform/src/early-signals.ts'],
   footer: { js: 'require("./figloom-gateway-main.cjs");' }
 })
 
