An answer that is paused when its runner ends the connection comes to its end

The HTTP client throws where a connection ends whose parser is paused, if the connection is one that closes: an answer with neither length nor chunks, or with `Connection: close`. The error is thrown in an event of the socket, so it is one of the process, and again at the socket's close; the request has no answer before its time is over, and its connection is never given back. It takes no more than a caller that reads slowly. The paused answer is now resumed first: by then all its bytes have been read.

--- a/packages/gateway/src/forward/bounded-client.ts
+++ b/packages/gateway/src/forward/bounded-client.ts
@@ -36,6 +36,10 @@
   readonly #headLines = HeadLines.create()
   /** Ids of requests that were refused on the connection. */
   readonly #refusedIds = new Set<string>()
+  /** Resumes the answer in progress if it is paused. */
+  #resume: (() => void) | undefined
+  /** The runner has ended the connection, and all its bytes have been read. */
+  #hasEnded = false
 
   private constructor (origin: URL, options: BoundedClientOptions, private readonly onOverlong: (reason: string) => void) {
     super(origin, { ...options, connect: (target, callback) => this.#connect(options.connect, target, callback) })
@@ -65,6 +69,7 @@
     connect(target, (...[error, socket]: buildConnector.CallbackArgs) => {
       if (error !== null || socket === null) return callback(error ?? new Error('no connection'), null)
       this.#limitUnexpectedBytes(socket)
+      this.#resumeAtEnd(socket)
       callback(null, socket)
     })
   }
@@ -97,6 +102,16 @@
     socket.destroy(new Error(`the runner sends ${reason}`))
   }
 
+  /** The HTTP client can't end an answer that is paused: it throws. At the end of the connection nothing is left to wait for. */
+  #resumeAtEnd (socket: Socket): void {
+    this.#resume = undefined
+    this.#hasEnded = false
+    socket.prependListener('end', () => {
+      this.#hasEnded = true
+      this.#resume?.()
+    })
+  }
+
   #onProgress (): void {
     this.#progressBytes = this.#socket?.bytesRead ?? 0
   }
@@ -111,6 +126,7 @@
       onConnect: (abort) => handler.onConnect?.(abort),
       onHeaders: (status, headers, resume, reason) => {
         if (status >= FIRST_FINAL_STATUS) this.#onProgress()
+        this.#resume = resume
         endsWithConnection = method !== 'HEAD' && allowsBody(status) && !isFramed(namesOf(headers))
         const goesOn = handler.onHeaders?.(status, headers, resume, reason) ?? true
         if (requestId !== undefined && wasRefused?.() === true) this.#onRefused(requestId)
@@ -118,7 +134,8 @@
       },
       onData: (chunk) => {
         this.#onProgress()
-        return handler.onData?.(chunk) ?? true
+        // The client calls this once more, without bytes, when it resumes.
+        return (handler.onData?.(chunk) ?? true) || this.#hasEnded
       },
       onComplete: (trailers) => {
         this.#onProgress()
