Descriptors: idle callers leave room for runners, the store and other hosts

Callers saw: requests on new connections that weren't served while many other callers were connected and sent nothing.

Cause: callers could take all descriptors of the process, so none was left for a connection to a runner.

Beyond, the longest idle connections are closed in order, never one with a request in progress or unread bytes; above three quarters new ones are closed unread. An error on accept is counted and no longer unhandled.

--- a/packages/gateway/src/front/http-server.ts
+++ b/packages/gateway/src/front/http-server.ts
@@ -3,6 +3,7 @@
 import { Server as NetServer, type Socket } from 'node:net'
 import type { Clock } from '@figloom/runtime'
 import { afterNextPoll } from './caller-check.js'
+import { ConnectionRoom, type CallerShare } from './connection-room.js'
 import { ListenError } from './listen-error.js'
 import { untilQuietPoll } from './quiet-poll.js'
 
@@ -48,11 +49,25 @@
   unread: boolean
 }
 
+/** What happens to connections so that the process has descriptors left. */
+export const RoomEvent = {
+  /** An idle connection was closed. */
+  IdleClosed: 'idle closed',
+  /** A new connection was refused. */
+  Refused: 'refused',
+  /** A new connection could not be accepted. */
+  NotAccepted: 'not accepted'
+} as const
+export type RoomEvent = (typeof RoomEvent)[keyof typeof RoomEvent]
+
 export type HttpServerOptions = {
   /** Time within which a whole request has to be received; 0: none, the handler limits it. */
   requestTimeoutMs?: number
   /** Overrides the least time after which a caller that takes no byte of its answer is closed. */
   minUnreadMs?: number
+  /** Numbers of connections from which on idle ones are closed and new ones refused; without limit unless given. */
+  share?: CallerShare
+  onForRoom?: (event: RoomEvent) => void
   onUnexpectedClose?: (close: UnexpectedClose) => void
 }
 
@@ -71,12 +86,17 @@
 export class HttpServer {
   readonly #server: Server
   readonly #connections = new Map<Socket, Connection>()
+  readonly #room: ConnectionRoom
   #destroyed = false
   /** Bytes read from connections that have closed. */
   #bytesOfClosed = 0
 
   private constructor (handler: RequestHandler, private readonly clock: Clock, private readonly options: HttpServerOptions) {
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: options.requestTimeoutMs ?? 0 })
+    this.#room = ConnectionRoom.create(options.share?.share ?? Infinity, () => options.onForRoom?.(RoomEvent.IdleClosed))
+    if (options.share !== undefined) this.#server.maxConnections = options.share.most
+    this.#server.on('drop', () => options.onForRoom?.(RoomEvent.Refused))
+    this.#server.on('error', () => this.#onError())
     this.#server.on('connection', (socket) => this.#track(socket))
     this.#server.on('request', (request, response) => this.#onRequest(request.socket, response))
     this.#server.on('request', handler)
@@ -183,8 +203,16 @@
     return statedIdleMs === 0 && this.clock.monotonicMs() - idleSinceMs < FIRST_REQUEST_MS
   }
 
+  /** A connection that can't be accepted doesn't end the process. An error before it listens is that of `listen`. */
+  #onError (): void {
+    if (!this.#server.listening) return
+    this.options.onForRoom?.(RoomEvent.NotAccepted)
+    this.#room.onNoDescriptor()
+  }
+
   #track (socket: Socket): void {
     this.#connections.set(socket, { openRequests: 0, statedIdleMs: 0, idleSinceMs: this.clock.monotonicMs(), unreadChecks: 0, lastUnreadCheckMs: 0 })
+    this.#room.add(socket)
     socket.once('close', () => this.#onClose(socket))
   }
 
@@ -193,12 +221,14 @@
     const connection = this.#connections.get(socket)
     if (connection === undefined) return
     connection.openRequests += 1
+    this.#room.onBusy(socket)
     connection.statedIdleMs = this.#server.keepAliveTimeout
     connection.unreadChecks = 0
     socket.setTimeout(this.#unreadCheckMs)
     response.once('finish', () => {
       connection.openRequests -= 1
       connection.idleSinceMs = this.clock.monotonicMs()
+      if (connection.openRequests === 0) this.#room.onIdle(socket)
       if (!response.shouldKeepAlive) connection.statedIdleMs = 0
       // A pipelined request is in progress, or the connection closes.
       if (connection.openRequests > 0 || connection.statedIdleMs === 0) return
@@ -231,11 +261,13 @@
 
   #onClose (socket: Socket): void {
     const connection = this.#connections.get(socket)
+    const isClosedForRoom = this.#room.isClosing(socket)
     this.#connections.delete(socket)
     this.#bytesOfClosed += socket.bytesRead
+    this.#room.remove(socket)
     // The caller closed it first, or broke it off.
     const isClosedByCaller = socket.readableEnded || socket.errored !== null
-    if (connection === undefined || isClosedByCaller || this.#destroyed) return
+    if (connection === undefined || isClosedByCaller || isClosedForRoom || this.#destroyed) return
     const { openRequests, statedIdleMs, idleSinceMs, unreadChecks } = connection
     const idleMs = this.clock.monotonicMs() - idleSinceMs
     if (openRequests > 0 || idleMs < statedIdleMs) this.options.onUnexpectedClose?.({ openRequests, idleMs, statedIdleMs, unread: unreadChecks >= UNREAD_CHECKS })
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import type { GatewayConfig } from './config/types.js'
 import { RunnerConnections } from './forward/runner-connections.js'
 import { CallerCheck } from './front/caller-check.js'
+import { shareOfCallers } from './front/connection-room.js'
 import { createCallerHandler } from './front/handlers.js'
 import { HttpServer } from './front/http-server.js'
 import { ListenerOpener } from './front/listener-opener.js'
@@ -52,7 +53,7 @@
 import { RunnerListSync } from './runners/runner-list-sync.js'
 import { RunnerTable } from './runners/runner-table.js'
 import { DemandMeter } from './serve/demand-meter.js'
-import { createOverlongCounter, createRequestMetrics, createUnexpectedCloseCounter } from './serve/metrics.js'
+import { createOverlongCounter, createRequestMetrics, createRoomCounter, createUnexpectedCloseCounter } from './serve/metrics.js'
 import { OpenRequests } from './serve/open-requests.js'
 import { RouteDurations } from './serve/route-durations.js'
 import { serveRequest } from './serve/serve-request.js'
@@ -404,7 +405,10 @@
         this.#listedInFlight -= listed
       })
     })
+    const forRoom = createRoomCounter(this.#registry)
     return HttpServer.create(handler, clock, {
+      share: shareOfCallers(this.parts.settings.maxDescriptors),
+      onForRoom: (event) => forRoom.inc({ event }),
       onUnexpectedClose: ({ openRequests, idleMs, statedIdleMs, unread }) => {
         const kind = unread ? 'answer not read' : openRequests > 0 ? 'answer unfinished' : 'sooner than stated'
         unexpectedCloses.inc({ kind })
--- a/packages/gateway/src/serve/metrics.ts
+++ b/packages/gateway/src/serve/metrics.ts
@@ -41,3 +41,9 @@
   const help = 'Connections of callers that this host closed with an answer unfinished, or sooner than their last answer stated.'
   return new Counter({ name: 'figloom_gateway_unexpected_closes_total', help, labelNames: ['kind'], registers: [registry] })
 }
+
+/** Counts connections of callers that were closed or not accepted so that the process has descriptors for runners and other hosts. */
+export function createRoomCounter (registry: Registry): Counter<'event'> {
+  const help = 'Connections of callers that were closed while idle, or not accepted, for lack of descriptors.'
+  return new Counter({ name: 'figloom_gateway_connections_without_room_total', help, labelNames: ['event'], registers: [registry] })
+}
--- a/packages/gateway/src/testing/gateway-host.ts
+++ b/packages/gateway/src/testing/gateway-host.ts
@@ -84,7 +84,8 @@
       orderGapMs: 3_000,
       drainNoticeMs: 2_000,
       maxLookupTtlMs: 5_000,
-      memoryMb: 350
+      memoryMb: 350,
+      maxDescriptors: 4_100
     },
     platform: {
       codec: TestCodec.create(),
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -34,6 +34,8 @@
   maxLookupTtlMs: number
   /** Memory above which the platform ends the process, in megabytes. */
   memoryMb: number
+  /** Descriptors that the process may have open. */
+  maxDescriptors: number
 }
 
 /** Callbacks through which a platform reports changes, and checks what this host already knows before it reads. */
