--- a/packages/gateway/src/forward/event-splitter.test.ts
+++ b/packages/gateway/src/forward/event-splitter.test.ts
@@ -3,8 +3,11 @@
 
 function split (...chunks: string[]): { ids: (number | undefined)[], texts: string[], rest: string } {
   const splitter = EventSplitter.create()
-  const events = chunks.flatMap((chunk) => splitter.push(Buffer.from(chunk)))
-  return { ids: events.map(({ id }) => id), texts: events.map(({ bytes }) => bytes.toString()), rest: splitter.rest.toString() }
+  const events = chunks.flatMap((chunk) => {
+    const { bytes, events } = splitter.push(Buffer.from(chunk))
+    return events.map(({ endAt, id }, index) => ({ id, text: bytes.toString('latin1', events[index - 1]?.endAt ?? 0, endAt) }))
+  })
+  return { ids: events.map(({ id }) => id), texts: events.map(({ text }) => text), rest: splitter.rest.toString() }
 }
 
 t.test('complete events are returned, the rest is kept', async (t) => {
@@ -24,6 +27,12 @@
   t.same(split('data: a\n\n').ids, [undefined])
 })
 
+t.test('the id is the number of the first line that names one', async (t) => {
+  t.same(split('data: a\nid:12\nid: 13\n\n').ids, [12])
+  t.same(split('id: \nid: x\nid: 4x\nid:  5\nid: 006\r\n\n').ids, [6])
+  t.same(split('data: id: 1\nidea: 2\n\n').ids, [undefined])
+})
+
 t.test('a blank line that arrives in single bytes ends its event', async (t) => {
   for (const text of ['id: 1\r\ndata: a\r\n\r\n', 'id: 1\ndata: a\n\n']) t.same(split(...text).texts, [text])
 })
--- a/packages/gateway/src/forward/event-splitter.ts
+++ b/packages/gateway/src/forward/event-splitter.ts
@@ -1,13 +1,20 @@
 /** Splits a body of server-sent events into complete events and reads their ids. */
 import type { ByteHold } from '../memory/byte-budget.js'
 
-/** A complete event: its bytes, and its id if it has one. */
-export type WholeEvent = { bytes: Buffer, id?: number }
+/** A complete event: where it ends in the bytes of its batch, and its id if it has one. */
+export type WholeEvent = { endAt: number, id?: number }
+
+/** Complete events, one behind the other. */
+export type EventBatch = { bytes: Buffer, events: WholeEvent[] }
 
 const EMPTY: Buffer = Buffer.alloc(0)
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
-const ID_LINE = /^id: ?(\d+)\r?$/m
+const SPACE = 0x20
+const COLON = 0x3a
+const DIGIT_0 = 0x30
+const LETTER_D = 0x64
+const LETTER_I = 0x69
 
 /** Events hold a few tokens; a larger one is damaged. */
 const MAX_EVENT_BYTES = 1_048_576
@@ -29,20 +36,18 @@
   }
 
   /** Adds bytes and returns the events that they complete. Takes time linear in the bytes added, however many are buffered. */
-  push (chunk: Buffer): WholeEvent[] {
+  push (chunk: Buffer): EventBatch {
     const scanFrom = Math.max(0, this.#restBytes - SPLIT_LINE_BYTES)
     const continues = this.#restBytes > 0
     if (continues) this.#append(chunk)
     const bytes = continues ? this.#rest.subarray(0, this.#restBytes) : chunk
-    const events: WholeEvent[] = []
-    let start = 0
-    for (let end = findEnd(bytes, scanFrom); end > 0; end = findEnd(bytes, start)) {
-      // Copied, since the buffer is reused while the event may still be queued for its caller.
-      events.push(toEvent(continues ? Buffer.from(bytes.subarray(start, end)) : bytes.subarray(start, end)))
-      start = end
-    }
-    if (!continues || start > 0) this.#keep(bytes.subarray(start))
-    return events
+    const events = findEvents(bytes, scanFrom)
+    const endAt = events.at(-1)?.endAt ?? 0
+    const whole = bytes.subarray(0, endAt)
+    // Copied, since the buffer is reused while the events may still be queued for their caller.
+    const batch = { bytes: continues ? Buffer.from(whole) : whole, events }
+    if (!continues || endAt > 0) this.#keep(bytes.subarray(endAt))
+    return batch
   }
 
   /** The incomplete event exceeds the size limit. */
@@ -96,6 +101,17 @@
   }
 }
 
+/** @param scanFrom no event ends before this position */
+function findEvents (bytes: Buffer, scanFrom: number): WholeEvent[] {
+  const events: WholeEvent[] = []
+  let start = 0
+  for (let endAt = findEnd(bytes, scanFrom); endAt > 0; endAt = findEnd(bytes, start)) {
+    events.push({ endAt, id: findId(bytes, start, endAt) })
+    start = endAt
+  }
+  return events
+}
+
 /** Position after the blank line that ends the next event, or -1. */
 function findEnd (bytes: Buffer, start: number): number {
   for (let at = bytes.indexOf(LINE_FEED, start); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
@@ -106,7 +122,31 @@
   return -1
 }
 
-function toEvent (bytes: Buffer): WholeEvent {
-  const id = ID_LINE.exec(bytes.toString('latin1'))?.[1]
-  return id === undefined ? { bytes } : { bytes, id: Number(id) }
+/** The number in the first line of the event that names one as its id. */
+function findId (bytes: Buffer, start: number, endAt: number): number | undefined {
+  let lineAt = start
+  while (lineAt < endAt) {
+    const id = idOfLine(bytes, lineAt)
+    if (id !== undefined) return id
+    lineAt = bytes.indexOf(LINE_FEED, lineAt) + 1
+    if (lineAt === 0) return undefined
+  }
+  return undefined
+}
+
+function idOfLine (bytes: Buffer, lineAt: number): number | undefined {
+  if (bytes[lineAt] !== LETTER_I || bytes[lineAt + 1] !== LETTER_D || bytes[lineAt + 2] !== COLON) return undefined
+  const from = bytes[lineAt + 3] === SPACE ? lineAt + 4 : lineAt + 3
+  let at = from
+  let id = 0
+  while (isDigit(bytes[at])) {
+    id = id * 10 + (bytes[at] ?? 0) - DIGIT_0
+    at += 1
+  }
+  const lineEndAt = bytes[at] === CARRIAGE_RETURN ? at + 1 : at
+  return at > from && bytes[lineEndAt] === LINE_FEED ? id : undefined
+}
+
+function isDigit (byte: number | undefined): boolean {
+  return byte !== undefined && byte >= DIGIT_0 && byte <= DIGIT_0 + 9
 }
--- a/packages/gateway/src/serve/answer-writer.ts
+++ b/packages/gateway/src/serve/answer-writer.ts
@@ -111,19 +111,15 @@
   }
 
   /**
-   * Writes the events that this chunk completes.
+   * Writes the events that this chunk completes, up to the first faulty one.
    * @returns a fault if an event is missing, duplicated or too long; false if the runner has to wait for the caller to read
    */
   pushStream (chunk: Buffer): StreamFault | boolean {
-    let flows = true
-    for (const event of this.#splitter.push(chunk)) {
-      if (!this.#isNextEvent(event.id)) return StreamFault.Gap
-      this.#atJoin = false
-      if (event.id !== undefined) this.#lastEventId = event.id
-      this.#start()
-      this.#eventCount += 1
-      flows = this.#body.write(event.bytes) && flows
-    }
+    const { bytes, events } = this.#splitter.push(chunk)
+    const faultyAt = events.findIndex(({ id }) => !this.#take(id))
+    const endAt = faultyAt < 0 ? bytes.length : events[faultyAt - 1]?.endAt ?? 0
+    const flows = endAt === 0 || this.#write(bytes.subarray(0, endAt))
+    if (faultyAt >= 0) return StreamFault.Gap
     if (this.#body.overlong) return StreamFault.TooLarge
     if (this.#splitter.lacksRoom) return StreamFault.NoRoom
     return this.#splitter.overlong ? StreamFault.Overlong : flows
@@ -150,6 +146,21 @@
     return id !== undefined && this.#lastEventId !== undefined && id === this.#lastEventId + 1
   }
 
+  /** Counts an event that is going to be written; false: it is faulty. */
+  #take (id: number | undefined): boolean {
+    if (!this.#isNextEvent(id)) return false
+    this.#atJoin = false
+    if (id !== undefined) this.#lastEventId = id
+    this.#eventCount += 1
+    return true
+  }
+
+  /** Returns false if the runner has to wait for the caller to read. */
+  #write (events: Buffer): boolean {
+    this.#start()
+    return this.#body.write(events)
+  }
+
   /** Event ids must be consecutive. Only an id shows that a part continues the stream, and isn't the text of an error. */
   #isNextEvent (id: number | undefined): boolean {
     if (this.#atJoin && (id === undefined || this.#lastEventId === undefined)) return false
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -148,7 +148,7 @@
   /** The runner has begun only when its stream has an event: it may still break off, and the other one go on. */
   #onHeldData (chunk: Buffer): Flow {
     if (!this.#body.push(chunk)) return this.#rejectForRoom()
-    const [first] = this.#heldEvents.push(chunk)
+    const [first] = this.#heldEvents.push(chunk).events
     if (this.#heldEvents.lacksRoom) return this.#rejectForRoom()
     if (first === undefined && this.callbacks.isBesideAnother()) {
       return this.#heldEvents.overlong ? this.#rejectOverlong('an event exceeds the size limit') : Flow.Continue
--- a/packages/gateway/src/serve/stream-body.ts
+++ b/packages/gateway/src/serve/stream-body.ts
@@ -27,7 +27,10 @@
   abstract end (): void
 }
 
+/** What is written in one turn of the event loop goes to the caller as one chunk: a runner may send each event on its own. */
 class ChunkedBody extends StreamBody {
+  #unwritten: Buffer[] = []
+
   constructor (private readonly response: ServerResponse) {
     super()
   }
@@ -41,12 +44,23 @@
   }
 
   override write (bytes: Buffer): boolean {
-    return this.response.write(bytes)
+    if (this.#unwritten.length === 0) process.nextTick(() => this.#flush())
+    this.#unwritten.push(bytes)
+    return !this.response.writableNeedDrain
   }
 
   override end (): void {
+    this.#flush()
     this.response.end()
   }
+
+  #flush (): void {
+    if (this.#unwritten.length === 0) return
+    const [first] = this.#unwritten
+    const bytes = this.#unwritten.length === 1 && first !== undefined ? first : Buffer.concat(this.#unwritten)
+    this.#unwritten = []
+    if (!this.response.destroyed) this.response.write(bytes)
+  }
 }
 
 class CollectedBody extends StreamBody {
