Messages between hosts: a share of the memory of their own

Reports drew on the same budget as requests that are passed on, gave way to each of them, and a host whose reports had no room would have counted as silent.

--- a/packages/gateway/src/front/handlers.ts
+++ b/packages/gateway/src/front/handlers.ts
@@ -43,7 +43,7 @@
 /** Serves the protocol between hosts, and the metrics. */
 export function createPeerHandler ({ registry, ...options }: PeerListenerParts): RequestHandler {
   const peerListener = createPeerListener(options)
-  const metricsListener = createMetricsHandler({ ...options, registry })
+  const metricsListener = createMetricsHandler({ clock: options.clock, memory: options.memory.messages, registry })
   return (request, response) => {
     if (request.url === '/metrics') metricsListener(request, response)
     else if (hasReadableAddress(request)) peerListener(request, response)
--- a/packages/gateway/src/front/peer-requests.test.ts
+++ b/packages/gateway/src/front/peer-requests.test.ts
@@ -4,7 +4,7 @@
 import { GatewayService } from '@figloom/protocol'
 import { Registry, silentLogger, SystemClock } from '@figloom/runtime'
 import type { PeerHandler } from '../members/peer-service.js'
-import { ByteBudget, ByteKind } from '../memory/byte-budget.js'
+import { createUnlimitedBudgets } from '../memory/memory-budgets.js'
 import { freeAddress } from '../testing/free-address.js'
 import { createPeerHandler } from './handlers.js'
 import { HttpServer, splitAddress } from './http-server.js'
@@ -26,7 +26,7 @@
   const onError = (error: unknown) => { errors.push(error) }
   process.on('uncaughtException', onError)
   const address = await freeAddress()
-  const server = HttpServer.create(createPeerHandler({ handler: {} as PeerHandler, registry: new Registry(), clock: SystemClock.create(), log: silentLogger, memory: ByteBudget.unlimited(ByteKind.Hop) }), SystemClock.create(), { requestTimeoutMs: 1_000 })
+  const server = HttpServer.create(createPeerHandler({ handler: {} as PeerHandler, registry: new Registry(), clock: SystemClock.create(), log: silentLogger, memory: createUnlimitedBudgets() }), SystemClock.create(), { requestTimeoutMs: 1_000 })
   await server.listen(address)
   t.teardown(() => {
     server.destroy()
--- a/packages/gateway/src/front/side-listeners.ts
+++ b/packages/gateway/src/front/side-listeners.ts
@@ -1,7 +1,7 @@
 /** The listeners other than the one for callers: for other hosts and metrics, for the readiness check, and for lookups. */
 import type { Clock, Logger, Registry } from '@figloom/runtime'
 import type { PeerHandler } from '../members/peer-service.js'
-import type { ByteBudget } from '../memory/byte-budget.js'
+import type { MemoryBudgets } from '../memory/memory-budgets.js'
 import type { GatewaySettings, LookupWire } from '../types.js'
 import { createPathHandler, createPeerHandler } from './handlers.js'
 import { HttpServer } from './http-server.js'
@@ -17,7 +17,7 @@
   clock: Clock
   log: Logger
   /** Limits what is kept of the messages of all hosts. */
-  memory: ByteBudget
+  memory: MemoryBudgets
   peers: PeerHandler
   ready: () => boolean
   /** Caller addresses of the hosts that callers may use; empty if no host is known to be ready. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -371,7 +371,7 @@
       registry: this.#registry,
       clock: this.parts.clock,
       log: this.parts.log,
-      memory: this.#memory.hop,
+      memory: this.#memory,
       ready: () => this.ready,
       lookup: () => this.#lookupAddresses(),
       lookupTtlMs: () => Math.min(LOOKUP_TTL_MS, this.#settings.maxLookupTtlMs),
--- a/packages/gateway/src/members/many-messages.test.ts
+++ b/packages/gateway/src/members/many-messages.test.ts
@@ -7,6 +7,7 @@
 import { createPeerHandler } from '../front/handlers.js'
 import { HttpServer } from '../front/http-server.js'
 import { ByteBudget, ByteKind } from '../memory/byte-budget.js'
+import { createUnlimitedBudgets } from '../memory/memory-budgets.js'
 import { freeAddress } from '../testing/free-address.js'
 import { ConnectPeerClient, PeerHandler } from './peer-service.js'
 
@@ -68,10 +69,10 @@
 }
 
 async function startListener (t: Test, registry = new Registry(), limitBytes = LIMIT_BYTES): Promise<{ address: string, memory: ByteBudget }> {
-  const memory = ByteBudget.create({ kind: ByteKind.Hop, limitBytes, onNearlyFull: () => {}, onRefused: () => {} })
+  const memory = ByteBudget.create({ kind: ByteKind.Messages, limitBytes, onNearlyFull: () => {}, onRefused: () => {} })
   const address = await freeAddress()
   const clock = SystemClock.create()
-  const server = HttpServer.create(createPeerHandler({ handler: new EmptyHost(), registry, clock, log: silentLogger, memory }), clock, { requestTimeoutMs: 5_000 })
+  const server = HttpServer.create(createPeerHandler({ handler: new EmptyHost(), registry, clock, log: silentLogger, memory: { ...createUnlimitedBudgets(), messages: memory } }), clock, { requestTimeoutMs: 5_000 })
   await server.listen(address)
   t.teardown(() => server.destroy())
   return { address, memory }
--- a/packages/gateway/src/members/peer-listener.ts
+++ b/packages/gateway/src/members/peer-listener.ts
@@ -6,7 +6,8 @@
 import { onceOver } from '../front/answer-over.js'
 import { discardRest } from '../front/read-body.js'
 import type { RequestHandler } from '../front/http-server.js'
-import type { ByteBudget, ByteHold } from '../memory/byte-budget.js'
+import type { ByteHold } from '../memory/byte-budget.js'
+import type { MemoryBudgets } from '../memory/memory-budgets.js'
 import { EnvelopeCollector, MessageReader, PlainCollector, Reading } from './message-reader.js'
 import { HAS_ROOM, MAX_MESSAGE_BYTES, registerPeerService, type PeerHandler } from './peer-service.js'
 
@@ -15,8 +16,8 @@
 
 export type PeerListenerOptions = {
   handler: PeerHandler
-  /** Limits what is kept of the messages of all hosts. */
-  memory: ByteBudget
+  /** Limits what is kept of the messages of all hosts: of requests that are passed on, and of all others. */
+  memory: Pick<MemoryBudgets, 'hop' | 'messages'>
   clock: Clock
   log: Logger
 }
@@ -32,7 +33,7 @@
     if (call === undefined) return answerEmpty(404, request, response, clock)
     if (request.headers['content-type'] !== contentTypeOf(call)) return answerEmpty(415, request, response, clock)
     const reader = MessageReader.create(request)
-    const hold = memory.open(request.socket.remoteAddress ?? '', () => reader.giveUp())
+    const hold = (isStream(call) ? memory.hop : memory.messages).open(request.socket.remoteAddress ?? '', () => reader.giveUp())
     onceOver(response, () => hold.close())
     serve(call, request, response, { reader, hold, clock }).catch((error: Error) => {
       log.debug('call of another host not answered', { path: request.url, reason: error.message })
--- a/packages/gateway/src/memory/byte-budget.ts
+++ b/packages/gateway/src/memory/byte-budget.ts
@@ -9,8 +9,10 @@
   Answers: 'answers',
   /** Bodies of callers' requests, until the request ends. The owner is the caller's address. */
   Requests: 'requests',
-  /** Answers on their way to other hosts. The owner is the runner. */
-  Hop: 'hop'
+  /** Requests and answers on their way to and from other hosts. The owner is the runner, or the other host's address. */
+  Hop: 'hop',
+  /** Reports and other calls between hosts, without requests that are passed on. The owner is the other host's address. */
+  Messages: 'messages'
 } as const
 export type ByteKind = (typeof ByteKind)[keyof typeof ByteKind]
 
--- a/packages/gateway/src/memory/memory-budgets.ts
+++ b/packages/gateway/src/memory/memory-budgets.ts
@@ -10,7 +10,7 @@
 /** A machine with less memory than the program needs still serves small requests. */
 const MIN_TOTAL_MB = 12
 
-const SHARES: Record<ByteKind, number> = { [ByteKind.Answers]: 0.5, [ByteKind.Requests]: 0.3, [ByteKind.Hop]: 0.2 }
+const SHARES: Record<ByteKind, number> = { [ByteKind.Answers]: 0.45, [ByteKind.Requests]: 0.25, [ByteKind.Hop]: 0.15, [ByteKind.Messages]: 0.15 }
 
 export type MemoryBudgets = Record<ByteKind, ByteBudget>
 
@@ -31,13 +31,17 @@
     onNearlyFull: (usedBytes, { owner, bytes, holders }) => log.warn('memory for one kind of data is nearly used up', { kind, usedBytes, limitBytes: Math.round(totalBytes * SHARES[kind]), largestOwner: owner, ownerBytes: bytes, ownerHolds: holders }),
     onRefused: () => refused.inc({ kind })
   })
-  const budgets = { [ByteKind.Answers]: createBudget(ByteKind.Answers), [ByteKind.Requests]: createBudget(ByteKind.Requests), [ByteKind.Hop]: createBudget(ByteKind.Hop) }
+  const budgets = createEach(createBudget)
   addGauge(registry, budgets)
   return budgets
 }
 
 export function createUnlimitedBudgets (): MemoryBudgets {
-  return { [ByteKind.Answers]: ByteBudget.unlimited(ByteKind.Answers), [ByteKind.Requests]: ByteBudget.unlimited(ByteKind.Requests), [ByteKind.Hop]: ByteBudget.unlimited(ByteKind.Hop) }
+  return createEach((kind) => ByteBudget.unlimited(kind))
+}
+
+function createEach (create: (kind: ByteKind) => ByteBudget): MemoryBudgets {
+  return { answers: create(ByteKind.Answers), requests: create(ByteKind.Requests), hop: create(ByteKind.Hop), messages: create(ByteKind.Messages) }
 }
 
 function addGauge (registry: Registry, budgets: MemoryBudgets): Gauge {
--- a/packages/gateway/src/testing/passing-host.ts
+++ b/packages/gateway/src/testing/passing-host.ts
@@ -31,7 +31,7 @@
       memory: memory.hop,
       isLeaving: () => this.leaving
     })
-    this.#server = HttpServer.create(createPeerHandler({ handler: this, registry: new Registry(), clock, log: silentLogger, memory: memory.hop }), clock, { requestTimeoutMs: 5_000 })
+    this.#server = HttpServer.create(createPeerHandler({ handler: this, registry: new Registry(), clock, log: silentLogger, memory }), clock, { requestTimeoutMs: 5_000 })
   }
 
   static async create (memory?: MemoryBudgets): Promise<PassingHost> {
