Callers that don't read: what is kept for them is counted, and gives way to answers that are still arriving

Cause: a complete answer kept its room until its caller had it or was closed, and an answer of a usual size without room counted against its runner; what a stream had handed over to its caller's connection was counted nowhere.

Why it works: the largest gives way, complete or not, so a caller that doesn't read gives way to those who wait. Streams count what waits for their callers. An answer below 1 MiB for which there is no room says nothing about its runner.

--- a/packages/gateway/src/memory/byte-budget.ts
+++ b/packages/gateway/src/memory/byte-budget.ts
@@ -140,7 +140,7 @@
   #isClosed = false
 
   /** Use `ByteBudget.open`. */
-  constructor (private readonly budget: ByteBudget, readonly owner: string, private readonly onGiveWay: () => void) {}
+  constructor (private readonly budget: ByteBudget, readonly owner: string, private onGiveWay: () => void) {}
 
   get bytes (): number {
     return this.#bytes
@@ -189,6 +189,11 @@
     this.budget.release(before - this.countedBytes)
   }
 
+  /** What it keeps is complete. @param onGiveWay called from now on when it has to give up what it keeps */
+  settle (onGiveWay: () => void): void {
+    this.onGiveWay = onGiveWay
+  }
+
   /** What it keeps is complete and is needed until it is closed. */
   fix (): void {
     this.#isFixed = true
--- a/packages/gateway/src/serve/answer-writer.ts
+++ b/packages/gateway/src/serve/answer-writer.ts
@@ -88,6 +88,8 @@
   writeBuffered ({ head, body, hold }: BufferedAnswer): void {
     onceOver(this.response, () => hold.close())
     if (this.response.destroyed) return
+    // What its caller doesn't read gives way to answers that are still arriving.
+    hold.settle(() => this.response.destroy())
     const headers = this.#callerHeaders(head)
     if (allowsBody(head.status)) headers.push(...this.#lengthHeader(head, body))
     this.response.writeHead(head.status, headers)
--- a/packages/gateway/src/serve/attempt-result.ts
+++ b/packages/gateway/src/serve/attempt-result.ts
@@ -21,6 +21,8 @@
   bufferedAnswer?: BufferedAnswer
   /** The answer has more bytes than a valid one, or than there is memory left for. */
   isTooLarge?: boolean
+  /** There was no memory left for an answer of a usual size, which says nothing about the runner. */
+  lacksRoom?: boolean
 }
 
 export type ResultCallbacks = {
@@ -51,6 +53,9 @@
 /** Larger answers, other than streams, are rejected. */
 const MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 
+/** An answer from this size on for which no memory is left counts against its runner. */
+const MIN_SUSPECT_BYTES = 1_048_576
+
 const FAILURE_OUTCOMES: Record<FailureStage, Outcome> = {
   [FailureStage.Connect]: Outcome.ConnectFailed,
   [FailureStage.Withdrawn]: Outcome.Withdrawn,
@@ -72,6 +77,7 @@
   readonly #heldEvents: EventSplitter
   #done = false
   #isTooLarge = false
+  #lacksRoom = false
   #connectionBroke = false
   #faultAt: FaultAt | undefined
 
@@ -202,7 +208,6 @@
   #finishBuffered (): void {
     const head = this.#head
     if (head === undefined) return
-    this.#hold.fix()
     const bufferedAnswer = { head, body: this.#body.blocks(), hold: this.#hold }
     const outcome = head.status < 500 ? Outcome.Answered : Outcome.RunnerFailed
     this.#finish(outcome, `status ${head.status}`, bufferedAnswer)
@@ -223,7 +228,11 @@
 
   /** It keeps more than any other answer of the runner with the most bytes. */
   #rejectForRoom (): Flow {
-    return this.#rejectOverlong('no memory is left for an answer of this size')
+    const reason = 'no memory is left for an answer of this size'
+    if (this.#mode !== Mode.Buffered || this.#body.bytes >= MIN_SUSPECT_BYTES) return this.#rejectOverlong(reason)
+    this.#isTooLarge = true
+    this.#lacksRoom = true
+    return this.#reject(reason)
   }
 
   /** Another answer needs the memory of this one. */
@@ -252,7 +261,7 @@
     if (this.#mode === Mode.Stream) this.writer.closePart()
     this.#heldEvents.reset()
     if (bufferedAnswer === undefined) this.#hold.close()
-    this.callbacks.onResult({ outcome, reason, facts: this.#facts, connectionBroke: this.#connectionBroke, faultAt: this.#faultAt, bufferedAnswer, isTooLarge: this.#isTooLarge })
+    this.callbacks.onResult({ outcome, reason, facts: this.#facts, connectionBroke: this.#connectionBroke, faultAt: this.#faultAt, bufferedAnswer, isTooLarge: this.#isTooLarge, lacksRoom: this.#lacksRoom })
     this.#body = ByteCollector.create(this.#hold)
   }
 }
--- a/packages/gateway/src/serve/record-attempt.ts
+++ b/packages/gateway/src/serve/record-attempt.ts
@@ -21,7 +21,7 @@
   const nowMs = context.clock.monotonicMs()
   if (facts?.misdirected === true) return recordMisdirected(context, attempt, nowMs)
   if (outcome === Outcome.Answered) recordAnswered(context, attempt, nowMs)
-  else if (attempt.pathFailed) runner.health.onNeutral(request.id)
+  else if (attempt.pathFailed || result.lacksRoom === true) runner.health.onNeutral(request.id)
   else if (facts?.notRun === true || outcome === Outcome.Withdrawn) runner.health.onNeutral(request.id)
   else if (outcome === Outcome.ConnectFailed) context.runners.markUnreachable(runner.entry.id, nowMs)
   else runner.health.onFailure(request.id, nowMs)
--- a/packages/gateway/src/serve/stream-body.ts
+++ b/packages/gateway/src/serve/stream-body.ts
@@ -8,15 +8,15 @@
 import type { ByteBudget, ByteHold } from '../memory/byte-budget.js'
 import { ByteCollector } from '../memory/byte-collector.js'
 
-/** Owner of the streams that are collected, for callers that know no chunks. */
-const OWNER = 'streams in one piece'
+/** Owner of what streams keep for their callers: the largest of them gives way. */
+const OWNER = 'streams'
 /** A stream that is collected for its caller must not be larger. */
 const MAX_COLLECTED_BYTES = 8 * 1024 * 1024
 
 export abstract class StreamBody {
   /** Callers that know no chunks get the whole stream at its end, with its length. */
   static create (response: ServerResponse, memory: ByteBudget): StreamBody {
-    return response.useChunkedEncodingByDefault ? new ChunkedBody(response) : new CollectedBody(response, memory)
+    return response.useChunkedEncodingByDefault ? new ChunkedBody(response, memory) : new CollectedBody(response, memory)
   }
 
   /** The body has grown over the limit, or no memory is left for it: it can't be completed. */
@@ -30,9 +30,13 @@
 /** What is written in one turn of the event loop goes to the caller as one chunk: a runner may send each event on its own. */
 class ChunkedBody extends StreamBody {
   #unwritten: Buffer[] = []
+  readonly #hold: ByteHold
 
-  constructor (private readonly response: ServerResponse) {
+  constructor (private readonly response: ServerResponse, memory: ByteBudget) {
     super()
+    this.#hold = memory.open(OWNER, () => response.destroy())
+    response.on('drain', () => this.#hold.giveBack(this.#hold.bytes))
+    onceOver(response, () => this.#hold.close())
   }
 
   override get overlong (): boolean {
@@ -59,7 +63,12 @@
     const [first] = this.#unwritten
     const bytes = this.#unwritten.length === 1 && first !== undefined ? first : Buffer.concat(this.#unwritten)
     this.#unwritten = []
-    if (!this.response.destroyed) this.response.write(bytes)
+    if (!this.response.destroyed && !this.response.write(bytes)) this.#countUnread()
+  }
+
+  /** A stream that its caller doesn't read is broken off where no memory is left for it. */
+  #countUnread (): void {
+    if (!this.#hold.take(Math.max(0, this.response.writableLength - this.#hold.bytes))) this.response.destroy()
   }
 }
 
@@ -95,7 +104,7 @@
 
   override end (): void {
     if (this.#events === undefined) return
-    this.#hold.fix()
+    this.#hold.settle(() => this.response.destroy())
     const { bytes } = this.#events
     this.response.writeHead(this.#status, [...this.#headers, 'Content-Length', String(bytes)])
     this.response.end(this.#events.whole())
