Reverted: the limit on what one connection may read in a turn of the event loop

A failed try. With it, an answer that was paused for a caller who doesn't read didn't always go on when the caller read again: "a caller that does not read makes the runner wait" failed in the run of all tests and alone, and passes without. Why isn't traced. Floods of tiny events keep the event loop busy as before.

--- a/packages/gateway/src/forward/bounded-client.ts
+++ b/packages/gateway/src/forward/bounded-client.ts
@@ -9,7 +9,6 @@
 import { createResetError, wasReset } from './connection-reset.js'
 import { allowsBody, isFramed } from './framing.js'
 import { HeadLines } from './head-lines.js'
-import { PacedReads } from './paced-reads.js'
 
 /**
  * Bytes that a runner may send without a final head, a chunk of a body or the end of an answer. Leaves room for one head and twice
@@ -32,7 +31,6 @@
 
 export class BoundedClient extends Client {
   #socket: Socket | undefined
-  #reads: PacedReads | undefined
   /** Bytes received on the socket when the answer last made progress. */
   #progressBytes = 0
   readonly #headLines = HeadLines.create()
@@ -81,7 +79,6 @@
     this.#progressBytes = 0
     this.#refusedIds.clear()
     this.#headLines.reset()
-    this.#reads = PacedReads.install(socket)
     this.#countHeadLines(socket)
     socket.prependListener('readable', () => {
       if (socket.bytesRead - this.#progressBytes > MAX_BYTES_WITHOUT_PROGRESS) this.#close(socket, 'bytes that are not part of an answer')
@@ -115,11 +112,6 @@
     })
   }
 
-  #onFinalHead (): void {
-    this.#onProgress()
-    this.#reads?.onBody()
-  }
-
   #onProgress (): void {
     this.#progressBytes = this.#socket?.bytesRead ?? 0
   }
@@ -133,7 +125,7 @@
     return {
       onConnect: (abort) => handler.onConnect?.(abort),
       onHeaders: (status, headers, resume, reason) => {
-        if (status >= FIRST_FINAL_STATUS) this.#onFinalHead()
+        if (status >= FIRST_FINAL_STATUS) this.#onProgress()
         this.#resume = resume
         endsWithConnection = method !== 'HEAD' && allowsBody(status) && !isFramed(namesOf(headers))
         const goesOn = handler.onHeaders?.(status, headers, resume, reason) ?? true
@@ -142,14 +134,12 @@
       },
       onData: (chunk) => {
         this.#onProgress()
-        this.#reads?.onPiece()
         // The client calls this once more, without bytes, when it resumes.
         return (handler.onData?.(chunk) ?? true) || this.#hasEnded
       },
       onComplete: (trailers) => {
         this.#onProgress()
         this.#headLines.reset()
-        this.#reads?.onBodyEnded()
         if (endsWithConnection && this.#wasReset()) handler.onError?.(createResetError())
         else handler.onComplete?.(trailers)
       },
